Name the client of fleet documents after what it reads

The users' platform gets an adapter in platform/; the product's own client of its read-and-watch service must not be mixed up with it. Names only: the module is documents, its types DocumentClient and DocumentError.

--- a/src/controllers/config_controller.rs
+++ b/src/controllers/config_controller.rs
@@ -27,6 +27,7 @@
 use super::ViewFreshness;
 use super::platform_watch;
 use crate::clock::boot_now;
+use crate::documents::DocumentClient;
 use crate::fleet::FleetDocument;
 use crate::fleet::FleetView;
 use crate::fleet::parse_document;
@@ -40,7 +41,6 @@
 use crate::peers::PeerCall;
 use crate::peers::PeerMesh;
 use crate::peers::PeerReply;
-use crate::platform::PlatformClient;
 
 /// How long a peer may take to send its document, a mebibyte at most.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -78,7 +78,7 @@
     /// The connections to the peers; the controller keeps its seats up to date.
     pub mesh: Arc<PeerMesh>,
     /// The platform.
-    pub platform: Arc<PlatformClient>,
+    pub platform: Arc<DocumentClient>,
     /// Takes the changes of state.
     pub log: Arc<StateLog>,
     /// Takes the counters.
--- a/src/controllers/host_list_watch.rs
+++ b/src/controllers/host_list_watch.rs
@@ -8,8 +8,8 @@
 use futures_lite::future::or;
 
 use crate::backoff::RetryBackoff;
-use crate::platform::HostList;
-use crate::platform::PlatformClient;
+use crate::documents::DocumentClient;
+use crate::documents::HostList;
 
 /// How often the list is read. 320 daemons make 320 calls a second of the
 /// platform's 2,000; a target that leaves is seen 1 s after the list says so.
@@ -28,7 +28,7 @@
     /// Reads the list each second from now on and hands each one to `listener`.
     /// The list lags and may come in the wrong order; see [`super::LeavingLedger`].
     pub fn spawn(
-        platform: Arc<PlatformClient>,
+        platform: Arc<DocumentClient>,
         listener: impl Fn(HostList) + Send + 'static,
     ) -> Self {
         let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -46,7 +46,7 @@
     }
 }
 
-async fn read_forever(platform: Arc<PlatformClient>, listener: impl Fn(HostList)) {
+async fn read_forever(platform: Arc<DocumentClient>, listener: impl Fn(HostList)) {
     let mut backoff = RetryBackoff::new(PERIOD, LONGEST_RETRY);
     loop {
         match platform.list_hosts().await {
--- a/src/controllers/leaving_ledger.rs
+++ b/src/controllers/leaving_ledger.rs
@@ -1,8 +1,8 @@
 //! Which targets and hosts are leaving, by everybody who says so.
 
+use crate::documents::HostList;
 use crate::fleet::TargetState;
 use crate::ids::UnixMillis;
-use crate::platform::HostList;
 use crate::sorted::SortedMap;
 
 /// Who says that something is live or leaving.
--- a/src/controllers/platform_watch.rs
+++ b/src/controllers/platform_watch.rs
@@ -11,11 +11,11 @@
 use super::config_controller::WeakController;
 use crate::backoff::RetryBackoff;
 use crate::clock::boot_now;
+use crate::documents::DocumentClient;
+use crate::documents::DocumentError;
+use crate::documents::WatchAnswer;
 use crate::logs::StateChange;
 use crate::peers::FleetCopy;
-use crate::platform::PlatformClient;
-use crate::platform::PlatformError;
-use crate::platform::WatchAnswer;
 
 /// The first wait after a failure or a refused document.
 const FIRST_RETRY: Duration = Duration::from_millis(200);
@@ -39,7 +39,7 @@
 /// A refused document stands at the platform and would answer each watch at
 /// once, so a refusal backs off like a failure: otherwise one bad edit turns
 /// every host into a busy loop against the platform.
-pub(super) async fn follow(controller: WeakController, platform: Arc<PlatformClient>) {
+pub(super) async fn follow(controller: WeakController, platform: Arc<DocumentClient>) {
     let mut backoff = RetryBackoff::new(FIRST_RETRY, LONGEST_RETRY);
     let mut lost = false;
     loop {
@@ -68,9 +68,9 @@
 
 /// Reads the document when none is known, and watches for a newer one otherwise.
 async fn read_newer(
-    platform: &PlatformClient,
+    platform: &DocumentClient,
     after: u64,
-) -> Result<Option<FleetCopy>, PlatformError> {
+) -> Result<Option<FleetCopy>, DocumentError> {
     if after == 0 {
         return platform.read_document().await.map(Some);
     }
@@ -82,7 +82,7 @@
 
 fn take_answer(
     controller: &ConfigController,
-    answer: Result<Option<FleetCopy>, PlatformError>,
+    answer: Result<Option<FleetCopy>, DocumentError>,
 ) -> TurnEnd {
     match answer {
         Ok(None) => TurnEnd::GoOn,
@@ -92,13 +92,13 @@
                 TurnEnd::BackOff(None)
             }
         },
-        Err(PlatformError::Refused { retry_after, .. }) => TurnEnd::BackOff(retry_after),
+        Err(DocumentError::Refused { retry_after, .. }) => TurnEnd::BackOff(retry_after),
         Err(_) => TurnEnd::BackOff(None),
     }
 }
 
 /// Writes a line when the platform goes or comes back, not for each failure.
-fn tell_change(controller: &ConfigController, lost: &mut bool, error: Option<&PlatformError>) {
+fn tell_change(controller: &ConfigController, lost: &mut bool, error: Option<&DocumentError>) {
     let was_lost = std::mem::replace(lost, error.is_some());
     match error {
         Some(error) if !was_lost => controller.tell(&StateChange::PlatformLost {
--- a/src/controllers/target_controller.rs
+++ b/src/controllers/target_controller.rs
@@ -18,6 +18,8 @@
 use crate::controllers::HostListWatch;
 use crate::controllers::LeavingLedger;
 use crate::controllers::WorkController;
+use crate::documents::DocumentClient;
+use crate::documents::HostList;
 use crate::fleet::FleetTarget;
 use crate::fleet::FleetView;
 use crate::fleet::TargetState;
@@ -29,8 +31,6 @@
 use crate::ids::UnixMillis;
 use crate::logs::StateChange;
 use crate::logs::StateLog;
-use crate::platform::HostList;
-use crate::platform::PlatformClient;
 use crate::policy::LoadReport;
 use crate::policy::TargetFacts;
 use crate::sorted::SortedMap;
@@ -86,7 +86,7 @@
     pub(crate) fn spawn(
         config: Arc<ConfigController>,
         work: Arc<WorkController>,
-        platform: Arc<PlatformClient>,
+        platform: Arc<DocumentClient>,
         log: Arc<StateLog>,
     ) -> Arc<Self> {
         let controller = Arc::new(Self {
--- a/src/platform/platform_client.rs
+++ b/src/documents/document_client.rs
@@ -9,8 +9,8 @@
 
 use async_std::future;
 
+use super::DocumentError;
 use super::HostList;
-use super::PlatformError;
 use super::http_exchange;
 use super::http_exchange::WholeAnswer;
 use super::http_exchange::malformed;
@@ -35,7 +35,7 @@
 
 /// Reads one scope of the platform at any of its addresses.
 #[derive(Debug)]
-pub struct PlatformClient {
+pub struct DocumentClient {
     addresses: Vec<SocketAddr>,
     scope: String,
     /// Which address to try first; moves on with each failure.
@@ -43,7 +43,7 @@
     calls: AtomicU64,
 }
 
-impl PlatformClient {
+impl DocumentClient {
     /// Makes a client for the document `scope`; opens nothing yet.
     pub const fn new(addresses: Vec<SocketAddr>, scope: String) -> Self {
         Self {
@@ -64,7 +64,7 @@
     /// # Errors
     ///
     /// The platform can't be reached, refuses, or answers malformed.
-    pub async fn read_document(&self) -> Result<FleetCopy, PlatformError> {
+    pub async fn read_document(&self) -> Result<FleetCopy, DocumentError> {
         let path = format!("/v1/documents/{}", self.scope);
         let answer = self.get(&path, READ_TIMEOUT).await?;
         document_from(answer)
@@ -74,8 +74,8 @@
     ///
     /// # Errors
     ///
-    /// As [`PlatformClient::read_document`].
-    pub async fn watch_document(&self, after: FleetVersion) -> Result<WatchAnswer, PlatformError> {
+    /// As [`DocumentClient::read_document`].
+    pub async fn watch_document(&self, after: FleetVersion) -> Result<WatchAnswer, DocumentError> {
         let wait_ms = WATCH_WAIT.as_millis();
         let path = format!(
             "/v1/documents/{}?after={after}&wait_ms={wait_ms}",
@@ -92,14 +92,14 @@
     ///
     /// # Errors
     ///
-    /// As [`PlatformClient::read_document`].
-    pub async fn list_hosts(&self) -> Result<HostList, PlatformError> {
+    /// As [`DocumentClient::read_document`].
+    pub async fn list_hosts(&self) -> Result<HostList, DocumentError> {
         let answer = self.get("/v1/hosts", READ_TIMEOUT).await?;
         serde_json::from_slice(&answer.body).map_err(malformed)
     }
 
     /// Gets `path` from the current address; after a failure the next one is tried.
-    async fn get(&self, path: &str, timeout: Duration) -> Result<WholeAnswer, PlatformError> {
+    async fn get(&self, path: &str, timeout: Duration) -> Result<WholeAnswer, DocumentError> {
         let turn = self.next.load(Ordering::Relaxed);
         let address = self
             .addresses
@@ -117,18 +117,18 @@
 
 async fn in_time<T>(
     timeout: Duration,
-    work: impl Future<Output = Result<T, PlatformError>>,
-) -> Result<T, PlatformError> {
+    work: impl Future<Output = Result<T, DocumentError>>,
+) -> Result<T, DocumentError> {
     future::timeout(timeout, work)
         .await
-        .unwrap_or(Err(PlatformError::TimedOut))
+        .unwrap_or(Err(DocumentError::TimedOut))
 }
 
-fn check_status(answer: WholeAnswer) -> Result<WholeAnswer, PlatformError> {
+fn check_status(answer: WholeAnswer) -> Result<WholeAnswer, DocumentError> {
     match answer.status {
         200 | 304 => Ok(answer),
-        404 => Err(PlatformError::UnknownScope),
-        status @ (429 | 500..=599) => Err(PlatformError::Refused {
+        404 => Err(DocumentError::UnknownScope),
+        status @ (429 | 500..=599) => Err(DocumentError::Refused {
             status,
             retry_after: answer
                 .retry_after
@@ -139,7 +139,7 @@
     }
 }
 
-fn document_from(answer: WholeAnswer) -> Result<FleetCopy, PlatformError> {
+fn document_from(answer: WholeAnswer) -> Result<FleetCopy, DocumentError> {
     let version = answer
         .document_version
         .and_then(|text| text.parse().ok())
--- a/src/platform/platform_error.rs
+++ b/src/documents/document_error.rs
@@ -7,7 +7,7 @@
 
 /// Why a read of the platform failed.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
-pub enum PlatformError {
+pub enum DocumentError {
     /// No connection, or it ended early.
     #[display("unreachable: {reason}")]
     Unreachable {
@@ -42,7 +42,7 @@
     },
 }
 
-impl From<std::io::Error> for PlatformError {
+impl From<std::io::Error> for DocumentError {
     fn from(error: std::io::Error) -> Self {
         Self::Unreachable {
             reason: error.to_string(),
--- a/src/platform/http_exchange.rs
+++ b/src/documents/http_exchange.rs
@@ -13,7 +13,7 @@
 use http_types::headers::CONTENT_LENGTH;
 use http_types::headers::TRANSFER_ENCODING;
 
-use super::PlatformError;
+use super::DocumentError;
 
 /// The largest value that the platform holds, in bytes.
 pub const MAX_BODY_BYTES: u64 = 1 << 20;
@@ -31,7 +31,7 @@
 }
 
 /// Sends a GET for `path` on a connection of its own and reads the whole answer.
-pub(super) async fn get(address: SocketAddr, path: &str) -> Result<WholeAnswer, PlatformError> {
+pub(super) async fn get(address: SocketAddr, path: &str) -> Result<WholeAnswer, DocumentError> {
     let url = Url::parse(&format!("http://{address}{path}")).map_err(malformed)?;
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -46,7 +46,7 @@
     read_answer(response).await
 }
 
-async fn read_answer(mut response: Response) -> Result<WholeAnswer, PlatformError> {
+async fn read_answer(mut response: Response) -> Result<WholeAnswer, DocumentError> {
     let status = u16::from(response.status());
     let body = if status == NOT_MODIFIED {
         Bytes::new()
@@ -64,10 +64,10 @@
 /// Reads the body and holds it against its framing: async-h1 2.3.4 reads a body
 /// that was cut short as complete, and one without framing as empty. Half a
 /// document could still parse when the cut falls well, so both are errors.
-async fn read_body(response: &mut Response) -> Result<Bytes, PlatformError> {
+async fn read_body(response: &mut Response) -> Result<Bytes, DocumentError> {
     let declared = declared_length(response)?;
     if declared.is_some_and(|length| length > MAX_BODY_BYTES) {
-        return Err(PlatformError::BodyTooLarge);
+        return Err(DocumentError::BodyTooLarge);
     }
     let mut body = Vec::new();
     response
@@ -77,30 +77,30 @@
         .await?;
     let length = body.len() as u64;
     if length > MAX_BODY_BYTES {
-        return Err(PlatformError::BodyTooLarge);
+        return Err(DocumentError::BodyTooLarge);
     }
     if declared.is_some_and(|declared| declared != length) {
-        return Err(PlatformError::WrongLength);
+        return Err(DocumentError::WrongLength);
     }
     Ok(body.into())
 }
 
 /// Returns the declared length, or nothing for a chunked body, which tells its own end.
-fn declared_length(response: &Response) -> Result<Option<u64>, PlatformError> {
+fn declared_length(response: &Response) -> Result<Option<u64>, DocumentError> {
     let Some(values) = response.header(CONTENT_LENGTH) else {
         return match response.header(TRANSFER_ENCODING) {
             Some(_) => Ok(None),
-            None => Err(PlatformError::WrongLength),
+            None => Err(DocumentError::WrongLength),
         };
     };
     let first = values.get(0).map_or("", |value| value.as_str());
     if values.iter().any(|value| value.as_str() != first) {
-        return Err(PlatformError::WrongLength);
+        return Err(DocumentError::WrongLength);
     }
     first
         .parse()
         .map(Some)
-        .map_err(|_| PlatformError::WrongLength)
+        .map_err(|_| DocumentError::WrongLength)
 }
 
 fn header(response: &Response, name: &str) -> Option<String> {
@@ -108,8 +108,8 @@
     Some(values.last().as_str().to_owned())
 }
 
-pub(super) fn malformed(reason: impl ToString) -> PlatformError {
-    PlatformError::Malformed {
+pub(super) fn malformed(reason: impl ToString) -> DocumentError {
+    DocumentError::Malformed {
         reason: reason.to_string(),
     }
 }
--- a/src/platform/mod.rs
+++ b/src/documents/mod.rs
@@ -3,15 +3,15 @@
 //! Everything here only reads. Each answer is bounded and checked against its
 //! declared length before anything believes it.
 
+mod document_client;
+mod document_error;
 mod host_list;
 mod http_exchange;
-mod platform_client;
-mod platform_error;
 
+pub use document_client::DocumentClient;
+pub use document_client::WATCH_WAIT;
+pub use document_client::WatchAnswer;
+pub use document_error::DocumentError;
 pub use host_list::HostList;
 pub use host_list::ListedHost;
 pub use http_exchange::MAX_BODY_BYTES;
-pub use platform_client::PlatformClient;
-pub use platform_client::WATCH_WAIT;
-pub use platform_client::WatchAnswer;
-pub use platform_error::PlatformError;
--- a/src/gateway/host_server.rs
+++ b/src/gateway/host_server.rs
@@ -34,6 +34,7 @@
 use crate::controllers::TargetController;
 use crate::controllers::ViewListener;
 use crate::controllers::WorkController;
+use crate::documents::DocumentClient;
 use crate::fleet::FleetLimits;
 use crate::ids::FleetVersion;
 use crate::ids::HostName;
@@ -47,7 +48,6 @@
 use crate::peers::PeerIdentity;
 use crate::peers::PeerListener;
 use crate::peers::PeerMesh;
-use crate::platform::PlatformClient;
 use crate::policy::PolicyLimits;
 use crate::recorder::TraceRecorder;
 use crate::roster::OfferVerdict;
@@ -306,8 +306,8 @@
     }
 }
 
-fn open_platform(settings: &HostSettings) -> PlatformClient {
-    PlatformClient::new(settings.platform_addresses.clone(), settings.scope.clone())
+fn open_platform(settings: &HostSettings) -> DocumentClient {
+    DocumentClient::new(settings.platform_addresses.clone(), settings.scope.clone())
 }
 
 /// Lets the seat judge the roster of each document.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,7 @@
 //! For tests, benches and tools of this project; others will rarely need them:
 //!
 //! - [`controllers`]: what keeps the ledger, the rosters and the lists up to date.
-//! - [`platform`]: the client of the platform's read-and-watch service.
+//! - [`documents`]: the client of the read-and-watch service of fleet documents.
 //! - [`limits`], [`metrics`], [`logs`]: rates of accounts, numbers and log lines.
 //! - [`replay`]: recorded traces played against the policy in virtual time.
 //! - [`cli`]: the command line.
@@ -33,6 +33,7 @@
 pub mod cli;
 pub mod clock;
 pub mod controllers;
+pub mod documents;
 pub mod errors;
 pub mod fleet;
 mod gateway;
@@ -44,7 +45,6 @@
 pub mod metrics;
 mod operators;
 pub mod peers;
-pub mod platform;
 pub mod policy;
 mod recorder;
 pub mod replay;
--- a/tests/config_gossip_hosts.rs
+++ b/tests/config_gossip_hosts.rs
@@ -9,7 +9,7 @@
 use cardamomgw::clock::boot_now;
 use cardamomgw::controllers::HostListWatch;
 use cardamomgw::controllers::UnreadyReason;
-use cardamomgw::platform::PlatformClient;
+use cardamomgw::documents::DocumentClient;
 use config_support::FleetMember;
 use config_support::bind_members;
 use config_support::document;
@@ -169,7 +169,7 @@
         name: "engine-01".to_owned(),
         state: TargetState::Leaving,
     };
-    let client = PlatformClient::new(vec![platform.address()], "fleet".to_owned());
+    let client = DocumentClient::new(vec![platform.address()], "fleet".to_owned());
     let (heard, lists) = async_channel::unbounded();
 
     let watch = HostListWatch::spawn(Arc::new(client), move |list| {
--- a/tests/config_gossip_leaving.rs
+++ b/tests/config_gossip_leaving.rs
@@ -2,10 +2,10 @@
 
 use arbtest::arbtest;
 use cardamomgw::controllers::LeavingLedger;
+use cardamomgw::documents::HostList;
+use cardamomgw::documents::ListedHost;
 use cardamomgw::fleet::TargetState::Leaving;
 use cardamomgw::fleet::TargetState::Live;
-use cardamomgw::platform::HostList;
-use cardamomgw::platform::ListedHost;
 
 #[test]
 fn name_that_nobody_mentioned_is_not_leaving() {
--- a/tests/config_support/mod.rs
+++ b/tests/config_support/mod.rs
@@ -14,6 +14,7 @@
 use cardamomgw::controllers::ConfigController;
 use cardamomgw::controllers::ConfigParts;
 use cardamomgw::controllers::RosterAnswer;
+use cardamomgw::documents::DocumentClient;
 use cardamomgw::fleet::FleetDocument;
 use cardamomgw::fleet::SeatAddress;
 use cardamomgw::fleet::parse_document;
@@ -28,7 +29,6 @@
 use cardamomgw::peers::PeerMesh;
 use cardamomgw::peers::PeerReply;
 use cardamomgw::peers::ReplySender;
-use cardamomgw::platform::PlatformClient;
 use cardamomgw::settings::LogLevel;
 use standins::PlatformServer;
 
@@ -95,7 +95,7 @@
     pub(crate) fn start(&self, platform: SocketAddr, seeds: &[&Self]) {
         let seeds = seeds.iter().map(|seed| seed.listener.address()).collect();
         let mesh = PeerMesh::spawn(identity(&self.name), seeds);
-        let platform = PlatformClient::new(vec![platform], "fleet".to_owned());
+        let platform = DocumentClient::new(vec![platform], "fleet".to_owned());
         let metrics = RequestMetrics::open().expect("metrics open");
         let log = StateLog::open(LogLevel::Error, metrics.clone()).expect("the log opens");
         let controller = ConfigController::spawn(ConfigParts {
--- a/tests/platform_client.rs
+++ b/tests/document_client.rs
@@ -7,11 +7,11 @@
 use async_std::io::WriteExt;
 use async_std::net::TcpListener;
 use async_std::task;
+use cardamomgw::documents::DocumentClient;
+use cardamomgw::documents::DocumentError;
+use cardamomgw::documents::MAX_BODY_BYTES;
+use cardamomgw::documents::WatchAnswer;
 use cardamomgw::fleet::TargetState;
-use cardamomgw::platform::MAX_BODY_BYTES;
-use cardamomgw::platform::PlatformClient;
-use cardamomgw::platform::PlatformError;
-use cardamomgw::platform::WatchAnswer;
 
 /// Serves `answers`, one a connection, and returns the address.
 async fn serve(answers: Vec<Vec<u8>>) -> SocketAddr {
@@ -29,8 +29,8 @@
     address
 }
 
-async fn client_of(answers: Vec<Vec<u8>>) -> PlatformClient {
-    PlatformClient::new(vec![serve(answers).await], "polar".to_owned())
+async fn client_of(answers: Vec<Vec<u8>>) -> DocumentClient {
+    DocumentClient::new(vec![serve(answers).await], "polar".to_owned())
 }
 
 fn answer(status: &str, headers: &str, body: &str) -> Vec<u8> {
@@ -76,7 +76,7 @@
 
     assert_eq!(
         client.read_document().await,
-        Err(PlatformError::WrongLength)
+        Err(DocumentError::WrongLength)
     );
 }
 
@@ -90,11 +90,11 @@
 
     assert_eq!(
         client.read_document().await,
-        Err(PlatformError::WrongLength)
+        Err(DocumentError::WrongLength)
     );
     assert_eq!(
         client.read_document().await,
-        Err(PlatformError::WrongLength)
+        Err(DocumentError::WrongLength)
     );
 }
 
@@ -121,11 +121,11 @@
 
     assert_eq!(
         client.read_document().await,
-        Err(PlatformError::BodyTooLarge)
+        Err(DocumentError::BodyTooLarge)
     );
     assert_eq!(
         client.read_document().await,
-        Err(PlatformError::BodyTooLarge)
+        Err(DocumentError::BodyTooLarge)
     );
 }
 
@@ -140,7 +140,7 @@
     let first = client.read_document().await;
     let second = client.read_document().await;
 
-    assert!(matches!(first, Err(PlatformError::Malformed { .. })));
+    assert!(matches!(first, Err(DocumentError::Malformed { .. })));
     assert!(second.is_ok());
 }
 
@@ -162,32 +162,32 @@
     let retry_after = Some(Duration::from_secs(3));
     assert_eq!(
         refused,
-        Err(PlatformError::Refused {
+        Err(DocumentError::Refused {
             status: 429,
             retry_after
         })
     );
     assert_eq!(
         down,
-        Err(PlatformError::Refused {
+        Err(DocumentError::Refused {
             status: 503,
             retry_after: None
         })
     );
-    assert_eq!(missing, Err(PlatformError::UnknownScope));
-    assert!(matches!(unversioned, Err(PlatformError::Malformed { .. })));
+    assert_eq!(missing, Err(DocumentError::UnknownScope));
+    assert!(matches!(unversioned, Err(DocumentError::Malformed { .. })));
 }
 
 #[async_std::test]
 async fn next_address_is_tried_after_a_failure() {
     let fine = serve(vec![answer("200 OK", "Document-Version: 7\r\n", "{}")]).await;
     let dead = SocketAddr::from(([127, 0, 0, 1], 1));
-    let client = PlatformClient::new(vec![dead, fine], "polar".to_owned());
+    let client = DocumentClient::new(vec![dead, fine], "polar".to_owned());
 
     let first = client.read_document().await;
     let second = client.read_document().await;
 
-    assert!(matches!(first, Err(PlatformError::Unreachable { .. })));
+    assert!(matches!(first, Err(DocumentError::Unreachable { .. })));
     assert!(second.is_ok());
 }
 
