--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -18,6 +18,11 @@
             required --settings file: PathBuf
         }
 
+        /// Serve routes as one host of the users' platform, by its settings file,
+        /// until SIGTERM; SIGHUP reads the settings again.
+        cmd edge {
+        }
+
         /// Check a settings file or a fleet document, and print every fault.
         cmd check {
             /// The file to check.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod cli_error;
 mod command_flags;
 mod command_output;
+mod edge_command;
 mod explain_command;
 mod file_kind;
 mod replay_command;
--- a/src/cli/run_command.rs
+++ b/src/cli/run_command.rs
@@ -12,6 +12,7 @@
 use super::command_flags::CardamomgwCmd;
 use super::command_flags::help_text;
 use super::command_output::CommandVerdict;
+use super::edge_command::serve_edge;
 use super::explain_command::explain;
 use super::replay_command::replay;
 use super::serve_command::serve;
@@ -62,6 +63,7 @@
 fn run_command(command: CardamomgwCmd, output: &mut dyn Write) -> Result<CommandVerdict, CliError> {
     match command {
         CardamomgwCmd::Serve(flags) => serve(&flags.settings),
+        CardamomgwCmd::Edge(_) => serve_edge(),
         CardamomgwCmd::Check(flags) => check(&flags, output),
         CardamomgwCmd::Explain(flags) => explain(&flags, output),
         CardamomgwCmd::Status(flags) => print_status(&flags, output),
--- /dev/null
+++ b/src/dispatch/dispatch_board.rs
@@ -0,0 +1,288 @@
+//! All targets and waiting requests of one host.
+
+use std::time::Duration;
+
+use super::DispatchWish;
+use super::PlacedTarget;
+use super::TargetLoad;
+use super::WaitNumber;
+use super::WorkEnd;
+use super::peer_loads::PeerLoads;
+use super::target_board::TargetBoard;
+use super::target_choice::ChoiceView;
+use super::target_choice::choose_target;
+use super::wait_line::WaitLine;
+use crate::feed::TargetRecord;
+use crate::ids::HostName;
+use crate::ids::PoolName;
+use crate::ids::TargetName;
+use crate::ids::ZoneName;
+use crate::sorted::SortedMap;
+
+/// The share of a pool's slots that late work leaves free, so that what comes next
+/// and can still be in time begins at once.
+const LATE_RESERVE: f64 = 0.06;
+
+/// A target and whether its pool's targets are engines.
+#[derive(Clone, Debug)]
+pub struct PoolMember {
+    /// The target.
+    pub record: TargetRecord,
+    /// Whether it is a model engine.
+    pub engine: bool,
+}
+
+#[derive(Debug, Default)]
+struct PoolBoard {
+    engine: bool,
+    targets: Vec<TargetBoard>,
+    line: WaitLine,
+}
+
+/// All targets and waiting requests of one host.
+#[derive(Debug)]
+pub struct DispatchBoard {
+    own_zone: ZoneName,
+    pools: SortedMap<PoolName, PoolBoard>,
+    peer_loads: PeerLoads,
+}
+
+impl DispatchBoard {
+    /// Makes a board without targets, for a host in `own_zone`.
+    pub fn new(own_zone: ZoneName) -> Self {
+        Self {
+            own_zone,
+            pools: SortedMap::new(),
+            peer_loads: PeerLoads::default(),
+        }
+    }
+
+    /// Replaces the targets. What is known of those that stay is kept; those that
+    /// are gone take no new work at once, and what runs there goes on.
+    pub fn set_targets(&mut self, members: Vec<PoolMember>) {
+        let mut known: Vec<TargetBoard> = Vec::new();
+        for (_, pool) in self.pools.iter_mut() {
+            known.append(&mut pool.targets);
+        }
+        for member in members {
+            let pool = self
+                .pools
+                .get_or_insert_with(member.record.pool.clone(), PoolBoard::default);
+            pool.engine = member.engine;
+            let held = known
+                .iter()
+                .position(|target| target.record.name == member.record.name);
+            let target = match held {
+                Some(index) => {
+                    let mut target = known.swap_remove(index);
+                    target.renew(member.record);
+                    target
+                }
+                None => TargetBoard::new(member.record),
+            };
+            pool.targets.push(target);
+        }
+        self.pools
+            .retain(|_, pool| !pool.targets.is_empty() || pool.line.len() > 0);
+    }
+
+    /// Tells whether any target of the pool takes new work.
+    pub fn has_open_target(&self, pool: &str) -> bool {
+        self.pools
+            .get(pool)
+            .is_some_and(|pool| pool.targets.iter().any(TargetBoard::is_open))
+    }
+
+    /// Gives a request a target if one has room and nobody who waits goes first.
+    pub fn place(
+        &mut self,
+        wish: &DispatchWish,
+        now: Duration,
+        spread: f64,
+    ) -> Option<PlacedTarget> {
+        let pool = self.pools.get_mut(&wish.pool)?;
+        pool.place(wish, &self.own_zone, now, spread)
+    }
+
+    /// Lets a request wait; [`DispatchBoard::assign`] gives it a target.
+    pub fn wait(&mut self, number: WaitNumber, wish: DispatchWish, now: Duration) {
+        self.pools
+            .get_or_insert_with(wish.pool.clone(), PoolBoard::default)
+            .line
+            .add(number, wish, now);
+    }
+
+    /// Returns how many requests of the pool wait.
+    pub fn waiting(&self, pool: &str) -> usize {
+        self.pools.get(pool).map_or(0, |pool| pool.line.len())
+    }
+
+    /// Lets a request wait no more; returns whether it still did.
+    pub fn leave(&mut self, pool: &str, number: WaitNumber) -> bool {
+        self.pools
+            .get_mut(pool)
+            .is_some_and(|pool| pool.line.remove(number))
+    }
+
+    /// Gives targets to those that wait, as far as there is room.
+    pub fn assign(
+        &mut self,
+        now: Duration,
+        mut spread: impl FnMut() -> f64,
+    ) -> Vec<(WaitNumber, PlacedTarget)> {
+        let mut assigned = Vec::new();
+        for (_, pool) in self.pools.iter_mut() {
+            while let Some(pair) = pool.assign_next(&self.own_zone, now, &mut spread) {
+                assigned.push(pair);
+            }
+        }
+        assigned
+    }
+
+    /// Notes that a target sent something for a request.
+    pub fn note_heard(&mut self, pool: &str, target: &str, now: Duration) {
+        if let Some(board) = self.find(pool, target) {
+            board.note_heard(now);
+        }
+    }
+
+    /// Notes the first byte of an answer, `waited` after its dispatch.
+    pub fn note_first(&mut self, pool: &str, placed: &PlacedTarget, waited: Duration) {
+        if let Some(board) = self.find(pool, &placed.name) {
+            board.pace.note_first(waited);
+            board.note_prompt_read(placed.prompt_tokens);
+        }
+    }
+
+    /// Notes the pause between two events of a stream.
+    pub fn note_pause(&mut self, pool: &str, target: &str, pause: Duration, now: Duration) {
+        if let Some(board) = self.find(pool, target) {
+            board.pace.note_pause(pause);
+            board.note_heard(now);
+        }
+    }
+
+    /// Notes the end of a request at a target.
+    pub fn note_end(&mut self, pool: &str, placed: &PlacedTarget, end: WorkEnd, now: Duration) {
+        if let Some(board) = self.find(pool, &placed.name) {
+            board.note_prompt_read(placed.prompt_tokens);
+            board.note_end(end, now);
+        }
+    }
+
+    /// Takes what a peer runs at each target.
+    pub fn take_peer_loads(&mut self, host: HostName, loads: Vec<TargetLoad>, now: Duration) {
+        self.peer_loads.take(host, loads, now);
+        let sums = self.peer_loads.sums(now);
+        for (_, pool) in self.pools.iter_mut() {
+            for target in &mut pool.targets {
+                target.peers = sums.get(&target.record.name).copied().unwrap_or(0);
+            }
+        }
+    }
+
+    /// Returns what this host runs at each target, for its peers.
+    pub fn own_loads(&self) -> Vec<TargetLoad> {
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        targets
+            .filter(|target| target.own > 0)
+            .map(|target| TargetLoad {
+                target: target.record.name.clone(),
+                running: target.own,
+            })
+            .collect()
+    }
+
+    /// Returns the pool to which a target belongs.
+    pub fn pool_of(&self, target: &str) -> Option<PoolName> {
+        let holds = |pool: &PoolBoard| {
+            let mut targets = pool.targets.iter();
+            targets.any(|board| board.record.name == target)
+        };
+        let found = self.pools.iter().find(|(_, pool)| holds(pool));
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Returns the mean time from the dispatch to the first byte over the pool.
+    pub fn mean_first(&self, pool: &str) -> Option<Duration> {
+        let targets = &self.pools.get(pool)?.targets;
+        let known: Vec<f64> = targets
+            .iter()
+            .filter_map(|target| target.pace.first_ms())
+            .collect();
+        if known.is_empty() {
+            return None;
+        }
+        let mean = known.iter().sum::<f64>() / known.len() as f64;
+        Some(Duration::from_secs_f64(mean / 1000.0))
+    }
+
+    fn find(&mut self, pool: &str, target: &str) -> Option<&mut TargetBoard> {
+        let targets = &mut self.pools.get_mut(pool)?.targets;
+        targets.iter_mut().find(|board| board.record.name == target)
+    }
+}
+
+impl PoolBoard {
+    fn place(
+        &mut self,
+        wish: &DispatchWish,
+        own_zone: &str,
+        now: Duration,
+        spread: f64,
+    ) -> Option<PlacedTarget> {
+        let view = ChoiceView {
+            engine: self.engine,
+            own_zone,
+            now,
+        };
+        let index = choose_target(&self.targets, wish, view, spread)?;
+        let target = &mut self.targets[index];
+        let prompt_tokens = wish.prompt_tokens;
+        target.note_dispatch(prompt_tokens, now);
+        Some(PlacedTarget {
+            name: TargetName::clone(&target.record.name),
+            address: target.record.address,
+            prompt_tokens,
+        })
+    }
+
+    fn assign_next(
+        &mut self,
+        own_zone: &str,
+        now: Duration,
+        spread: &mut impl FnMut() -> f64,
+    ) -> Option<(WaitNumber, PlacedTarget)> {
+        if self.line.len() == 0 {
+            return None;
+        }
+        self.line.sort_late(now);
+        let late_may_start = self.has_room_for_late();
+        let waiting: Vec<(WaitNumber, DispatchWish)> = self
+            .line
+            .iter()
+            .filter(|(_, _, late)| !late || late_may_start)
+            // Two with different targets behind them may stand one behind the other.
+            .take(4)
+            .map(|(number, wish, _)| (number, wish.clone()))
+            .collect();
+        for (number, wish) in waiting {
+            if let Some(placed) = self.place(&wish, own_zone, now, spread()) {
+                self.line.remove(number);
+                return Some((number, placed));
+            }
+        }
+        None
+    }
+
+    /// Tells whether late work may take a slot and still leave the reserve.
+    fn has_room_for_late(&self) -> bool {
+        if !self.engine {
+            return true;
+        }
+        let open = || self.targets.iter().filter(|target| target.is_open());
+        let slots: u32 = open().map(|target| target.record.slots).sum();
+        let free: u32 = open().map(TargetBoard::free_slots).sum();
+        f64::from(free) > (f64::from(slots) * LATE_RESERVE).floor()
+    }
+}
--- /dev/null
+++ b/src/dispatch/dispatch_wish.rs
@@ -0,0 +1,63 @@
+//! What a request asks of the board, and what it gets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::PoolName;
+use crate::ids::TargetName;
+use crate::ids::TierRank;
+
+/// The number of a waiting request, unique in its process.
+pub type WaitNumber = u64;
+
+/// How urgent a request is: the account's tier goes before the route's.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct UrgencyRank {
+    /// The tier of the account, or of the route where the account has none.
+    pub account: TierRank,
+    /// The tier of the route.
+    pub route: TierRank,
+}
+
+/// What a request asks of the board.
+#[derive(Clone, Debug)]
+pub struct DispatchWish {
+    /// The pool that may run it.
+    pub pool: PoolName,
+    /// How urgent it is.
+    pub rank: UrgencyRank,
+    /// Until when it must be dispatched to meet its objective.
+    pub due: Duration,
+    /// How many tokens must be read before its first event.
+    pub prompt_tokens: u64,
+    /// Targets that it was sent to already.
+    pub tried: Vec<TargetName>,
+}
+
+/// The target that is to run a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlacedTarget {
+    /// The target.
+    pub name: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How many tokens the board counts as unread there for this request.
+    pub prompt_tokens: u64,
+}
+
+/// How a request at a target ended, as far as it tells of the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkEnd {
+    /// With a whole answer that is no failure.
+    Served,
+    /// With a failure of the target: an error, a cut or a broken answer.
+    Failed,
+    /// The target refused it without running it.
+    Rejected,
+    /// No connection came about.
+    Unreachable,
+    /// Nothing was heard of it until it was given up.
+    Silent,
+    /// The caller left or the time ran out: it tells nothing of the target.
+    GivenUp,
+}
--- /dev/null
+++ b/src/dispatch/slot_guard.rs
@@ -0,0 +1,74 @@
+//! A slot at a target that a request holds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::DispatchDesk;
+use super::PlacedTarget;
+use super::WorkEnd;
+use crate::clock::boot_now;
+use crate::ids::PoolName;
+
+/// A slot at a target that a request holds; dropping it frees the slot.
+#[derive(Debug)]
+pub(crate) struct SlotGuard {
+    desk: Arc<DispatchDesk>,
+    pool: PoolName,
+    placed: PlacedTarget,
+    began: Duration,
+    last_event: Option<Duration>,
+    end: WorkEnd,
+}
+
+impl SlotGuard {
+    pub(super) fn new(desk: Arc<DispatchDesk>, pool: PoolName, placed: PlacedTarget) -> Self {
+        Self {
+            desk,
+            pool,
+            placed,
+            began: boot_now(),
+            last_event: None,
+            // What is dropped on the way, as its caller left, tells nothing.
+            end: WorkEnd::GivenUp,
+        }
+    }
+
+    /// Returns the target.
+    pub(crate) const fn target(&self) -> &PlacedTarget {
+        &self.placed
+    }
+
+    /// Notes that an event of the answer came.
+    pub(crate) fn note_event(&mut self) {
+        let now = boot_now();
+        let mut board = self.desk.lock_board();
+        match self.last_event {
+            None => {
+                board.note_heard(&self.pool, &self.placed.name, now);
+                let waited = now.saturating_sub(self.began);
+                board.note_first(&self.pool, &self.placed, waited);
+                self.placed.prompt_tokens = 0;
+            }
+            Some(last) => {
+                let pause = now.saturating_sub(last);
+                board.note_pause(&self.pool, &self.placed.name, pause, now);
+            }
+        }
+        self.last_event = Some(now);
+    }
+
+    /// Frees the slot and notes how the request ended there.
+    pub(crate) fn finish(mut self, end: WorkEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let now = boot_now();
+        self.desk
+            .lock_board()
+            .note_end(&self.pool, &self.placed, self.end, now);
+        self.desk.assign_waiting();
+    }
+}
--- /dev/null
+++ b/src/dispatch/target_board.rs
@@ -0,0 +1,136 @@
+//! What one host knows of one target.
+
+use std::time::Duration;
+
+use super::WorkEnd;
+use super::pace_track::PaceTrack;
+use crate::feed::TargetPhase;
+use crate::feed::TargetRecord;
+
+/// How long a target with work of this host may say nothing before it gets no
+/// more. A running engine sends an event each 25 to 100 ms, a plain service
+/// answers in tens of ms; a crashed host is silent for ever, and without this
+/// each request sent there is lost until its registration lapses after seconds.
+const SILENCE_BOUND: Duration = Duration::from_millis(700);
+/// How long a target that could not be reached is left alone at first, and at most.
+const FIRST_REST: Duration = Duration::from_millis(250);
+const LONGEST_REST: Duration = Duration::from_secs(2);
+/// The weight of a new outcome in the share of failures: the last five or so
+/// count, so that a target that fails all is known after as many requests.
+const OUTCOME_WEIGHT: f64 = 0.2;
+
+/// What one host knows of one target.
+#[derive(Debug)]
+pub(super) struct TargetBoard {
+    pub(super) record: TargetRecord,
+    /// Requests of this host there.
+    pub(super) own: u32,
+    /// Requests of other hosts there, as they last told.
+    pub(super) peers: u32,
+    /// Tokens of this host's prompts there that are still to be read.
+    pub(super) unread_tokens: u64,
+    pub(super) pace: PaceTrack,
+    /// Share of failures among the last outcomes.
+    failures: f64,
+    /// Since when nothing was heard although work of this host is there.
+    silent_since: Option<Duration>,
+    rest_until: Duration,
+    next_rest: Duration,
+}
+
+impl TargetBoard {
+    /// Starts with a target of which nothing but its registration is known.
+    pub(super) fn new(record: TargetRecord) -> Self {
+        Self {
+            record,
+            own: 0,
+            peers: 0,
+            unread_tokens: 0,
+            pace: PaceTrack::default(),
+            failures: 0.0,
+            silent_since: None,
+            rest_until: Duration::ZERO,
+            next_rest: FIRST_REST,
+        }
+    }
+
+    /// Takes a new registration in. A new life of the target knows nothing of
+    /// the one before, so what was seen of that is forgotten.
+    pub(super) fn renew(&mut self, record: TargetRecord) {
+        if self.record.born_ms != record.born_ms || self.record.address != record.address {
+            let own = self.own;
+            *self = Self::new(record);
+            self.own = own;
+            return;
+        }
+        self.record = record;
+    }
+
+    /// Tells whether the target may get new work at all.
+    pub(super) fn is_open(&self) -> bool {
+        self.record.phase == TargetPhase::Ready
+    }
+
+    /// Tells whether the target seems fit for new work.
+    pub(super) fn is_fit(&self, now: Duration) -> bool {
+        now >= self.rest_until && !self.is_silent(now)
+    }
+
+    /// Returns how many requests it can begin at once.
+    pub(super) fn free_slots(&self) -> u32 {
+        self.record.slots.saturating_sub(self.own + self.peers)
+    }
+
+    /// Returns the share of outcomes that were no failures, 0 to 1.
+    pub(super) fn soundness(&self) -> f64 {
+        1.0 - self.failures
+    }
+
+    /// Notes that work is sent there.
+    pub(super) fn note_dispatch(&mut self, prompt_tokens: u64, now: Duration) {
+        self.own += 1;
+        self.unread_tokens += prompt_tokens;
+        self.silent_since.get_or_insert(now);
+    }
+
+    /// Notes that the target sent something.
+    pub(super) fn note_heard(&mut self, now: Duration) {
+        self.silent_since = Some(now);
+    }
+
+    /// Notes that a prompt was read: its first event came, or it ended before.
+    pub(super) fn note_prompt_read(&mut self, prompt_tokens: u64) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(prompt_tokens);
+    }
+
+    /// Notes that work there ended.
+    pub(super) fn note_end(&mut self, end: WorkEnd, now: Duration) {
+        self.own = self.own.saturating_sub(1);
+        if self.own == 0 {
+            self.silent_since = None;
+        }
+        match end {
+            WorkEnd::Served => {
+                self.failures -= OUTCOME_WEIGHT * self.failures;
+                self.next_rest = FIRST_REST;
+                self.rest_until = Duration::ZERO;
+            }
+            WorkEnd::Failed => self.failures += OUTCOME_WEIGHT * (1.0 - self.failures),
+            WorkEnd::Rejected => self.rest(now, FIRST_REST),
+            WorkEnd::Unreachable | WorkEnd::Silent => {
+                self.rest(now, self.next_rest);
+                self.next_rest = (self.next_rest * 2).min(LONGEST_REST);
+            }
+            WorkEnd::GivenUp => {}
+        }
+    }
+
+    fn rest(&mut self, now: Duration, rest: Duration) {
+        self.rest_until = self.rest_until.max(now + rest);
+    }
+
+    fn is_silent(&self, now: Duration) -> bool {
+        self.silent_since
+            .is_some_and(|since| now.saturating_sub(since) > SILENCE_BOUND)
+    }
+}
--- /dev/null
+++ b/src/edge/answer_relay.rs
@@ -0,0 +1,211 @@
+//! Passes a target's answer on to the caller.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use futures_lite::future::or;
+
+use super::answer_writer::AnswerFraming;
+use super::answer_writer::frame_end;
+use super::answer_writer::frame_piece;
+use super::answer_writer::relayed_head;
+use super::answer_writer::stream_framing;
+use super::answer_writer::write_bytes;
+use super::caller_link::CallerLink;
+use super::event_splitter::EventSplitter;
+use super::target_call::CallError;
+use super::target_call::TargetCall;
+use crate::clock::boot_now;
+use crate::dispatch::SlotGuard;
+use crate::wire::AnswerMessage;
+use crate::wire::RequestMessage;
+
+/// The largest answer that is collected before it goes out, in bytes. A larger one
+/// would take the memory of all the others.
+const MAX_COLLECTED_BYTES: usize = 16 << 20;
+
+/// The cause of a loss where the target said nothing for too long.
+pub(crate) const SILENT: &str = "silent";
+
+/// How a stream's relay ended.
+#[derive(Debug)]
+pub(crate) enum RelayEnd {
+    /// The answer is whole at the caller.
+    Whole,
+    /// The caller left.
+    CallerGone,
+    /// The request's time is over.
+    TimeOver,
+    /// The target stopped, or said nothing for too long.
+    TargetLost(String),
+}
+
+/// What one turn of the relay brought.
+enum RelayTurn {
+    Target(Result<bool, CallError>),
+    CallerGone,
+    TimeOver,
+    Silent,
+}
+
+/// What the caller has got of a streamed answer, over all sends.
+#[derive(Debug, Default)]
+pub(crate) struct StreamProgress {
+    splitter: EventSplitter,
+    /// Whether anything was written to the caller.
+    pub(crate) began: bool,
+    first_at: Option<Duration>,
+    framing: Option<AnswerFraming>,
+}
+
+/// When the relay of a stream gives up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayBounds {
+    /// When the request's time is over, on the boot clock.
+    pub(crate) deadline: Duration,
+    /// How long the target may say nothing; `None` where nobody could go on.
+    pub(crate) silence: Option<Duration>,
+}
+
+impl StreamProgress {
+    /// Returns the id of the last event that the caller got.
+    pub(crate) fn last_id(&self) -> Option<&str> {
+        self.splitter.last_id()
+    }
+
+    /// Returns when the first bytes went out, on the boot clock.
+    pub(crate) const fn first_at(&self) -> Option<Duration> {
+        self.first_at
+    }
+
+    /// Passes events on as they come. The head goes out with the first one: until
+    /// then another target can still answer.
+    pub(crate) async fn relay(
+        &mut self,
+        caller: &mut CallerLink,
+        request: &RequestMessage,
+        call: &mut TargetCall,
+        slot: &mut SlotGuard,
+        bounds: RelayBounds,
+    ) -> RelayEnd {
+        let mut received = Vec::new();
+        let left = bounds.deadline.saturating_sub(boot_now());
+        let mut time_over = Box::pin(task::sleep(left));
+        // What was held back of a cut event comes again from the next target.
+        self.splitter.take_rest();
+        loop {
+            received.clear();
+            let turn = {
+                let target = async { RelayTurn::Target(call.read_body(&mut received).await) };
+                let gone = async {
+                    caller.gone().await;
+                    RelayTurn::CallerGone
+                };
+                let over = async {
+                    (&mut time_over).await;
+                    RelayTurn::TimeOver
+                };
+                let silent = async {
+                    match bounds.silence {
+                        Some(silence) => task::sleep(silence).await,
+                        None => std::future::pending().await,
+                    }
+                    RelayTurn::Silent
+                };
+                or(target, or(gone, or(over, silent))).await
+            };
+            let whole = match turn {
+                RelayTurn::Target(Ok(whole)) => whole,
+                RelayTurn::Target(Err(error)) => return RelayEnd::TargetLost(error.to_string()),
+                RelayTurn::CallerGone => return RelayEnd::CallerGone,
+                RelayTurn::TimeOver => return RelayEnd::TimeOver,
+                RelayTurn::Silent => return RelayEnd::TargetLost(SILENT.to_owned()),
+            };
+            let mut events = self.splitter.take_events(&mut received);
+            if whole {
+                events.append(&mut self.splitter.take_rest());
+            }
+            if events.is_empty() && !whole {
+                continue;
+            }
+            slot.note_event();
+            let output = self.frame(request, &call.head, caller.reusable, &events, whole);
+            let written = timeout(
+                bounds.deadline.saturating_sub(boot_now()),
+                write_bytes(&caller.stream, &output),
+            );
+            match written.await {
+                Ok(Ok(())) => {
+                    self.began = true;
+                    self.first_at.get_or_insert_with(boot_now);
+                }
+                Ok(Err(_)) => return RelayEnd::CallerGone,
+                Err(_) => return RelayEnd::TimeOver,
+            }
+            if whole {
+                return RelayEnd::Whole;
+            }
+        }
+    }
+
+    fn frame(
+        &mut self,
+        request: &RequestMessage,
+        head: &AnswerMessage,
+        reusable: bool,
+        events: &[u8],
+        whole: bool,
+    ) -> Vec<u8> {
+        let mut output = Vec::with_capacity(events.len() + 512);
+        let framing = match self.framing {
+            Some(framing) => framing,
+            None => {
+                let framing = stream_framing(request);
+                output = relayed_head(head, framing, !reusable);
+                self.framing = Some(framing);
+                framing
+            }
+        };
+        frame_piece(framing, events, &mut output);
+        if whole {
+            frame_end(framing, &mut output);
+        }
+        output
+    }
+}
+
+/// Reads a whole body. An answer that is cut must not look complete, so nothing of
+/// it goes out before its end is proven.
+///
+/// # Errors
+///
+/// The body was cut, is broken or too large.
+pub(crate) async fn collect_body(call: &mut TargetCall) -> Result<Vec<u8>, CallError> {
+    let mut body = Vec::new();
+    let mut piece = Vec::new();
+    loop {
+        let whole = call.read_body(&mut piece).await?;
+        body.append(&mut piece);
+        if whole {
+            return Ok(body);
+        }
+        if body.len() > MAX_COLLECTED_BYTES {
+            return Err(CallError::Broken);
+        }
+    }
+}
+
+/// Writes a collected answer to the caller; returns whether it arrived there.
+pub(crate) async fn write_collected(
+    caller: &CallerLink,
+    head: &AnswerMessage,
+    body: &[u8],
+    limit: Duration,
+) -> bool {
+    let framing = AnswerFraming::Length(body.len());
+    let mut output = relayed_head(head, framing, !caller.reusable);
+    output.extend_from_slice(body);
+    let written = timeout(limit, write_bytes(&caller.stream, &output));
+    matches!(written.await, Ok(Ok(())))
+}
--- /dev/null
+++ b/src/edge/answer_writer.rs
@@ -0,0 +1,128 @@
+//! Writes answers towards a caller.
+
+use std::io;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use futures_lite::AsyncWriteExt;
+
+use super::edge_refusal::EdgeRefusal;
+use crate::wire::AnswerMessage;
+use crate::wire::MessageHeaders;
+use crate::wire::RequestMessage;
+
+/// How the body towards the caller is framed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerFraming {
+    /// By its length.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+    /// By the end of the connection, for HTTP/1.0.
+    UntilClose,
+}
+
+/// Returns a target's head as the caller gets it.
+pub(crate) fn relayed_head(head: &AnswerMessage, framing: AnswerFraming, close: bool) -> Vec<u8> {
+    let mut headers = head.headers.clone();
+    headers.drop_hop_by_hop();
+    head_bytes(head.status, &headers, framing, close)
+}
+
+/// Returns an answer of the host's own.
+pub(crate) fn refusal_bytes(
+    refusal: EdgeRefusal,
+    echo: Option<(&str, &str)>,
+    close: bool,
+) -> Vec<u8> {
+    let row = refusal.kind.answer();
+    let body = format!(
+        "{{\"error\":\"{}\",\"message\":\"{}\"}}",
+        refusal.kind, row.message
+    );
+    let mut headers = MessageHeaders::default();
+    headers.push("Content-Type", "application/json");
+    if let Some((name, id)) = echo {
+        headers.push(name, id);
+    }
+    if let Some(retry_after) = refusal.retry_after {
+        headers.push("Retry-After", seconds_text(retry_after));
+    }
+    let framing = AnswerFraming::Length(body.len());
+    let mut bytes = head_bytes(row.status, &headers, framing, close);
+    bytes.extend_from_slice(body.as_bytes());
+    bytes
+}
+
+/// Writes bytes to the caller.
+///
+/// # Errors
+///
+/// The caller is gone.
+pub(crate) async fn write_bytes(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
+    stream.write_all(bytes).await
+}
+
+/// Wraps a piece of a body as the framing asks.
+pub(crate) fn frame_piece(framing: AnswerFraming, piece: &[u8], output: &mut Vec<u8>) {
+    if piece.is_empty() {
+        return;
+    }
+    if framing == AnswerFraming::Chunked {
+        output.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+    }
+    output.extend_from_slice(piece);
+    if framing == AnswerFraming::Chunked {
+        output.extend_from_slice(b"\r\n");
+    }
+}
+
+/// Adds the end of a whole body.
+pub(crate) fn frame_end(framing: AnswerFraming, output: &mut Vec<u8>) {
+    if framing == AnswerFraming::Chunked {
+        output.extend_from_slice(b"0\r\n\r\n");
+    }
+}
+
+/// Returns the framing of a stream towards the caller of `request`.
+pub(crate) const fn stream_framing(request: &RequestMessage) -> AnswerFraming {
+    match request.old_version {
+        true => AnswerFraming::UntilClose,
+        false => AnswerFraming::Chunked,
+    }
+}
+
+fn head_bytes(
+    status: u16,
+    headers: &MessageHeaders,
+    framing: AnswerFraming,
+    close: bool,
+) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
+    headers.write_to(&mut bytes);
+    match framing {
+        // These never have a body, and so no length.
+        AnswerFraming::Length(0) if matches!(status, 204 | 304) => {}
+        AnswerFraming::Length(length) => {
+            bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+        }
+        AnswerFraming::Chunked => bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        AnswerFraming::UntilClose => {}
+    }
+    if close {
+        bytes.extend_from_slice(b"Connection: close\r\n");
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+fn reason(status: u16) -> &'static str {
+    http::StatusCode::from_u16(status)
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Status")
+}
+
+fn seconds_text(time: Duration) -> String {
+    format!("{:.3}", time.as_secs_f64())
+}
--- /dev/null
+++ b/src/edge/caller_session.rs
@@ -0,0 +1,168 @@
+//! Serves the requests of one caller's connection, in turn.
+
+use std::sync::Arc;
+
+use async_std::net::TcpStream;
+
+use super::answer_writer::refusal_bytes;
+use super::answer_writer::write_bytes;
+use super::caller_link::BadRequest;
+use super::caller_link::CallerLink;
+use super::caller_link::CallerRequest;
+use super::edge_metrics::count;
+use super::edge_refusal::EdgeRefusal;
+use super::edge_state::EdgeState;
+use super::leave_controller::LEAVING_DELAY;
+use super::leave_controller::takes_requests;
+use super::request_run::RequestRun;
+use super::request_run::RunEnd;
+use super::route_filter::RoutedRequest;
+use super::route_filter::route_request;
+use super::spend_filter::spend_allowance;
+use crate::clock::boot_now;
+use crate::errors::ErrorKind;
+use crate::logs::DecisionLine;
+use crate::wire::RequestMessage;
+
+/// Serves a connection to its end.
+pub(crate) async fn serve_caller(state: Arc<EdgeState>, stream: TcpStream) {
+    let mut caller = CallerLink::new(stream);
+    loop {
+        let limits = state.feed.catalog().map(|catalog| catalog.limits());
+        let next = caller.next_request(limits.unwrap_or_default()).await;
+        let _running = state.enter_request();
+        // From the signal to leave on each answer is its connection's last.
+        caller.reusable &= !state.is_leaving();
+        let goes_on = match next {
+            Ok(Some(request)) => serve_request(&state, &mut caller, request).await,
+            Ok(None) => return,
+            Err(bad) => {
+                refuse_bad(&state, &mut caller, bad).await;
+                true
+            }
+        };
+        if !goes_on {
+            return;
+        }
+        if !caller.reusable {
+            return caller.close().await;
+        }
+    }
+}
+
+/// Serves one request; returns whether the connection may go on or end in peace.
+async fn serve_request(
+    state: &Arc<EdgeState>,
+    caller: &mut CallerLink,
+    request: CallerRequest,
+) -> bool {
+    let arrived = request.arrived;
+    let routed = match enter_request(state, request) {
+        Ok(routed) => routed,
+        Err((message, refusal)) => {
+            let told = Refused {
+                message: Some(&message),
+                refusal,
+                sends: 0,
+                arrived,
+                pool: None,
+            };
+            return refuse(state, caller, told).await;
+        }
+    };
+    state.note_request(&routed.pool);
+    let mut run = RequestRun::new(state, caller, &routed);
+    let end = run.serve().await;
+    let sends = run.sends();
+    match end {
+        RunEnd::Answered => {
+            caller.reusable &= !state.is_leaving();
+            true
+        }
+        RunEnd::Refused(refusal) => {
+            let told = Refused {
+                message: Some(&routed.request.message),
+                refusal,
+                sends,
+                arrived,
+                pool: Some(&routed.pool),
+            };
+            refuse(state, caller, told).await
+        }
+        RunEnd::Closed => {
+            count(&state.metrics.callers_left);
+            state.log.write(&DecisionLine::CallerLeft {
+                request: routed.id.clone(),
+                attempts: sends,
+                total_ms: boot_now().saturating_sub(arrived).as_millis() as u64,
+            });
+            false
+        }
+    }
+}
+
+/// Lets a request in, or says why not.
+fn enter_request(
+    state: &Arc<EdgeState>,
+    request: CallerRequest,
+) -> Result<RoutedRequest, (RequestMessage, EdgeRefusal)> {
+    if !takes_requests(state) {
+        let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_DELAY);
+        return Err((request.message, refusal));
+    }
+    let routed =
+        route_request(state, request).map_err(|(request, refusal)| (request.message, refusal))?;
+    if state.suspects.ledger().is_refused(routed.fingerprint) {
+        let refusal = ErrorKind::SuspectRequest.into();
+        return Err((routed.request.message, refusal));
+    }
+    match spend_allowance(state, &routed) {
+        Ok(()) => Ok(routed),
+        Err(refusal) => Err((routed.request.message, refusal)),
+    }
+}
+
+/// A request that the host answers itself.
+struct Refused<'r> {
+    message: Option<&'r RequestMessage>,
+    refusal: EdgeRefusal,
+    sends: u32,
+    arrived: std::time::Duration,
+    pool: Option<&'r str>,
+}
+
+async fn refuse(state: &EdgeState, caller: &mut CallerLink, told: Refused<'_>) -> bool {
+    let name = &state.dialect.request_id;
+    let id = told.message.and_then(|message| message.headers.text(name));
+    let refusal = told.refusal;
+    let bytes = refusal_bytes(refusal, id.map(|id| (name.as_str(), id)), !caller.reusable);
+    state.metrics.count_refusal(refusal.kind);
+    let waiting = told
+        .pool
+        .map_or(0, |pool| state.desk.lock_board().waiting(pool));
+    state.log.write(&DecisionLine::RequestRefused {
+        request: id.unwrap_or_default().to_owned(),
+        kind: refusal.kind,
+        status: refusal.status(),
+        retry_after_ms: refusal.retry_after.map(|after| after.as_millis() as u64),
+        attempts: told.sends,
+        total_ms: boot_now().saturating_sub(told.arrived).as_millis() as u64,
+        catalog: state.feed.marks().1,
+        evidence_age_ms: state.evidence_age().map(|age| age.as_millis() as u64),
+        waiting,
+    });
+    write_bytes(&caller.stream, &bytes).await.is_ok()
+}
+
+async fn refuse_bad(state: &EdgeState, caller: &mut CallerLink, bad: BadRequest) {
+    // What follows can't be told from the rest of this request.
+    caller.reusable = false;
+    let told = Refused {
+        message: bad.message.as_ref(),
+        refusal: bad.kind.into(),
+        sends: 0,
+        arrived: boot_now(),
+        pool: None,
+    };
+    refuse(state, caller, told).await;
+}
--- /dev/null
+++ b/src/edge/crash_check.rs
@@ -0,0 +1,49 @@
+//! Tells a target that crashed from one that only cut a connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+
+use super::edge_metrics::count;
+use super::edge_state::EdgeState;
+use super::target_links::TargetLink;
+use crate::clock::unix_now;
+use crate::dispatch::PlacedTarget;
+use crate::logs::DecisionLine;
+use crate::suspects::RequestFingerprint;
+
+/// How long after the cut the target is looked at. A process that crashed takes
+/// no connections at once, and is back only after seconds.
+const LOOK_AFTER: Duration = Duration::from_millis(30);
+
+/// Looks whether a target that cut a request still takes connections, and suspects
+/// the request if it doesn't.
+///
+/// Guards against a request that crashes each target that runs it: its caller sends
+/// it again and again under new ids, and each time one more target is lost with all
+/// that runs there. A single cut connection proves nothing, since targets cut some
+/// for other reasons.
+pub(crate) async fn check_crash(
+    state: Arc<EdgeState>,
+    target: PlacedTarget,
+    fingerprint: RequestFingerprint,
+    request: String,
+) {
+    task::sleep(LOOK_AFTER).await;
+    count(&state.metrics.connects);
+    if let Ok(link) = TargetLink::open(target.address).await {
+        state.links.put_fresh(&target.name, link);
+        return;
+    }
+    let name = target.name;
+    state
+        .suspects
+        .ledger()
+        .note_loss(fingerprint, &name, unix_now());
+    state.log.write(&DecisionLine::TargetCrashed {
+        target: name,
+        request,
+        fingerprint: format!("{fingerprint:016x}"),
+    });
+}
--- /dev/null
+++ b/src/edge/edge_host.rs
@@ -0,0 +1,185 @@
+//! Puts one host together and runs it until it is told to leave.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::stream::StreamExt;
+use async_std::task;
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook_async_std::Signals;
+
+use super::caller_session::serve_caller;
+use super::edge_settings::EdgeSettings;
+use super::edge_settings::SettingsLoader;
+use super::edge_state::EdgeState;
+use super::feed_controller::follow_store;
+use super::feed_controller::tidy;
+use super::header_dialect::HeaderDialect;
+use super::leave_controller::leave;
+use super::news_controller::tell_news;
+use super::news_service::NewsService;
+use super::operator_pages::serve_metrics;
+use super::operator_pages::serve_readiness;
+use super::settings_controller::follow_settings;
+use crate::feed::FleetSource;
+use crate::logs::DecisionLine;
+use crate::logs::DecisionLog;
+use crate::peers::PeerIdentity;
+use crate::peers::PeerListener;
+use crate::peers::PeerMesh;
+
+/// The key that hosts prove to each other. The platform hands out no secret, and
+/// only hosts reach the peers' address, so it keeps out mistakes and no attacker.
+const PEER_KEY: &[u8] = b"cardamomgw edge hosts";
+/// The share of the descriptors that callers' connections may take; the rest is for
+/// targets, peers and files.
+const CALLER_SHARE: f64 = 0.6;
+/// How long to wait when no connection can be accepted: descriptors are gone, and
+/// asking again at once would only burn the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What an adapter gives.
+pub(crate) struct EdgeParts {
+    /// The settings.
+    pub(crate) settings: EdgeSettings,
+    /// The names of headers.
+    pub(crate) dialect: HeaderDialect,
+    /// The store.
+    pub(crate) source: Arc<dyn FleetSource>,
+    /// Reads the settings again.
+    pub(crate) loader: Arc<dyn SettingsLoader>,
+}
+
+/// One running host.
+pub(crate) struct EdgeHost {
+    state: Arc<EdgeState>,
+    reload: Sender<()>,
+    caller_address: SocketAddr,
+    _peers: PeerListener,
+    _mesh: Arc<PeerMesh>,
+}
+
+impl EdgeHost {
+    /// Binds all addresses and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound, or the log can't be opened.
+    pub(crate) async fn open(parts: EdgeParts) -> io::Result<Self> {
+        let log = DecisionLog::open().map_err(io::Error::other)?;
+        Self::open_with_log(parts, log).await
+    }
+
+    /// As [`EdgeHost::open`], with a log of the caller's.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub(crate) async fn open_with_log(parts: EdgeParts, log: DecisionLog) -> io::Result<Self> {
+        let settings = parts.settings;
+        let state = EdgeState::new(settings.clone(), parts.dialect, log);
+        let identity = PeerIdentity {
+            host: settings.host.clone(),
+            key: PEER_KEY.to_vec(),
+        };
+        let service = Arc::new(NewsService::new(Arc::clone(&state)));
+        let peers = PeerListener::bind(settings.peer_address, identity.clone(), service).await?;
+        let seeds = settings.seeds.iter().copied();
+        let seeds = seeds.filter(|seed| *seed != settings.peer_address);
+        let mesh = PeerMesh::spawn(identity, seeds.collect());
+        let most = (settings.max_descriptors as f64 * CALLER_SHARE) as usize;
+        let caller_address = listen(&state, settings.caller_address, most, serve_caller).await?;
+        listen(&state, settings.ready_address, most, serve_readiness).await?;
+        if let Some(address) = settings.metrics_address {
+            listen(&state, address, most, serve_metrics).await?;
+        }
+        let (reload, asked) = async_channel::bounded(1);
+        task::spawn(follow_store(Arc::clone(&state), parts.source));
+        task::spawn(tell_news(Arc::clone(&state), Arc::clone(&mesh)));
+        task::spawn(follow_settings(Arc::clone(&state), parts.loader, asked));
+        task::spawn(tidy(Arc::clone(&state)));
+        state.log.write(&DecisionLine::Started {
+            host: settings.host,
+            program: env!("CARGO_PKG_VERSION"),
+        });
+        Ok(Self {
+            state,
+            reload,
+            caller_address,
+            _peers: peers,
+            _mesh: mesh,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub(crate) const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Serves until SIGTERM or SIGINT and the leaving that follows; SIGHUP reads
+    /// the settings again.
+    ///
+    /// # Errors
+    ///
+    /// The signals can't be taken.
+    pub(crate) async fn run(self) -> io::Result<()> {
+        let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
+        while let Some(signal) = signals.next().await {
+            if signal != SIGHUP {
+                break;
+            }
+            // A look that is already asked for serves this signal as well.
+            self.reload.try_send(()).ok();
+        }
+        leave(&self.state).await;
+        self.state.log.settle();
+        Ok(())
+    }
+}
+
+/// Serves each connection at `address` in a task of its own, up to `most` at once.
+async fn listen<F, S>(
+    state: &Arc<EdgeState>,
+    address: SocketAddr,
+    most: usize,
+    serve: F,
+) -> io::Result<SocketAddr>
+where
+    F: Fn(Arc<EdgeState>, TcpStream) -> S + Send + 'static,
+    S: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let state = Arc::clone(state);
+    let open = Arc::new(AtomicUsize::new(0));
+    task::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                task::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            // Closed before anything was read: the caller knows that nothing ran.
+            if open.load(Ordering::Relaxed) >= most {
+                continue;
+            }
+            open.fetch_add(1, Ordering::Relaxed);
+            let served = serve(Arc::clone(&state), stream);
+            let open = Arc::clone(&open);
+            task::spawn(async move {
+                served.await;
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+    Ok(address)
+}
--- /dev/null
+++ b/src/edge/edge_settings.rs
@@ -0,0 +1,90 @@
+//! The settings of one host, as an adapter gives them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use crate::ids::HostName;
+use crate::ids::ZoneName;
+use crate::json::DocumentFault;
+use crate::spending::RetryBounds;
+
+/// The settings of one host.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct EdgeSettings {
+    /// The host's name, unique among its peers.
+    pub(crate) host: HostName,
+    /// Its availability zone.
+    pub(crate) availability_zone: ZoneName,
+    /// Where callers connect.
+    pub(crate) caller_address: SocketAddr,
+    /// Where the balancer asks whether the host is ready.
+    pub(crate) ready_address: SocketAddr,
+    /// Where peers connect.
+    pub(crate) peer_address: SocketAddr,
+    /// Where metrics are read.
+    pub(crate) metrics_address: Option<SocketAddr>,
+    /// Where to find some peers; may be stale.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// How many file descriptors the process may have.
+    pub(crate) max_descriptors: usize,
+    /// How much memory the process may take.
+    pub(crate) memory_bytes: u64,
+    /// What must hold, in figures.
+    pub(crate) bounds: EdgeBounds,
+}
+
+/// What must hold, in figures.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct EdgeBounds {
+    /// How long the process has from the signal to leave to its end.
+    pub(crate) leave_grace: Duration,
+    /// How old the view of keys may be for a request with a key to run; `None`
+    /// where a key that was taken away need not bind hosts that are cut off.
+    pub(crate) key_evidence: Option<Duration>,
+    /// Within which a new configuration must be in force.
+    pub(crate) configuration_delay: Duration,
+    /// Repeats by requests, over all hosts.
+    pub(crate) retry_ratio: f64,
+    /// Repeats beyond that in a window, over all hosts.
+    pub(crate) retry_slack: f64,
+    /// The window of repeats.
+    pub(crate) retry_window: Duration,
+}
+
+impl Default for EdgeBounds {
+    fn default() -> Self {
+        Self {
+            leave_grace: Duration::from_secs(8),
+            key_evidence: Some(Duration::from_secs(5)),
+            configuration_delay: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_slack: 10.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
+
+impl EdgeBounds {
+    /// Returns the bound on repeats.
+    pub(crate) const fn retry_bounds(&self) -> RetryBounds {
+        RetryBounds {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: self.retry_window,
+        }
+    }
+}
+
+/// Reads the settings again while the process runs.
+pub(crate) trait SettingsLoader: Send + Sync + 'static {
+    /// Reads the settings as they stand now.
+    ///
+    /// # Errors
+    ///
+    /// Every fault; the settings before stay in force.
+    fn load(&self) -> Result<EdgeSettings, Vec<DocumentFault>>;
+
+    /// Returns the file, whose changes are noticed without a signal.
+    fn path(&self) -> &Path;
+}
--- /dev/null
+++ b/src/edge/edge_state.rs
@@ -0,0 +1,212 @@
+//! What all requests and controllers of one host share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+
+use super::edge_metrics::EdgeMetrics;
+use super::edge_settings::EdgeSettings;
+use super::header_dialect::HeaderDialect;
+use super::target_links::TargetLinks;
+use crate::clock::boot_now;
+use crate::dispatch::DispatchDesk;
+use crate::dispatch::PoolMember;
+use crate::feed::FeedChange;
+use crate::feed::SharedFeed;
+use crate::ids::HostName;
+use crate::ids::IncarnationId;
+use crate::logs::DecisionLine;
+use crate::logs::DecisionLog;
+use crate::members::MemberTable;
+use crate::spending::AllowanceLedger;
+use crate::spending::RetryLedger;
+use crate::suspects::SuspectDesk;
+
+/// How much younger than its bound the view of keys must be: the request may have
+/// been on its way, and the clocks of two hosts are read at different moments.
+const EVIDENCE_MARGIN: Duration = Duration::from_millis(500);
+
+/// What all requests and controllers of one host share.
+pub(crate) struct EdgeState {
+    pub(crate) settings: ArcSwap<EdgeSettings>,
+    pub(crate) dialect: HeaderDialect,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) feed: SharedFeed,
+    pub(crate) desk: Arc<DispatchDesk>,
+    pub(crate) links: TargetLinks,
+    pub(crate) suspects: SuspectDesk,
+    pub(crate) log: DecisionLog,
+    pub(crate) metrics: EdgeMetrics,
+    members: Mutex<MemberTable>,
+    allowances: Mutex<AllowanceLedger>,
+    retries: Mutex<RetryLedger>,
+    /// Boot time in milliseconds of the signal to leave; 0 before it.
+    leaving_since: AtomicU64,
+    running: AtomicUsize,
+}
+
+/// Counts a request for as long as it is served.
+pub(crate) struct RunningGuard(Arc<EdgeState>);
+
+impl EdgeState {
+    /// Puts a host's state together.
+    pub(crate) fn new(
+        settings: EdgeSettings,
+        dialect: HeaderDialect,
+        log: DecisionLog,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            desk: DispatchDesk::new(settings.availability_zone.clone()),
+            members: Mutex::new(MemberTable::new(settings.host.clone())),
+            settings: ArcSwap::from_pointee(settings),
+            dialect,
+            incarnation: rand::random(),
+            feed: SharedFeed::default(),
+            links: TargetLinks::default(),
+            suspects: SuspectDesk::default(),
+            log,
+            metrics: EdgeMetrics::default(),
+            allowances: Mutex::default(),
+            retries: Mutex::default(),
+            leaving_since: AtomicU64::new(0),
+            running: AtomicUsize::new(0),
+        })
+    }
+
+    /// Gives access to the members; never held over a wait.
+    pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
+        lock(&self.members)
+    }
+
+    /// Gives access to the allowances; never held over a wait.
+    pub(crate) fn allowances(&self) -> MutexGuard<'_, AllowanceLedger> {
+        lock(&self.allowances)
+    }
+
+    /// Counts a repeat if all hosts together may still make one.
+    pub(crate) fn try_repeat(&self, pool: &str) -> bool {
+        let bounds = self.settings.load().bounds.retry_bounds();
+        let hosts = self.members().size();
+        lock(&self.retries).try_repeat(pool, bounds, hosts, boot_now())
+    }
+
+    /// Counts a request for a pool.
+    pub(crate) fn note_request(&self, pool: &str) {
+        let bounds = self.settings.load().bounds.retry_bounds();
+        lock(&self.retries).note_request(pool, bounds, boot_now());
+    }
+
+    /// Returns how old the view of the store is.
+    pub(crate) fn evidence_age(&self) -> Option<Duration> {
+        self.feed.evidence_age(boot_now())
+    }
+
+    /// Tells whether the view of keys is young enough to run a request with one.
+    ///
+    /// Guards against a host that is cut off, or was suspended: it would let in a
+    /// key that was taken away since. The age is taken on the boot clock, which
+    /// counts a suspension.
+    pub(crate) fn knows_keys(&self) -> bool {
+        let bound = self.settings.load().bounds.key_evidence;
+        match (bound, self.evidence_age()) {
+            (None, age) => age.is_some(),
+            (Some(bound), Some(age)) => age + EVIDENCE_MARGIN < bound,
+            (Some(_), None) => false,
+        }
+    }
+
+    /// Tells whether the view is young enough to say that a route or key is not there.
+    pub(crate) fn knows_absence(&self) -> bool {
+        let bound = self.settings.load().bounds.configuration_delay;
+        self.evidence_age().is_some_and(|age| age < bound * 2)
+    }
+
+    /// Tells whether the host should get new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.feed.catalog().is_some() && self.knows_keys()
+    }
+
+    /// Begins to leave.
+    pub(crate) fn begin_leaving(&self) {
+        let now = boot_now().as_millis() as u64;
+        self.leaving_since
+            .compare_exchange(0, now.max(1), Ordering::AcqRel, Ordering::Acquire)
+            .ok();
+    }
+
+    /// Tells whether the host leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving_for().is_some()
+    }
+
+    /// Returns for how long the host has been leaving.
+    pub(crate) fn leaving_for(&self) -> Option<Duration> {
+        match self.leaving_since.load(Ordering::Acquire) {
+            0 => None,
+            since => Some(boot_now().saturating_sub(Duration::from_millis(since))),
+        }
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn enter_request(self: &Arc<Self>) -> RunningGuard {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        RunningGuard(Arc::clone(self))
+    }
+
+    /// Returns how many requests are served now.
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Brings the board up to a change of the feed, and writes it down.
+    pub(crate) fn take_change(&self, change: FeedChange, peer: Option<&HostName>) {
+        if change.is_empty() {
+            return;
+        }
+        if let Some(catalog) = change.catalog {
+            self.log.write(&DecisionLine::CatalogInForce {
+                catalog,
+                peer: peer.cloned(),
+            });
+        }
+        self.refresh_targets();
+        if !change.changed.is_empty() || !change.gone.is_empty() {
+            self.log.write(&DecisionLine::TargetsChanged {
+                revision: self.feed.marks().0,
+                changed: change.changed,
+                gone: change.gone,
+            });
+        }
+    }
+
+    fn refresh_targets(&self) {
+        let catalog = self.feed.catalog();
+        let is_engine = |pool: &str| {
+            let pool = catalog.as_ref().and_then(|catalog| catalog.find_pool(pool));
+            pool.is_some_and(|pool| pool.engine)
+        };
+        let members = self.feed.targets().into_iter().map(|record| PoolMember {
+            engine: is_engine(&record.pool),
+            record,
+        });
+        self.desk.lock_board().set_targets(members.collect());
+        self.desk.assign_waiting();
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,41 @@
+//! A host that serves routes: callers on one side, pools of targets on the other.
+//!
+//! A request goes through a chain, one file a step: [`caller_link`] reads it,
+//! [`route_filter`] finds its route and account, [`spend_filter`] counts it,
+//! [`request_run`] waits for a target, sends and resends, [`answer_relay`] passes
+//! the answer on. Controllers keep the state: [`feed_controller`] follows the
+//! store, [`news_controller`] the other hosts, [`settings_controller`] the settings,
+//! [`leave_controller`] the end of the process.
+
+mod answer_relay;
+mod answer_writer;
+mod caller_link;
+mod caller_session;
+mod crash_check;
+mod edge_host;
+mod edge_metrics;
+mod edge_refusal;
+mod edge_settings;
+mod edge_state;
+mod event_splitter;
+mod feed_controller;
+mod header_dialect;
+mod leave_controller;
+mod news_controller;
+mod news_service;
+mod operator_pages;
+mod request_run;
+mod route_filter;
+mod settings_controller;
+mod spend_filter;
+mod target_call;
+mod target_links;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use edge_host::EdgeHost;
+pub(crate) use edge_host::EdgeParts;
+pub(crate) use edge_settings::EdgeBounds;
+pub(crate) use edge_settings::EdgeSettings;
+pub(crate) use edge_settings::SettingsLoader;
+pub(crate) use header_dialect::HeaderDialect;
--- /dev/null
+++ b/src/edge/news_controller.rs
@@ -0,0 +1,203 @@
+//! Tells the other hosts what this one runs and knows, many times a second.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_std::task;
+
+use super::edge_state::EdgeState;
+use crate::clock::boot_now;
+use crate::dispatch::TargetLoad;
+use crate::ids::HostName;
+use crate::logs::DecisionLine;
+use crate::members::HostNews;
+use crate::members::MemberNote;
+use crate::members::MemberState;
+use crate::members::NewsReceipt;
+use crate::peers::PeerCall;
+use crate::peers::PeerMesh;
+use crate::peers::PeerReply;
+
+/// How often loads that changed are told. Hosts place work by what their peers
+/// told, and a target begins some ten requests a second: with a tenth of a second
+/// one request in ten meets a slot that a peer took meanwhile.
+const NEWS_PERIOD: Duration = Duration::from_millis(100);
+/// How often news are told when nothing changed: a sign of life.
+const QUIET_PERIODS: u32 = 4;
+/// How many peers are told in one period. In a fleet of more, each is told in turn,
+/// so that the bytes a host sends don't grow with the fleet.
+const PEERS_A_PERIOD: usize = 12;
+/// How long a peer may take to answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How old the store's own answers must be before targets are asked of a peer.
+const OWN_VIEW_BOUND: Duration = Duration::from_millis(2500);
+
+/// What the tellers of one host share.
+struct NewsTeller {
+    state: Arc<EdgeState>,
+    mesh: Arc<PeerMesh>,
+    /// Peers whose answer is still to come.
+    busy: Mutex<Vec<HostName>>,
+}
+
+/// Tells news until the process ends.
+pub(crate) async fn tell_news(state: Arc<EdgeState>, mesh: Arc<PeerMesh>) {
+    let teller = Arc::new(NewsTeller {
+        state,
+        mesh,
+        busy: Mutex::default(),
+    });
+    let mut told: Vec<TargetLoad> = Vec::new();
+    let mut connected: Vec<HostName> = Vec::new();
+    let mut quiet = 0;
+    let mut turn = 0;
+    loop {
+        task::sleep(NEWS_PERIOD).await;
+        teller.refresh_members();
+        let peers = teller.mesh.connected_peers();
+        if peers != connected {
+            connected.clone_from(&peers);
+            let line = DecisionLine::PeersChanged {
+                connected: peers.clone(),
+            };
+            teller.state.log.write(&line);
+        }
+        let loads = teller.state.desk.lock_board().own_loads();
+        quiet += 1;
+        if loads == told && quiet < QUIET_PERIODS {
+            continue;
+        }
+        quiet = 0;
+        told.clone_from(&loads);
+        let news = Arc::new(teller.news(loads));
+        let count = peers.len().min(PEERS_A_PERIOD);
+        for offset in 0..count {
+            let peer = peers[(turn + offset) % peers.len()].clone();
+            teller.clone().spawn_call(peer, Arc::clone(&news));
+        }
+        turn = turn.wrapping_add(count);
+    }
+}
+
+impl NewsTeller {
+    /// Connects to new members and lets go of those that are long dead.
+    fn refresh_members(&self) {
+        let now = boot_now();
+        let mut members = self.state.members();
+        members.forget_dead(now);
+        if !members.take_changed() {
+            return;
+        }
+        let addresses = members.addresses();
+        drop(members);
+        self.mesh.set_peers(&addresses);
+    }
+
+    fn news(&self, loads: Vec<TargetLoad>) -> HostNews {
+        let state = &self.state;
+        let settings = state.settings.load();
+        let (revision, catalog) = state.feed.marks();
+        HostNews {
+            own: MemberNote {
+                host: settings.host.clone(),
+                address: settings.peer_address,
+                incarnation: state.incarnation,
+                age_ms: 0,
+                leaving: state.is_leaving(),
+            },
+            members: state.members().notes(boot_now()),
+            revision,
+            catalog,
+            loads,
+            spending: state.allowances().own_spending(),
+            suspects: state.suspects.ledger().entries(),
+        }
+    }
+
+    /// Tells a peer, unless it still owes the answer to the news before.
+    fn spawn_call(self: Arc<Self>, peer: HostName, news: Arc<HostNews>) {
+        let mut busy = self.busy.lock().unwrap_or_else(PoisonError::into_inner);
+        if busy.contains(&peer) {
+            return;
+        }
+        busy.push(peer.clone());
+        drop(busy);
+        task::spawn(async move {
+            self.tell(&peer, &news).await;
+            let mut busy = self.busy.lock().unwrap_or_else(PoisonError::into_inner);
+            busy.retain(|held| *held != peer);
+        });
+    }
+
+    async fn tell(&self, peer: &HostName, news: &HostNews) {
+        let begun = boot_now();
+        let call = PeerCall::News(Box::new(news.clone()));
+        let reply = self.mesh.call(peer, call, CALL_TIMEOUT).await;
+        // A peer that doesn't answer shows in the list of those that can be called.
+        if let Ok(PeerReply::NewsReceipt(receipt)) = reply {
+            self.take_receipt(peer, receipt, begun).await;
+        }
+    }
+
+    /// Follows a peer that knows more, and takes its word for how young that is.
+    async fn take_receipt(&self, peer: &HostName, receipt: NewsReceipt, begun: Duration) {
+        let feed = &self.state.feed;
+        let (revision, catalog) = feed.marks();
+        let own_age = self.state.evidence_age();
+        let alone = own_age.is_none_or(|age| age > OWN_VIEW_BOUND);
+        if receipt.catalog > catalog || (alone && receipt.revision > revision) {
+            self.fetch_view(peer).await;
+        }
+        if let Some(age) = receipt.evidence_age_ms {
+            // The peer's word was given after the call began, so its view was the
+            // store's at this moment or later.
+            let shown = begun.saturating_sub(Duration::from_millis(age));
+            feed.vouch(receipt.catalog, shown);
+        }
+    }
+
+    async fn fetch_view(&self, peer: &HostName) {
+        let known = self.state.feed.marks().1;
+        let call = PeerCall::FleetView { known };
+        let reply = self.mesh.call(peer, call, CALL_TIMEOUT).await;
+        if let Ok(PeerReply::FleetView(update)) = reply {
+            let change = self.state.feed.take_peer_view(*update, boot_now());
+            self.state.take_change(change, Some(peer));
+        }
+    }
+}
+
+/// Takes a peer's news in, and returns how far this host's view reaches.
+pub(crate) fn take_news(state: &Arc<EdgeState>, news: HostNews) -> NewsReceipt {
+    let now = boot_now();
+    {
+        let mut members = state.members();
+        members.take_note(&news.own, now);
+        for note in &news.members {
+            members.take_note(note, now);
+        }
+    }
+    let host = news.own.host;
+    let mut allowances = state.allowances();
+    allowances.take_peer(host.clone(), news.own.incarnation, &news.spending, now);
+    for (name, member) in state.members().states(now) {
+        if member == MemberState::Leaving {
+            allowances.forget_peer(&name);
+        }
+    }
+    drop(allowances);
+    state.suspects.merge(&news.suspects);
+    state
+        .desk
+        .lock_board()
+        .take_peer_loads(host, news.loads, now);
+    state.desk.assign_waiting();
+    let (revision, catalog) = state.feed.marks();
+    NewsReceipt {
+        revision,
+        catalog,
+        evidence_age_ms: state.evidence_age().map(|age| age.as_millis() as u64),
+    }
+}
--- /dev/null
+++ b/src/edge/operator_pages.rs
@@ -0,0 +1,68 @@
+//! Small pages: readiness for the balancer, metrics for operators.
+
+use std::sync::Arc;
+
+use async_std::net::TcpStream;
+
+use super::answer_writer::write_bytes;
+use super::caller_link::CallerLink;
+use super::edge_state::EdgeState;
+use crate::catalog::CallerLimits;
+use crate::clock::boot_now;
+use crate::members::MemberState;
+
+/// Answers any request with 200 while the host is ready, and with 503 otherwise.
+pub(crate) async fn serve_readiness(state: Arc<EdgeState>, stream: TcpStream) {
+    serve_page(stream, || match state.is_ready() {
+        true => (200, "ready\n".to_owned()),
+        false => (503, "not ready\n".to_owned()),
+    })
+    .await;
+}
+
+/// Answers any request with the metrics.
+pub(crate) async fn serve_metrics(state: Arc<EdgeState>, stream: TcpStream) {
+    serve_page(stream, || (200, metrics_text(&state))).await;
+}
+
+async fn serve_page(stream: TcpStream, page: impl Fn() -> (u16, String)) {
+    let mut caller = CallerLink::new(stream);
+    while let Ok(Some(_)) = caller.next_request(CallerLimits::default()).await {
+        let (status, body) = page();
+        let reason = match status {
+            200 => "OK",
+            _ => "Service Unavailable",
+        };
+        let connection = match caller.reusable {
+            true => "",
+            false => "Connection: close\r\n",
+        };
+        let answer = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\n{connection}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let written = write_bytes(&caller.stream, answer.as_bytes()).await;
+        if written.is_err() || !caller.reusable {
+            return;
+        }
+    }
+}
+
+fn metrics_text(state: &EdgeState) -> String {
+    let (left_out, dropped) = state.log.losses();
+    let (revision, catalog) = state.feed.marks();
+    let states = state.members().states(boot_now());
+    let live = states
+        .iter()
+        .filter(|(_, member)| *member == MemberState::Live);
+    let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
+    state.metrics.render(&[
+        ("catalog_version", catalog),
+        ("store_revision", revision),
+        ("evidence_age_ms", age),
+        ("members_live", live.count() as u64),
+        ("requests_running", state.running() as u64),
+        ("log_lines_left_out_total", left_out),
+        ("log_lines_dropped_total", dropped),
+    ])
+}
--- /dev/null
+++ b/src/edge/route_filter.rs
@@ -0,0 +1,219 @@
+//! Finds a request's route and account.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::caller_link::CallerRequest;
+use super::edge_refusal::EdgeRefusal;
+use super::edge_state::EdgeState;
+use crate::catalog::CallKind;
+use crate::catalog::ClientAccount;
+use crate::catalog::RouteCatalog;
+use crate::catalog::ServiceRoute;
+use crate::dispatch::UrgencyRank;
+use crate::errors::ErrorKind;
+use crate::ids::PoolName;
+use crate::suspects::RequestFingerprint;
+use crate::suspects::fingerprint_request;
+
+/// When a caller may come back to another host after this one knew too little.
+const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
+/// The longest time that a request is served whose caller and route name none.
+const USUAL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a request uses, by its own word.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct TokenUsage {
+    /// Tokens of its prompt.
+    pub(crate) prompt: u64,
+    /// Tokens that it may get at most.
+    pub(crate) output: u64,
+}
+
+/// A request with all that decides how it is served.
+#[derive(Debug)]
+pub(crate) struct RoutedRequest {
+    /// The request; its headers are those that the target gets, but for those that
+    /// change with each send.
+    pub(crate) request: CallerRequest,
+    /// The id of this attempt.
+    pub(crate) id: String,
+    /// The catalog that routed it.
+    pub(crate) catalog: Arc<RouteCatalog>,
+    /// The route's name.
+    pub(crate) route: String,
+    /// What may be repeated.
+    pub(crate) kind: CallKind,
+    /// To how many targets it may be sent.
+    pub(crate) max_attempts: u32,
+    /// Within which its first event, or its answer, is worth the most.
+    pub(crate) objective: Duration,
+    /// The pool that runs it.
+    pub(crate) pool: PoolName,
+    /// The account.
+    pub(crate) account: Option<ClientAccount>,
+    /// How urgent it is.
+    pub(crate) rank: UrgencyRank,
+    /// When its time is over, on the boot clock.
+    pub(crate) deadline: Duration,
+    /// What it uses, where it says so.
+    pub(crate) usage: Option<TokenUsage>,
+    /// Alike for requests that a caller repeats under new ids.
+    pub(crate) fingerprint: RequestFingerprint,
+}
+
+/// Finds a request's route and account, or says why it is refused.
+pub(crate) fn route_request(
+    state: &EdgeState,
+    mut request: CallerRequest,
+) -> Result<RoutedRequest, (CallerRequest, EdgeRefusal)> {
+    let Some(catalog) = state.feed.catalog() else {
+        return Err((
+            request,
+            EdgeRefusal::after(ErrorKind::NotReady, OTHER_HOST_DELAY),
+        ));
+    };
+    let found = find_route(state, &catalog, &request).and_then(|route| {
+        let account = find_account(state, &catalog, route, &request)?;
+        let id = request_id(state, &request)?;
+        Ok((route, account, id))
+    });
+    let (route, account, id) = match found {
+        Ok(found) => found,
+        Err(refusal) => return Err((request, refusal)),
+    };
+    let deadline = request.arrived + time_limit(state, route, &request);
+    let usage = token_usage(state, &request);
+    let account_name = account.as_ref().map_or("", |account| account.name.as_str());
+    let fingerprint = fingerprint_request(account_name, &request.message.target, &request.body);
+    prepare_headers(state, &mut request, account_name);
+    Ok(RoutedRequest {
+        id,
+        route: route.name.clone(),
+        kind: route.kind,
+        max_attempts: route.max_attempts,
+        objective: route.objective,
+        pool: route.pool_for(rand::random()).clone(),
+        rank: UrgencyRank {
+            account: account
+                .as_ref()
+                .and_then(|account| account.tier)
+                .unwrap_or(route.tier),
+            route: route.tier,
+        },
+        account,
+        deadline,
+        usage,
+        fingerprint,
+        request,
+        catalog: Arc::clone(&catalog),
+    })
+}
+
+fn find_route<'c>(
+    state: &EdgeState,
+    catalog: &'c RouteCatalog,
+    request: &CallerRequest,
+) -> Result<&'c ServiceRoute, EdgeRefusal> {
+    let headers = &request.message.headers;
+    let mut hosts = headers.all("host");
+    let host = hosts.next().and_then(|host| std::str::from_utf8(host).ok());
+    // Two hosts could be read as two routes (RFC 9112 section 3.2).
+    let (Some(host), None) = (host, hosts.next()) else {
+        return Err(ErrorKind::MalformedMessage.into());
+    };
+    let host = host.trim().to_ascii_lowercase();
+    let host = host.split_once(':').map_or(host.as_str(), |(name, _)| name);
+    let found = catalog.find_route(host, request.message.path());
+    found.ok_or_else(|| absence(state, ErrorKind::UnknownClass))
+}
+
+/// Returns the account; `None` where the request needs none.
+fn find_account(
+    state: &EdgeState,
+    catalog: &RouteCatalog,
+    route: &ServiceRoute,
+    request: &CallerRequest,
+) -> Result<Option<ClientAccount>, EdgeRefusal> {
+    if !catalog.needs_keys() {
+        return Ok(None);
+    }
+    let key = read_key(state, request);
+    let account = key.and_then(|key| catalog.find_account(key));
+    if route.public {
+        return Ok(account.cloned());
+    }
+    if !state.knows_keys() {
+        return Err(EdgeRefusal::after(ErrorKind::StaleView, OTHER_HOST_DELAY));
+    }
+    match account {
+        Some(account) => Ok(Some(account.clone())),
+        None => Err(absence(state, ErrorKind::UnknownAccount)),
+    }
+}
+
+/// Says that something is not there, or that this host can't know: what was added
+/// since may be in force elsewhere, and a caller that is told "unknown" gives up.
+fn absence(state: &EdgeState, kind: ErrorKind) -> EdgeRefusal {
+    match state.knows_absence() {
+        true => kind.into(),
+        false => EdgeRefusal::after(ErrorKind::StaleView, OTHER_HOST_DELAY),
+    }
+}
+
+/// Returns the key; two keys in one request are none.
+fn read_key<'r>(state: &EdgeState, request: &'r CallerRequest) -> Option<&'r str> {
+    let headers = &request.message.headers;
+    if headers.all("authorization").count() != 1 {
+        return None;
+    }
+    let (scheme, key) = headers.text("authorization")?.split_once(' ')?;
+    let known = scheme.eq_ignore_ascii_case(&state.dialect.key_scheme);
+    known.then(|| key.trim())
+}
+
+fn request_id(state: &EdgeState, request: &CallerRequest) -> Result<String, EdgeRefusal> {
+    let id = request.message.headers.text(&state.dialect.request_id);
+    id.map(str::to_owned)
+        .ok_or_else(|| ErrorKind::BadRequestId.into())
+}
+
+/// Returns how long the request may take: what the caller waits, or the operator
+/// lets it wait, whichever is shorter.
+fn time_limit(state: &EdgeState, route: &ServiceRoute, request: &CallerRequest) -> Duration {
+    let headers = &request.message.headers;
+    let asked = headers.number(&state.dialect.deadline_ms);
+    let asked = asked.map(Duration::from_millis);
+    let limit = match (asked, route.timeout) {
+        (Some(asked), Some(timeout)) => asked.min(timeout),
+        (asked, timeout) => asked.or(timeout).unwrap_or(USUAL_TIMEOUT),
+    };
+    limit.min(USUAL_TIMEOUT * 10)
+}
+
+fn token_usage(state: &EdgeState, request: &CallerRequest) -> Option<TokenUsage> {
+    let text = request.message.headers.text(&state.dialect.token_usage)?;
+    let (prompt, output) = text.split_once(',')?;
+    Some(TokenUsage {
+        prompt: prompt.trim().parse().ok()?,
+        output: output.trim().parse().ok()?,
+    })
+}
+
+/// Leaves the headers that the target may see, and says whose request it is.
+fn prepare_headers(state: &EdgeState, request: &mut CallerRequest, account: &str) {
+    let dialect = &state.dialect;
+    let headers = &mut request.message.headers;
+    headers.drop_hop_by_hop();
+    headers.retain(|name| {
+        let reserved = dialect.reserved.iter();
+        !name.eq_ignore_ascii_case("authorization")
+            && !name.eq_ignore_ascii_case(&dialect.deadline_ms)
+            && !reserved
+                .into_iter()
+                .any(|held| name.eq_ignore_ascii_case(held))
+    });
+    if !account.is_empty() {
+        headers.push(&dialect.account, account);
+    }
+}
--- /dev/null
+++ b/src/edge/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the host's own parts.
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -115,6 +115,12 @@
     /// The host holds as many connections of callers as it may.
     #[display("too-many-callers")]
     TooManyCallers,
+    /// What the host believes of keys is too old to run anything on.
+    #[display("stale-view")]
+    StaleView,
+    /// Targets were lost to requests like this one, so it waits for better days.
+    #[display("suspect-request")]
+    SuspectRequest,
     /// The gateway failed in a way that is a fault of its own.
     #[display("internal")]
     Internal,
@@ -333,6 +339,20 @@
         RetryAdvice::AtOnce,
         "this host has too many callers connected; another one may have room",
     ),
+    row(
+        ErrorKind::StaleView,
+        503,
+        RequestOutcome::NotRun,
+        RetryAdvice::AtOnce,
+        "this host has not heard of the current keys for too long; another one may have",
+    ),
+    row(
+        ErrorKind::SuspectRequest,
+        503,
+        RequestOutcome::NotRun,
+        RetryAdvice::AfterDrain,
+        "targets were lost to requests like this one",
+    ),
     row(
         ErrorKind::Internal,
         500,
--- /dev/null
+++ b/src/feed/fleet_feed.rs
@@ -0,0 +1,211 @@
+//! The host's view of routes and targets; revisions and versions only rise.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::FeedChange;
+use super::FeedUpdate;
+use super::OutageTrack;
+use super::TargetRecord;
+use super::TargetRemoval;
+use crate::catalog::CatalogParts;
+use crate::catalog::RouteCatalog;
+use crate::ids::CatalogVersion;
+use crate::ids::StoreRevision;
+use crate::ids::TargetName;
+use crate::sorted::SortedMap;
+
+/// How long removals are remembered. A peer that has not heard of one for as
+/// long would bring the target back; peers tell each other many times a second.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(120);
+
+/// A removal that is remembered.
+#[derive(Clone, Copy, Debug)]
+struct RemovalMark {
+    revision: StoreRevision,
+    at: Duration,
+}
+
+/// The host's view of routes and targets.
+///
+/// Each record bears the revision at which it was written, and the higher one
+/// wins, so updates of several sources may come in any order and twice.
+#[derive(Debug, Default)]
+pub struct FleetFeed {
+    revision: StoreRevision,
+    catalog: Option<Arc<RouteCatalog>>,
+    targets: SortedMap<TargetName, TargetRecord>,
+    removals: SortedMap<TargetName, RemovalMark>,
+    /// Targets whose registration lapsed while the store was away, and until
+    /// when they may still serve.
+    lapses: SortedMap<TargetName, Duration>,
+}
+
+impl FleetFeed {
+    /// Returns the revision up to which the view is complete.
+    pub const fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
+    /// Returns the catalog in force.
+    pub const fn catalog(&self) -> Option<&Arc<RouteCatalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns the version of the catalog in force; 0 when there is none.
+    pub fn catalog_version(&self) -> CatalogVersion {
+        self.catalog.as_ref().map_or(0, |catalog| catalog.version())
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.targets.values()
+    }
+
+    /// Returns a target.
+    pub fn find_target(&self, name: &str) -> Option<&TargetRecord> {
+        self.targets.get(name)
+    }
+
+    /// Returns the whole view for a peer whose catalog has `known` as version.
+    pub fn whole_update(&self, known: CatalogVersion) -> FeedUpdate {
+        let catalog = self.catalog.as_ref();
+        FeedUpdate {
+            revision: self.revision,
+            whole: true,
+            catalog: catalog
+                .filter(|catalog| catalog.version() > known)
+                .map(|catalog| catalog.parts().clone()),
+            targets: self.targets.values().cloned().collect(),
+            removals: Vec::new(),
+        }
+    }
+
+    /// Takes an update in.
+    pub fn apply(&mut self, update: FeedUpdate, outage: &OutageTrack, now: Duration) -> FeedChange {
+        let mut change = FeedChange::default();
+        if let Some(parts) = update.catalog {
+            change.catalog = self.raise_catalog(parts);
+        }
+        if update.whole {
+            self.remove_absent(&update.targets, update.revision, outage, now, &mut change);
+        }
+        for record in update.targets {
+            self.take_record(record, &mut change);
+        }
+        for removal in update.removals {
+            self.take_removal(removal, outage, now, &mut change);
+        }
+        self.revision = self.revision.max(update.revision);
+        self.removals
+            .retain(|_, mark| now.saturating_sub(mark.at) < REMOVAL_MEMORY);
+        change
+    }
+
+    /// Lets go of lapsed targets that did not come back in time.
+    pub fn expire_lapses(&mut self, now: Duration) -> FeedChange {
+        let mut change = FeedChange::default();
+        let due: Vec<TargetName> = self
+            .lapses
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.lapses.remove(&name);
+            self.targets.remove(&name);
+            change.gone.push(name);
+        }
+        change
+    }
+
+    /// Puts a newer catalog in force. An older one is passed over: a slow source
+    /// must not bring back what was replaced.
+    fn raise_catalog(&mut self, parts: CatalogParts) -> Option<CatalogVersion> {
+        let version = parts.version;
+        if self.catalog.is_some() && version <= self.catalog_version() {
+            return None;
+        }
+        self.catalog = Some(Arc::new(RouteCatalog::compile(parts)));
+        Some(version)
+    }
+
+    fn remove_absent(
+        &mut self,
+        present: &[TargetRecord],
+        revision: StoreRevision,
+        outage: &OutageTrack,
+        now: Duration,
+        change: &mut FeedChange,
+    ) {
+        let mut names: Vec<&TargetName> = present.iter().map(|record| &record.name).collect();
+        names.sort();
+        let absent: Vec<TargetName> = self
+            .targets
+            .iter()
+            .filter(|(name, _)| names.binary_search(name).is_err())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in absent {
+            let removal = TargetRemoval { name, revision };
+            self.take_removal(removal, outage, now, change);
+        }
+    }
+
+    fn take_record(&mut self, record: TargetRecord, change: &mut FeedChange) {
+        if let Some(mark) = self.removals.get(&record.name)
+            && mark.revision >= record.revision
+        {
+            return;
+        }
+        if let Some(held) = self.targets.get(&record.name) {
+            if held.revision > record.revision {
+                return;
+            }
+            // Written again after a lapse: it is back.
+            if held.revision < record.revision {
+                self.lapses.remove(&record.name);
+            }
+            if *held == record {
+                return;
+            }
+        }
+        change.changed.push(record.name.clone());
+        self.targets.insert(record.name.clone(), record);
+    }
+
+    fn take_removal(
+        &mut self,
+        removal: TargetRemoval,
+        outage: &OutageTrack,
+        now: Duration,
+        change: &mut FeedChange,
+    ) {
+        let Some(held) = self.targets.get(&removal.name) else {
+            self.note_removal(removal, now);
+            return;
+        };
+        if held.revision > removal.revision || self.lapses.contains_key(&removal.name) {
+            return;
+        }
+        let ready = held.phase == super::TargetPhase::Ready;
+        if ready && let Some(until) = outage.lapse_end(now) {
+            self.lapses.insert(removal.name.clone(), until);
+        } else {
+            self.targets.remove(&removal.name);
+            change.gone.push(removal.name.clone());
+        }
+        self.note_removal(removal, now);
+    }
+
+    fn note_removal(&mut self, removal: TargetRemoval, now: Duration) {
+        let mark = RemovalMark {
+            revision: removal.revision,
+            at: now,
+        };
+        let held = self.removals.get_or_insert_with(removal.name, || mark);
+        if held.revision < mark.revision {
+            *held = mark;
+        }
+    }
+}
--- /dev/null
+++ b/src/feed/shared_feed.rs
@@ -0,0 +1,129 @@
+//! The feed as the whole process shares it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+
+use super::FeedChange;
+use super::FeedUpdate;
+use super::FleetFeed;
+use super::OutageTrack;
+use super::TargetRecord;
+use crate::catalog::RouteCatalog;
+use crate::ids::CatalogVersion;
+use crate::ids::StoreRevision;
+
+/// The feed behind a lock, the catalog behind an atomic pointer for the requests'
+/// path, and the age of what is believed.
+#[derive(Debug, Default)]
+pub struct SharedFeed {
+    state: Mutex<FeedState>,
+    catalog: ArcSwapOption<RouteCatalog>,
+    /// Boot time in milliseconds at which the call was begun whose answer last
+    /// showed what the store held; 0 before the first.
+    evidence_ms: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct FeedState {
+    feed: FleetFeed,
+    outage: OutageTrack,
+}
+
+impl SharedFeed {
+    /// Takes in what the store answered to a call that was begun at `begun`.
+    pub fn take_store_answer(
+        &self,
+        update: FeedUpdate,
+        begun: Duration,
+        now: Duration,
+    ) -> FeedChange {
+        let mut state = self.lock();
+        state.outage.note_answer(begun, now);
+        let change = self.apply(&mut state, update, now);
+        drop(state);
+        self.raise_evidence(begun);
+        change
+    }
+
+    /// Takes in what a peer believes. Its view proves nothing about its age; see
+    /// [`SharedFeed::vouch`].
+    pub fn take_peer_view(&self, update: FeedUpdate, now: Duration) -> FeedChange {
+        let mut state = self.lock();
+        self.apply(&mut state, update, now)
+    }
+
+    /// Takes a peer's word that the catalog of this version was the store's at
+    /// `shown`; it counts only if this host holds that catalog or a newer one.
+    pub fn vouch(&self, version: CatalogVersion, shown: Duration) {
+        let held = self.lock().feed.catalog_version() >= version;
+        if held && version > 0 {
+            self.raise_evidence(shown);
+        }
+    }
+
+    /// Lets go of lapsed targets that did not come back in time.
+    pub fn expire_lapses(&self, now: Duration) -> FeedChange {
+        self.lock().feed.expire_lapses(now)
+    }
+
+    /// Returns the catalog in force.
+    pub fn catalog(&self) -> Option<Arc<RouteCatalog>> {
+        self.catalog.load_full()
+    }
+
+    /// Returns how long ago the view was known to be the store's; `None` before
+    /// the first answer.
+    pub fn evidence_age(&self, now: Duration) -> Option<Duration> {
+        match self.evidence_ms.load(Ordering::Acquire) {
+            0 => None,
+            shown => Some(now.saturating_sub(Duration::from_millis(shown))),
+        }
+    }
+
+    /// Returns the revision up to which the view is complete, and the catalog's version.
+    pub fn marks(&self) -> (StoreRevision, CatalogVersion) {
+        let state = self.lock();
+        (state.feed.revision(), state.feed.catalog_version())
+    }
+
+    /// Returns a target.
+    pub fn find_target(&self, name: &str) -> Option<TargetRecord> {
+        self.lock().feed.find_target(name).cloned()
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> Vec<TargetRecord> {
+        self.lock().feed.targets().cloned().collect()
+    }
+
+    /// Returns the whole view for a peer whose catalog has `known` as version.
+    pub fn whole_update(&self, known: CatalogVersion) -> FeedUpdate {
+        self.lock().feed.whole_update(known)
+    }
+
+    fn apply(&self, state: &mut FeedState, update: FeedUpdate, now: Duration) -> FeedChange {
+        let outage = state.outage;
+        let change = state.feed.apply(update, &outage, now);
+        if change.catalog.is_some() {
+            self.catalog.store(state.feed.catalog().cloned());
+        }
+        change
+    }
+
+    fn raise_evidence(&self, shown: Duration) {
+        // The clock's first millisecond is not worth telling from "never".
+        let shown = (shown.as_millis() as u64).max(1);
+        self.evidence_ms.fetch_max(shown, Ordering::AcqRel);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FeedState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/gateway/peer_service.rs
+++ b/src/gateway/peer_service.rs
@@ -64,6 +64,10 @@
                 Ok(reader) => send_answer(reader, replies).await,
                 Err(kind) => refuse(kind, replies).await,
             },
+            // These hosts keep seats and digests in place of news.
+            PeerCall::News(_) | PeerCall::FleetView { .. } => {
+                refuse(ErrorKind::NotReady, replies).await
+            }
         };
         // A peer that is gone needs no answer.
         replied.ok();
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -29,3 +29,9 @@
 pub type UnixMillis = u64;
 /// A count of tokens.
 pub type TokenCount = u32;
+/// The name of a pool of targets that serve the same work.
+pub type PoolName = String;
+/// The version of a route catalog; it only rises.
+pub type CatalogVersion = u64;
+/// A revision of the store that the configuration is read from; it only rises.
+pub type StoreRevision = u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,12 +29,16 @@
 
 mod answers;
 mod backoff;
+pub mod catalog;
 pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod controllers;
+pub mod dispatch;
 pub mod documents;
+mod edge;
 pub mod errors;
+pub mod feed;
 pub mod fleet;
 mod gateway;
 mod http;
@@ -42,9 +46,12 @@
 pub mod json;
 pub mod limits;
 pub mod logs;
+pub mod members;
 pub mod metrics;
 mod operators;
 pub mod peers;
+#[path = "../platform/mod.rs"]
+mod platform;
 pub mod policy;
 mod recorder;
 pub mod replay;
@@ -52,8 +59,10 @@
 pub mod selector;
 pub mod settings;
 pub mod sorted;
+pub mod spending;
 mod stream;
 pub mod suspects;
+mod wire;
 
 pub use controllers::CompiledCopy;
 pub use controllers::ConfigEntry;
--- /dev/null
+++ b/src/members/host_news.rs
@@ -0,0 +1,59 @@
+//! What a host tells its peers many times a second.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::dispatch::TargetLoad;
+use crate::ids::CatalogVersion;
+use crate::ids::HostName;
+use crate::ids::IncarnationId;
+use crate::ids::StoreRevision;
+use crate::spending::AccountSpending;
+use crate::suspects::SuspectEntry;
+
+/// What a host knows of another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberNote {
+    /// The host.
+    pub host: HostName,
+    /// Where it takes its peers' calls.
+    pub address: SocketAddr,
+    /// Its present life.
+    pub incarnation: IncarnationId,
+    /// How long ago it was heard of, in milliseconds.
+    pub age_ms: u32,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+}
+
+/// What a host tells its peers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HostNews {
+    /// The host itself, aged 0.
+    pub own: MemberNote,
+    /// The other hosts that it knows.
+    pub members: Vec<MemberNote>,
+    /// The revision up to which its view of the fleet is complete.
+    pub revision: StoreRevision,
+    /// The version of the catalog in force there.
+    pub catalog: CatalogVersion,
+    /// What it runs at each target.
+    pub loads: Vec<TargetLoad>,
+    /// What it has spent of each account's allowance.
+    pub spending: Vec<AccountSpending>,
+    /// Requests that targets were lost to.
+    pub suspects: Vec<SuspectEntry>,
+}
+
+/// What a host answers to news.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NewsReceipt {
+    /// The revision up to which its view of the fleet is complete.
+    pub revision: StoreRevision,
+    /// The version of the catalog in force there.
+    pub catalog: CatalogVersion,
+    /// How long ago that view was known to be the store's, in milliseconds.
+    pub evidence_age_ms: Option<u64>,
+}
--- a/src/peers/peer_messages.rs
+++ b/src/peers/peer_messages.rs
@@ -10,11 +10,15 @@
 use crate::claim::ClaimReply;
 use crate::errors::ErrorKind;
 use crate::errors::RequestOutcome;
+use crate::feed::FeedUpdate;
 use crate::http::AnswerHead;
 use crate::http::RequestHead;
 use crate::ids::AccountName;
+use crate::ids::CatalogVersion;
 use crate::ids::FleetVersion;
 use crate::ids::RequestId;
+use crate::members::HostNews;
+use crate::members::NewsReceipt;
 use crate::policy::HostDigest;
 use crate::roster::RosterDigest;
 use crate::suspects::SuspectEntry;
@@ -52,6 +56,15 @@
     /// Says what changed since the digest that the called host confirmed last;
     /// answered with [`PeerReply::Receipt`].
     DigestDelta(Box<DigestDelta>),
+    /// Tells what the calling host runs, spends and knows of others; answered with
+    /// [`PeerReply::NewsReceipt`].
+    News(Box<HostNews>),
+    /// Asks for the whole view of routes and targets; answered with
+    /// [`PeerReply::FleetView`].
+    FleetView {
+        /// The catalog that the caller has; it is left out unless there is a newer one.
+        known: CatalogVersion,
+    },
 }
 
 /// What a called host answers.
@@ -81,6 +94,10 @@
     Claim(ClaimReply),
     /// What became of a [`PeerCall::DigestDelta`].
     Receipt(DigestReceipt),
+    /// How far the called host's view of the fleet reaches.
+    NewsReceipt(NewsReceipt),
+    /// The whole view of routes and targets.
+    FleetView(Box<FeedUpdate>),
 }
 
 /// What became of a delta, and which document the called host has in force.
--- a/src/suspects/suspect_desk.rs
+++ b/src/suspects/suspect_desk.rs
@@ -70,6 +70,11 @@
         ledger.forget(unix_now());
     }
 
+    /// Notes that a target ran the request to its end.
+    pub(crate) fn note_success(&self, fingerprint: RequestFingerprint) {
+        self.ledger().note_success(fingerprint, unix_now());
+    }
+
     fn try_enter(&self, fingerprint: RequestFingerprint, target: &TargetName) -> bool {
         let mut running = lock(&self.running);
         if running.contains_key(target) {
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,32 @@
+//! HTTP/1.1 messages on connections that carry many of them.
+//!
+//! `httparse`, the parser below `async-h1`, reads heads and chunk sizes. What
+//! `async-h1` 2.3.4 does with bodies doesn't fit here: it reads cut bodies as
+//! complete, and its buffer takes bytes of the next message along, so that no
+//! connection could be kept. Here each body byte is counted, and what belongs to
+//! the next message stays in the [`InputBuffer`].
+
+mod answer_message;
+mod body_decoder;
+mod body_framing;
+mod input_buffer;
+mod message_headers;
+mod request_message;
+mod socket_options;
+#[cfg(test)]
+mod tests;
+mod whole_answer;
+mod wire_error;
+
+pub(crate) use answer_message::AnswerMessage;
+pub(crate) use body_decoder::BodyDecoder;
+pub(crate) use body_framing::BodyFraming;
+pub(crate) use input_buffer::InputBuffer;
+pub(crate) use message_headers::MessageHeaders;
+pub(crate) use request_message::RequestMessage;
+pub(crate) use socket_options::SilenceBounds;
+pub(crate) use socket_options::bound_silence;
+pub(crate) use whole_answer::WholeAnswer;
+pub(crate) use whole_answer::keeps_connection;
+pub(crate) use whole_answer::read_whole_answer;
+pub(crate) use wire_error::WireError;
--- /dev/null
+++ b/src/wire/tests.rs
@@ -0,0 +1,133 @@
+//! Heads, framing and bodies on raw bytes.
+
+use super::AnswerMessage;
+use super::BodyDecoder;
+use super::BodyFraming;
+use super::InputBuffer;
+use super::MessageHeaders;
+use super::RequestMessage;
+use super::WireError;
+
+fn buffer_of(bytes: &[u8]) -> InputBuffer {
+    let mut buffer = InputBuffer::default();
+    buffer.take_in(bytes);
+    buffer
+}
+
+fn headers_of(lines: &[(&str, &str)]) -> MessageHeaders {
+    let mut headers = MessageHeaders::default();
+    for (name, value) in lines {
+        headers.push(name, value);
+    }
+    headers
+}
+
+#[test]
+fn a_body_takes_no_byte_of_the_next_message() {
+    let mut input = buffer_of(b"5\r\nhello\r\n0\r\nTrailer: x\r\n\r\nGET / HTTP/1.1\r\n");
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    let mut body = Vec::new();
+
+    decoder.decode(&mut input, &mut body).unwrap();
+
+    assert!(decoder.is_whole());
+    assert_eq!(body, b"hello");
+    assert_eq!(input.bytes(), b"GET / HTTP/1.1\r\n");
+}
+
+#[test]
+fn a_body_comes_whole_however_it_is_cut_into_reads() {
+    arbtest::arbtest(|source| {
+        let message = b"3\r\nabc\r\nA;note=1\r\n0123456789\r\n0\r\n\r\n";
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        let mut input = InputBuffer::default();
+        let mut body = Vec::new();
+        let mut rest = &message[..];
+        while !rest.is_empty() {
+            let count = source.int_in_range(1..=rest.len())?;
+            input.take_in(&rest[..count]);
+            rest = &rest[count..];
+            decoder.decode(&mut input, &mut body).unwrap();
+        }
+        assert!(decoder.is_whole());
+        assert_eq!(body, b"abc0123456789");
+        Ok(())
+    });
+}
+
+#[test]
+fn a_cut_body_is_told_from_a_whole_one() {
+    let mut counted = BodyDecoder::new(BodyFraming::Length(10));
+    counted
+        .decode(&mut buffer_of(b"12345"), &mut Vec::new())
+        .unwrap();
+    let mut unframed = BodyDecoder::new(BodyFraming::UntilClose);
+    unframed
+        .decode(&mut buffer_of(b"12345"), &mut Vec::new())
+        .unwrap();
+
+    assert_eq!(counted.end_of_connection(), Err(WireError::Cut));
+    assert_eq!(unframed.end_of_connection(), Ok(()));
+}
+
+#[test]
+fn framing_that_can_be_read_in_two_ways_is_refused() {
+    let smuggling = [
+        vec![("Content-Length", "5"), ("Transfer-Encoding", "chunked")],
+        vec![("Content-Length", "5"), ("Content-Length", "6")],
+        vec![("Content-Length", "+5")],
+        vec![("Transfer-Encoding", "gzip, chunked")],
+        vec![
+            ("Transfer-Encoding", "chunked"),
+            ("Transfer-Encoding", "identity"),
+        ],
+    ];
+
+    for lines in smuggling {
+        let framing = BodyFraming::of_request(&headers_of(&lines));
+        assert_eq!(framing, Err(WireError::Malformed), "{lines:?}");
+    }
+}
+
+#[test]
+fn a_space_before_the_colon_and_a_folded_line_are_refused() {
+    for head in [
+        &b"GET / HTTP/1.1\r\nContent-Length : 5\r\n\r\n"[..],
+        b"GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n",
+    ] {
+        let taken = RequestMessage::take(&mut buffer_of(head), 1024);
+        assert_eq!(taken, Err(WireError::Malformed));
+    }
+}
+
+#[test]
+fn a_head_beyond_the_bound_is_refused() {
+    let mut input = buffer_of(format!("GET / HTTP/1.1\r\nA: {}", "a".repeat(200)).as_bytes());
+
+    let taken = RequestMessage::take(&mut input, 100);
+
+    assert_eq!(taken, Err(WireError::HeadTooLarge));
+}
+
+#[test]
+fn interim_answers_are_passed_over() {
+    let mut input = buffer_of(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n");
+
+    let answer = AnswerMessage::take(&mut input).unwrap().unwrap();
+
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn lines_that_concern_one_connection_are_dropped() {
+    let mut headers = headers_of(&[
+        ("Connection", "close, X-Private"),
+        ("X-Private", "1"),
+        ("Keep-Alive", "timeout=5"),
+        ("X-Model", "m"),
+    ]);
+
+    headers.drop_hop_by_hop();
+
+    assert_eq!(headers, headers_of(&[("X-Model", "m")]));
+}
