Count allowances over a sliding window; send long prompts where they can be in time

Late first events stood on the slow third of the engines or behind long prompts. Ruled out: queueing in the host (no late request had waited).

--- a/src/cli/run_command.rs
+++ b/src/cli/run_command.rs
@@ -23,7 +23,8 @@
 ///
 /// Answers go to stdout, complaints to stderr; the exit codes are those of `--help`.
 pub fn run(arguments: Vec<OsString>) -> ExitCode {
-    let mut output = stdout().lock();
+    // Not locked: while a host serves, its log writes there.
+    let mut output = stdout();
     let result = parse_and_run(arguments, &mut output);
     let code = match result {
         Ok(verdict) => verdict.exit_code(),
--- a/src/dispatch/dispatch_board.rs
+++ b/src/dispatch/dispatch_board.rs
@@ -7,10 +7,13 @@
 use super::TargetLoad;
 use super::WaitNumber;
 use super::WorkEnd;
+use super::first_estimate::FirstEstimate;
 use super::peer_loads::PeerLoads;
 use super::target_board::TargetBoard;
 use super::target_choice::ChoiceView;
 use super::target_choice::choose_target;
+use super::target_choice::fastest_pause;
+use super::target_choice::shortest_first;
 use super::wait_line::WaitLine;
 use crate::feed::TargetRecord;
 use crate::ids::HostName;
@@ -37,6 +40,7 @@
     engine: bool,
     targets: Vec<TargetBoard>,
     line: WaitLine,
+    first: FirstEstimate,
 }
 
 /// All targets and waiting requests of one host.
@@ -106,10 +110,12 @@
 
     /// Lets a request wait; [`DispatchBoard::assign`] gives it a target.
     pub fn wait(&mut self, number: WaitNumber, wish: DispatchWish, now: Duration) {
-        self.pools
-            .get_or_insert_with(wish.pool.clone(), PoolBoard::default)
-            .line
-            .add(number, wish, now);
+        let pool = self
+            .pools
+            .get_or_insert_with(wish.pool.clone(), PoolBoard::default);
+        let first = shortest_first(&pool.targets, &wish, pool.first);
+        let due = wish.objective_at.saturating_sub(first);
+        pool.line.add(number, wish, due, now);
     }
 
     /// Returns how many requests of the pool wait.
@@ -148,9 +154,16 @@
 
     /// Notes the first byte of an answer, `waited` after its dispatch.
     pub fn note_first(&mut self, pool: &str, placed: &PlacedTarget, waited: Duration) {
-        if let Some(board) = self.find(pool, &placed.name) {
-            board.pace.note_first(waited);
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let fastest = fastest_pause(&pool.targets);
+        let mut targets = pool.targets.iter_mut();
+        let found = targets.find(|board| board.record.name == placed.name);
+        if let Some(board) = found {
             board.note_prompt_read(placed.prompt_tokens);
+            let tokens = placed.tokens_ahead + placed.prompt_tokens;
+            pool.first.note(tokens, board.slowness(fastest), waited);
         }
     }
 
@@ -176,7 +189,7 @@
         let sums = self.peer_loads.sums(now);
         for (_, pool) in self.pools.iter_mut() {
             for target in &mut pool.targets {
-                target.peers = sums.get(&target.record.name).copied().unwrap_or(0);
+                target.peers = sums.get(&target.record.name).copied().unwrap_or_default();
             }
         }
     }
@@ -189,6 +202,7 @@
             .map(|target| TargetLoad {
                 target: target.record.name.clone(),
                 running: target.own,
+                unread_tokens: target.unread_tokens,
             })
             .collect()
     }
@@ -203,20 +217,6 @@
         found.map(|(name, _)| name.clone())
     }
 
-    /// Returns the mean time from the dispatch to the first byte over the pool.
-    pub fn mean_first(&self, pool: &str) -> Option<Duration> {
-        let targets = &self.pools.get(pool)?.targets;
-        let known: Vec<f64> = targets
-            .iter()
-            .filter_map(|target| target.pace.first_ms())
-            .collect();
-        if known.is_empty() {
-            return None;
-        }
-        let mean = known.iter().sum::<f64>() / known.len() as f64;
-        Some(Duration::from_secs_f64(mean / 1000.0))
-    }
-
     fn find(&mut self, pool: &str, target: &str) -> Option<&mut TargetBoard> {
         let targets = &mut self.pools.get_mut(pool)?.targets;
         targets.iter_mut().find(|board| board.record.name == target)
@@ -234,16 +234,19 @@
         let view = ChoiceView {
             engine: self.engine,
             own_zone,
+            first: self.first,
             now,
         };
         let index = choose_target(&self.targets, wish, view, spread)?;
         let target = &mut self.targets[index];
         let prompt_tokens = wish.prompt_tokens;
+        let tokens_ahead = target.tokens_ahead();
         target.note_dispatch(prompt_tokens, now);
         Some(PlacedTarget {
             name: TargetName::clone(&target.record.name),
             address: target.record.address,
             prompt_tokens,
+            tokens_ahead,
         })
     }
 
--- a/src/dispatch/dispatch_wish.rs
+++ b/src/dispatch/dispatch_wish.rs
@@ -26,8 +26,8 @@
     pub pool: PoolName,
     /// How urgent it is.
     pub rank: UrgencyRank,
-    /// Until when it must be dispatched to meet its objective.
-    pub due: Duration,
+    /// When its first event must be there to meet its objective.
+    pub objective_at: Duration,
     /// How many tokens must be read before its first event.
     pub prompt_tokens: u64,
     /// Targets that it was sent to already.
@@ -43,6 +43,8 @@
     pub address: SocketAddr,
     /// How many tokens the board counts as unread there for this request.
     pub prompt_tokens: u64,
+    /// How many tokens were to be read there before its own.
+    pub tokens_ahead: u64,
 }
 
 /// How a request at a target ended, as far as it tells of the target.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch_board;
 mod dispatch_desk;
 mod dispatch_wish;
+mod first_estimate;
 mod pace_track;
 mod peer_loads;
 mod slot_guard;
--- a/src/dispatch/pace_track.rs
+++ b/src/dispatch/pace_track.rs
@@ -10,7 +10,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PaceTrack {
     pause_ms: Option<f64>,
-    first_ms: Option<f64>,
 }
 
 impl PaceTrack {
@@ -19,20 +18,10 @@
         mix(&mut self.pause_ms, pause);
     }
 
-    /// Notes the time from the dispatch to the first byte of an answer.
-    pub(super) fn note_first(&mut self, waited: Duration) {
-        mix(&mut self.first_ms, waited);
-    }
-
     /// Returns the mean pause between events, in milliseconds.
     pub(super) const fn pause_ms(&self) -> Option<f64> {
         self.pause_ms
     }
-
-    /// Returns the mean time to the first byte, in milliseconds.
-    pub(super) const fn first_ms(&self) -> Option<f64> {
-        self.first_ms
-    }
 }
 
 fn mix(mean: &mut Option<f64>, value: Duration) {
--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -21,6 +21,15 @@
     pub target: TargetName,
     /// Requests that the host has there.
     pub running: u32,
+    /// Tokens of their prompts that are still to be read.
+    pub unread_tokens: u64,
+}
+
+/// The sums over all other hosts at one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LoadSum {
+    pub(super) running: u32,
+    pub(super) unread_tokens: u64,
 }
 
 #[derive(Debug)]
@@ -43,12 +52,14 @@
     }
 
     /// Forgets silent hosts and returns the sums by target, sorted.
-    pub(super) fn sums(&mut self, now: Duration) -> SortedMap<TargetName, u32> {
+    pub(super) fn sums(&mut self, now: Duration) -> SortedMap<TargetName, LoadSum> {
         self.hosts
             .retain(|_, told| now.saturating_sub(told.heard) <= LOAD_MEMORY);
         let mut sums = SortedMap::new();
         for load in self.hosts.values().flat_map(|told| &told.loads) {
-            *sums.get_or_insert_with(load.target.clone(), || 0) += load.running;
+            let sum = sums.get_or_insert_with(load.target.clone(), LoadSum::default);
+            sum.running += load.running;
+            sum.unread_tokens += load.unread_tokens;
         }
         sums
     }
--- a/src/dispatch/target_board.rs
+++ b/src/dispatch/target_board.rs
@@ -4,6 +4,7 @@
 
 use super::WorkEnd;
 use super::pace_track::PaceTrack;
+use super::peer_loads::LoadSum;
 use crate::feed::TargetPhase;
 use crate::feed::TargetRecord;
 
@@ -25,8 +26,8 @@
     pub(super) record: TargetRecord,
     /// Requests of this host there.
     pub(super) own: u32,
-    /// Requests of other hosts there, as they last told.
-    pub(super) peers: u32,
+    /// What other hosts have there, as they last told.
+    pub(super) peers: LoadSum,
     /// Tokens of this host's prompts there that are still to be read.
     pub(super) unread_tokens: u64,
     pub(super) pace: PaceTrack,
@@ -44,7 +45,7 @@
         Self {
             record,
             own: 0,
-            peers: 0,
+            peers: LoadSum::default(),
             unread_tokens: 0,
             pace: PaceTrack::default(),
             failures: 0.0,
@@ -78,7 +79,22 @@
 
     /// Returns how many requests it can begin at once.
     pub(super) fn free_slots(&self) -> u32 {
-        self.record.slots.saturating_sub(self.own + self.peers)
+        self.record
+            .slots
+            .saturating_sub(self.own + self.peers.running)
+    }
+
+    /// Returns how many tokens are read there before those of a new prompt.
+    pub(super) fn tokens_ahead(&self) -> u64 {
+        self.unread_tokens + self.peers.unread_tokens
+    }
+
+    /// Returns how many times as slow it is as a target with this pause.
+    pub(super) fn slowness(&self, fastest_pause: Option<f64>) -> f64 {
+        match (fastest_pause, self.pace.pause_ms()) {
+            (Some(fastest), Some(own)) => (own / fastest).max(1.0),
+            _ => 1.0,
+        }
     }
 
     /// Returns the share of outcomes that were no failures, 0 to 1.
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::DispatchWish;
+use super::first_estimate::FirstEstimate;
 use super::target_board::TargetBoard;
 
 /// How much a target in the host's own zone is preferred: enough to break ties.
@@ -21,9 +22,8 @@
 const SOUNDNESS_POWER: i32 = 3;
 /// The share of soundness that no target falls below, so that it is tried again.
 const LEAST_SOUNDNESS: f64 = 0.15;
-/// Unread prompt tokens that halve a target's chance: some 130 ms of reading,
-/// a third of the objective to the first event.
-const UNREAD_HALF_TOKENS: f64 = 16_000.0;
+/// The wait for a first event that halves a target's chance, beside the shortest.
+const WAIT_HALF: Duration = Duration::from_millis(60);
 
 /// What the choice knows of the pool beside its targets.
 #[derive(Clone, Copy, Debug)]
@@ -32,73 +32,127 @@
     pub(super) engine: bool,
     /// The host's own zone.
     pub(super) own_zone: &'a str,
+    /// How long first events take.
+    pub(super) first: FirstEstimate,
     /// The time.
     pub(super) now: Duration,
 }
 
+/// What a target would mean for a request.
+#[derive(Clone, Copy, Debug)]
+struct TargetOffer {
+    /// Whether it may be chosen at all.
+    allowed: bool,
+    /// How long the first event would take.
+    first: Duration,
+    slowness: f64,
+}
+
 /// Returns the index of the target for a request; `spread` is 0 to 1, evenly.
 ///
 /// A chance by weight answers the load of many hosts that see the same state: each
 /// taking the best one would send all of them to it at once.
+///
+/// A long prompt on a slow target, or behind another long one, is late before it
+/// began. Where some target could still be in time, only those that can be are
+/// taken; the request waits for one of them to have room.
 pub(super) fn choose_target(
     targets: &[TargetBoard],
     wish: &DispatchWish,
     view: ChoiceView<'_>,
     spread: f64,
 ) -> Option<usize> {
-    let fit = |target: &TargetBoard| target.is_open() && target.is_fit(view.now);
-    let anything_fit = targets.iter().any(fit);
+    let anything_fit = targets
+        .iter()
+        .any(|target| target.is_open() && target.is_fit(view.now));
     let fastest = fastest_pause(targets);
-    let weights: Vec<f64> = targets
+    let offers: Vec<TargetOffer> = targets
         .iter()
         .map(|target| {
             // Where no target seems fit, one that doesn't is still better than none.
-            let allowed = target.is_open() && (target.is_fit(view.now) || !anything_fit);
-            match allowed && !wish.tried.contains(&target.record.name) {
-                true => weigh(target, view, fastest),
-                false => 0.0,
+            let fit = target.is_fit(view.now) || !anything_fit;
+            let slowness = target.slowness(fastest);
+            let tokens = target.tokens_ahead() + wish.prompt_tokens;
+            TargetOffer {
+                allowed: target.is_open() && fit && !wish.tried.contains(&target.record.name),
+                first: view.first.predict(tokens, slowness),
+                slowness,
             }
         })
         .collect();
+    let left = wish.objective_at.saturating_sub(view.now);
+    let in_time = |offer: &TargetOffer| offer.first <= left;
+    let shortest = offers
+        .iter()
+        .filter(|offer| offer.allowed)
+        .map(|offer| offer.first)
+        .min()?;
+    let only_in_time = view.engine && shortest <= left;
+    let weights: Vec<f64> = targets
+        .iter()
+        .zip(&offers)
+        .map(
+            |(target, offer)| match offer.allowed && (!only_in_time || in_time(offer)) {
+                true => weigh(target, offer, view, shortest),
+                false => 0.0,
+            },
+        )
+        .collect();
     pick(&weights, spread)
 }
 
-fn weigh(target: &TargetBoard, view: ChoiceView<'_>, fastest: Option<f64>) -> f64 {
+/// Returns how long the first event takes at least, wherever the request is sent.
+pub(super) fn shortest_first(
+    targets: &[TargetBoard],
+    wish: &DispatchWish,
+    first: FirstEstimate,
+) -> Duration {
+    let fastest = fastest_pause(targets);
+    let open = targets.iter().filter(|target| target.is_open());
+    let slowness = open
+        .map(|target| target.slowness(fastest))
+        .min_by(f64::total_cmp);
+    first.predict(wish.prompt_tokens, slowness.unwrap_or(1.0))
+}
+
+/// Returns the pause of the fastest target.
+pub(super) fn fastest_pause(targets: &[TargetBoard]) -> Option<f64> {
+    targets
+        .iter()
+        .filter_map(|target| target.pace.pause_ms())
+        .min_by(f64::total_cmp)
+        // Pauses below a millisecond are events that were read together.
+        .map(|pause| pause.max(1.0))
+}
+
+fn weigh(
+    target: &TargetBoard,
+    offer: &TargetOffer,
+    view: ChoiceView<'_>,
+    shortest: Duration,
+) -> f64 {
     let room = match view.engine {
         true => f64::from(target.free_slots()),
         // The work of a plain service is over before a peer could tell of it.
         false => plain_room(target),
     };
-    let pace = match (fastest, target.pace.pause_ms()) {
-        (Some(fastest), Some(own)) => fastest / own.max(fastest),
-        _ => 1.0,
-    };
     let zone = match target.record.availability_zone == view.own_zone {
         true => OWN_ZONE_FACTOR,
         false => 1.0,
     };
     let soundness = target.soundness().max(LEAST_SOUNDNESS);
-    let unread = target.unread_tokens as f64 / UNREAD_HALF_TOKENS;
-    room.powi(ROOM_POWER) * pace.powi(PACE_POWER) * soundness.powi(SOUNDNESS_POWER) * zone
-        / (1.0 + unread)
+    let longer = offer.first.saturating_sub(shortest).as_secs_f64() / WAIT_HALF.as_secs_f64();
+    room.powi(ROOM_POWER) * soundness.powi(SOUNDNESS_POWER) * zone
+        / (offer.slowness.powi(PACE_POWER) * (1.0 + longer))
 }
 
 /// Returns the room of a plain service: its own queue takes twice its slots.
 fn plain_room(target: &TargetBoard) -> f64 {
     let most = f64::from(target.record.slots * 3);
-    let taken = f64::from(target.own) + 0.3 * f64::from(target.peers);
+    let taken = f64::from(target.own) + 0.3 * f64::from(target.peers.running);
     (most - taken).max(0.0) / most.max(1.0)
 }
 
-fn fastest_pause(targets: &[TargetBoard]) -> Option<f64> {
-    targets
-        .iter()
-        .filter_map(|target| target.pace.pause_ms())
-        .min_by(f64::total_cmp)
-        // Pauses below a millisecond are events that were read together.
-        .map(|pause| pause.max(1.0))
-}
-
 fn pick(weights: &[f64], spread: f64) -> Option<usize> {
     let total: f64 = weights.iter().sum();
     if total <= 0.0 {
--- a/src/dispatch/wait_line.rs
+++ b/src/dispatch/wait_line.rs
@@ -39,12 +39,18 @@
         self.entries.len()
     }
 
-    /// Adds a request.
-    pub(super) fn add(&mut self, number: WaitNumber, wish: DispatchWish, now: Duration) {
+    /// Adds a request that must be dispatched by `due` to meet its objective.
+    pub(super) fn add(
+        &mut self,
+        number: WaitNumber,
+        wish: DispatchWish,
+        due: Duration,
+        now: Duration,
+    ) {
         let place = LinePlace {
-            late: wish.due < now,
+            late: due < now,
             rank: wish.rank,
-            due: wish.due,
+            due,
             number,
         };
         self.insert(WaitEntry { place, wish });
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -21,6 +21,7 @@
 use super::spend_filter::spend_allowance;
 use crate::clock::boot_now;
 use crate::errors::ErrorKind;
+use crate::ids::AccountName;
 use crate::logs::DecisionLine;
 use crate::wire::RequestMessage;
 
@@ -59,13 +60,15 @@
     let arrived = request.arrived;
     let routed = match enter_request(state, request) {
         Ok(routed) => routed,
-        Err((message, refusal)) => {
+        Err(entry) => {
             let told = Refused {
-                message: Some(&message),
-                refusal,
+                message: Some(&entry.message),
+                refusal: entry.refusal,
                 sends: 0,
                 arrived,
                 pool: None,
+                account: entry.account.as_ref(),
+                cost: entry.cost,
             };
             return refuse(state, caller, told).await;
         }
@@ -86,6 +89,8 @@
                 sends,
                 arrived,
                 pool: Some(&routed.pool),
+                account: routed.account.as_ref().map(|account| &account.name),
+                cost: None,
             };
             refuse(state, caller, told).await
         }
@@ -101,24 +106,48 @@
     }
 }
 
+/// A request that is not let in.
+struct EntryRefusal {
+    message: RequestMessage,
+    refusal: EdgeRefusal,
+    account: Option<AccountName>,
+    cost: Option<f64>,
+}
+
 /// Lets a request in, or says why not.
 fn enter_request(
     state: &Arc<EdgeState>,
     request: CallerRequest,
-) -> Result<RoutedRequest, (RequestMessage, EdgeRefusal)> {
-    if !takes_requests(state) {
+) -> Result<RoutedRequest, EntryRefusal> {
+    let early = |message, refusal| EntryRefusal {
+        message,
+        refusal,
+        account: None,
+        cost: None,
+    };
+    if !takes_requests(state.leaving_for()) {
         let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_DELAY);
-        return Err((request.message, refusal));
+        return Err(early(request.message, refusal));
     }
-    let routed =
-        route_request(state, request).map_err(|(request, refusal)| (request.message, refusal))?;
+    let routed = route_request(state, request)
+        .map_err(|(request, refusal)| early(request.message, refusal))?;
+    let account = routed.account.as_ref().map(|account| account.name.clone());
     if state.suspects.ledger().is_refused(routed.fingerprint) {
-        let refusal = ErrorKind::SuspectRequest.into();
-        return Err((routed.request.message, refusal));
+        return Err(EntryRefusal {
+            message: routed.request.message,
+            refusal: ErrorKind::SuspectRequest.into(),
+            account,
+            cost: None,
+        });
     }
     match spend_allowance(state, &routed) {
         Ok(()) => Ok(routed),
-        Err(refusal) => Err((routed.request.message, refusal)),
+        Err((refusal, cost)) => Err(EntryRefusal {
+            message: routed.request.message,
+            refusal,
+            account,
+            cost: Some(cost),
+        }),
     }
 }
 
@@ -129,6 +158,8 @@
     sends: u32,
     arrived: std::time::Duration,
     pool: Option<&'r str>,
+    account: Option<&'r AccountName>,
+    cost: Option<f64>,
 }
 
 async fn refuse(state: &EdgeState, caller: &mut CallerLink, told: Refused<'_>) -> bool {
@@ -142,6 +173,8 @@
         .map_or(0, |pool| state.desk.lock_board().waiting(pool));
     state.log.write(&DecisionLine::RequestRefused {
         request: id.unwrap_or_default().to_owned(),
+        account: told.account.cloned(),
+        cost: told.cost,
         kind: refusal.kind,
         status: refusal.status(),
         retry_after_ms: refusal.retry_after.map(|after| after.as_millis() as u64),
@@ -163,6 +196,8 @@
         sends: 0,
         arrived: boot_now(),
         pool: None,
+        account: None,
+        cost: None,
     };
     refuse(state, caller, told).await;
 }
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -64,7 +64,6 @@
 pub(crate) struct EdgeHost {
     state: Arc<EdgeState>,
     reload: Sender<()>,
-    caller_address: SocketAddr,
     _peers: PeerListener,
     _mesh: Arc<PeerMesh>,
 }
@@ -98,7 +97,7 @@
         let seeds = seeds.filter(|seed| *seed != settings.peer_address);
         let mesh = PeerMesh::spawn(identity, seeds.collect());
         let most = (settings.max_descriptors as f64 * CALLER_SHARE) as usize;
-        let caller_address = listen(&state, settings.caller_address, most, serve_caller).await?;
+        listen(&state, settings.caller_address, most, serve_caller).await?;
         listen(&state, settings.ready_address, most, serve_readiness).await?;
         if let Some(address) = settings.metrics_address {
             listen(&state, address, most, serve_metrics).await?;
@@ -115,17 +114,11 @@
         Ok(Self {
             state,
             reload,
-            caller_address,
             _peers: peers,
             _mesh: mesh,
         })
     }
 
-    /// Returns where callers connect.
-    pub(crate) const fn caller_address(&self) -> SocketAddr {
-        self.caller_address
-    }
-
     /// Serves until SIGTERM or SIGINT and the leaving that follows; SIGHUP reads
     /// the settings again.
     ///
--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -8,6 +8,7 @@
 use crate::ids::ZoneName;
 use crate::json::DocumentFault;
 use crate::spending::RetryBounds;
+use crate::spending::SpendTolerance;
 
 /// The settings of one host.
 #[derive(Clone, Debug, PartialEq)]
@@ -50,6 +51,8 @@
     pub(crate) retry_slack: f64,
     /// The window of repeats.
     pub(crate) retry_window: Duration,
+    /// How far all hosts together may go beyond an account's allowance.
+    pub(crate) spend_tolerance: SpendTolerance,
 }
 
 impl Default for EdgeBounds {
@@ -61,6 +64,11 @@
             retry_ratio: 0.2,
             retry_slack: 10.0,
             retry_window: Duration::from_secs(10),
+            spend_tolerance: SpendTolerance {
+                window: Duration::from_secs(8),
+                overage: 0.0,
+                slack: 0.0,
+            },
         }
     }
 }
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -62,6 +62,7 @@
         dialect: HeaderDialect,
         log: DecisionLog,
     ) -> Arc<Self> {
+        let tolerance = settings.bounds.spend_tolerance;
         Arc::new(Self {
             desk: DispatchDesk::new(settings.availability_zone.clone()),
             members: Mutex::new(MemberTable::new(settings.host.clone())),
@@ -73,7 +74,7 @@
             suspects: SuspectDesk::default(),
             log,
             metrics: EdgeMetrics::default(),
-            allowances: Mutex::default(),
+            allowances: Mutex::new(AllowanceLedger::new(tolerance, boot_now())),
             retries: Mutex::default(),
             leaving_since: AtomicU64::new(0),
             running: AtomicUsize::new(0),
--- a/src/edge/leave_controller.rs
+++ b/src/edge/leave_controller.rs
@@ -11,9 +11,10 @@
 /// How long the host goes on at least, so that the balancer has seen that it isn't
 /// ready: it asks each second, and takes a host out after two misses.
 const NOTICE_TIME: Duration = Duration::from_millis(2600);
-/// For how long requests on kept connections are still served. What comes later
-/// may not end before the process must.
-const SERVE_TIME: Duration = Duration::from_millis(3200);
+/// For how long requests on kept connections are still served. A stream takes some
+/// seconds, so one that is taken later may be cut by the end of the grace; its
+/// caller is sent to another host in place of that.
+const SERVE_TIME: Duration = Duration::from_millis(2700);
 /// How long before the end of the grace the process stops by itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// How often the running requests are looked at.
@@ -21,9 +22,9 @@
 /// When a caller may come back that is sent to another host.
 pub(crate) const LEAVING_DELAY: Duration = Duration::from_millis(20);
 
-/// Tells whether requests are still let in.
-pub(crate) fn takes_requests(state: &EdgeState) -> bool {
-    state.leaving_for().is_none_or(|time| time < SERVE_TIME)
+/// Tells whether requests are still let in, by the time since the signal to leave.
+pub(crate) fn takes_requests(leaving_for: Option<Duration>) -> bool {
+    leaving_for.is_none_or(|time| time < SERVE_TIME)
 }
 
 /// Begins to leave, and returns when nothing runs any more or the grace is over.
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -111,7 +111,7 @@
             revision,
             catalog,
             loads,
-            spending: state.allowances().own_spending(),
+            spending: state.allowances().own_spending(boot_now()),
             suspects: state.suspects.ledger().entries(),
         }
     }
@@ -181,10 +181,10 @@
     }
     let host = news.own.host;
     let mut allowances = state.allowances();
-    allowances.take_peer(host.clone(), news.own.incarnation, &news.spending, now);
+    allowances.take_peer(host.clone(), news.own.incarnation, news.spending, now);
     for (name, member) in state.members().states(now) {
         if member == MemberState::Leaving {
-            allowances.forget_peer(&name);
+            allowances.note_left(&name);
         }
     }
     drop(allowances);
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -39,8 +39,6 @@
 /// What is left at least of a request's time when it is given to a target: less
 /// than the shortest answer takes, and it would only be thrown away there.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
-/// The time to the first event that is reckoned with before any was seen.
-const USUAL_FIRST: Duration = Duration::from_millis(120);
 /// How long a stream that another target can go on with may be silent. Engines send
 /// an event each 25 to 100 ms; callers give a stream up after two seconds.
 const RESUME_SILENCE: Duration = Duration::from_millis(1300);
@@ -150,12 +148,10 @@
         if left <= LEAST_LEFT {
             return Err(self.give_up(ErrorKind::DeadlinePassed).await);
         }
-        let first = self.state.desk.lock_board().mean_first(&routed.pool);
-        let first = first.unwrap_or(USUAL_FIRST).min(routed.objective / 2);
         let wish = DispatchWish {
             pool: routed.pool.clone(),
             rank: routed.rank,
-            due: (routed.request.arrived + routed.objective).saturating_sub(first),
+            objective_at: routed.request.arrived + routed.objective,
             prompt_tokens: routed.usage.map_or(0, |usage| usage.prompt),
             tried: self.tried.clone(),
         };
--- a/src/edge/spend_filter.rs
+++ b/src/edge/spend_filter.rs
@@ -7,11 +7,15 @@
 use crate::errors::ErrorKind;
 use crate::spending::SpendVerdict;
 
-/// Counts a request against its account's allowance, or refuses it.
+/// Counts a request against its account's allowance.
+///
+/// # Errors
+///
+/// The refusal and what the request would have counted.
 pub(crate) fn spend_allowance(
     state: &EdgeState,
     routed: &RoutedRequest,
-) -> Result<(), EdgeRefusal> {
+) -> Result<(), (EdgeRefusal, f64)> {
     let Some(account) = &routed.account else {
         return Ok(());
     };
@@ -20,9 +24,12 @@
         (true, None) => account.plain_tokens,
         (false, _) => 1,
     };
-    let verdict = state.allowances().spend(account, cost as f64, boot_now());
+    let cost = cost as f64;
+    let verdict = state.allowances().spend(account, cost, boot_now());
     match verdict {
         SpendVerdict::Within => Ok(()),
-        SpendVerdict::Beyond(wait) => Err(EdgeRefusal::after(ErrorKind::AccountLimit, wait)),
+        SpendVerdict::Beyond(wait) => {
+            Err((EdgeRefusal::after(ErrorKind::AccountLimit, wait), cost))
+        }
     }
 }
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -151,6 +151,11 @@
     RequestRefused {
         /// The request; empty where it named none.
         request: String,
+        /// The account, where it is known by then.
+        account: Option<AccountName>,
+        /// What the request counts against the account's allowance, where that
+        /// refused it.
+        cost: Option<f64>,
         /// Why.
         kind: ErrorKind,
         /// The status; 0 where the connection was cut.
--- a/src/spending/mod.rs
+++ b/src/spending/mod.rs
@@ -5,10 +5,11 @@
 
 mod allowance_ledger;
 mod retry_ledger;
-mod token_bucket;
+mod spend_window;
 
 pub use allowance_ledger::AccountSpending;
 pub use allowance_ledger::AllowanceLedger;
+pub use allowance_ledger::SpendTolerance;
 pub use allowance_ledger::SpendVerdict;
 pub use retry_ledger::RetryBounds;
 pub use retry_ledger::RetryLedger;
--- /dev/null
+++ b/tests/spending_allowance.rs
@@ -0,0 +1,188 @@
+//! Allowances over several hosts, in virtual time.
+
+use std::time::Duration;
+
+use cardamomgw::catalog::ClientAccount;
+use cardamomgw::catalog::TokenRate;
+use cardamomgw::spending::AccountSpending;
+use cardamomgw::spending::AllowanceLedger;
+use cardamomgw::spending::SpendTolerance;
+use cardamomgw::spending::SpendVerdict;
+
+const WINDOW: Duration = Duration::from_secs(8);
+
+fn account_with(per_second: f64, burst: f64) -> ClientAccount {
+    ClientAccount {
+        name: "acme".into(),
+        keys: Vec::new(),
+        tier: None,
+        allowance: Some(TokenRate { per_second, burst }),
+        plain_tokens: 1,
+        counts_tokens: true,
+    }
+}
+
+fn ledger_from(start: Duration) -> AllowanceLedger {
+    let tolerance = SpendTolerance {
+        window: WINDOW,
+        overage: 0.25,
+        slack: 1000.0,
+    };
+    AllowanceLedger::new(tolerance, start)
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Spends `cost` as often as it is let in, and returns how much that was.
+fn spend_all(
+    ledger: &mut AllowanceLedger,
+    account: &ClientAccount,
+    cost: f64,
+    now: Duration,
+) -> f64 {
+    let mut spent = 0.0;
+    while ledger.spend(account, cost, now) == SpendVerdict::Within {
+        spent += cost;
+    }
+    spent
+}
+
+/// Lets each host tell its spending to all others.
+fn tell_all(ledgers: &mut [AllowanceLedger], now: Duration) {
+    let told: Vec<Vec<AccountSpending>> = ledgers
+        .iter_mut()
+        .map(|ledger| ledger.own_spending(now))
+        .collect();
+    for (index, ledger) in ledgers.iter_mut().enumerate() {
+        for (peer, spending) in told.iter().enumerate() {
+            if peer != index {
+                ledger.take_peer(format!("e{peer}"), 1, spending.clone(), now);
+            }
+        }
+    }
+}
+
+/// One account asks ten times its limit at eight hosts. All of them together must
+/// let in little more than the limit over any window.
+#[test]
+fn a_hot_account_stays_within_its_limit_over_all_hosts() {
+    let account = account_with(1000.0, 1000.0);
+    let mut ledgers: Vec<AllowanceLedger> = (0..8).map(|_| ledger_from(Duration::ZERO)).collect();
+    let mut spent: Vec<(Duration, f64)> = Vec::new();
+    for step in 0..400 {
+        let now = Duration::from_secs(20) + millis(step * 100);
+        for ledger in &mut ledgers {
+            for _ in 0..13 {
+                if ledger.spend(&account, 10.0, now) == SpendVerdict::Within {
+                    spent.push((now, 10.0));
+                }
+            }
+        }
+        tell_all(&mut ledgers, now);
+    }
+
+    let bound = (1000.0 * 8.0 + 1000.0) * 1.25 + 1000.0;
+    for (from, _) in &spent {
+        let within = spent
+            .iter()
+            .filter(|(at, _)| at >= from && *at < *from + WINDOW);
+        let sum: f64 = within.map(|(_, cost)| cost).sum();
+        assert!(sum <= bound, "{sum} from {from:?}");
+    }
+}
+
+/// An account that asks what it may gets all of it, whatever host it comes to.
+#[test]
+fn an_account_within_its_limit_is_never_refused() {
+    let account = account_with(1000.0, 1000.0);
+    let mut ledgers: Vec<AllowanceLedger> = (0..8).map(|_| ledger_from(Duration::ZERO)).collect();
+    for step in 0..400 {
+        let now = Duration::from_secs(20) + millis(step * 100);
+        let ledger = &mut ledgers[step as usize % 3];
+        let verdict = ledger.spend(&account, 95.0, now);
+        assert_eq!(verdict, SpendVerdict::Within, "at {now:?}");
+        tell_all(&mut ledgers, now);
+    }
+}
+
+/// All hosts are killed while an account uses up its window, and start again
+/// without a memory. Each would let in a whole window's worth at once.
+#[test]
+fn hosts_that_start_together_suppose_that_something_was_spent() {
+    let account = account_with(1000.0, 1000.0);
+    let mut fresh = ledger_from(Duration::from_secs(100));
+    let mut old = ledger_from(Duration::ZERO);
+
+    let at_start = spend_all(&mut fresh, &account, 10.0, Duration::from_secs(100));
+    let later = spend_all(&mut old, &account, 10.0, Duration::from_secs(100));
+
+    assert!(at_start < 0.5 * later, "{at_start} of {later}");
+}
+
+/// The operator lowers a limit. The account, which kept to the old one, was shut
+/// out for a whole window, as all that it had spent counted against the new one.
+#[test]
+fn a_lowered_limit_counts_from_its_change_on() {
+    let before = account_with(1000.0, 1000.0);
+    let after = account_with(200.0, 1000.0);
+    let mut ledger = ledger_from(Duration::ZERO);
+    for step in 0..80 {
+        let now = Duration::from_secs(20) + millis(step * 100);
+        ledger.spend(&before, 100.0, now);
+    }
+
+    let now = Duration::from_secs(28);
+    let verdict = ledger.spend(&after, 20.0, now);
+
+    assert_eq!(verdict, SpendVerdict::Within);
+}
+
+/// A host says that it leaves and goes on telling until its end. What it had spent
+/// was counted anew with each word, and the account was refused everywhere.
+#[test]
+fn a_leaving_host_is_not_counted_twice() {
+    let account = account_with(1000.0, 1000.0);
+    let mut ledger = ledger_from(Duration::ZERO);
+    let now = Duration::from_secs(20);
+    let spending = vec![AccountSpending {
+        account: "acme".into(),
+        total: 4000.0,
+        recent: 4000.0,
+    }];
+
+    for _ in 0..5 {
+        ledger.take_peer("e2".into(), 1, spending.clone(), now);
+        ledger.note_left("e2");
+    }
+
+    assert_eq!(ledger.spend(&account, 1000.0, now), SpendVerdict::Within);
+}
+
+/// A host is cut off from one of two peers, which serves the same account. Each
+/// side must keep to its part.
+#[test]
+fn a_silent_peer_counts_as_spending_its_part() {
+    let account = account_with(1000.0, 1000.0);
+    let mut ledger = ledger_from(Duration::ZERO);
+    let told = vec![AccountSpending {
+        account: "acme".into(),
+        total: 10.0,
+        recent: 10.0,
+    }];
+    ledger.take_peer("e2".into(), 1, told, Duration::from_secs(20));
+    // What was free as the silence began may still be spent once.
+    spend_all(&mut ledger, &account, 10.0, Duration::from_secs(22));
+    let mut spent = 0.0;
+    for step in 1..=85 {
+        let now = Duration::from_secs(22) + millis(step * 100);
+        spent += spend_all(&mut ledger, &account, 10.0, now);
+    }
+
+    let whole = 1000.0 * 8.0 + 1000.0;
+    assert!(
+        spent > 0.5 * whole && spent < 0.75 * whole,
+        "{spent} of {whole}"
+    );
+}
