--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -13,7 +13,6 @@
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
 use super::leave_controller::LEAVING_DELAY;
-use super::leave_controller::takes_requests;
 use super::request_run::RequestRun;
 use super::request_run::RunEnd;
 use super::route_filter::RoutedRequest;
@@ -125,7 +124,7 @@
         account: None,
         cost: None,
     };
-    if !takes_requests(state.leaving_for()) {
+    if !state.takes_requests() {
         let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_DELAY);
         return Err(early(request.message, refusal));
     }
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -135,7 +135,6 @@
             self.reload.try_send(()).ok();
         }
         leave(&self.state).await;
-        self.state.log.settle();
         Ok(())
     }
 }
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -49,6 +50,8 @@
     retries: Mutex<RetryLedger>,
     /// Boot time in milliseconds of the signal to leave; 0 before it.
     leaving_since: AtomicU64,
+    /// Whether requests are refused because the host is about to end.
+    entry_closed: AtomicBool,
     running: AtomicUsize,
 }
 
@@ -74,9 +77,10 @@
             suspects: SuspectDesk::default(),
             log,
             metrics: EdgeMetrics::default(),
-            allowances: Mutex::new(AllowanceLedger::new(tolerance, boot_now())),
+            allowances: Mutex::new(AllowanceLedger::new(tolerance)),
             retries: Mutex::default(),
             leaving_since: AtomicU64::new(0),
+            entry_closed: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         })
     }
@@ -155,6 +159,16 @@
         }
     }
 
+    /// Refuses requests from now on.
+    pub(crate) fn close_entry(&self) {
+        self.entry_closed.store(true, Ordering::Release);
+    }
+
+    /// Tells whether requests are let in.
+    pub(crate) fn takes_requests(&self) -> bool {
+        !self.entry_closed.load(Ordering::Acquire)
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn enter_request(self: &Arc<Self>) -> RunningGuard {
         self.running.fetch_add(1, Ordering::AcqRel);
--- a/src/edge/leave_controller.rs
+++ b/src/edge/leave_controller.rs
@@ -15,34 +15,70 @@
 /// seconds, so one that is taken later may be cut by the end of the grace; its
 /// caller is sent to another host in place of that.
 const SERVE_TIME: Duration = Duration::from_millis(2700);
+/// How long requests are still answered with a refusal once nothing runs any more:
+/// what was sent as the host decided to end arrives within it.
+const REFUSE_TIME: Duration = Duration::from_millis(300);
 /// How long before the end of the grace the process stops by itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// How often the running requests are looked at.
-const LOOK_PERIOD: Duration = Duration::from_millis(100);
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// When a caller may come back that is sent to another host.
 pub(crate) const LEAVING_DELAY: Duration = Duration::from_millis(20);
 
-/// Tells whether requests are still let in, by the time since the signal to leave.
-pub(crate) fn takes_requests(leaving_for: Option<Duration>) -> bool {
-    leaving_for.is_none_or(|time| time < SERVE_TIME)
+/// How far a host that leaves has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LeaveStep {
+    /// It still serves requests on kept connections.
+    Serving,
+    /// It refuses new requests and finishes those that run.
+    Finishing,
+    /// Nothing runs; it refuses new requests since this time of its leaving.
+    Idle(Duration),
+    /// It ends.
+    Ended,
+}
+
+impl LeaveStep {
+    /// Returns the next step, `time` after the signal, with `running` requests under
+    /// way and `longest` as the end of the grace.
+    ///
+    /// A request that is read after the host found itself idle must not begin: the
+    /// process would end in the middle of it. So the host refuses first, and ends
+    /// once nothing ran while it did.
+    pub(crate) fn next(self, time: Duration, running: usize, longest: Duration) -> Self {
+        if time >= longest {
+            return Self::Ended;
+        }
+        match self {
+            Self::Serving if time >= SERVE_TIME => Self::Finishing,
+            Self::Serving if time >= NOTICE_TIME && running == 0 => Self::Finishing,
+            Self::Finishing if running == 0 => Self::Idle(time),
+            Self::Idle(_) if running > 0 => Self::Finishing,
+            Self::Idle(since) if time >= since + REFUSE_TIME => Self::Ended,
+            step => step,
+        }
+    }
 }
 
 /// Begins to leave, and returns when nothing runs any more or the grace is over.
 pub(crate) async fn leave(state: &Arc<EdgeState>) {
+    let grace = state.settings.load().bounds.leave_grace;
+    let longest = grace.saturating_sub(END_MARGIN);
     state.begin_leaving();
     state.log.write(&DecisionLine::Leaving {
         running: state.running(),
     });
-    let grace = state.settings.load().bounds.leave_grace;
-    let longest = grace.saturating_sub(END_MARGIN);
-    loop {
+    let mut step = LeaveStep::Serving;
+    while step != LeaveStep::Ended {
         task::sleep(LOOK_PERIOD).await;
         let time = state.leaving_for().unwrap_or_default();
-        if time >= longest || (time >= NOTICE_TIME && state.running() == 0) {
-            break;
+        step = step.next(time, state.running(), longest);
+        if step != LeaveStep::Serving {
+            state.close_entry();
         }
     }
     state.log.write(&DecisionLine::Stopped {
         cut: state.running(),
     });
+    state.log.settle().await;
 }
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -111,7 +111,7 @@
             revision,
             catalog,
             loads,
-            spending: state.allowances().own_spending(boot_now()),
+            spending: state.allowances().own_spending(),
             suspects: state.suspects.ledger().entries(),
         }
     }
--- a/src/logs/decision_log.rs
+++ b/src/logs/decision_log.rs
@@ -79,8 +79,8 @@
     }
 
     /// Waits for a moment until all lines are written, at the process's end.
-    pub fn settle(&self) {
-        self.queue.settle();
+    pub async fn settle(&self) {
+        self.queue.settle().await;
     }
 
     /// Counts a line; returns whether this second still has room.
--- a/src/logs/line_queue.rs
+++ b/src/logs/line_queue.rs
@@ -12,10 +12,15 @@
 use std::thread;
 use std::time::Duration;
 
+use async_std::future::timeout;
+use async_std::task;
+
 /// How many bytes may wait for the output: some seconds of lines at the usual rate.
 const MAX_WAITING_BYTES: usize = 256 << 10;
 /// How long lines are collected before they are written in one call.
 const COLLECT_TIME: Duration = Duration::from_millis(250);
+/// How often the queue is looked at while the process waits for its end.
+const SETTLE_LOOK: Duration = Duration::from_millis(20);
 
 /// A bounded queue of lines; what doesn't fit is dropped and counted.
 ///
@@ -61,13 +66,15 @@
     }
 
     /// Waits for a moment until all lines are written, at the process's end.
-    pub fn settle(&self) {
-        for _ in 0..4 {
-            if self.shared.lock().is_empty() {
-                return;
+    pub async fn settle(&self) {
+        let deadline = 2 * COLLECT_TIME;
+        let written = async {
+            while !self.shared.lock().is_empty() {
+                task::sleep(SETTLE_LOOK).await;
             }
-            thread::sleep(COLLECT_TIME);
-        }
+        };
+        // Lines that a blocked output doesn't take are lost.
+        timeout(deadline, written).await.ok();
     }
 }
 
--- a/src/spending/allowance_ledger.rs
+++ b/src/spending/allowance_ledger.rs
@@ -5,7 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::spend_window::SpendWindow;
+use super::token_bucket::BucketRate;
+use super::token_bucket::TokenBucket;
 use crate::catalog::ClientAccount;
 use crate::catalog::TokenRate;
 use crate::ids::AccountName;
@@ -19,12 +20,22 @@
 /// How long the spending of a silent peer is estimated. A host that is gone for
 /// longer has been replaced, or serves nobody.
 const SILENCE_MEMORY: Duration = Duration::from_secs(30);
-/// The share of the tolerance that hosts use: the rest is for what two of them let
-/// in at the same moment, some tenths of a second of the account's demand.
-const TOLERANCE_SHARE: f64 = 0.5;
-/// What a host supposes to be spent already when it starts and nobody tells. After
-/// all hosts were killed an account could otherwise use its whole window twice.
-const START_SPENT: f64 = 0.6;
+/// How a window's worth and its tolerance are shared out, as parts of what the
+/// allowance gives in a window:
+///
+/// - The bucket fills at the window's whole worth, burst included, and 5% more.
+/// - It holds a tenth of that worth and two fifths of the slack.
+/// - A host starts with half of that: after a kill of all hosts nobody knows what
+///   was spent, and two such starts in one window must not break the bound.
+///
+/// What is left of the tolerance covers what hosts let in before they hear of each
+/// other, some tenths of a second of the account's demand. A window that could be
+/// used up at once let an account at five times its usual load take all engines for
+/// seconds, and twice as much when all hosts were killed behind that.
+const FILL_FACTOR: f64 = 1.05;
+const SIZE_SHARE: f64 = 0.1;
+const SLACK_SHARE: f64 = 0.4;
+const START_SHARE: f64 = 0.5;
 
 /// How far all hosts together may go beyond an allowance.
 ///
@@ -48,8 +59,6 @@
     pub account: AccountName,
     /// The sum over the host's life.
     pub total: f64,
-    /// The sum over the last window.
-    pub recent: f64,
 }
 
 /// Whether a request is within its account's allowance.
@@ -71,52 +80,44 @@
 
 #[derive(Debug)]
 struct AccountState {
-    /// What all hosts spent, as far as it is known here.
-    all: SpendWindow,
-    /// What this host spent.
-    own: SpendWindow,
+    bucket: TokenBucket,
     own_total: f64,
-    /// Until when the estimate of silent peers was counted.
+    /// Until when the estimate of silent peers was drawn.
     estimated_at: Duration,
-    limit: PhasedLimit,
+    phase: PhasedRate,
 }
 
-/// The limit of a window during which the allowance may have been lowered.
+/// The rate of an allowance that may have been lowered a moment ago.
 ///
 /// A lower allowance counts for the part of the window that lies behind the change:
 /// what was asked before it was within the one before, and an account that did as
 /// it was told must not be shut out for a whole window.
-#[derive(Clone, Copy, Debug, Default)]
-struct PhasedLimit {
-    present: f64,
-    before: f64,
+#[derive(Clone, Copy, Debug)]
+struct PhasedRate {
+    present: BucketRate,
+    before: BucketRate,
     changed: Duration,
 }
 
 /// The allowances of accounts over all hosts.
 ///
-/// Each host counts over a sliding window what it spends and what its peers tell
-/// that they spent. The delay of that telling is what can be spent twice: some
-/// hundred ms of the rate. For a peer that is silent though it was not said to have
-/// left, its even part of the rate is counted, so that both sides of a split keep
-/// within the whole together.
+/// Each host keeps a bucket at the whole rate, and draws from it what it spends and
+/// what its peers tell that they spent. The delay of that telling is what can be
+/// spent twice: some hundred ms of the rate. For a peer that is silent though it was
+/// not said to have left, its even part of the rate is drawn, so that both sides of
+/// a split keep within the whole together.
 #[derive(Debug)]
 pub struct AllowanceLedger {
     tolerance: SpendTolerance,
-    started: Duration,
-    /// Whether a peer told that was there before this host.
-    told: bool,
     accounts: SortedMap<AccountName, AccountState>,
     peers: SortedMap<HostName, PeerSpending>,
 }
 
 impl AllowanceLedger {
     /// Makes the ledger of a host that starts now.
-    pub const fn new(tolerance: SpendTolerance, now: Duration) -> Self {
+    pub const fn new(tolerance: SpendTolerance) -> Self {
         Self {
             tolerance,
-            started: now,
-            told: false,
             accounts: SortedMap::new(),
             peers: SortedMap::new(),
         }
@@ -124,35 +125,35 @@
 
     /// Counts a request of `cost` if it is within the account's allowance.
     pub fn spend(&mut self, account: &ClientAccount, cost: f64, now: Duration) -> SpendVerdict {
-        let Some(rate) = account.allowance else {
+        let Some(allowance) = account.allowance else {
             return SpendVerdict::Within;
         };
-        let tolerance = self.tolerance;
-        let silent = self.silent_peers(now);
-        let hosts = self.peers.len() + 1;
-        let supposed = self.supposed_spent(now);
-        let state = self.account(&account.name, now);
-        let most = state.limit.at(tolerance.limit(rate), tolerance.window, now);
-        state.count_estimate(rate.per_second * silent as f64 / hosts as f64, now);
-        let level = most * (1.0 - supposed) - cost.min(most);
-        if state.all.sum(now) > level {
-            return SpendVerdict::Beyond(state.all.time_until(level, now));
+        let window = self.tolerance.window;
+        let wanted = self.tolerance.bucket_rate(allowance);
+        let silent = self.silent_peers(now) as f64 / (self.peers.len() + 1) as f64;
+        let state = self
+            .accounts
+            .get_or_insert_with(account.name.clone(), || AccountState::new(wanted, now));
+        let rate = state.phase.rate(wanted, window, now);
+        state.draw_estimate(rate.per_second * silent, now);
+        let level = state.bucket.fill(rate, now);
+        state.bucket.forgive(rate.per_second);
+        if level < cost.min(rate.size) {
+            return SpendVerdict::Beyond(state.bucket.time_until(cost, rate));
         }
-        state.all.add(cost, now);
-        state.own.add(cost, now);
+        state.bucket.draw(cost);
         state.own_total += cost;
         SpendVerdict::Within
     }
 
     /// Returns what this host has spent, for its peers.
-    pub fn own_spending(&mut self, now: Duration) -> Vec<AccountSpending> {
-        let accounts = self.accounts.iter_mut();
+    pub fn own_spending(&self) -> Vec<AccountSpending> {
+        let accounts = self.accounts.iter();
         accounts
             .filter(|(_, state)| state.own_total > 0.0)
             .map(|(account, state)| AccountSpending {
                 account: account.clone(),
                 total: state.own_total,
-                recent: state.own.sum(now),
             })
             .collect()
     }
@@ -167,18 +168,18 @@
     ) {
         let known = self.peers.remove(&host);
         for spent in &spending {
-            let state = self.account(&spent.account, now);
-            match &known {
-                // It was there before this host, which counts from now on.
-                None => state.all.add_spread(spent.recent, now),
-                Some(peer) if peer.incarnation != incarnation => state.all.add(spent.total, now),
-                Some(peer) => {
-                    let before = peer.total_of(&spent.account);
-                    state.all.add((spent.total - before).max(0.0), now);
-                }
-            }
+            let Some(state) = self.accounts.get_mut(&spent.account) else {
+                continue;
+            };
+            let drawn = match &known {
+                // What was spent before this host heard of it is accounted for by
+                // the little that it starts with.
+                None => 0.0,
+                Some(peer) if peer.incarnation != incarnation => spent.total,
+                Some(peer) => spent.total - peer.total_of(&spent.account),
+            };
+            state.bucket.draw(drawn.max(0.0));
         }
-        self.told |= !spending.is_empty();
         let told = PeerSpending {
             incarnation,
             heard: now,
@@ -196,28 +197,6 @@
         }
     }
 
-    fn account(&mut self, name: &AccountName, now: Duration) -> &mut AccountState {
-        let window = self.tolerance.window;
-        self.accounts
-            .get_or_insert_with(name.clone(), || AccountState {
-                all: SpendWindow::new(window, now),
-                own: SpendWindow::new(window, now),
-                own_total: 0.0,
-                estimated_at: now,
-                limit: PhasedLimit::default(),
-            })
-    }
-
-    /// Returns the share of a window that is supposed to be spent already.
-    fn supposed_spent(&self, now: Duration) -> f64 {
-        let window = self.tolerance.window.as_secs_f64().max(0.001);
-        let age = now.saturating_sub(self.started).as_secs_f64();
-        match self.told {
-            true => 0.0,
-            false => START_SPENT * (1.0 - age / window).max(0.0),
-        }
-    }
-
     fn silent_peers(&self, now: Duration) -> usize {
         let silent = |peer: &&PeerSpending| {
             let age = now.saturating_sub(peer.heard);
@@ -228,25 +207,40 @@
 }
 
 impl SpendTolerance {
-    /// Returns how much hosts let in over a window.
-    fn limit(self, rate: TokenRate) -> f64 {
-        let exact = rate.per_second * self.window.as_secs_f64() + rate.burst;
-        exact * (1.0 + self.overage * TOLERANCE_SHARE) + self.slack * TOLERANCE_SHARE
+    /// Returns how an allowance is let in.
+    fn bucket_rate(self, allowance: TokenRate) -> BucketRate {
+        let seconds = self.window.as_secs_f64().max(0.001);
+        let worth = allowance.per_second * seconds + allowance.burst;
+        // Without any tolerance the burst is all that may come at once.
+        let strict = self.overage <= 0.0;
+        BucketRate {
+            per_second: match strict {
+                true => allowance.per_second,
+                false => worth / seconds * FILL_FACTOR,
+            },
+            size: match strict {
+                true => allowance.burst,
+                false => worth * SIZE_SHARE + self.slack * SLACK_SHARE,
+            },
+        }
     }
 }
 
-impl PhasedLimit {
-    /// Returns the limit now, where `wanted` is that of the allowance in force.
-    fn at(&mut self, wanted: f64, window: Duration, now: Duration) -> f64 {
+impl PhasedRate {
+    /// Returns the rate now, where `wanted` is that of the allowance in force.
+    fn rate(&mut self, wanted: BucketRate, window: Duration, now: Duration) -> BucketRate {
         if wanted != self.present {
             self.before = self.present;
             self.present = wanted;
             self.changed = now;
         }
         let passed = now.saturating_sub(self.changed).as_secs_f64();
-        let share = 1.0 - passed / window.as_secs_f64().max(0.001);
-        let above = (self.before - self.present).max(0.0);
-        self.present + above * share.max(0.0)
+        let share = (1.0 - passed / window.as_secs_f64().max(0.001)).max(0.0);
+        let blend = |before: f64, present: f64| present + (before - present).max(0.0) * share;
+        BucketRate {
+            per_second: blend(self.before.per_second, self.present.per_second),
+            size: blend(self.before.size, self.present.size),
+        }
     }
 }
 
@@ -259,10 +253,23 @@
 }
 
 impl AccountState {
-    /// Counts what silent peers may have spent since the last look.
-    fn count_estimate(&mut self, per_second: f64, now: Duration) {
+    fn new(rate: BucketRate, now: Duration) -> Self {
+        Self {
+            bucket: TokenBucket::new(rate.size * START_SHARE, now),
+            own_total: 0.0,
+            estimated_at: now,
+            phase: PhasedRate {
+                present: rate,
+                before: rate,
+                changed: Duration::ZERO,
+            },
+        }
+    }
+
+    /// Draws what silent peers may have spent since the last look.
+    fn draw_estimate(&mut self, per_second: f64, now: Duration) {
         let elapsed = now.saturating_sub(self.estimated_at).as_secs_f64();
         self.estimated_at = now;
-        self.all.add(per_second * elapsed.min(1.0), now);
+        self.bucket.draw(per_second * elapsed.min(1.0));
     }
 }
--- a/src/spending/mod.rs
+++ b/src/spending/mod.rs
@@ -5,7 +5,7 @@
 
 mod allowance_ledger;
 mod retry_ledger;
-mod spend_window;
+mod token_bucket;
 
 pub use allowance_ledger::AccountSpending;
 pub use allowance_ledger::AllowanceLedger;
