Let one host read the catalog for all; watch long; pause behind changes

Also: a host cut off from the store but vouched for by peers never asked them for targets; it does now, by the revision of the last change, after 250 ms. Ruled out: beats (they woke no watch).

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -23,6 +23,7 @@
 use super::edge_settings::SettingsLoader;
 use super::edge_state::EdgeState;
 use super::feed_controller::follow_store;
+use super::feed_controller::prove_view;
 use super::feed_controller::tidy;
 use super::header_dialect::HeaderDialect;
 use super::leave_controller::leave;
@@ -103,6 +104,7 @@
             listen(&state, address, most, serve_metrics).await?;
         }
         let (reload, asked) = async_channel::bounded(1);
+        task::spawn(prove_view(Arc::clone(&state), Arc::clone(&parts.source)));
         task::spawn(follow_store(Arc::clone(&state), parts.source));
         task::spawn(tell_news(Arc::clone(&state), Arc::clone(&mesh)));
         task::spawn(follow_settings(Arc::clone(&state), parts.loader, asked));
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -159,6 +159,19 @@
         }
     }
 
+    /// Returns how many hosts serve now, this one included.
+    pub(crate) fn live_hosts(&self) -> usize {
+        self.members().live_names(boot_now()).len() + 1
+    }
+
+    /// Returns how many of the hosts that serve now stand before this one in the
+    /// order of their names.
+    pub(crate) fn earlier_hosts(&self) -> usize {
+        let settings = self.settings.load();
+        let names = self.members().live_names(boot_now());
+        names.partition_point(|name| *name < settings.host)
+    }
+
     /// Refuses requests from now on.
     pub(crate) fn close_entry(&self) {
         self.entry_closed.store(true, Ordering::Release);
--- a/src/edge/feed_controller.rs
+++ b/src/edge/feed_controller.rs
@@ -13,13 +13,37 @@
 use crate::feed::SourceError;
 use crate::logs::DecisionLine;
 
-/// How long one watch waits at least, and by how much more at most. The answer's age
-/// is that of the call's begin. Hosts take each other's word for that age, so with
-/// waits that differ some host's answer is never much older than one wait; an
-/// outage then leaves three seconds and more in which keys are still known. With
-/// one fixed wait of 1.5 s, begun together after a change, it left less than two.
-const LEAST_WAIT: Duration = Duration::from_millis(1000);
-const WAIT_SPREAD: Duration = Duration::from_millis(300);
+/// How long one watch waits for each host in the fleet, so that all hosts together
+/// make a few calls a second at any size. Changes wake a watch at once.
+const WAIT_A_HOST: Duration = Duration::from_millis(200);
+/// The shortest and the longest wait. A connection that went silent is noticed only
+/// behind it; what changed meanwhile is learned from peers.
+const LEAST_WAIT: Duration = Duration::from_secs(3);
+const LONGEST_WAIT: Duration = Duration::from_secs(12);
+/// By how much waits differ, as a share: watches that a change woke together would
+/// otherwise end together for ever.
+const WAIT_SPREAD: f64 = 0.3;
+/// How long a host pauses behind changes for each host in the fleet, at least and at
+/// most. Changes come in series (targets that start together register within
+/// seconds), and each would wake every host's watch for a call of its own: 80 calls
+/// a host where 7 do. The pause stays well below the two seconds within which a
+/// change must be in force.
+const PAUSE_A_HOST: Duration = Duration::from_millis(6);
+const LEAST_PAUSE: Duration = Duration::from_millis(40);
+const LONGEST_PAUSE: Duration = Duration::from_millis(350);
+/// How old the view of keys may be before it is read anew. It must stay well below
+/// the five seconds after which a key that was taken away must not work: what is
+/// left of them when the store goes away is the time in which keys still work.
+const FRESH_BOUND: Duration = Duration::from_millis(900);
+/// By how much longer each further host waits, in the order of their names. All hosts
+/// take the word of the one that read, which reaches them within this time, so one
+/// read serves the fleet; where the first hosts are gone the next ones read.
+const TURN_TIME: Duration = Duration::from_millis(150);
+/// How many turns there are: a host that is cut off from all others still reads in
+/// time.
+const MAX_TURNS: u32 = 9;
+/// How often the age is looked at.
+const PROOF_LOOK: Duration = Duration::from_millis(100);
 /// The first and the longest wait after a failed call. A store that is down comes
 /// back at some moment, and hosts want the news within a fraction of a second.
 const FIRST_RETRY: Duration = Duration::from_millis(60);
@@ -38,8 +62,8 @@
         let read = match needs_whole {
             true => source.read_whole().await,
             false => {
-                let wait = LEAST_WAIT + WAIT_SPREAD.mul_f64(rand::random());
-                source.watch(state.feed.marks().0, wait).await
+                let wait = watch_wait(state.live_hosts(), rand::random());
+                source.watch(state.feed.revision(), wait).await
             }
         };
         match read {
@@ -51,7 +75,12 @@
                 needs_whole = false;
                 backoff.reset();
                 let change = state.feed.take_store_answer(update, begun, boot_now());
+                let changed = !change.is_empty();
                 state.take_change(change, None);
+                if changed {
+                    let pause = PAUSE_A_HOST * state.live_hosts() as u32;
+                    task::sleep(pause.clamp(LEAST_PAUSE, LONGEST_PAUSE)).await;
+                }
             }
             Err(SourceError::HistoryGone) => needs_whole = true,
             Err(error) => {
@@ -65,6 +94,37 @@
     }
 }
 
+/// Returns how long a watch waits in a fleet of `hosts`; `spread` is 0 to 1, evenly.
+fn watch_wait(hosts: usize, spread: f64) -> Duration {
+    let wait = (WAIT_A_HOST * hosts as u32).clamp(LEAST_WAIT, LONGEST_WAIT);
+    wait.mul_f64(1.0 + WAIT_SPREAD * spread)
+}
+
+/// Keeps the view of keys young, until the process ends: reads the catalog when no
+/// host has done so for a while.
+pub(crate) async fn prove_view(state: Arc<EdgeState>, source: Arc<dyn FleetSource>) {
+    let mut backoff = RetryBackoff::new(FIRST_RETRY, LONGEST_RETRY);
+    loop {
+        task::sleep(PROOF_LOOK).await;
+        let turn = (state.earlier_hosts() as u32).min(MAX_TURNS);
+        let bound = FRESH_BOUND + TURN_TIME * turn;
+        if state.evidence_age().is_some_and(|age| age < bound) {
+            continue;
+        }
+        let begun = boot_now();
+        count(&state.metrics.store_calls);
+        match source.read_catalog().await {
+            Ok(update) => {
+                backoff.reset();
+                let change = state.feed.take_catalog(update, begun, boot_now());
+                state.take_change(change, None);
+            }
+            // The watch writes down that the store is lost.
+            Err(_) => task::sleep(backoff.next_wait(rand::random())).await,
+        }
+    }
+}
+
 /// Lets go of what is too old, until the process ends.
 pub(crate) async fn tidy(state: Arc<EdgeState>) {
     loop {
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -11,6 +11,7 @@
 use crate::clock::boot_now;
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
+use crate::ids::StoreRevision;
 use crate::logs::DecisionLine;
 use crate::members::HostNews;
 use crate::members::MemberNote;
@@ -31,8 +32,10 @@
 const PEERS_A_PERIOD: usize = 12;
 /// How long a peer may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// How old the store's own answers must be before targets are asked of a peer.
-const OWN_VIEW_BOUND: Duration = Duration::from_millis(2500);
+/// How long a change that a peer has seen may be missing here before the peer is
+/// asked for it. The store tells it to all hosts within some ms, unless this one is
+/// cut off or its connection went silent.
+const BEHIND_BOUND: Duration = Duration::from_millis(250);
 
 /// What the tellers of one host share.
 struct NewsTeller {
@@ -40,6 +43,14 @@
     mesh: Arc<PeerMesh>,
     /// Peers whose answer is still to come.
     busy: Mutex<Vec<HostName>>,
+    behind: Mutex<Option<BehindMark>>,
+}
+
+/// A change that a peer has seen and this host has not.
+#[derive(Clone, Copy, Debug)]
+struct BehindMark {
+    revision: StoreRevision,
+    since: Duration,
 }
 
 /// Tells news until the process ends.
@@ -48,6 +59,7 @@
         state,
         mesh,
         busy: Mutex::default(),
+        behind: Mutex::default(),
     });
     let mut told: Vec<TargetLoad> = Vec::new();
     let mut connected: Vec<HostName> = Vec::new();
@@ -145,9 +157,7 @@
     async fn take_receipt(&self, peer: &HostName, receipt: NewsReceipt, begun: Duration) {
         let feed = &self.state.feed;
         let (revision, catalog) = feed.marks();
-        let own_age = self.state.evidence_age();
-        let alone = own_age.is_none_or(|age| age > OWN_VIEW_BOUND);
-        if receipt.catalog > catalog || (alone && receipt.revision > revision) {
+        if receipt.catalog > catalog || self.is_behind(revision, receipt.revision) {
             self.fetch_view(peer).await;
         }
         if let Some(age) = receipt.evidence_age_ms {
@@ -158,6 +168,23 @@
         }
     }
 
+    /// Tells whether a change that a peer has seen has been missing here for long.
+    fn is_behind(&self, own: StoreRevision, theirs: StoreRevision) -> bool {
+        let now = boot_now();
+        let mut behind = self.behind.lock().unwrap_or_else(PoisonError::into_inner);
+        if behind.is_some_and(|mark| mark.revision <= own) {
+            *behind = None;
+        }
+        if theirs <= own {
+            return false;
+        }
+        let mark = behind.get_or_insert(BehindMark {
+            revision: theirs,
+            since: now,
+        });
+        now.saturating_sub(mark.since) >= BEHIND_BOUND
+    }
+
     async fn fetch_view(&self, peer: &HostName) {
         let known = self.state.feed.marks().1;
         let call = PeerCall::FleetView { known };
--- a/src/edge/operator_pages.rs
+++ b/src/edge/operator_pages.rs
@@ -8,8 +8,6 @@
 use super::caller_link::CallerLink;
 use super::edge_state::EdgeState;
 use crate::catalog::CallerLimits;
-use crate::clock::boot_now;
-use crate::members::MemberState;
 
 /// Answers any request with 200 while the host is ready, and with 503 otherwise.
 pub(crate) async fn serve_readiness(state: Arc<EdgeState>, stream: TcpStream) {
@@ -51,16 +49,12 @@
 fn metrics_text(state: &EdgeState) -> String {
     let (left_out, dropped) = state.log.losses();
     let (revision, catalog) = state.feed.marks();
-    let states = state.members().states(boot_now());
-    let live = states
-        .iter()
-        .filter(|(_, member)| *member == MemberState::Live);
     let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
     state.metrics.render(&[
         ("catalog_version", catalog),
         ("store_revision", revision),
         ("evidence_age_ms", age),
-        ("members_live", live.count() as u64),
+        ("members_live", state.live_hosts() as u64),
         ("requests_running", state.running() as u64),
         ("log_lines_left_out_total", left_out),
         ("log_lines_dropped_total", dropped),
--- a/src/feed/fleet_feed.rs
+++ b/src/feed/fleet_feed.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct FleetFeed {
     revision: StoreRevision,
+    /// The revision of the last change that is held.
+    changed_at: StoreRevision,
     catalog: Option<Arc<RouteCatalog>>,
     targets: SortedMap<TargetName, TargetRecord>,
     removals: SortedMap<TargetName, RemovalMark>,
@@ -47,6 +49,12 @@
         self.revision
     }
 
+    /// Returns the revision of the last change that is held. Two hosts that hold the
+    /// same have the same one, whenever each last asked the store.
+    pub const fn changed_at(&self) -> StoreRevision {
+        self.changed_at
+    }
+
     /// Returns the catalog in force.
     pub const fn catalog(&self) -> Option<&Arc<RouteCatalog>> {
         self.catalog.as_ref()
@@ -170,6 +178,7 @@
                 return;
             }
         }
+        self.changed_at = self.changed_at.max(record.revision);
         change.changed.push(record.name.clone());
         self.targets.insert(record.name.clone(), record);
     }
@@ -199,6 +208,7 @@
     }
 
     fn note_removal(&mut self, removal: TargetRemoval, now: Duration) {
+        self.changed_at = self.changed_at.max(removal.revision);
         let mark = RemovalMark {
             revision: removal.revision,
             at: now,
--- a/src/feed/fleet_source.rs
+++ b/src/feed/fleet_source.rs
@@ -48,6 +48,9 @@
     /// Reads everything.
     fn read_whole(&self) -> SourceFuture<'_>;
 
+    /// Reads the catalog alone, as it stands now.
+    fn read_catalog(&self) -> SourceFuture<'_>;
+
     /// Waits for changes after a revision, for at most `wait`; the update is empty
     /// when none came.
     fn watch(&self, after: StoreRevision, wait: Duration) -> SourceFuture<'_>;
--- a/src/feed/shared_feed.rs
+++ b/src/feed/shared_feed.rs
@@ -52,6 +52,15 @@
         change
     }
 
+    /// Takes in the catalog alone, which the store showed to a call begun at `begun`.
+    pub fn take_catalog(&self, update: FeedUpdate, begun: Duration, now: Duration) -> FeedChange {
+        let mut state = self.lock();
+        let change = self.apply(&mut state, update, now);
+        drop(state);
+        self.raise_evidence(begun);
+        change
+    }
+
     /// Takes in what a peer believes. Its view proves nothing about its age; see
     /// [`SharedFeed::vouch`].
     pub fn take_peer_view(&self, update: FeedUpdate, now: Duration) -> FeedChange {
@@ -87,10 +96,15 @@
         }
     }
 
-    /// Returns the revision up to which the view is complete, and the catalog's version.
+    /// Returns the revision of the last change that is held, and the catalog's version.
     pub fn marks(&self) -> (StoreRevision, CatalogVersion) {
         let state = self.lock();
-        (state.feed.revision(), state.feed.catalog_version())
+        (state.feed.changed_at(), state.feed.catalog_version())
+    }
+
+    /// Returns the revision up to which the view is complete.
+    pub fn revision(&self) -> StoreRevision {
+        self.lock().feed.revision()
     }
 
     /// Returns a target.
--- a/src/members/host_news.rs
+++ b/src/members/host_news.rs
@@ -35,7 +35,7 @@
     pub own: MemberNote,
     /// The other hosts that it knows.
     pub members: Vec<MemberNote>,
-    /// The revision up to which its view of the fleet is complete.
+    /// The revision of the last change in its view of the fleet.
     pub revision: StoreRevision,
     /// The version of the catalog in force there.
     pub catalog: CatalogVersion,
@@ -50,7 +50,7 @@
 /// What a host answers to news.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct NewsReceipt {
-    /// The revision up to which its view of the fleet is complete.
+    /// The revision of the last change in its view of the fleet.
     pub revision: StoreRevision,
     /// The version of the catalog in force there.
     pub catalog: CatalogVersion,
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -129,6 +129,14 @@
             .collect()
     }
 
+    /// Returns the names of the hosts that serve now, sorted.
+    pub fn live_names(&self, now: Duration) -> Vec<HostName> {
+        let rows = self.rows.iter();
+        rows.filter(|(_, row)| row.state(now) == MemberState::Live)
+            .map(|(host, _)| host.clone())
+            .collect()
+    }
+
     /// Returns how many hosts there may be, this one included. Dead ones count:
     /// they may serve callers behind a cut.
     pub fn size(&self) -> usize {
