Tell callers in time that they can't be served; home ranges in large fleets; tests on raw bytes

In large fleets hosts met at full targets, as each host's word was old before the others heard it: hosts use ten targets opposite themselves first, and tell those that share them. Found by the new tests: a settings task that spun once its host was dropped (in tests only).

--- a/src/catalog/service_route.rs
+++ b/src/catalog/service_route.rs
@@ -59,6 +59,9 @@
     pub objective: Duration,
     /// The longest pause between events for which a stream is still on time.
     pub pause_objective: Option<Duration>,
+    /// How long callers wait for the first event before they give up, where that is
+    /// known to be shorter than their deadline.
+    pub patience: Option<Duration>,
     /// The urgency; 0 is the highest.
     pub tier: TierRank,
     /// To how many targets one request may be sent at most.
--- a/src/dispatch/dispatch_board.rs
+++ b/src/dispatch/dispatch_board.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use super::DispatchWish;
+use super::HomeRange;
 use super::PlacedTarget;
 use super::TargetLoad;
 use super::WaitNumber;
 use super::WorkEnd;
 use super::first_estimate::FirstEstimate;
 use super::peer_loads::PeerLoads;
+use super::rate_track::RateTrack;
 use super::target_board::TargetBoard;
 use super::target_choice::ChoiceView;
 use super::target_choice::choose_target;
@@ -35,18 +37,24 @@
     pub engine: bool,
 }
 
+/// How often a host can send work at least, a second, as long as nothing is known.
+const LEAST_BEGIN_RATE: f64 = 4.0;
+
 #[derive(Debug, Default)]
 struct PoolBoard {
     engine: bool,
     targets: Vec<TargetBoard>,
     line: WaitLine,
     first: FirstEstimate,
+    /// How often this host sends work there.
+    begins: RateTrack,
 }
 
 /// All targets and waiting requests of one host.
 #[derive(Debug)]
 pub struct DispatchBoard {
     own_zone: ZoneName,
+    range: HomeRange,
     pools: SortedMap<PoolName, PoolBoard>,
     peer_loads: PeerLoads,
 }
@@ -56,6 +64,7 @@
     pub fn new(own_zone: ZoneName) -> Self {
         Self {
             own_zone,
+            range: HomeRange::default(),
             pools: SortedMap::new(),
             peer_loads: PeerLoads::default(),
         }
@@ -88,6 +97,28 @@
         }
         self.pools
             .retain(|_, pool| !pool.targets.is_empty() || pool.line.len() > 0);
+        self.mark_homes();
+    }
+
+    /// Takes this host's place among all hosts.
+    pub fn set_range(&mut self, range: HomeRange) {
+        if self.range != range {
+            self.range = range;
+            self.mark_homes();
+        }
+    }
+
+    /// Returns how many targets the largest pool has.
+    pub fn largest_pool(&self) -> usize {
+        let sizes = self.pools.values().map(|pool| pool.targets.len());
+        sizes.max().unwrap_or(0)
+    }
+
+    fn mark_homes(&mut self) {
+        let range = self.range;
+        for (_, pool) in self.pools.iter_mut() {
+            pool.mark_homes(range);
+        }
     }
 
     /// Tells whether any target of the pool takes new work.
@@ -108,6 +139,22 @@
         pool.place(wish, &self.own_zone, now, spread)
     }
 
+    /// Returns how long a request would wait, by those that stand before it and by how
+    /// often this host could send work there lately.
+    ///
+    /// Load it answers: a burst so large that the last in the line wait until their
+    /// callers have left. They are told at once in place of that.
+    pub fn expected_wait(&self, wish: &DispatchWish, now: Duration) -> Duration {
+        let Some(pool) = self.pools.get(&wish.pool) else {
+            return Duration::ZERO;
+        };
+        let first = shortest_first(&pool.targets, wish, pool.first);
+        let due = wish.objective_at.saturating_sub(first);
+        let ahead = pool.line.ahead(wish.rank, due, now) as f64;
+        let rate = pool.begins.per_second(now).max(LEAST_BEGIN_RATE);
+        Duration::from_secs_f64(ahead / rate)
+    }
+
     /// Lets a request wait; [`DispatchBoard::assign`] gives it a target.
     pub fn wait(&mut self, number: WaitNumber, wish: DispatchWish, now: Duration) {
         let pool = self
@@ -224,6 +271,24 @@
 }
 
 impl PoolBoard {
+    /// Puts the targets in the order of zones and names, and marks those that this
+    /// host uses first.
+    fn mark_homes(&mut self, range: HomeRange) {
+        self.targets.sort_by(|left, right| {
+            let key = |board: &TargetBoard| {
+                let record = &board.record;
+                (record.availability_zone.clone(), record.name.clone())
+            };
+            key(left).cmp(&key(right))
+        });
+        let open = self.targets.iter().filter(|board| board.is_open()).count();
+        let mut index = 0;
+        for board in &mut self.targets {
+            board.home = range.holds(index, open);
+            index += usize::from(board.is_open());
+        }
+    }
+
     fn place(
         &mut self,
         wish: &DispatchWish,
@@ -242,6 +307,7 @@
         let prompt_tokens = wish.prompt_tokens;
         let tokens_ahead = target.tokens_ahead();
         target.note_dispatch(prompt_tokens, now);
+        self.begins.note(now);
         Some(PlacedTarget {
             name: TargetName::clone(&target.record.name),
             address: target.record.address,
--- a/src/dispatch/dispatch_desk.rs
+++ b/src/dispatch/dispatch_desk.rs
@@ -82,7 +82,8 @@
                 drop(board);
                 return WaitVerdict::Placed(self.guard(pool, placed));
             }
-            if board.waiting(&pool) >= MAX_WAITING {
+            let hopeless = board.expected_wait(&wish, now) > patience;
+            if hopeless || board.waiting(&pool) >= MAX_WAITING {
                 return WaitVerdict::Full;
             }
             let number = self.next_number.fetch_add(1, Ordering::Relaxed);
--- a/src/dispatch/target_board.rs
+++ b/src/dispatch/target_board.rs
@@ -31,6 +31,8 @@
     /// Tokens of this host's prompts there that are still to be read.
     pub(super) unread_tokens: u64,
     pub(super) pace: PaceTrack,
+    /// Whether this host uses it first.
+    pub(super) home: bool,
     /// Share of failures among the last outcomes.
     failures: f64,
     /// Since when nothing was heard although work of this host is there.
@@ -48,6 +50,7 @@
             peers: LoadSum::default(),
             unread_tokens: 0,
             pace: PaceTrack::default(),
+            home: true,
             failures: 0.0,
             silent_since: None,
             rest_until: Duration::ZERO,
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -22,6 +22,9 @@
 const SOUNDNESS_POWER: i32 = 3;
 /// The share of soundness that no target falls below, so that it is tried again.
 const LEAST_SOUNDNESS: f64 = 0.15;
+/// How much a target counts that other hosts use first: only where those that this
+/// host uses first are full.
+const AWAY_FACTOR: f64 = 0.01;
 /// The wait for a first event that halves a target's chance, beside the shortest.
 const WAIT_HALF: Duration = Duration::from_millis(60);
 
@@ -140,9 +143,13 @@
         true => OWN_ZONE_FACTOR,
         false => 1.0,
     };
+    let home = match target.home {
+        true => 1.0,
+        false => AWAY_FACTOR,
+    };
     let soundness = target.soundness().max(LEAST_SOUNDNESS);
     let longer = offer.first.saturating_sub(shortest).as_secs_f64() / WAIT_HALF.as_secs_f64();
-    room.powi(ROOM_POWER) * soundness.powi(SOUNDNESS_POWER) * zone
+    room.powi(ROOM_POWER) * soundness.powi(SOUNDNESS_POWER) * zone * home
         / (offer.slowness.powi(PACE_POWER) * (1.0 + longer))
 }
 
--- a/src/dispatch/wait_line.rs
+++ b/src/dispatch/wait_line.rs
@@ -39,6 +39,18 @@
         self.entries.len()
     }
 
+    /// Returns how many stand before a request of this rank that must be dispatched
+    /// by `due`.
+    pub(super) fn ahead(&self, rank: UrgencyRank, due: Duration, now: Duration) -> usize {
+        let place = LinePlace {
+            late: due < now,
+            rank,
+            due,
+            number: WaitNumber::MAX,
+        };
+        self.entries.partition_point(|held| held.place < place)
+    }
+
     /// Adds a request that must be dispatched by `due` to meet its objective.
     pub(super) fn add(
         &mut self,
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -9,6 +9,7 @@
 
 use super::edge_state::EdgeState;
 use crate::clock::boot_now;
+use crate::dispatch::HomeRange;
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
 use crate::ids::StoreRevision;
@@ -25,11 +26,15 @@
 /// told, and a target begins some ten requests a second: with a tenth of a second
 /// one request in ten meets a slot that a peer took meanwhile.
 const NEWS_PERIOD: Duration = Duration::from_millis(100);
+/// The period in a fleet of more than [`SMALL_FLEET`], where each word goes to many.
+const LARGE_FLEET_PERIOD: Duration = Duration::from_millis(200);
+const SMALL_FLEET: usize = 16;
 /// How often news are told when nothing changed: a sign of life.
 const QUIET_PERIODS: u32 = 4;
-/// How many peers are told in one period. In a fleet of more, each is told in turn,
-/// so that the bytes a host sends don't grow with the fleet.
-const PEERS_A_PERIOD: usize = 12;
+/// How many peers are told in one period beside those that use the same targets, in
+/// turn: with the age of the view, what accounts spent and who is there, every host
+/// hears from every other one within about a second.
+const OTHERS_A_PERIOD: usize = 6;
 /// How long a peer may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a change that a peer has seen may be missing here before the peer is
@@ -65,8 +70,9 @@
     let mut connected: Vec<HostName> = Vec::new();
     let mut quiet = 0;
     let mut turn = 0;
+    let mut period = NEWS_PERIOD;
     loop {
-        task::sleep(NEWS_PERIOD).await;
+        task::sleep(period).await;
         teller.refresh_members();
         let peers = teller.mesh.connected_peers();
         if peers != connected {
@@ -84,12 +90,17 @@
         quiet = 0;
         told.clone_from(&loads);
         let news = Arc::new(teller.news(loads));
-        let count = peers.len().min(PEERS_A_PERIOD);
-        for offset in 0..count {
-            let peer = peers[(turn + offset) % peers.len()].clone();
-            teller.clone().spawn_call(peer, Arc::clone(&news));
+        let (near, others) = teller.split_peers(peers);
+        let count = others.len().min(OTHERS_A_PERIOD);
+        let in_turn = others.iter().cycle().skip(turn).take(count);
+        for peer in near.iter().chain(in_turn) {
+            teller.clone().spawn_call(peer.clone(), Arc::clone(&news));
         }
-        turn = turn.wrapping_add(count);
+        turn = (turn + count) % others.len().max(1);
+        period = match near.len() + others.len() <= SMALL_FLEET {
+            true => NEWS_PERIOD,
+            false => LARGE_FLEET_PERIOD,
+        };
     }
 }
 
@@ -107,6 +118,28 @@
         self.mesh.set_peers(&addresses);
     }
 
+    /// Splits the peers into those that may use the same targets first and others,
+    /// and tells the board this host's place among them.
+    fn split_peers(&self, peers: Vec<HostName>) -> (Vec<HostName>, Vec<HostName>) {
+        let settings = self.state.settings.load();
+        let order = self.state.members().live_order(boot_now());
+        let own = (settings.availability_zone.clone(), settings.host.clone());
+        let range = HomeRange {
+            rank: order.partition_point(|place| *place < own),
+            hosts: order.len() + 1,
+        };
+        let mut board = self.state.desk.lock_board();
+        board.set_range(range);
+        let targets = board.largest_pool();
+        drop(board);
+        peers.into_iter().partition(|peer| {
+            let place = order.iter().position(|(_, host)| host == peer);
+            // This host itself stands between those before and behind it.
+            let rank = place.map(|rank| rank + usize::from(rank >= range.rank));
+            rank.is_none_or(|rank| range.is_neighbour(rank, targets))
+        })
+    }
+
     fn news(&self, loads: Vec<TargetLoad>) -> HostNews {
         let state = &self.state;
         let settings = state.settings.load();
@@ -114,6 +147,7 @@
         HostNews {
             own: MemberNote {
                 host: settings.host.clone(),
+                availability_zone: settings.availability_zone.clone(),
                 address: settings.peer_address,
                 incarnation: state.incarnation,
                 age_ms: 0,
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -47,8 +47,15 @@
 const REPEAT_AFTER_OBJECTIVES: u32 = 2;
 /// How long the rest of a target's refusal is waited for, to keep the connection.
 const DISCARD_TIME: Duration = Duration::from_millis(100);
-/// When a caller may come back whose request found no room or no target.
-const ROOM_DELAY: Duration = Duration::from_millis(500);
+/// The share of a caller's patience that its request may wait for a target; the rest
+/// is for the first event.
+const QUEUE_SHARE: f64 = 0.75;
+/// When a caller may come back whose request found no room or no target: for a
+/// stream, whose deadline is long, behind the worst of a burst of some seconds; for
+/// others while their deadline lasts. Spread, or all would come back together.
+const STREAM_DELAY: Duration = Duration::from_millis(1800);
+const CALL_DELAY: Duration = Duration::from_millis(150);
+const DELAY_SPREAD: f64 = 0.6;
 
 /// How one request ended, for the connection that it came on.
 #[derive(Debug)]
@@ -155,7 +162,7 @@
             prompt_tokens: routed.usage.map_or(0, |usage| usage.prompt),
             tried: self.tried.clone(),
         };
-        let patience = left - LEAST_LEFT;
+        let patience = self.queue_patience(left);
         let desk = &self.state.desk;
         let caller = &mut *self.caller;
         let wait = async { Some(desk.wait_for_target(wish, patience).await) };
@@ -168,10 +175,21 @@
             Some(WaitVerdict::Placed(slot)) => Ok(slot),
             Some(WaitVerdict::Full) => Err(self.give_up(ErrorKind::Overloaded).await),
             Some(WaitVerdict::NoTarget) => Err(self.give_up(ErrorKind::NoTarget).await),
-            Some(WaitVerdict::TimedOut) => Err(self.give_up(ErrorKind::DeadlinePassed).await),
+            Some(WaitVerdict::TimedOut) => Err(self.give_up(ErrorKind::Overloaded).await),
         }
     }
 
+    /// Returns how long the request may wait for a target.
+    ///
+    /// A caller that is told in time comes back when there may be room; one that is
+    /// kept until its patience ends leaves without any answer.
+    fn queue_patience(&self, left: Duration) -> Duration {
+        let routed = self.routed;
+        let patience = routed.patience_end.saturating_sub(routed.request.arrived);
+        let end = routed.request.arrived + patience.mul_f64(QUEUE_SHARE);
+        end.saturating_sub(boot_now()).min(left - LEAST_LEFT)
+    }
+
     async fn open_link(&self, slot: &SlotGuard) -> Option<TargetLink> {
         let target = slot.target();
         if let Some(link) = self.state.links.take(&target.name).await {
@@ -422,11 +440,19 @@
         match (promises, self.may_have_run) {
             // 503 promises that nothing ran; an earlier send may have.
             (true, true) => RunEnd::Refused(ErrorKind::TargetLost.into()),
-            (true, false) => RunEnd::Refused(EdgeRefusal::after(kind, ROOM_DELAY)),
+            (true, false) => RunEnd::Refused(EdgeRefusal::after(kind, self.room_delay())),
             (false, _) => RunEnd::Refused(kind.into()),
         }
     }
 
+    fn room_delay(&self) -> Duration {
+        let delay = match self.routed.kind.is_stream() {
+            true => STREAM_DELAY,
+            false => CALL_DELAY,
+        };
+        delay.mul_f64(1.0 + DELAY_SPREAD * rand::random::<f64>())
+    }
+
     /// Tells whether the target says that it did not run the request.
     fn is_not_run(&self, head: &AnswerMessage) -> bool {
         head.status == 421 || head.headers.contains(&self.state.dialect.not_run)
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -48,6 +48,8 @@
     pub(crate) max_attempts: u32,
     /// Within which its first event, or its answer, is worth the most.
     pub(crate) objective: Duration,
+    /// Until when its caller waits for the first event, on the boot clock.
+    pub(crate) patience_end: Duration,
     /// The pool that runs it.
     pub(crate) pool: PoolName,
     /// The account.
@@ -93,6 +95,9 @@
         kind: route.kind,
         max_attempts: route.max_attempts,
         objective: route.objective,
+        patience_end: route.patience.map_or(deadline, |patience| {
+            deadline.min(request.arrived + patience)
+        }),
         pool: route.pool_for(rand::random()).clone(),
         rank: UrgencyRank {
             account: account
--- a/src/edge/settings_controller.rs
+++ b/src/edge/settings_controller.rs
@@ -25,7 +25,12 @@
 ) {
     let mut seen = file_mark(loader.path());
     loop {
-        let signalled = timeout(LOOK_PERIOD, asked.recv()).await.is_ok();
+        let signalled = match timeout(LOOK_PERIOD, asked.recv()).await {
+            Ok(Ok(())) => true,
+            // The host is gone.
+            Ok(Err(_)) => return,
+            Err(_) => false,
+        };
         let mark = file_mark(loader.path());
         if !signalled && mark == seen {
             continue;
--- /dev/null
+++ b/src/edge/tests/callers.rs
@@ -0,0 +1,147 @@
+//! Callers that smuggle, send too much, too slowly or leave.
+
+use std::io::Read;
+use std::io::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::edge_fixture::EdgeFixture;
+use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
+use super::raw_target::RawTarget;
+use super::raw_target::write_text;
+
+fn echo_target() -> RawTarget {
+    RawTarget::spawn(|request, stream| {
+        write_text(stream, &request.answer("200 OK", "fine"));
+        true
+    })
+}
+
+/// A caller hides a second request in the body of the first by declaring two lengths.
+#[test]
+fn smuggled_requests_never_reach_a_target() {
+    let target = echo_target();
+    let host = EdgeFixture::open(std::slice::from_ref(&target));
+    let hidden = "POST /once/x HTTP/1.1\r\nHost: api.example\r\nX-Request: hidden\r\n\r\n";
+    let heads = [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 0\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Content-Length : 5\r\n",
+    ];
+
+    for head in heads {
+        let request = format!(
+            "POST /once/x HTTP/1.1\r\nHost: api.example\r\nX-Request: id\r\n\
+             Authorization: Token k1\r\n{head}\r\n{hidden}"
+        );
+        assert_eq!(status_of(&host.call(&request)), 400, "{head}");
+    }
+    assert!(target.seen().is_empty());
+}
+
+/// A caller sets the headers by which hosts and targets talk.
+#[test]
+fn reserved_headers_are_dropped() {
+    let target = echo_target();
+    let host = EdgeFixture::open(std::slice::from_ref(&target));
+    let request = request_for("/once/x", "id1").replace(
+        "Connection: close",
+        "X-Account: other\r\nX-Memory: m\r\nX-Wanted-Target: t9\r\nConnection: close",
+    );
+
+    host.call(&request);
+
+    let seen = &target.seen()[0];
+    assert_eq!(seen.text.matches("X-Account").count(), 1);
+    assert_eq!(seen.header("X-Account").as_deref(), Some("acme"));
+    assert_eq!(seen.header("X-Wanted-Target").as_deref(), Some("t0"));
+    assert_eq!(seen.header("X-Memory"), None);
+}
+
+#[test]
+fn oversized_heads_and_bodies_and_slow_heads_get_their_answers() {
+    let host = EdgeFixture::open(&[echo_target()]);
+    let long_head = format!("GET /once/x HTTP/1.1\r\nA: {}\r\n\r\n", "a".repeat(3000));
+    let long_body = request_for("/once/x", "id1").replace("Length: 5", "Length: 10001");
+
+    assert_eq!(status_of(&host.call(&long_head)), 431);
+    assert_eq!(status_of(&host.call(&long_body)), 413);
+    assert_eq!(status_of(&host.call("GET /once/x HT")), 408);
+}
+
+#[test]
+fn a_chunked_body_arrives_whole() {
+    let target = echo_target();
+    let host = EdgeFixture::open(std::slice::from_ref(&target));
+    let request = "POST /once/x HTTP/1.1\r\nHost: api.example\r\nX-Request: id1\r\n\
+        Authorization: Token k1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n\
+        3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+
+    let answer = host.call(request);
+
+    assert_eq!(status_of(&answer), 200);
+    assert!(target.seen()[0].text.ends_with("\r\n\r\nhello"));
+}
+
+#[test]
+fn requests_follow_each_other_on_a_kept_connection() {
+    let host = EdgeFixture::open(&[echo_target()]);
+    let mut stream = host.connect();
+    let kept = request_for("/once/x", "id1").replace("Connection: close\r\n", "");
+    stream.write_all(kept.as_bytes()).unwrap();
+    stream
+        .write_all(request_for("/once/y", "id2").as_bytes())
+        .unwrap();
+
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).unwrap();
+
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2);
+    assert!(answers.find("id1").unwrap() < answers.find("id2").unwrap());
+}
+
+/// A caller leaves while its lookup waits at a target: the target's connection must
+/// end soon, or it works on for nobody.
+#[test]
+fn a_caller_that_leaves_ends_the_call() {
+    let (ended, end) = std::sync::mpsc::channel();
+    let target = RawTarget::spawn(move |_, stream| {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        let begun = Instant::now();
+        let mut byte = [0];
+        let closed = matches!(stream.read(&mut byte), Ok(0));
+        ended.send((closed, begun.elapsed())).ok();
+        false
+    });
+    let host = EdgeFixture::open(std::slice::from_ref(&target));
+    let mut stream = host.connect();
+    stream
+        .write_all(request_for("/stream/x", "id1").as_bytes())
+        .unwrap();
+    while target.seen().is_empty() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    drop(stream);
+
+    let (closed, after) = end.recv_timeout(Duration::from_secs(5)).unwrap();
+
+    assert!(closed);
+    assert!(after < Duration::from_millis(500), "{after:?}");
+}
+
+/// No target can be reached: nothing was sent, so the caller may be told so.
+#[test]
+fn an_unreachable_target_is_a_refusal_that_is_true() {
+    let mut gone = echo_target();
+    gone.address = ([127, 0, 0, 1], 9).into();
+    let host = EdgeFixture::open(&[gone]);
+
+    let answer = host.call(&request_for("/once/x", "id1"));
+
+    assert_eq!(status_of(&answer), 503);
+    assert!(answer.contains("Retry-After: "));
+}
--- /dev/null
+++ b/src/edge/tests/edge_fixture.rs
@@ -0,0 +1,320 @@
+//! One host with a store that a test writes, and callers that write raw bytes.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+
+use super::raw_target::RawTarget;
+use crate::catalog::CallKind;
+use crate::catalog::CallerLimits;
+use crate::catalog::CatalogParts;
+use crate::catalog::ClientAccount;
+use crate::catalog::PoolShare;
+use crate::catalog::ServiceRoute;
+use crate::catalog::TargetPool;
+use crate::edge::EdgeBounds;
+use crate::edge::EdgeHost;
+use crate::edge::EdgeSettings;
+use crate::edge::HeaderDialect;
+use crate::edge::SettingsLoader;
+use crate::edge::edge_host::EdgeParts;
+use crate::feed::FeedUpdate;
+use crate::feed::FleetSource;
+use crate::feed::SourceError;
+use crate::feed::SourceFuture;
+use crate::feed::TargetPhase;
+use crate::feed::TargetRecord;
+use crate::json::DocumentFault;
+use crate::logs::DecisionLog;
+use crate::logs::LineQueue;
+
+/// What the store holds; absent while it is away.
+type StoreState = Arc<Mutex<Option<FeedUpdate>>>;
+
+/// A store that a test writes.
+#[derive(Clone, Default)]
+pub(super) struct ManualStore {
+    state: StoreState,
+}
+
+/// One host, its store and its callers' address.
+pub(super) struct EdgeFixture {
+    /// The store.
+    pub(super) store: ManualStore,
+    /// Where callers connect.
+    pub(super) address: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub(super) ready_address: SocketAddr,
+    _host: EdgeHost,
+}
+
+impl ManualStore {
+    /// Takes the store away.
+    pub(super) fn take_away(&self) {
+        *self.state.lock().unwrap() = None;
+    }
+
+    /// Writes routes to all `targets`, and the account of `key`.
+    pub(super) fn write(&self, version: u64, targets: &[RawTarget], keys: &[&str]) {
+        let update = FeedUpdate {
+            revision: version,
+            whole: true,
+            catalog: Some(catalog_of(version, keys)),
+            targets: targets
+                .iter()
+                .enumerate()
+                .map(|(index, target)| record_of(index, target, version))
+                .collect(),
+            removals: Vec::new(),
+        };
+        *self.state.lock().unwrap() = Some(update);
+    }
+
+    fn read(&self) -> Result<FeedUpdate, SourceError> {
+        let state = self.state.lock().unwrap();
+        state.clone().ok_or(SourceError::TimedOut)
+    }
+}
+
+impl FleetSource for ManualStore {
+    fn read_whole(&self) -> SourceFuture<'_> {
+        Box::pin(async { self.read() })
+    }
+
+    fn read_catalog(&self) -> SourceFuture<'_> {
+        Box::pin(async {
+            let update = self.read()?;
+            Ok(FeedUpdate {
+                catalog: update.catalog,
+                ..FeedUpdate::default()
+            })
+        })
+    }
+
+    fn watch(&self, after: u64, wait: Duration) -> SourceFuture<'_> {
+        Box::pin(async move {
+            let begun = Instant::now();
+            loop {
+                let update = self.read()?;
+                if update.revision > after || begun.elapsed() >= wait {
+                    return Ok(update);
+                }
+                task::sleep(Duration::from_millis(10)).await;
+            }
+        })
+    }
+}
+
+struct FixedLoader(EdgeSettings);
+
+impl SettingsLoader for FixedLoader {
+    fn load(&self) -> Result<EdgeSettings, Vec<DocumentFault>> {
+        Ok(self.0.clone())
+    }
+
+    fn path(&self) -> &Path {
+        Path::new("fixed")
+    }
+}
+
+impl EdgeFixture {
+    /// Opens a host before `targets`, with the account of key `k1`, and waits until
+    /// it is ready.
+    pub(super) fn open(targets: &[RawTarget]) -> Self {
+        let fixture = Self::open_with(targets, EdgeBounds::default());
+        fixture.wait_ready(true);
+        fixture
+    }
+
+    /// Opens a host with other bounds; it may not be ready yet.
+    pub(super) fn open_with(targets: &[RawTarget], bounds: EdgeBounds) -> Self {
+        let store = ManualStore::default();
+        store.write(1, targets, &["k1"]);
+        let settings = settings_with(bounds);
+        let (address, ready_address) = (settings.caller_address, settings.ready_address);
+        let parts = EdgeParts {
+            dialect: dialect(),
+            source: Arc::new(store.clone()),
+            loader: Arc::new(FixedLoader(settings.clone())),
+            settings,
+        };
+        let log = DecisionLog::open_on(LineQueue::spawn(std::io::sink())).unwrap();
+        let host = task::block_on(EdgeHost::open_with_log(parts, log)).unwrap();
+        Self {
+            store,
+            address,
+            ready_address,
+            _host: host,
+        }
+    }
+
+    /// Waits until the host says that it is ready, or that it isn't.
+    pub(super) fn wait_ready(&self, wanted: bool) {
+        let begun = Instant::now();
+        let status = if wanted {
+            "HTTP/1.1 200"
+        } else {
+            "HTTP/1.1 503"
+        };
+        let probe = "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        while !exchange(self.ready_address, probe).starts_with(status) {
+            assert!(begun.elapsed() < Duration::from_secs(20), "never {wanted}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Sends a request on a connection of its own and returns the whole answer.
+    pub(super) fn call(&self, request: &str) -> String {
+        exchange(self.address, request)
+    }
+
+    /// Connects, to write and read by hand.
+    pub(super) fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .unwrap();
+        stream
+    }
+}
+
+/// Returns a request for a path, with key `k1`, that ends its connection.
+pub(super) fn request_for(path: &str, id: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: api.example\r\nX-Request: {id}\r\nX-Left-Ms: 2000\r\n\
+         Authorization: Token k1\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello"
+    )
+}
+
+/// Returns the status of an answer.
+pub(super) fn status_of(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).unwrap_or_default();
+    status.parse().unwrap_or(0)
+}
+
+/// Writes `request`, and returns all that comes until the connection ends.
+fn exchange(address: SocketAddr, request: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return String::new();
+    };
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    stream.write_all(request.as_bytes()).ok();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok();
+    stream.shutdown(Shutdown::Both).ok();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings_with(bounds: EdgeBounds) -> EdgeSettings {
+    EdgeSettings {
+        host: "e1".into(),
+        availability_zone: "za".into(),
+        caller_address: free_address(),
+        ready_address: free_address(),
+        peer_address: free_address(),
+        metrics_address: None,
+        seeds: Vec::new(),
+        max_descriptors: 1000,
+        memory_bytes: 64 << 20,
+        bounds,
+    }
+}
+
+fn dialect() -> HeaderDialect {
+    HeaderDialect {
+        request_id: "X-Request".into(),
+        deadline_ms: "X-Left-Ms".into(),
+        account: "X-Account".into(),
+        target: "X-Wanted-Target".into(),
+        not_run: "X-Not-Run".into(),
+        token_usage: "X-Tokens".into(),
+        resume_after: "X-Resume-After".into(),
+        key_scheme: "Token".into(),
+        reserved: vec![
+            "X-Account".into(),
+            "X-Wanted-Target".into(),
+            "X-Memory".into(),
+        ],
+    }
+}
+
+fn route_of(prefix: &str, kind: CallKind) -> ServiceRoute {
+    ServiceRoute {
+        name: prefix.into(),
+        host: "api.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Some(Duration::from_secs(3)),
+        objective: Duration::from_millis(100),
+        pause_objective: None,
+        patience: None,
+        tier: 0,
+        max_attempts: 2,
+        public: false,
+        shares: vec![PoolShare {
+            pool: "p".into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn catalog_of(version: u64, keys: &[&str]) -> CatalogParts {
+    CatalogParts {
+        version,
+        routes: vec![
+            route_of("/once/", CallKind::NonIdempotent),
+            route_of("/again/", CallKind::Idempotent),
+            route_of("/stream/", CallKind::Stream),
+            route_of("/resume/", CallKind::ResumableStream),
+        ],
+        pools: vec![TargetPool {
+            name: "p".into(),
+            engine: false,
+            max_connections: None,
+        }],
+        accounts: vec![ClientAccount {
+            name: "acme".into(),
+            keys: keys.iter().map(ToString::to_string).collect(),
+            tier: None,
+            allowance: None,
+            plain_tokens: 1,
+            counts_tokens: false,
+        }],
+        limits: CallerLimits {
+            head_bytes: 2000,
+            body_bytes: 10_000,
+            head_timeout: Duration::from_millis(500),
+            idle_timeout: Duration::from_secs(5),
+        },
+    }
+}
+
+fn record_of(index: usize, target: &RawTarget, revision: u64) -> TargetRecord {
+    TargetRecord {
+        name: format!("t{index}"),
+        pool: "p".into(),
+        address: target.address,
+        availability_zone: "za".into(),
+        slots: 4,
+        phase: TargetPhase::Ready,
+        born_ms: 0,
+        revision,
+    }
+}
--- a/src/edge/tests.rs
+++ b/src/edge/tests/leaving.rs
@@ -1,9 +1,9 @@
-//! Tests of the host's own parts.
+//! Leaving, and whole events.
 
 use std::time::Duration;
 
-use super::event_splitter::EventSplitter;
-use super::leave_controller::LeaveStep;
+use super::super::event_splitter::EventSplitter;
+use super::super::leave_controller::LeaveStep;
 
 const LONGEST: Duration = Duration::from_millis(7600);
 
--- /dev/null
+++ b/src/edge/tests/mod.rs
@@ -0,0 +1,8 @@
+//! A host between raw callers and raw targets, with a store that tests write.
+
+mod answers;
+mod callers;
+mod edge_fixture;
+mod keys;
+mod leaving;
+mod raw_target;
--- a/src/members/host_news.rs
+++ b/src/members/host_news.rs
@@ -10,6 +10,7 @@
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
 use crate::ids::StoreRevision;
+use crate::ids::ZoneName;
 use crate::spending::AccountSpending;
 use crate::suspects::SuspectEntry;
 
@@ -18,6 +19,8 @@
 pub struct MemberNote {
     /// The host.
     pub host: HostName,
+    /// Its availability zone.
+    pub availability_zone: ZoneName,
     /// Where it takes its peers' calls.
     pub address: SocketAddr,
     /// Its present life.
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -6,6 +6,7 @@
 use super::MemberNote;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
+use crate::ids::ZoneName;
 use crate::sorted::SortedMap;
 
 /// How long a host may be unheard of, by anybody, before it counts as dead.
@@ -28,6 +29,7 @@
 
 #[derive(Debug)]
 struct MemberRow {
+    availability_zone: ZoneName,
     address: SocketAddr,
     incarnation: IncarnationId,
     heard: Duration,
@@ -66,6 +68,7 @@
             return;
         }
         let row = MemberRow {
+            availability_zone: note.availability_zone.clone(),
             address: note.address,
             incarnation: note.incarnation,
             heard,
@@ -106,6 +109,7 @@
             .filter(|(_, row)| now.saturating_sub(row.heard) < DEATH_BOUND);
         told.map(|(host, row)| MemberNote {
             host: host.clone(),
+            availability_zone: row.availability_zone.clone(),
             address: row.address,
             incarnation: row.incarnation,
             age_ms: now.saturating_sub(row.heard).as_millis() as u32,
@@ -137,6 +141,20 @@
             .collect()
     }
 
+    /// Returns the hosts that serve now by zone and name, in the order that all hosts
+    /// agree on.
+    pub fn live_order(&self, now: Duration) -> Vec<(ZoneName, HostName)> {
+        let live = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.state(now) == MemberState::Live);
+        let mut order: Vec<(ZoneName, HostName)> = live
+            .map(|(host, row)| (row.availability_zone.clone(), host.clone()))
+            .collect();
+        order.sort();
+        order
+    }
+
     /// Returns how many hosts there may be, this one included. Dead ones count:
     /// they may serve callers behind a cut.
     pub fn size(&self) -> usize {
--- a/src/spending/allowance_ledger.rs
+++ b/src/spending/allowance_ledger.rs
@@ -14,9 +14,9 @@
 use crate::ids::IncarnationId;
 use crate::sorted::SortedMap;
 
-/// How long a peer may be silent before its spending is estimated. Peers tell
-/// theirs several times a second.
-const SILENCE_BOUND: Duration = Duration::from_millis(1000);
+/// How long a peer may be silent before its spending is estimated. In the largest
+/// fleets a host hears from every other one about once a second.
+const SILENCE_BOUND: Duration = Duration::from_millis(2000);
 /// How long the spending of a silent peer is estimated. A host that is gone for
 /// longer has been replaced, or serves nobody.
 const SILENCE_MEMORY: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/tests/dispatch_decisions.rs
@@ -0,0 +1,302 @@
+//! Which target runs a request and who waits, in virtual time and without a network.
+
+use std::time::Duration;
+
+use cardamomgw::dispatch::DispatchBoard;
+use cardamomgw::dispatch::DispatchWish;
+use cardamomgw::dispatch::HomeRange;
+use cardamomgw::dispatch::PlacedTarget;
+use cardamomgw::dispatch::PoolMember;
+use cardamomgw::dispatch::TargetLoad;
+use cardamomgw::dispatch::UrgencyRank;
+use cardamomgw::dispatch::WorkEnd;
+use cardamomgw::feed::TargetPhase;
+use cardamomgw::feed::TargetRecord;
+
+const POOL: &str = "engines";
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A moment that lies behind the clock's zero.
+fn start() -> Duration {
+    Duration::from_secs(100)
+}
+
+fn engine(name: &str, slots: u32) -> PoolMember {
+    PoolMember {
+        record: TargetRecord {
+            name: name.into(),
+            pool: POOL.into(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            availability_zone: "za".into(),
+            slots,
+            phase: TargetPhase::Ready,
+            born_ms: 0,
+            revision: 1,
+        },
+        engine: true,
+    }
+}
+
+fn board_of(members: Vec<PoolMember>) -> DispatchBoard {
+    let mut board = DispatchBoard::new("za".into());
+    board.set_targets(members);
+    board
+}
+
+/// A request that came now, of a tier, with an objective of 400 ms.
+fn wish_of(tier: u8, prompt_tokens: u64, now: Duration) -> DispatchWish {
+    DispatchWish {
+        pool: POOL.into(),
+        rank: UrgencyRank {
+            account: 1,
+            route: tier,
+        },
+        objective_at: now + millis(400),
+        prompt_tokens,
+        tried: Vec::new(),
+    }
+}
+
+/// Takes every slot of the board's targets and returns what took them.
+fn fill(board: &mut DispatchBoard, now: Duration) -> Vec<PlacedTarget> {
+    let wish = wish_of(2, 0, now);
+    std::iter::from_fn(|| board.place(&wish, now, 0.5)).collect()
+}
+
+/// Shows the board that a target sends an event each `pause` milliseconds.
+fn show_pause(board: &mut DispatchBoard, target: &str, pause: u64, now: Duration) {
+    for _ in 0..30 {
+        board.note_pause(POOL, target, millis(pause), now);
+    }
+}
+
+/// A burst fills all slots. A briefing came behind ten weather checks; a crew's
+/// dispatcher waited behind them, since the line stood in order of arrival.
+#[test]
+fn the_urgent_go_first_and_the_late_last() {
+    let now = start();
+    let mut board = board_of(vec![engine("t1", 2)]);
+    let running = fill(&mut board, now);
+    board.wait(1, wish_of(2, 0, now), now);
+    board.wait(2, wish_of(0, 0, now), now);
+    board.wait(3, wish_of(0, 0, now - millis(500)), now);
+
+    board.note_end(POOL, &running[0], WorkEnd::Served, now);
+    let first = board.assign(now, || 0.5);
+    board.note_end(POOL, &running[1], WorkEnd::Served, now);
+    let second = board.assign(now, || 0.5);
+
+    assert_eq!(
+        first.iter().map(|(number, _)| *number).collect::<Vec<_>>(),
+        [2]
+    );
+    assert_eq!(
+        second.iter().map(|(number, _)| *number).collect::<Vec<_>>(),
+        [1]
+    );
+}
+
+/// In a burst everything that waits turns late. Served in order of lateness, nobody
+/// would be in time again until the burst is long over.
+#[test]
+fn what_turned_late_makes_way_for_what_can_be_in_time() {
+    let now = start();
+    let mut board = board_of(vec![engine("t1", 1)]);
+    let running = fill(&mut board, now);
+    board.wait(1, wish_of(0, 0, now), now);
+    let later = now + millis(600);
+    board.wait(2, wish_of(2, 0, later), later);
+
+    board.note_end(POOL, &running[0], WorkEnd::Served, later);
+    let assigned = board.assign(later, || 0.5);
+
+    assert_eq!(assigned[0].0, 2);
+}
+
+/// Late work took each slot that came free, and the next urgent request waited for
+/// one although the fleet was far from full of work that mattered.
+#[test]
+fn late_work_leaves_a_reserve() {
+    let now = start();
+    let members = (0..4)
+        .map(|index| engine(&format!("t{index}"), 10))
+        .collect();
+    let mut board = board_of(members);
+    let running = fill(&mut board, now);
+    for number in 0..20 {
+        board.wait(number, wish_of(0, 0, now - millis(900)), now);
+    }
+
+    for placed in &running[..8] {
+        board.note_end(POOL, placed, WorkEnd::Served, now);
+    }
+    let assigned = board.assign(now, || 0.5);
+
+    assert_eq!(assigned.len(), 6, "8 slots are free, 2 of 40 stay so");
+}
+
+/// A briefing with a very long prompt went to an engine of a quarter of the pace and
+/// had its first event after two seconds.
+#[test]
+fn a_long_prompt_avoids_slow_engines() {
+    let now = start();
+    let mut board = board_of(vec![engine("fast", 12), engine("slow", 12)]);
+    show_pause(&mut board, "fast", 25, now);
+    show_pause(&mut board, "slow", 110, now);
+
+    for index in 0..10 {
+        let spread = f64::from(index) / 10.0;
+        let placed = board.place(&wish_of(0, 20_000, now), now, spread).unwrap();
+        assert_eq!(placed.name, "fast");
+        board.note_end(POOL, &placed, WorkEnd::Served, now);
+    }
+}
+
+/// When only the slow engine has room and would be late, the request waits for a
+/// fast one; once it is late anyway it takes what there is.
+#[test]
+fn a_request_waits_for_an_engine_that_can_be_in_time() {
+    let now = start();
+    let mut board = board_of(vec![engine("fast", 1), engine("slow", 1)]);
+    show_pause(&mut board, "fast", 25, now);
+    show_pause(&mut board, "slow", 110, now);
+    let taken = board.place(&wish_of(0, 8_000, now), now, 0.5);
+    assert_eq!(taken.map(|placed| placed.name).as_deref(), Some("fast"));
+
+    let hopeful = board.place(&wish_of(0, 8_000, now), now, 0.5);
+    let late = board.place(&wish_of(0, 8_000, now - millis(900)), now, 0.5);
+
+    assert_eq!(hopeful, None);
+    assert_eq!(late.map(|placed| placed.name).as_deref(), Some("slow"));
+}
+
+/// An engine crashed without a word. Until its registration lapsed, seconds later,
+/// each request that was sent there was lost.
+#[test]
+fn a_silent_engine_gets_nothing_more() {
+    let now = start();
+    let mut board = board_of(vec![engine("dead", 12), engine("live", 12)]);
+    while board.own_loads().len() < 2 {
+        board.place(&wish_of(0, 0, now), now, 0.999);
+        board.place(&wish_of(0, 0, now), now, 0.0);
+    }
+    let later = now + millis(900);
+    board.note_heard(POOL, "live", later);
+
+    let chosen: Vec<PlacedTarget> = (0..8)
+        .filter_map(|index| board.place(&wish_of(0, 0, later), later, f64::from(index) / 8.0))
+        .collect();
+
+    assert!(!chosen.is_empty());
+    assert!(chosen.iter().all(|placed| placed.name == "live"));
+}
+
+/// The only engine was slow to answer for a moment, and all its callers were refused.
+#[test]
+fn the_only_engine_is_taken_even_if_it_seems_unfit() {
+    let now = start();
+    let mut board = board_of(vec![engine("t1", 4)]);
+    let placed = board.place(&wish_of(0, 0, now), now, 0.5).unwrap();
+    board.note_end(POOL, &placed, WorkEnd::Unreachable, now);
+
+    let again = board.place(&wish_of(0, 0, now), now, 0.5);
+
+    assert!(again.is_some());
+}
+
+/// Eight hosts see the same free slots at the same moment. Each taking the best
+/// target would send all of them to one.
+#[test]
+fn hosts_with_the_same_view_spread_their_work() {
+    let now = start();
+    let mut counts = [0; 4];
+    for host in 0..80 {
+        let members = (0..4)
+            .map(|index| engine(&format!("t{index}"), 12))
+            .collect();
+        let mut board = board_of(members);
+        let placed = board.place(&wish_of(0, 0, now), now, f64::from(host) / 80.0);
+        let name = placed.unwrap().name;
+        counts[usize::from(name.as_bytes()[1] - b'0')] += 1;
+    }
+
+    assert!(counts.iter().all(|count| *count >= 15), "{counts:?}");
+}
+
+/// A peer fills an engine. A host that counted only its own work there sent more, and
+/// it waited in the engine's queue behind the peer's.
+#[test]
+fn slots_that_peers_hold_are_not_free() {
+    let now = start();
+    let mut board = board_of(vec![engine("t1", 12)]);
+    let load = TargetLoad {
+        target: "t1".into(),
+        running: 12,
+        unread_tokens: 0,
+    };
+    board.take_peer_loads("e2".into(), vec![load], now);
+
+    let full = board.place(&wish_of(0, 0, now), now, 0.5);
+    let later = now + Duration::from_secs(3);
+    board.take_peer_loads("e3".into(), Vec::new(), later);
+    let free = board.place(&wish_of(0, 0, later), later, 0.5);
+
+    assert_eq!(full, None);
+    assert!(free.is_some(), "a host that is silent for 3 s is dead");
+}
+
+/// A burst ten times as large as what the engines begin. The last in the line waited
+/// for two seconds, and their callers left without an answer.
+#[test]
+fn a_hopeless_wait_is_known_at_once() {
+    let now = start();
+    let mut board = board_of(vec![engine("t1", 12)]);
+    fill(&mut board, now);
+    for number in 0..60 {
+        board.wait(number, wish_of(0, 0, now), now);
+    }
+
+    let low = board.expected_wait(&wish_of(2, 0, now), now);
+    let top = board.expected_wait(&wish_of(0, 0, now - millis(10)), now);
+
+    assert!(low > Duration::from_secs(4), "{low:?}");
+    assert!(top < low);
+}
+
+/// In a fleet of 58 hosts before 90 engines each host's word is old before the last
+/// of the others hears it. Work stays at ten engines opposite the host while these
+/// have room, and goes elsewhere when they are full.
+#[test]
+fn a_host_of_a_large_fleet_uses_its_home_targets_first() {
+    let now = start();
+    let members: Vec<PoolMember> = (0..90)
+        .map(|index| engine(&format!("t{index:02}"), 1))
+        .collect();
+    let mut board = board_of(members);
+    board.set_range(HomeRange { rank: 0, hosts: 58 });
+
+    let placed: Vec<String> = (0..30)
+        .filter_map(|index| board.place(&wish_of(0, 0, now), now, f64::from(index) / 30.0))
+        .map(|placed| placed.name)
+        .collect();
+
+    let is_home = |name: &String| {
+        let index: usize = name[1..].parse().unwrap();
+        !(7..=83).contains(&index)
+    };
+    assert_eq!(placed.len(), 30, "what is full makes way for the others");
+    assert!(placed[..6].iter().filter(|name| is_home(name)).count() >= 5);
+}
+
+#[test]
+fn neighbours_are_those_that_share_home_targets() {
+    let range = HomeRange { rank: 0, hosts: 58 };
+
+    assert!(range.is_neighbour(3, 90));
+    assert!(range.is_neighbour(55, 90));
+    assert!(!range.is_neighbour(29, 90));
+    assert!(range.is_neighbour(29, 12), "few targets are everybody's");
+}
