--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -16,6 +16,7 @@
 use super::request_run::RequestRun;
 use super::request_run::RunEnd;
 use super::route_filter::RoutedRequest;
+use super::route_filter::UnroutedRequest;
 use super::route_filter::route_request;
 use super::spend_filter::spend_allowance;
 use crate::clock::boot_now;
@@ -117,36 +118,34 @@
 fn enter_request(
     state: &Arc<EdgeState>,
     request: CallerRequest,
-) -> Result<RoutedRequest, EntryRefusal> {
-    let early = |message, refusal| EntryRefusal {
-        message,
-        refusal,
-        account: None,
-        cost: None,
+) -> Result<RoutedRequest, Box<EntryRefusal>> {
+    let refuse = |message, refusal, account, cost| {
+        Box::new(EntryRefusal {
+            message,
+            refusal,
+            account,
+            cost,
+        })
     };
     if !state.takes_requests() {
         let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_DELAY);
-        return Err(early(request.message, refusal));
+        return Err(refuse(request.message, refusal, None, None));
     }
-    let routed = route_request(state, request)
-        .map_err(|(request, refusal)| early(request.message, refusal))?;
+    let routed = route_request(state, request).map_err(|unrouted| {
+        let UnroutedRequest { request, refusal } = *unrouted;
+        refuse(request.message, refusal, None, None)
+    })?;
     let account = routed.account.as_ref().map(|account| account.name.clone());
     if state.suspects.ledger().is_refused(routed.fingerprint) {
-        return Err(EntryRefusal {
-            message: routed.request.message,
-            refusal: ErrorKind::SuspectRequest.into(),
-            account,
-            cost: None,
-        });
+        let refusal = ErrorKind::SuspectRequest.into();
+        return Err(refuse(routed.request.message, refusal, account, None));
     }
     match spend_allowance(state, &routed) {
         Ok(()) => Ok(routed),
-        Err((refusal, cost)) => Err(EntryRefusal {
-            message: routed.request.message,
-            refusal,
-            account,
-            cost: Some(cost),
-        }),
+        Err((refusal, cost)) => {
+            let message = routed.request.message;
+            Err(refuse(message, refusal, account, Some(cost)))
+        }
     }
 }
 
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -64,16 +64,27 @@
     pub(crate) fingerprint: RequestFingerprint,
 }
 
-/// Finds a request's route and account, or says why it is refused.
+/// A request that was given back with the reason.
+#[derive(Debug)]
+pub(crate) struct UnroutedRequest {
+    /// The request.
+    pub(crate) request: CallerRequest,
+    /// Why it is refused.
+    pub(crate) refusal: EdgeRefusal,
+}
+
+/// Finds a request's route and account.
+///
+/// # Errors
+///
+/// The request, and why it is refused.
 pub(crate) fn route_request(
     state: &EdgeState,
     mut request: CallerRequest,
-) -> Result<RoutedRequest, (CallerRequest, EdgeRefusal)> {
+) -> Result<RoutedRequest, Box<UnroutedRequest>> {
     let Some(catalog) = state.feed.catalog() else {
-        return Err((
-            request,
-            EdgeRefusal::after(ErrorKind::NotReady, OTHER_HOST_DELAY),
-        ));
+        let refusal = EdgeRefusal::after(ErrorKind::NotReady, OTHER_HOST_DELAY);
+        return Err(Box::new(UnroutedRequest { request, refusal }));
     };
     let found = find_route(state, &catalog, &request).and_then(|route| {
         let account = find_account(state, &catalog, route, &request)?;
@@ -82,7 +93,7 @@
     });
     let (route, account, id) = match found {
         Ok(found) => found,
-        Err(refusal) => return Err((request, refusal)),
+        Err(refusal) => return Err(Box::new(UnroutedRequest { request, refusal })),
     };
     let deadline = request.arrived + time_limit(state, route, &request);
     let usage = token_usage(state, &request);
--- a/tests/config_docs.rs
+++ b/tests/config_docs.rs
@@ -10,13 +10,13 @@
 use cardamomgw::metrics::RequestMetrics;
 use cardamomgw::selector::LabelSelector;
 
-const OPERATING: &str = include_str!("../docs/OPERATING.md");
+const OPERATIONS: &str = include_str!("../docs/OPERATIONS.md");
 
 #[test]
 fn the_page_has_one_row_for_each_kind_as_the_table_has_it() {
     for row in ANSWER_TABLE {
         let expected = format!("| `{}` | {} | `{}` |", row.kind, row.status, row.outcome);
-        assert_eq!(OPERATING.matches(&expected).count(), 1, "{expected}");
+        assert_eq!(OPERATIONS.matches(&expected).count(), 1, "{expected}");
     }
 }
 
@@ -28,7 +28,7 @@
         .filter_map(|line| line.strip_prefix("# TYPE "))
         .filter_map(|line| line.split(' ').next())
         .collect();
-    let mut named: Vec<&str> = OPERATING
+    let mut named: Vec<&str> = OPERATIONS
         .lines()
         .filter_map(|line| line.strip_prefix("| `cardamomgw_"))
         .filter_map(|line| line.split('`').next())
@@ -46,7 +46,7 @@
 
 #[test]
 fn the_conditions_on_the_page_are_well_formed() {
-    let (_, section) = OPERATING.split_once("| Condition |").unwrap();
+    let (_, section) = OPERATIONS.split_once("| Condition |").unwrap();
     let (table, _) = section.split_once("\n\n").unwrap();
     let conditions: Vec<&str> = table
         .lines()
--- a/tests/peers_mesh.rs
+++ b/tests/peers_mesh.rs
@@ -59,7 +59,10 @@
                 };
                 replies.finish(PeerReply::Document(Some(copy))).await.ok();
             }
-            PeerCall::Claim(_) | PeerCall::DigestDelta(_) => {}
+            PeerCall::Claim(_)
+            | PeerCall::DigestDelta(_)
+            | PeerCall::FleetView { .. }
+            | PeerCall::News(_) => {}
             PeerCall::Join { .. } => {
                 replies.closed().await;
                 self.given_up.fetch_add(1, Ordering::SeqCst);
