--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -61,7 +61,7 @@
     let routed = match enter_request(state, request) {
         Ok(routed) => routed,
         Err(entry) => {
-            let told = Refused {
+            let told = RefusalReport {
                 message: Some(&entry.message),
                 refusal: entry.refusal,
                 sends: 0,
@@ -83,7 +83,7 @@
             true
         }
         RunEnd::Refused(refusal) => {
-            let told = Refused {
+            let told = RefusalReport {
                 message: Some(&routed.request.message),
                 refusal,
                 sends,
@@ -150,7 +150,7 @@
 }
 
 /// A request that the host answers itself.
-struct Refused<'r> {
+struct RefusalReport<'r> {
     message: Option<&'r RequestMessage>,
     refusal: EdgeRefusal,
     sends: u32,
@@ -160,7 +160,7 @@
     cost: Option<f64>,
 }
 
-async fn refuse(state: &EdgeState, caller: &mut CallerLink, told: Refused<'_>) -> bool {
+async fn refuse(state: &EdgeState, caller: &mut CallerLink, told: RefusalReport<'_>) -> bool {
     let name = &state.dialect.request_id;
     let id = told.message.and_then(|message| message.headers.text(name));
     let refusal = told.refusal;
@@ -188,7 +188,7 @@
 async fn refuse_bad(state: &EdgeState, caller: &mut CallerLink, bad: BadRequest) {
     // What follows can't be told from the rest of this request.
     caller.reusable = false;
-    let told = Refused {
+    let told = RefusalReport {
         message: bad.message.as_ref(),
         refusal: bad.kind.into(),
         sends: 0,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -26,6 +26,8 @@
 mod operator_pages;
 mod request_run;
 mod route_filter;
+mod run_report;
+mod send_end;
 mod settings_controller;
 mod spend_filter;
 mod target_call;
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -20,6 +20,7 @@
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
 use super::route_filter::RoutedRequest;
+use super::send_end::SendEnd;
 use super::target_call::CallIdentity;
 use super::target_call::TargetCall;
 use super::target_links::TargetLink;
@@ -31,7 +32,6 @@
 use crate::dispatch::WorkEnd;
 use crate::errors::ErrorKind;
 use crate::ids::TargetName;
-use crate::logs::DecisionLine;
 use crate::wire::AnswerMessage;
 
 /// How many targets that can't be reached are passed over for one request.
@@ -68,29 +68,13 @@
     Closed,
 }
 
-/// How one send ended.
-enum SendEnd {
-    /// The caller has its answer.
-    Done { status: u16 },
-    /// The caller has left; what runs is given up, or goes on by itself.
-    CallerGone,
-    /// The request's time is over.
-    TimeOver,
-    /// The target refused it and did not run it.
-    NotRun(String),
-    /// No whole answer came; the target may have run it.
-    Lost(String),
-    /// The target's own failure, whole; another target may do better.
-    Failure { head: AnswerMessage, body: Vec<u8> },
-}
-
 /// One request on its way.
 pub(crate) struct RequestRun<'a> {
-    state: &'a Arc<EdgeState>,
+    pub(super) state: &'a Arc<EdgeState>,
     caller: &'a mut CallerLink,
-    routed: &'a RoutedRequest,
-    progress: StreamProgress,
-    sends: u32,
+    pub(super) routed: &'a RoutedRequest,
+    pub(super) progress: StreamProgress,
+    pub(super) sends: u32,
     tried: Vec<TargetName>,
     /// Whether a target may have run it.
     may_have_run: bool,
@@ -487,71 +471,4 @@
         bytes.extend_from_slice(body);
         bytes
     }
-
-    fn write_sent(&self, target: &TargetName) {
-        let state = self.state;
-        let waited = boot_now().saturating_sub(self.routed.request.arrived);
-        count(&state.metrics.sends);
-        if self.sends > 1 {
-            count(&state.metrics.repeats);
-        }
-        state.metrics.queue.note(waited);
-        state.log.write(&DecisionLine::RequestSent {
-            request: self.routed.id.clone(),
-            route: self.routed.route.clone(),
-            account: self
-                .routed
-                .account
-                .as_ref()
-                .map(|account| account.name.clone()),
-            pool: self.routed.pool.clone(),
-            target: target.clone(),
-            attempt: self.sends,
-            waited_ms: waited.as_millis() as u64,
-            catalog: self.routed.catalog.version(),
-        });
-    }
-
-    fn write_failure(&self, target: &TargetName, cause: &str, again: bool) {
-        self.state.log.write(&DecisionLine::SendFailed {
-            request: self.routed.id.clone(),
-            target: target.clone(),
-            attempt: self.sends,
-            cause: cause.to_owned(),
-            again,
-        });
-    }
-
-    fn write_answered(&self, target: &TargetName, status: u16) {
-        let state = self.state;
-        let total = boot_now().saturating_sub(self.routed.request.arrived);
-        let first = self.progress.first_at().map_or(total, |first| {
-            first.saturating_sub(self.routed.request.arrived)
-        });
-        count(&state.metrics.answered);
-        state.metrics.first_byte.note(first);
-        state.suspects.note_success(self.routed.fingerprint);
-        state.log.write(&DecisionLine::RequestAnswered {
-            request: self.routed.id.clone(),
-            target: target.clone(),
-            status,
-            attempts: self.sends,
-            first_ms: first.as_millis() as u64,
-            total_ms: total.as_millis() as u64,
-        });
-    }
-}
-
-impl SendEnd {
-    /// Returns what the end tells of the target.
-    fn work_end(&self) -> WorkEnd {
-        match self {
-            Self::Done { status } if *status >= 500 => WorkEnd::Failed,
-            Self::Done { .. } => WorkEnd::Served,
-            Self::CallerGone | Self::TimeOver => WorkEnd::GivenUp,
-            Self::NotRun(_) => WorkEnd::Rejected,
-            Self::Lost(cause) if cause == SILENT => WorkEnd::Silent,
-            Self::Lost(_) | Self::Failure { .. } => WorkEnd::Failed,
-        }
-    }
 }
--- /dev/null
+++ b/src/edge/run_report.rs
@@ -0,0 +1,65 @@
+//! What is counted and written down of a request on its way.
+
+use super::edge_metrics::count;
+use super::request_run::RequestRun;
+use crate::clock::boot_now;
+use crate::ids::TargetName;
+use crate::logs::DecisionLine;
+
+impl RequestRun<'_> {
+    /// Counts and writes down a send.
+    pub(super) fn write_sent(&self, target: &TargetName) {
+        let state = self.state;
+        let waited = boot_now().saturating_sub(self.routed.request.arrived);
+        count(&state.metrics.sends);
+        if self.sends > 1 {
+            count(&state.metrics.repeats);
+        }
+        state.metrics.queue.note(waited);
+        state.log.write(&DecisionLine::RequestSent {
+            request: self.routed.id.clone(),
+            route: self.routed.route.clone(),
+            account: self
+                .routed
+                .account
+                .as_ref()
+                .map(|account| account.name.clone()),
+            pool: self.routed.pool.clone(),
+            target: target.clone(),
+            attempt: self.sends,
+            waited_ms: waited.as_millis() as u64,
+            catalog: self.routed.catalog.version(),
+        });
+    }
+
+    /// Writes down a send that brought no whole answer.
+    pub(super) fn write_failure(&self, target: &TargetName, cause: &str, again: bool) {
+        self.state.log.write(&DecisionLine::SendFailed {
+            request: self.routed.id.clone(),
+            target: target.clone(),
+            attempt: self.sends,
+            cause: cause.to_owned(),
+            again,
+        });
+    }
+
+    /// Counts and writes down an answer.
+    pub(super) fn write_answered(&self, target: &TargetName, status: u16) {
+        let state = self.state;
+        let total = boot_now().saturating_sub(self.routed.request.arrived);
+        let first = self.progress.first_at().map_or(total, |first| {
+            first.saturating_sub(self.routed.request.arrived)
+        });
+        count(&state.metrics.answered);
+        state.metrics.first_byte.note(first);
+        state.suspects.note_success(self.routed.fingerprint);
+        state.log.write(&DecisionLine::RequestAnswered {
+            request: self.routed.id.clone(),
+            target: target.clone(),
+            status,
+            attempts: self.sends,
+            first_ms: first.as_millis() as u64,
+            total_ms: total.as_millis() as u64,
+        });
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) use caller_connection::CallerRequest;
 pub(crate) use connection_listener::ConnectionListener;
 pub(crate) use message_framing::MessageFraming;
+pub(crate) use request_head::HOP_FIELDS;
 pub use request_head::HeaderMap;
 pub use request_head::RequestHead;
 pub(crate) use target_exchange::ExchangeError;
--- a/src/wire/message_headers.rs
+++ b/src/wire/message_headers.rs
@@ -1,5 +1,7 @@
 //! The header lines of a message, values as the bytes that were sent.
 
+use crate::http::HOP_FIELDS;
+
 /// The header lines of a message, in the order in which they were sent.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct MessageHeaders {
@@ -71,7 +73,9 @@
             .map(|word| word.trim().to_ascii_lowercase())
             .collect();
         self.retain(|name| {
-            !HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+            // The target picks its site by the host.
+            let hop = name.to_ascii_lowercase();
+            (hop == "host" || !HOP_FIELDS.contains(&hop.as_str()))
                 && !named.iter().any(|word| name.eq_ignore_ascii_case(word))
         });
     }
@@ -86,17 +90,3 @@
         }
     }
 }
-
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
--- /dev/null
+++ b/tests/feed_view.rs
@@ -0,0 +1,152 @@
+//! The host's view of routes and targets, from the store and from peers.
+
+use std::time::Duration;
+
+use cardamomgw::catalog::CallerLimits;
+use cardamomgw::catalog::CatalogParts;
+use cardamomgw::feed::FeedUpdate;
+use cardamomgw::feed::SharedFeed;
+use cardamomgw::feed::TargetPhase;
+use cardamomgw::feed::TargetRecord;
+use cardamomgw::feed::TargetRemoval;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn target(name: &str, revision: u64) -> TargetRecord {
+    TargetRecord {
+        name: name.into(),
+        pool: "p".into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        availability_zone: "za".into(),
+        slots: 4,
+        phase: TargetPhase::Ready,
+        born_ms: 0,
+        revision,
+    }
+}
+
+fn catalog(version: u64) -> CatalogParts {
+    CatalogParts {
+        version,
+        routes: Vec::new(),
+        pools: Vec::new(),
+        accounts: Vec::new(),
+        limits: CallerLimits::default(),
+    }
+}
+
+fn whole(revision: u64, targets: &[TargetRecord]) -> FeedUpdate {
+    FeedUpdate {
+        revision,
+        whole: true,
+        targets: targets.to_vec(),
+        ..FeedUpdate::default()
+    }
+}
+
+fn removal(name: &str, revision: u64) -> FeedUpdate {
+    FeedUpdate {
+        revision,
+        removals: vec![TargetRemoval {
+            name: name.into(),
+            revision,
+        }],
+        ..FeedUpdate::default()
+    }
+}
+
+fn with_catalog(version: u64) -> FeedUpdate {
+    FeedUpdate {
+        catalog: Some(catalog(version)),
+        ..FeedUpdate::default()
+    }
+}
+
+/// A host that was cut off tells a peer what it believes. Targets that are long gone
+/// came back with it and got requests.
+#[test]
+fn an_old_view_brings_nothing_back() {
+    let feed = SharedFeed::default();
+    let now = seconds(100);
+    feed.take_store_answer(whole(5, &[target("a", 3), target("b", 4)]), now, now);
+    feed.take_store_answer(removal("a", 9), now, now);
+
+    feed.take_peer_view(whole(5, &[target("a", 3), target("b", 4)]), now);
+
+    let names: Vec<String> = feed.targets().into_iter().map(|held| held.name).collect();
+    assert_eq!(names, ["b"]);
+}
+
+#[test]
+fn catalogs_only_rise() {
+    let feed = SharedFeed::default();
+    feed.take_peer_view(with_catalog(7), seconds(1));
+
+    let change = feed.take_peer_view(with_catalog(5), seconds(2));
+
+    assert!(change.is_empty());
+    assert_eq!(feed.catalog().unwrap().version(), 7);
+}
+
+/// The store was away for five seconds, and registrations lapsed meanwhile. They are
+/// back within two seconds; a host that believed the gap had no target for as long.
+#[test]
+fn what_lapsed_in_an_outage_may_serve_until_it_is_back() {
+    let feed = SharedFeed::default();
+    let targets = [target("back", 3), target("gone", 4)];
+    feed.take_store_answer(whole(5, &targets), seconds(100), seconds(100));
+
+    feed.take_store_answer(whole(8, &[]), seconds(105), seconds(105));
+    let during = feed.targets().len();
+    let registered = FeedUpdate {
+        revision: 9,
+        targets: vec![target("back", 9)],
+        ..FeedUpdate::default()
+    };
+    feed.take_store_answer(registered, seconds(106), seconds(106));
+    let change = feed.expire_lapses(seconds(107));
+
+    assert_eq!(during, 2);
+    assert_eq!(change.gone, ["gone"]);
+    assert_eq!(feed.targets().len(), 1);
+}
+
+/// Without an outage a removal counts at once.
+#[test]
+fn a_removal_in_calm_times_is_one() {
+    let feed = SharedFeed::default();
+    feed.take_store_answer(whole(5, &[target("a", 3)]), seconds(100), seconds(100));
+
+    let change = feed.take_store_answer(removal("a", 6), seconds(101), seconds(101));
+
+    assert_eq!(change.gone, ["a"]);
+}
+
+/// A peer vouches for a catalog that this host doesn't hold yet. To take its word
+/// would let in keys that the newer catalog took away.
+#[test]
+fn a_peers_word_counts_only_for_what_is_held() {
+    let feed = SharedFeed::default();
+    feed.take_store_answer(with_catalog(7), seconds(100), seconds(100));
+
+    feed.vouch(8, seconds(110));
+    let unheld = feed.evidence_age(seconds(111));
+    feed.vouch(7, seconds(110));
+    let held = feed.evidence_age(seconds(111));
+
+    assert_eq!(unheld, Some(seconds(11)));
+    assert_eq!(held, Some(seconds(1)));
+}
+
+/// A host was suspended for ten seconds as it waited for the store. What it believes
+/// is as old as the call's begin, not as its end.
+#[test]
+fn evidence_has_the_age_of_the_calls_begin() {
+    let feed = SharedFeed::default();
+
+    feed.take_store_answer(with_catalog(7), seconds(100), seconds(110));
+
+    assert_eq!(feed.evidence_age(seconds(110)), Some(seconds(10)));
+}
--- /dev/null
+++ b/tests/members_table.rs
@@ -0,0 +1,92 @@
+//! Which hosts there are, by word of mouth.
+
+use std::time::Duration;
+
+use cardamomgw::members::MemberNote;
+use cardamomgw::members::MemberState;
+use cardamomgw::members::MemberTable;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn note(host: &str, incarnation: u64, age_ms: u32) -> MemberNote {
+    MemberNote {
+        host: host.into(),
+        availability_zone: "za".into(),
+        address: ([127, 0, 0, 1], 7000).into(),
+        incarnation,
+        age_ms,
+        leaving: false,
+    }
+}
+
+fn state_of(table: &MemberTable, host: &str, now: Duration) -> Option<MemberState> {
+    let states = table.states(now);
+    let found = states.into_iter().find(|(name, _)| name == host);
+    found.map(|(_, state)| state)
+}
+
+#[test]
+fn a_host_that_nobody_hears_of_is_dead_and_still_called() {
+    let mut table = MemberTable::new("e1".into());
+    table.take_note(&note("e2", 1, 0), seconds(100));
+
+    assert_eq!(
+        state_of(&table, "e2", seconds(101)),
+        Some(MemberState::Live)
+    );
+    assert_eq!(
+        state_of(&table, "e2", seconds(110)),
+        Some(MemberState::Dead)
+    );
+    assert_eq!(
+        table.addresses().len(),
+        1,
+        "a cut that heals must be noticed"
+    );
+    assert!(
+        table.notes(seconds(110)).is_empty(),
+        "or all keep it alive for ever"
+    );
+}
+
+/// Two hosts tell each other of a third one that died. Each word seemed to be news
+/// of it, and it lived on for both.
+#[test]
+fn hearsay_ages_on_its_way() {
+    let mut table = MemberTable::new("e1".into());
+    table.take_note(&note("e2", 1, 0), seconds(100));
+
+    table.take_note(&note("e2", 1, 3_000), seconds(102));
+
+    assert_eq!(
+        state_of(&table, "e2", seconds(105)),
+        Some(MemberState::Dead)
+    );
+}
+
+#[test]
+fn a_new_life_replaces_the_old_one_and_the_host_itself_is_no_member() {
+    let mut table = MemberTable::new("e1".into());
+    table.take_note(&note("e2", 1, 0), seconds(100));
+    table.take_note(&note("e2", 2, 0), seconds(101));
+    table.take_note(&note("e1", 9, 0), seconds(101));
+
+    let notes = table.notes(seconds(101));
+
+    assert_eq!(notes.len(), 1);
+    assert_eq!(notes[0].incarnation, 2);
+}
+
+#[test]
+fn only_changed_addresses_are_connected_anew() {
+    let mut table = MemberTable::new("e1".into());
+    table.take_note(&note("e2", 1, 0), seconds(100));
+
+    let first = table.take_changed();
+    table.take_note(&note("e2", 1, 0), seconds(101));
+
+    assert!(first);
+    assert!(!table.take_changed());
+}
