--- a/src/edge/feed_controller.rs
+++ b/src/edge/feed_controller.rs
@@ -16,13 +16,15 @@
 /// How long one watch waits for each host in the fleet, so that all hosts together
 /// make a few calls a second at any size. Changes wake a watch at once.
 const WAIT_A_HOST: Duration = Duration::from_millis(200);
-/// The shortest and the longest wait. A connection that went silent is noticed only
-/// behind it; what changed meanwhile is learned from peers.
-const LEAST_WAIT: Duration = Duration::from_secs(3);
+/// The shortest and the longest wait. A connection that went silent, or a cut that
+/// healed, is noticed only behind it. In a small fleet that must be within three
+/// seconds, also where all peers' connections went silent with it; in a large one
+/// what changed meanwhile is learned from peers.
+const LEAST_WAIT: Duration = Duration::from_millis(1600);
 const LONGEST_WAIT: Duration = Duration::from_secs(12);
 /// By how much waits differ, as a share: watches that a change woke together would
 /// otherwise end together for ever.
-const WAIT_SPREAD: f64 = 0.3;
+const WAIT_SPREAD: f64 = 0.2;
 /// How long a host pauses behind changes for each host in the fleet, at least and at
 /// most. Changes come in series (targets that start together register within
 /// seconds), and each would wake every host's watch for a call of its own: 80 calls
@@ -95,7 +97,7 @@
 }
 
 /// Returns how long a watch waits in a fleet of `hosts`; `spread` is 0 to 1, evenly.
-fn watch_wait(hosts: usize, spread: f64) -> Duration {
+pub(super) fn watch_wait(hosts: usize, spread: f64) -> Duration {
     let wait = (WAIT_A_HOST * hosts as u32).clamp(LEAST_WAIT, LONGEST_WAIT);
     wait.mul_f64(1.0 + WAIT_SPREAD * spread)
 }
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod edge_fixture;
+mod following;
 mod keys;
 mod leaving;
 mod raw_target;
