Take registrations for lapsed only where nobody reached the store

Behind it, a target that had left without a word counted as lapsed and got requests for 1.8 s and up to 0.5 s more (store-back at 15.02 s, last request at 17.09 s, removal acknowledged at 14.87 s). Tests: nothing_lapses_while_peers_reach_the_store fails without it; the first read behind an outage may be any (an_outage_is_known_whichever_read_ends_it).

--- a/src/edge/feed_controller.rs
+++ b/src/edge/feed_controller.rs
@@ -51,7 +51,7 @@
 const FIRST_RETRY: Duration = Duration::from_millis(60);
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
 /// How often lapsed targets and idle connections are looked at.
-const TIDY_PERIOD: Duration = Duration::from_millis(500);
+const TIDY_PERIOD: Duration = Duration::from_millis(200);
 
 /// Follows the store until the process ends.
 pub(crate) async fn follow_store(state: Arc<EdgeState>, source: Arc<dyn FleetSource>) {
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -217,7 +217,7 @@
             // The peer's word was given after the call began, so its view was the
             // store's at this moment or later.
             let shown = begun.saturating_sub(Duration::from_millis(age));
-            feed.vouch(receipt.catalog, shown);
+            feed.vouch(receipt.catalog, shown, boot_now());
         }
     }
 
--- a/src/feed/shared_feed.rs
+++ b/src/feed/shared_feed.rs
@@ -45,7 +45,7 @@
         now: Duration,
     ) -> FeedChange {
         let mut state = self.lock();
-        state.outage.note_answer(begun, now);
+        self.note_sign(&mut state, begun, now);
         let change = self.apply(&mut state, update, now);
         drop(state);
         self.raise_evidence(begun);
@@ -55,6 +55,7 @@
     /// Takes in the catalog alone, which the store showed to a call begun at `begun`.
     pub fn take_catalog(&self, update: FeedUpdate, begun: Duration, now: Duration) -> FeedChange {
         let mut state = self.lock();
+        self.note_sign(&mut state, begun, now);
         let change = self.apply(&mut state, update, now);
         drop(state);
         self.raise_evidence(begun);
@@ -70,11 +71,14 @@
 
     /// Takes a peer's word that the catalog of this version was the store's at
     /// `shown`; it counts only if this host holds that catalog or a newer one.
-    pub fn vouch(&self, version: CatalogVersion, shown: Duration) {
-        let held = self.lock().feed.catalog_version() >= version;
-        if held && version > 0 {
-            self.raise_evidence(shown);
+    pub fn vouch(&self, version: CatalogVersion, shown: Duration, now: Duration) {
+        let mut state = self.lock();
+        if version == 0 || state.feed.catalog_version() < version {
+            return;
         }
+        self.note_sign(&mut state, shown, now);
+        drop(state);
+        self.raise_evidence(shown);
     }
 
     /// Lets go of lapsed targets that did not come back in time.
@@ -131,6 +135,16 @@
         change
     }
 
+    /// Notes a sign of the store before it counts as evidence: how long there was
+    /// none says whether registrations may have lapsed.
+    fn note_sign(&self, state: &mut FeedState, shown: Duration, now: Duration) {
+        let last = self.evidence_ms.load(Ordering::Acquire);
+        if last > 0 {
+            let without = shown.saturating_sub(Duration::from_millis(last));
+            state.outage.note_sign(without, now);
+        }
+    }
+
     fn raise_evidence(&self, shown: Duration) {
         // The clock's first millisecond is not worth telling from "never".
         let shown = (shown.as_millis() as u64).max(1);
--- a/tests/feed_view.rs
+++ b/tests/feed_view.rs
@@ -113,6 +113,43 @@
     assert_eq!(feed.targets().len(), 1);
 }
 
+/// The first answer behind an outage may be that of another read than the watch: it
+/// makes the view young, and the watch then took what had lapsed for gone.
+#[test]
+fn an_outage_is_known_whichever_read_ends_it() {
+    let feed = SharedFeed::default();
+    let first = FeedUpdate {
+        catalog: Some(catalog(7)),
+        ..whole(5, &[target("a", 3)])
+    };
+    feed.take_store_answer(first, seconds(100), seconds(100));
+
+    feed.take_catalog(with_catalog(7), seconds(105), seconds(105));
+    feed.take_store_answer(removal("a", 6), seconds(105), seconds(106));
+
+    assert_eq!(feed.targets().len(), 1);
+}
+
+/// A host was cut off while its peers went on reading the store. As the cut healed it
+/// took a target that had left for one that had lapsed, and sent to it for two seconds
+/// more.
+#[test]
+fn nothing_lapses_while_peers_reach_the_store() {
+    let feed = SharedFeed::default();
+    let first = FeedUpdate {
+        catalog: Some(catalog(7)),
+        ..whole(5, &[target("a", 3)])
+    };
+    feed.take_store_answer(first, seconds(100), seconds(100));
+    for second in 101..=112 {
+        feed.vouch(7, seconds(second), seconds(second));
+    }
+
+    let change = feed.take_store_answer(removal("a", 6), seconds(113), seconds(113));
+
+    assert_eq!(change.gone, ["a"]);
+}
+
 /// Without an outage a removal counts at once.
 #[test]
 fn a_removal_in_calm_times_is_one() {
@@ -131,9 +168,9 @@
     let feed = SharedFeed::default();
     feed.take_store_answer(with_catalog(7), seconds(100), seconds(100));
 
-    feed.vouch(8, seconds(110));
+    feed.vouch(8, seconds(110), seconds(110));
     let unheld = feed.evidence_age(seconds(111));
-    feed.vouch(7, seconds(110));
+    feed.vouch(7, seconds(110), seconds(110));
     let held = feed.evidence_age(seconds(111));
 
     assert_eq!(unheld, Some(seconds(11)));
