--- a/tests/policy_shares.rs
+++ b/tests/policy_shares.rs
@@ -193,6 +193,16 @@
         .budget_ms(3_000);
 }
 
+/// A walk of the test above that ended with nine slots held of eight: hosts that
+/// restart, and digests that come late and twice, leave two hosts with the same slot.
+#[test]
+fn shares_never_exceed_the_slots_when_digests_are_lost_late_or_doubled_in_a_known_walk() {
+    arbtest(play_random_steps)
+        .size_min(64)
+        .size_max(4096)
+        .seed(0xc5dd_66c6_0000_1000);
+}
+
 /// The platform's list of hosts goes back and forth: a host that never comes up
 /// is on it and off it again. Hosts hear of it at different times.
 fn play_with_changing_lists(random: &mut Unstructured<'_>) -> Result<()> {
