Shares: a late digest of a former life brings back no old division

Cause: lives of a host have no order. A digest that a host sent before it restarted and that came after the first one of its new life looked like one more restart. The live host then counted as a former life itself and was never heard again. Change: any change of a peer's life begins a turn of the own counts, so no division ever comes back and a life that ended before cannot have shown it. The list of former lives is needless with that and goes. Ruled out: more former lives remembered (the digest was the first from that life); lives ordered by start time (clocks may jump back, and the host would never be heard).

--- a/src/policy/slot_ledger.rs
+++ b/src/policy/slot_ledger.rs
@@ -31,10 +31,6 @@
 use super::TargetDemand;
 use super::share::base_share;
 
-/// How many former lives of a peer are remembered, so that a digest that
-/// arrives late from one of them is not taken for a restart.
-const FORMER_LIVES: usize = 8;
-
 /// Which part of each target's slots this host may fill.
 #[derive(Debug)]
 pub(super) struct SlotLedger {
@@ -52,7 +48,6 @@
     incarnation: IncarnationId,
     turn: u32,
     sequence: u64,
-    former: Vec<IncarnationId>,
 }
 
 /// One target's slots, as this host counts them.
@@ -159,20 +154,17 @@
             .lives
             .get_or_insert_with(from.clone(), PeerLife::default);
         let same = life.incarnation == digest.incarnation;
-        let old = same && digest.sequence <= life.sequence;
-        if old || life.former.contains(&digest.incarnation) {
+        if same && digest.sequence <= life.sequence {
             return false;
         }
+        let replaced = !same && life.incarnation != 0;
         let moved = !same || life.turn != digest.turn;
-        if !same && life.incarnation != 0 {
-            life.former.push(life.incarnation);
-            let surplus = life.former.len().saturating_sub(FORMER_LIVES);
-            life.former.drain(..surplus);
-        }
         life.incarnation = digest.incarnation;
         life.turn = digest.turn;
         life.sequence = digest.sequence;
-        if moved {
+        if replaced {
+            self.begin_turn();
+        } else if moved {
             self.begin_epochs();
         }
         let own = self.hosts.iter().position(|host| *host == self.host);
@@ -238,9 +230,16 @@
         }
     }
 
+    /// Begins epochs that were never in force before.
+    ///
+    /// Coming back to an earlier list of hosts must not bring back its epoch:
+    /// peers may still count what was given then. The same goes for a peer's
+    /// life. Lives have no order, so a digest that comes late from a former one
+    /// looks like a restart; had that life once shown the epoch, this host would
+    /// fill its whole base share beside the slots that it lent since. A life that
+    /// ended before the new turn cannot have shown an epoch of that turn, so
+    /// this host waits until the life that runs now has heard of it.
     fn begin_turn(&mut self) {
-        // Coming back to an earlier list of hosts must not bring back its
-        // epoch: peers may still count what was given then.
         self.turn += 1;
         self.begin_epochs();
     }
--- a/tests/policy_shares.rs
+++ b/tests/policy_shares.rs
@@ -242,6 +242,43 @@
     arbtest(play_random_steps).seed(0x491e_fed4_0000_1000);
 }
 
+/// A target ran nine requests on eight slots. A host restarted while its last
+/// digest was still under way; its peer lent the new life two slots, then took
+/// the late digest for one more restart. The former life had shown the division
+/// in force, so the peer filled its base share again, beside what it had lent.
+#[test]
+fn a_late_digest_of_a_former_life_does_not_bring_back_its_division() {
+    let mut group = HostGroup::new(2, 8);
+    group.send(1);
+    group.deliver(0, 0);
+    group.send(0);
+    let late = group.sent.len() - 1;
+    group.restart(0);
+    for _ in 0..3 {
+        group.exchange_all();
+    }
+    for _ in 0..6 {
+        group.arrive(0);
+    }
+    for _ in 0..2 {
+        group.exchange_all();
+    }
+    assert_eq!(group.policies[0].held_slots(ENGINE), 6);
+
+    group.deliver(late, 1);
+    group.send(1);
+
+    group.check();
+    // The peer must come back to the life that runs now.
+    for _ in 0..2 {
+        group.end(0);
+    }
+    for _ in 0..3 {
+        group.exchange_all();
+    }
+    assert_eq!(group.held(), 8);
+}
+
 #[test]
 fn hosts_that_hear_each_other_hold_all_slots() {
     let mut group = HostGroup::new(3, 16);
