Edge: histograms by tier, class and account; trace; lines for beliefs

The edge counted latencies for all requests together, in an instrument of its own. It now records into the same instruments as serve: queue, first event, pause between events and whole time by tier, route and account, answers by outcome, errors by kind and tier. New lines say which hosts joined, leave or are dead, and which targets are passed over; cardamomgw trace prints a request's lines with the beliefs in force. Tests: a stream's histograms and a refusal's counters through a running host; the story of a request from a log.

One test failed once on the way (bytes_that_are_no_answer..., then others): the fixture looked for free ports beforehand, and another test took one.

--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -67,6 +67,15 @@
             optional --json
         }
 
+        /// Print what a host's log tells of one request: its lines in order, and
+        /// indented what the host believed meanwhile.
+        cmd trace {
+            /// The log: one JSON object a line.
+            required file: PathBuf
+            /// The request's id.
+            required request: String
+        }
+
         /// Print the default settings, with comments.
         cmd settings {}
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,5 +13,6 @@
 mod settings_command;
 mod status_command;
 mod status_table;
+mod trace_command;
 
 pub use run_command::run;
--- a/src/cli/run_command.rs
+++ b/src/cli/run_command.rs
@@ -18,6 +18,7 @@
 use super::serve_command::serve;
 use super::settings_command::print_settings;
 use super::status_command::print_status;
+use super::trace_command::trace;
 
 /// Runs the command that the process's arguments (without the program's name) say.
 ///
@@ -69,6 +70,7 @@
         CardamomgwCmd::Explain(flags) => explain(&flags, output),
         CardamomgwCmd::Status(flags) => print_status(&flags, output),
         CardamomgwCmd::Replay(flags) => replay(&flags, output),
+        CardamomgwCmd::Trace(flags) => trace(&flags, output),
         CardamomgwCmd::Settings(_) => print_settings(output),
         CardamomgwCmd::Help(_) => {
             writeln!(output, "{}", help_text())?;
--- a/src/dispatch/dispatch_board.rs
+++ b/src/dispatch/dispatch_board.rs
@@ -250,6 +250,16 @@
         }
     }
 
+    /// Returns the targets that are held for lost, sorted.
+    pub fn suspected(&self, now: Duration) -> Vec<TargetName> {
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let suspected = targets.filter(|target| target.is_suspected(now));
+        let mut names: Vec<TargetName> =
+            suspected.map(|target| target.record.name.clone()).collect();
+        names.sort();
+        names
+    }
+
     /// Returns what this host runs at each target, for its peers.
     pub fn own_loads(&self) -> Vec<TargetLoad> {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
--- a/src/dispatch/target_board.rs
+++ b/src/dispatch/target_board.rs
@@ -80,6 +80,13 @@
         now >= self.rest_until && !self.is_silent(now)
     }
 
+    /// Tells whether the target is held for lost: it could not be reached, or says
+    /// nothing. A target that is only full is not.
+    pub(super) fn is_suspected(&self, now: Duration) -> bool {
+        let unreached = now < self.rest_until && self.next_rest > FIRST_REST;
+        unreached || self.is_silent(now)
+    }
+
     /// Returns how many requests it can begin at once.
     pub(super) fn free_slots(&self) -> u32 {
         self.record
--- a/src/edge/answer_relay.rs
+++ b/src/edge/answer_relay.rs
@@ -1,5 +1,6 @@
 //! Passes a target's answer on to the caller.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -19,6 +20,7 @@
 use super::target_call::TargetCall;
 use crate::clock::boot_now;
 use crate::dispatch::SlotGuard;
+use crate::metrics::RequestSeries;
 use crate::wire::AnswerMessage;
 use crate::wire::RequestMessage;
 
@@ -48,12 +50,15 @@
 }
 
 /// What the caller has got of a streamed answer, over all sends.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StreamProgress {
     splitter: EventSplitter,
     /// Whether anything was written to the caller.
     pub(crate) began: bool,
     first_at: Option<Duration>,
+    last_at: Duration,
+    arrived: Duration,
+    series: Arc<RequestSeries>,
     framing: Option<AnswerFraming>,
 }
 
@@ -67,6 +72,19 @@
 }
 
 impl StreamProgress {
+    /// Begins the answer of a request that arrived at `arrived`, on the boot clock.
+    pub(crate) fn new(arrived: Duration, series: Arc<RequestSeries>) -> Self {
+        Self {
+            splitter: EventSplitter::default(),
+            began: false,
+            first_at: None,
+            last_at: arrived,
+            arrived,
+            series,
+            framing: None,
+        }
+    }
+
     /// Returns the id of the last event that the caller got.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.splitter.last_id()
@@ -136,7 +154,7 @@
             match written.await {
                 Ok(Ok(())) => {
                     self.began = true;
-                    self.first_at.get_or_insert_with(boot_now);
+                    self.record_events();
                 }
                 Ok(Err(_)) => return RelayEnd::CallerGone,
                 Err(_) => return RelayEnd::TimeOver,
@@ -147,6 +165,23 @@
         }
     }
 
+    /// Records when events went out.
+    fn record_events(&mut self) {
+        let now = boot_now();
+        match self.first_at {
+            None => {
+                self.first_at = Some(now);
+                let first = now.saturating_sub(self.arrived);
+                self.series.record_first_token(first);
+            }
+            Some(_) => {
+                let gap = now.saturating_sub(self.last_at);
+                self.series.record_token_gap(gap);
+            }
+        }
+        self.last_at = now;
+    }
+
     fn frame(
         &mut self,
         request: &RequestMessage,
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -21,7 +21,9 @@
 use super::spend_filter::spend_allowance;
 use crate::clock::boot_now;
 use crate::errors::ErrorKind;
+use crate::errors::RequestOutcome;
 use crate::ids::AccountName;
+use crate::ids::TierRank;
 use crate::logs::DecisionLine;
 use crate::wire::RequestMessage;
 
@@ -68,6 +70,7 @@
                 arrived,
                 pool: None,
                 account: entry.account.as_ref(),
+                tier: None,
                 cost: entry.cost,
             };
             return refuse(state, caller, told).await;
@@ -77,6 +80,9 @@
     let mut run = RequestRun::new(state, caller, &routed);
     let end = run.serve().await;
     let sends = run.sends();
+    if !matches!(end, RunEnd::Answered) {
+        run.record_end(run.outcome());
+    }
     match end {
         RunEnd::Answered => {
             caller.reusable &= !state.is_leaving();
@@ -90,6 +96,7 @@
                 arrived,
                 pool: Some(&routed.pool),
                 account: routed.account.as_ref().map(|account| &account.name),
+                tier: Some(routed.rank.account),
                 cost: None,
             };
             refuse(state, caller, told).await
@@ -143,6 +150,10 @@
     match spend_allowance(state, &routed) {
         Ok(()) => Ok(routed),
         Err((refusal, cost)) => {
+            let waited = boot_now().saturating_sub(routed.request.arrived);
+            routed
+                .series
+                .record_answer(RequestOutcome::NotRun, waited, false);
             let message = routed.request.message;
             Err(refuse(message, refusal, account, Some(cost)))
         }
@@ -157,6 +168,7 @@
     arrived: std::time::Duration,
     pool: Option<&'r str>,
     account: Option<&'r AccountName>,
+    tier: Option<TierRank>,
     cost: Option<f64>,
 }
 
@@ -165,7 +177,7 @@
     let id = told.message.and_then(|message| message.headers.text(name));
     let refusal = told.refusal;
     let bytes = refusal_bytes(refusal, id.map(|id| (name.as_str(), id)), !caller.reusable);
-    state.metrics.count_refusal(refusal.kind);
+    state.requests.count_error(refusal.kind, told.tier);
     let waiting = told
         .pool
         .map_or(0, |pool| state.desk.lock_board().waiting(pool));
@@ -195,6 +207,7 @@
         arrived: boot_now(),
         pool: None,
         account: None,
+        tier: None,
         cost: None,
     };
     refuse(state, caller, told).await;
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -35,6 +35,7 @@
 use crate::feed::FleetSource;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
+use crate::metrics::RequestMetrics;
 use crate::peers::PeerIdentity;
 use crate::peers::PeerListener;
 use crate::peers::PeerMesh;
@@ -61,10 +62,22 @@
     pub(crate) loader: Arc<dyn SettingsLoader>,
 }
 
+/// Where a host listens, by the ports that it got where its settings name none.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EdgeAddresses {
+    /// For callers.
+    pub(crate) caller: SocketAddr,
+    /// For the balancer's question.
+    pub(crate) ready: SocketAddr,
+    /// For metrics.
+    pub(crate) metrics: Option<SocketAddr>,
+}
+
 /// One running host.
 pub(crate) struct EdgeHost {
     state: Arc<EdgeState>,
     reload: Sender<()>,
+    pub(super) addresses: EdgeAddresses,
     _peers: PeerListener,
     _mesh: Arc<PeerMesh>,
 }
@@ -87,7 +100,8 @@
     /// An address can't be bound.
     pub(crate) async fn open_with_log(parts: EdgeParts, log: DecisionLog) -> io::Result<Self> {
         let settings = parts.settings;
-        let state = EdgeState::new(settings.clone(), parts.dialect, log);
+        let requests = RequestMetrics::open().map_err(io::Error::other)?;
+        let state = EdgeState::new(settings.clone(), parts.dialect, log, requests);
         let identity = PeerIdentity {
             host: settings.host.clone(),
             key: PEER_KEY.to_vec(),
@@ -98,24 +112,24 @@
         let seeds = seeds.filter(|seed| *seed != settings.peer_address);
         let mesh = PeerMesh::spawn(identity, seeds.collect());
         let most = (settings.max_descriptors as f64 * CALLER_SHARE) as usize;
-        listen(&state, settings.caller_address, most, serve_caller).await?;
-        listen(&state, settings.ready_address, most, serve_readiness).await?;
-        if let Some(address) = settings.metrics_address {
-            listen(&state, address, most, serve_metrics).await?;
-        }
+        let addresses = EdgeAddresses {
+            caller: listen(&state, settings.caller_address, most, serve_caller).await?,
+            ready: listen(&state, settings.ready_address, most, serve_readiness).await?,
+            metrics: match settings.metrics_address {
+                Some(address) => Some(listen(&state, address, most, serve_metrics).await?),
+                None => None,
+            },
+        };
         let (reload, asked) = async_channel::bounded(1);
         task::spawn(prove_view(Arc::clone(&state), Arc::clone(&parts.source)));
         task::spawn(follow_store(Arc::clone(&state), parts.source));
         task::spawn(tell_news(Arc::clone(&state), Arc::clone(&mesh)));
         task::spawn(follow_settings(Arc::clone(&state), parts.loader, asked));
         task::spawn(tidy(Arc::clone(&state)));
-        state.log.write(&DecisionLine::Started {
-            host: settings.host,
-            program: env!("CARGO_PKG_VERSION"),
-        });
         Ok(Self {
             state,
             reload,
+            addresses,
             _peers: peers,
             _mesh: mesh,
         })
@@ -129,6 +143,13 @@
     /// The signals can't be taken.
     pub(crate) async fn run(self) -> io::Result<()> {
         let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
+        self.state.log.write(&DecisionLine::Started {
+            host: self.state.settings.load().host.clone(),
+            program: env!("CARGO_PKG_VERSION"),
+            caller_address: self.addresses.caller,
+            ready_address: self.addresses.ready,
+            metrics_address: self.addresses.metrics,
+        });
         while let Some(signal) = signals.next().await {
             if signal != SIGHUP {
                 break;
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -3,23 +3,9 @@
 use std::fmt::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
-
-use crate::errors::ANSWER_TABLE;
-use crate::errors::ErrorKind;
-
-/// Upper ends of the latency buckets, in milliseconds.
-const BUCKETS_MS: [u64; 10] = [10, 25, 50, 100, 200, 400, 600, 1000, 2500, 5000];
-
-/// Counts of latencies, by bucket.
-#[derive(Debug, Default)]
-pub(crate) struct LatencyBuckets {
-    counts: [AtomicU64; BUCKETS_MS.len() + 1],
-    sum_ms: AtomicU64,
-}
 
 /// Counters of the host; one a process.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct EdgeMetrics {
     /// Requests that a target answered.
     pub(crate) answered: AtomicU64,
@@ -33,27 +19,6 @@
     pub(crate) connects: AtomicU64,
     /// Calls to the store.
     pub(crate) store_calls: AtomicU64,
-    /// From the arrival to the first byte towards the caller.
-    pub(crate) first_byte: LatencyBuckets,
-    /// From the arrival to the dispatch.
-    pub(crate) queue: LatencyBuckets,
-    refused: Vec<AtomicU64>,
-}
-
-impl Default for EdgeMetrics {
-    fn default() -> Self {
-        Self {
-            answered: AtomicU64::new(0),
-            callers_left: AtomicU64::new(0),
-            sends: AtomicU64::new(0),
-            repeats: AtomicU64::new(0),
-            connects: AtomicU64::new(0),
-            store_calls: AtomicU64::new(0),
-            first_byte: LatencyBuckets::default(),
-            queue: LatencyBuckets::default(),
-            refused: ANSWER_TABLE.iter().map(|_| AtomicU64::new(0)).collect(),
-        }
-    }
 }
 
 /// Adds one.
@@ -61,38 +26,7 @@
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
-impl LatencyBuckets {
-    /// Counts a latency.
-    pub(crate) fn note(&self, latency: Duration) {
-        let millis = latency.as_millis() as u64;
-        let bucket = BUCKETS_MS.partition_point(|end| *end < millis);
-        count(&self.counts[bucket]);
-        self.sum_ms.fetch_add(millis, Ordering::Relaxed);
-    }
-
-    fn write_to(&self, name: &str, text: &mut String) {
-        let mut total = 0;
-        let ends = BUCKETS_MS.iter().map(u64::to_string);
-        let ends = ends.chain(["+Inf".to_owned()]);
-        for (end, counter) in ends.zip(&self.counts) {
-            total += counter.load(Ordering::Relaxed);
-            line(text, &format!("{name}_ms_bucket{{le=\"{end}\"}}"), total);
-        }
-        line(text, &format!("{name}_ms_count"), total);
-        line(
-            text,
-            &format!("{name}_ms_sum"),
-            self.sum_ms.load(Ordering::Relaxed),
-        );
-    }
-}
-
 impl EdgeMetrics {
-    /// Counts an answer of the host's own.
-    pub(crate) fn count_refusal(&self, kind: ErrorKind) {
-        count(&self.refused[kind as usize]);
-    }
-
     /// Returns all counters as text; `gauges` are added.
     pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -107,12 +41,6 @@
         for (name, counter) in counters {
             line(&mut text, name, counter.load(Ordering::Relaxed));
         }
-        for (row, counter) in ANSWER_TABLE.iter().zip(&self.refused) {
-            let name = format!("requests_refused_total{{kind=\"{}\"}}", row.kind);
-            line(&mut text, &name, counter.load(Ordering::Relaxed));
-        }
-        self.first_byte.write_to("first_byte", &mut text);
-        self.queue.write_to("queue", &mut text);
         for (name, value) in gauges {
             line(&mut text, name, *value);
         }
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -26,6 +26,7 @@
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
 use crate::members::MemberTable;
+use crate::metrics::RequestMetrics;
 use crate::spending::AllowanceLedger;
 use crate::spending::RetryLedger;
 use crate::suspects::SuspectDesk;
@@ -47,6 +48,8 @@
     pub(crate) suspects: SuspectDesk,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: EdgeMetrics,
+    /// Histograms and answers by tier, class and account.
+    pub(crate) requests: Arc<RequestMetrics>,
     members: Mutex<MemberTable>,
     allowances: Mutex<AllowanceLedger>,
     retries: Mutex<RetryLedger>,
@@ -66,6 +69,7 @@
         settings: EdgeSettings,
         dialect: HeaderDialect,
         log: DecisionLog,
+        requests: Arc<RequestMetrics>,
     ) -> Arc<Self> {
         let tolerance = settings.bounds.spend_tolerance;
         let started = boot_now();
@@ -81,6 +85,7 @@
             suspects: SuspectDesk::default(),
             log,
             metrics: EdgeMetrics::default(),
+            requests,
             allowances: Mutex::new(AllowanceLedger::new(tolerance, started)),
             retries: Mutex::default(),
             leaving_since: AtomicU64::new(0),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 
 mod answer_relay;
 mod answer_writer;
+mod belief_watch;
 mod caller_link;
 mod caller_session;
 mod crash_check;
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -9,13 +9,13 @@
 
 use async_std::task;
 
+use super::belief_watch::BeliefWatch;
 use super::edge_state::EdgeState;
 use crate::clock::boot_now;
 use crate::dispatch::HomeRange;
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
 use crate::ids::StoreRevision;
-use crate::logs::DecisionLine;
 use crate::members::HostNews;
 use crate::members::MemberNote;
 use crate::members::NewsReceipt;
@@ -74,7 +74,7 @@
         member_turn: AtomicUsize::new(0),
     });
     let mut told: Vec<TargetLoad> = Vec::new();
-    let mut connected: Vec<HostName> = Vec::new();
+    let mut beliefs = BeliefWatch::default();
     let mut quiet = 0;
     let mut turn = 0;
     let mut period = NEWS_PERIOD;
@@ -82,13 +82,7 @@
         task::sleep(period).await;
         teller.refresh_members();
         let peers = teller.mesh.connected_peers();
-        if peers != connected {
-            connected.clone_from(&peers);
-            let line = DecisionLine::PeersChanged {
-                connected: peers.clone(),
-            };
-            teller.state.log.write(&line);
-        }
+        beliefs.look(&teller.state, &peers);
         let loads = teller.state.desk.lock_board().own_loads();
         quiet += 1;
         if loads == told && quiet < QUIET_PERIODS {
--- a/src/edge/operator_pages.rs
+++ b/src/edge/operator_pages.rs
@@ -8,6 +8,7 @@
 use super::caller_link::CallerLink;
 use super::edge_state::EdgeState;
 use crate::catalog::CallerLimits;
+use crate::metrics::MetricsError;
 
 /// Answers any request with 200 while the host is ready, and with 503 otherwise.
 pub(crate) async fn serve_readiness(state: Arc<EdgeState>, stream: TcpStream) {
@@ -20,7 +21,11 @@
 
 /// Answers any request with the metrics.
 pub(crate) async fn serve_metrics(state: Arc<EdgeState>, stream: TcpStream) {
-    serve_page(stream, || (200, metrics_text(&state))).await;
+    serve_page(stream, || match metrics_text(&state) {
+        Ok(text) => (200, text),
+        Err(error) => (500, format!("{error}\n")),
+    })
+    .await;
 }
 
 async fn serve_page(stream: TcpStream, page: impl Fn() -> (u16, String)) {
@@ -29,6 +34,7 @@
         let (status, body) = page();
         let reason = match status {
             200 => "OK",
+            500 => "Internal Server Error",
             _ => "Service Unavailable",
         };
         let connection = match caller.reusable {
@@ -46,17 +52,20 @@
     }
 }
 
-fn metrics_text(state: &EdgeState) -> String {
+fn metrics_text(state: &EdgeState) -> Result<String, MetricsError> {
     let (left_out, dropped) = state.log.losses();
     let (revision, catalog) = state.feed.marks();
     let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
-    state.metrics.render(&[
+    let mut text = state.metrics.render(&[
         ("catalog_version", catalog),
         ("store_revision", revision),
         ("evidence_age_ms", age),
         ("members_live", state.live_hosts() as u64),
         ("requests_running", state.running() as u64),
+        ("target_connections_kept", state.links.kept() as u64),
         ("log_lines_left_out_total", left_out),
         ("log_lines_dropped_total", dropped),
-    ])
+    ]);
+    text.push_str(&state.requests.text()?);
+    Ok(text)
 }
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -31,6 +31,7 @@
 use crate::dispatch::WaitVerdict;
 use crate::dispatch::WorkEnd;
 use crate::errors::ErrorKind;
+use crate::errors::RequestOutcome;
 use crate::ids::TargetName;
 use crate::wire::AnswerMessage;
 
@@ -93,7 +94,7 @@
             state,
             caller,
             routed,
-            progress: StreamProgress::default(),
+            progress: StreamProgress::new(routed.request.arrived, Arc::clone(&routed.series)),
             sends: 0,
             tried: Vec::new(),
             may_have_run: false,
@@ -106,6 +107,14 @@
         self.sends
     }
 
+    /// Returns what is known of a request that got no answer of a target.
+    pub(crate) const fn outcome(&self) -> RequestOutcome {
+        match self.may_have_run {
+            true => RequestOutcome::Unknown,
+            false => RequestOutcome::NotRun,
+        }
+    }
+
     /// Serves the request.
     pub(crate) async fn serve(&mut self) -> RunEnd {
         let mut unreachable = 0;
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::UrgencyRank;
 use crate::errors::ErrorKind;
 use crate::ids::PoolName;
+use crate::metrics::RequestSeries;
 use crate::suspects::RequestFingerprint;
 use crate::suspects::fingerprint_request;
 
@@ -60,6 +61,8 @@
     pub(crate) deadline: Duration,
     /// What it uses, where it says so.
     pub(crate) usage: Option<TokenUsage>,
+    /// Its metrics.
+    pub(crate) series: Arc<RequestSeries>,
     /// Alike for requests that a caller repeats under new ids.
     pub(crate) fingerprint: RequestFingerprint,
 }
@@ -100,6 +103,11 @@
     let account_name = account.as_ref().map_or("", |account| account.name.as_str());
     let fingerprint = fingerprint_request(account_name, &request.message.target, &request.body);
     prepare_headers(state, &mut request, account_name);
+    let account_tier = account.as_ref().and_then(|account| account.tier);
+    let rank = UrgencyRank {
+        account: account_tier.unwrap_or(route.tier),
+        route: route.tier,
+    };
     Ok(RoutedRequest {
         id,
         route: route.name.clone(),
@@ -110,13 +118,10 @@
             deadline.min(request.arrived + patience)
         }),
         pool: route.pool_for(rand::random()).clone(),
-        rank: UrgencyRank {
-            account: account
-                .as_ref()
-                .and_then(|account| account.tier)
-                .unwrap_or(route.tier),
-            route: route.tier,
-        },
+        series: state
+            .requests
+            .series(rank.account, &route.name, account_name),
+        rank,
         account,
         deadline,
         usage,
--- a/src/edge/run_report.rs
+++ b/src/edge/run_report.rs
@@ -3,6 +3,7 @@
 use super::edge_metrics::count;
 use super::request_run::RequestRun;
 use crate::clock::boot_now;
+use crate::errors::RequestOutcome;
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
 
@@ -15,7 +16,9 @@
         if self.sends > 1 {
             count(&state.metrics.repeats);
         }
-        state.metrics.queue.note(waited);
+        if self.sends == 1 {
+            self.routed.series.record_queue_time(waited);
+        }
         state.log.write(&DecisionLine::RequestSent {
             request: self.routed.id.clone(),
             route: self.routed.route.clone(),
@@ -32,6 +35,14 @@
         });
     }
 
+    /// Records how the request ended.
+    pub(crate) fn record_end(&self, outcome: RequestOutcome) {
+        let now = boot_now();
+        let total = now.saturating_sub(self.routed.request.arrived);
+        let in_time = now <= self.routed.deadline;
+        self.routed.series.record_answer(outcome, total, in_time);
+    }
+
     /// Writes down a send that brought no whole answer.
     pub(super) fn write_failure(&self, target: &TargetName, cause: &str, again: bool) {
         self.state.log.write(&DecisionLine::SendFailed {
@@ -51,7 +62,10 @@
             first.saturating_sub(self.routed.request.arrived)
         });
         count(&state.metrics.answered);
-        state.metrics.first_byte.note(first);
+        if !self.progress.began {
+            self.routed.series.record_first_token(first);
+        }
+        self.record_end(RequestOutcome::Done);
         state.suspects.note_success(self.routed.fingerprint);
         state.log.write(&DecisionLine::RequestAnswered {
             request: self.routed.id.clone(),
--- a/src/edge/target_links.rs
+++ b/src/edge/target_links.rs
@@ -124,6 +124,12 @@
             .push(idle);
     }
 
+    /// Returns how many connections are kept.
+    pub(crate) fn kept(&self) -> usize {
+        let links = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        links.iter().map(|(_, held)| held.len()).sum()
+    }
+
     /// Closes what has been idle for too long.
     pub(crate) fn close_idle(&self) {
         let now = boot_now();
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -4,7 +4,6 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::Path;
 use std::sync::Arc;
@@ -55,6 +54,7 @@
     pub(super) address: SocketAddr,
     /// Where the balancer asks for readiness.
     pub(super) ready_address: SocketAddr,
+    metrics_address: SocketAddr,
     _host: EdgeHost,
 }
 
@@ -150,7 +150,6 @@
 
     fn open_on(store: ManualStore, bounds: EdgeBounds) -> Self {
         let settings = settings_with(bounds);
-        let (address, ready_address) = (settings.caller_address, settings.ready_address);
         let parts = EdgeParts {
             dialect: dialect(),
             source: Arc::new(store.clone()),
@@ -159,10 +158,12 @@
         };
         let log = DecisionLog::open_on(LineQueue::spawn(std::io::sink())).unwrap();
         let host = task::block_on(EdgeHost::open_with_log(parts, log)).unwrap();
+        let addresses = host.addresses;
         Self {
             store,
-            address,
-            ready_address,
+            address: addresses.caller,
+            ready_address: addresses.ready,
+            metrics_address: addresses.metrics.unwrap(),
             _host: host,
         }
     }
@@ -187,6 +188,12 @@
         exchange(self.address, request)
     }
 
+    /// Returns the metrics as an operator gets them.
+    pub(super) fn metrics(&self) -> String {
+        let request = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        exchange(self.metrics_address, request)
+    }
+
     /// Connects, to write and read by hand.
     pub(super) fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).unwrap();
@@ -226,19 +233,20 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns an address whose port the system chooses as the host binds it. A port that
+/// is looked for beforehand may be another test's by then.
+fn any_address() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
 }
 
 fn settings_with(bounds: EdgeBounds) -> EdgeSettings {
     EdgeSettings {
         host: "e1".into(),
         availability_zone: "za".into(),
-        caller_address: free_address(),
-        ready_address: free_address(),
-        peer_address: free_address(),
-        metrics_address: None,
+        caller_address: any_address(),
+        ready_address: any_address(),
+        peer_address: any_address(),
+        metrics_address: Some(any_address()),
         seeds: Vec::new(),
         max_descriptors: 1000,
         bounds,
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -6,4 +6,5 @@
 mod following;
 mod keys;
 mod leaving;
+mod metrics;
 mod raw_target;
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -1,5 +1,7 @@
 //! The lines from which a failure is explained afterwards.
 
+use std::net::SocketAddr;
+
 use derive_more::Display;
 use serde::Serialize;
 use spdlog::Level;
@@ -25,6 +27,12 @@
         host: HostName,
         /// The program's version.
         program: &'static str,
+        /// Where callers connect.
+        caller_address: SocketAddr,
+        /// Where the balancer asks for readiness.
+        ready_address: SocketAddr,
+        /// Where metrics are served.
+        metrics_address: Option<SocketAddr>,
     },
     /// The process ends.
     #[display("stopped")]
@@ -96,6 +104,26 @@
         /// All that can be called now.
         connected: Vec<HostName>,
     },
+    /// Other hosts joined, said that they leave, or were not heard of for long.
+    #[display("{hosts} hosts serve")]
+    MembersChanged {
+        /// Hosts that serve since.
+        live: Vec<HostName>,
+        /// Hosts that leave since.
+        leaving: Vec<HostName>,
+        /// Hosts that count as dead since.
+        dead: Vec<HostName>,
+        /// How many serve now, this one included; allowances are shared among them.
+        hosts: usize,
+    },
+    /// Targets get no new work, as they can't be reached or say nothing, or again do.
+    #[display("targets suspected")]
+    TargetsSuspected {
+        /// Targets that are passed over since.
+        suspected: Vec<TargetName>,
+        /// Targets that are used again since.
+        back: Vec<TargetName>,
+    },
     /// A request was sent to a target.
     #[display("sent to {target}")]
     RequestSent {
--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -287,3 +287,17 @@
     );
     assert!(misspelt.complaint.contains("did you mean `current`?"));
 }
+
+#[test]
+fn trace_prints_a_requests_lines_and_says_when_there_are_none() {
+    let log = r#"{"timestamp":1,"kv":{"line":{"event":"request-refused","request":"id1"}}}"#;
+    let path = write_file("trace.log", log);
+
+    let told = run(&["trace", &path, "id1"]);
+    let none = run(&["trace", &path, "id2"]);
+    let absent = run(&["trace", "no-such-file", "id1"]);
+
+    assert_eq!(told.output, "1 request-refused request=\"id1\"\n");
+    assert_eq!((told.code, none.code, absent.code), (0, 1, 3));
+    assert!(absent.complaint.contains("no-such-file"));
+}
