A fault soak: real processes, faults from outside, promises checked

Links can now swallow one way only.

Cause: signals were taken only once the host served, so until then the system's own answer to SIGHUP counted, which ends the process. They are taken first of all now; what comes while the host starts waits for it.

--- a/src/cli/edge_command.rs
+++ b/src/cli/edge_command.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 
 use crate::edge::EdgeHost;
+use crate::edge::EdgeSignals;
 use crate::platform;
 
 use super::cli_error::CliError;
@@ -13,6 +14,8 @@
 
 /// Serves with the platform's settings file until SIGTERM or SIGINT.
 pub(super) fn serve_edge() -> Result<CommandVerdict, CliError> {
+    // Before anything that takes time: SIGHUP would end a host that still starts.
+    let signals = task::block_on(async { EdgeSignals::open() }).map_err(CliError::Serve)?;
     let parts = match platform::open_parts(platform::settings_path()) {
         Ok(parts) => parts,
         Err(faults) => {
@@ -22,7 +25,7 @@
             return Ok(CommandVerdict::Faulty);
         }
     };
-    let served = task::block_on(async { EdgeHost::open(parts).await?.run().await });
-    served.map_err(CliError::Serve)?;
+    let host = task::block_on(EdgeHost::open(parts)).map_err(CliError::Serve)?;
+    task::block_on(host.run(signals));
     Ok(CommandVerdict::Clean)
 }
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -73,6 +73,20 @@
     pub(crate) metrics: Option<SocketAddr>,
 }
 
+/// The signals that a host obeys.
+pub(crate) struct EdgeSignals(Signals);
+
+impl EdgeSignals {
+    /// Takes the signals; those that come before [`EdgeHost::run`] wait for it.
+    ///
+    /// # Errors
+    ///
+    /// The signals can't be taken.
+    pub(crate) fn open() -> io::Result<Self> {
+        Ok(Self(Signals::new([SIGHUP, SIGINT, SIGTERM])?))
+    }
+}
+
 /// One running host.
 pub(crate) struct EdgeHost {
     state: Arc<EdgeState>,
@@ -137,12 +151,7 @@
 
     /// Serves until SIGTERM or SIGINT and the leaving that follows; SIGHUP reads
     /// the settings again.
-    ///
-    /// # Errors
-    ///
-    /// The signals can't be taken.
-    pub(crate) async fn run(self) -> io::Result<()> {
-        let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
+    pub(crate) async fn run(self, mut signals: EdgeSignals) {
         self.state.log.write(&DecisionLine::Started {
             host: self.state.settings.load().host.clone(),
             program: env!("CARGO_PKG_VERSION"),
@@ -150,7 +159,7 @@
             ready_address: self.addresses.ready,
             metrics_address: self.addresses.metrics,
         });
-        while let Some(signal) = signals.next().await {
+        while let Some(signal) = signals.0.next().await {
             if signal != SIGHUP {
                 break;
             }
@@ -158,7 +167,6 @@
             self.reload.try_send(()).ok();
         }
         leave(&self.state).await;
-        Ok(())
     }
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -33,11 +33,13 @@
 mod spend_filter;
 mod target_call;
 mod target_links;
+mod target_send;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use edge_host::EdgeHost;
 pub(crate) use edge_host::EdgeParts;
+pub(crate) use edge_host::EdgeSignals;
 pub(crate) use edge_settings::EdgeBounds;
 pub(crate) use edge_settings::EdgeSettings;
 pub(crate) use edge_settings::SettingsLoader;
--- /dev/null
+++ b/src/edge/target_send.rs
@@ -0,0 +1,240 @@
+//! One send of a request to a target, and the way of its answer to the caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use futures_lite::future::or;
+
+use super::answer_relay::RelayBounds;
+use super::answer_relay::RelayEnd;
+use super::answer_relay::collect_body;
+use super::crash_check::check_crash;
+use super::request_run::LEAST_LEFT;
+use super::request_run::RequestRun;
+use super::send_end::LossCause;
+use super::send_end::SendEnd;
+use super::target_call::CallIdentity;
+use super::target_call::TargetCall;
+use super::target_links::TargetLink;
+use crate::catalog::CallKind;
+use crate::clock::boot_now;
+use crate::dispatch::SlotGuard;
+use crate::dispatch::WorkEnd;
+use crate::wire::AnswerMessage;
+
+/// How long a stream that another target can go on with may be silent. Engines send
+/// an event each 25 to 100 ms; callers give a stream up after two seconds.
+const RESUME_SILENCE: Duration = Duration::from_millis(1300);
+/// How long an idempotent call is waited for before another target is asked, in
+/// objectives: nine in ten answers take a fifth of their objective.
+const REPEAT_AFTER_OBJECTIVES: u32 = 2;
+/// How long the rest of a target's refusal is waited for, to keep the connection.
+const DISCARD_TIME: Duration = Duration::from_millis(100);
+
+impl RequestRun<'_> {
+    pub(super) async fn send(&mut self, mut slot: SlotGuard, link: TargetLink) -> SendEnd {
+        let bytes = self.request_bytes(&slot);
+        let called = self.call(link, &bytes, &mut slot).await;
+        let mut call = match called {
+            Ok(call) => call,
+            Err(end) => {
+                slot.finish(end.work_end());
+                return end;
+            }
+        };
+        if self.is_not_run(&call.head) {
+            let cause = format!("not run, status {}", call.head.status);
+            self.discard(call, &slot).await;
+            slot.finish(WorkEnd::Rejected);
+            return SendEnd::NotRun(cause);
+        }
+        let status = call.head.status;
+        let end = match self.routed.kind.is_stream() && status == 200 {
+            true => self.relay_stream(&mut call, &mut slot).await,
+            false => match self.collect(call, &mut slot).await {
+                Ok((whole, body)) => {
+                    call = whole;
+                    self.pass_collected(&call.head, body).await
+                }
+                Err(end) => {
+                    slot.finish(end.work_end());
+                    return end;
+                }
+            },
+        };
+        if let Some((link, head)) = call.into_kept() {
+            self.state.links.put(&slot.target().name, link, &head);
+        }
+        slot.finish(end.work_end());
+        end
+    }
+
+    /// Writes the request and reads the answer's head.
+    async fn call(
+        &mut self,
+        link: TargetLink,
+        bytes: &[u8],
+        slot: &mut SlotGuard,
+    ) -> Result<TargetCall, SendEnd> {
+        let routed = self.routed;
+        let identity = CallIdentity {
+            header: &self.state.dialect.request_id,
+            request: &routed.id,
+            method: &routed.request.message.method,
+        };
+        let limit = self.head_limit();
+        let sent = async {
+            match timeout(limit, TargetCall::send(link, bytes, identity)).await {
+                Ok(Ok(call)) => Ok(call),
+                Ok(Err(error)) => Err(SendEnd::Lost(error.into())),
+                Err(_) if boot_now() + LEAST_LEFT >= routed.deadline => Err(SendEnd::TimeOver),
+                Err(_) => Err(SendEnd::Lost(LossCause::Silent)),
+            }
+        };
+        let called = match routed.kind {
+            // It may run by now, and is left alone if its caller leaves.
+            CallKind::NonIdempotent => sent.await,
+            _ => {
+                let caller = &mut *self.caller;
+                let gone = async {
+                    caller.gone().await;
+                    Err(SendEnd::CallerGone)
+                };
+                or(sent, gone).await
+            }
+        };
+        if let Err(SendEnd::Lost(cause)) = &called
+            && *cause != LossCause::Silent
+        {
+            let state = Arc::clone(self.state);
+            task::spawn(check_crash(
+                state,
+                slot.target().clone(),
+                routed.fingerprint,
+                routed.id.clone(),
+            ));
+        }
+        if called.is_ok() && !routed.kind.is_stream() {
+            slot.note_event();
+        }
+        called
+    }
+
+    /// Returns how long the answer's head is waited for.
+    fn head_limit(&self) -> Duration {
+        let routed = self.routed;
+        let left = routed.deadline.saturating_sub(boot_now());
+        let again = self.sends < routed.max_attempts;
+        match routed.kind {
+            CallKind::Idempotent if again => left.min(routed.objective * REPEAT_AFTER_OBJECTIVES),
+            CallKind::ResumableStream if again => left.min(RESUME_SILENCE),
+            _ => left,
+        }
+    }
+
+    async fn relay_stream(&mut self, call: &mut TargetCall, slot: &mut SlotGuard) -> SendEnd {
+        let again = self.sends < self.routed.max_attempts;
+        let bounds = RelayBounds {
+            deadline: self.routed.deadline,
+            silence: match self.routed.kind {
+                CallKind::ResumableStream if again => Some(RESUME_SILENCE),
+                _ => None,
+            },
+        };
+        let request = &self.routed.request.message;
+        let caller = &mut *self.caller;
+        let relayed = self.progress.relay(caller, request, call, slot, bounds);
+        match relayed.await {
+            RelayEnd::Whole => SendEnd::Done { status: 200 },
+            RelayEnd::CallerGone => SendEnd::CallerGone,
+            RelayEnd::TimeOver => SendEnd::TimeOver,
+            RelayEnd::TargetLost(cause) => SendEnd::Lost(cause),
+        }
+    }
+
+    /// Reads the whole body.
+    async fn collect(
+        &mut self,
+        mut call: TargetCall,
+        slot: &mut SlotGuard,
+    ) -> Result<(TargetCall, Vec<u8>), SendEnd> {
+        let left = self.routed.deadline.saturating_sub(boot_now());
+        let collected = async {
+            match timeout(left, collect_body(&mut call)).await {
+                Ok(Ok(body)) => Ok(body),
+                Ok(Err(error)) => Err(SendEnd::Lost(error.into())),
+                Err(_) => Err(SendEnd::TimeOver),
+            }
+        };
+        let body = match self.routed.kind {
+            CallKind::NonIdempotent => collected.await?,
+            _ => {
+                let caller = &mut *self.caller;
+                let gone = async {
+                    caller.gone().await;
+                    Err(SendEnd::CallerGone)
+                };
+                or(collected, gone).await?
+            }
+        };
+        slot.note_event();
+        Ok((call, body))
+    }
+
+    /// Passes a whole answer on, or keeps a failure that another target may mend.
+    async fn pass_collected(&mut self, head: &AnswerMessage, body: Vec<u8>) -> SendEnd {
+        // 429, 503, 408 and 421 tell the caller that nothing ran. A target that
+        // doesn't say so may have run it.
+        if matches!(head.status, 408 | 421 | 429 | 503) {
+            return SendEnd::Lost(LossCause::Unproven(head.status));
+        }
+        if self.progress.began {
+            // The rest of a stream can't be a failure with a status.
+            return SendEnd::Lost(LossCause::NotTheRest(head.status));
+        }
+        if head.status >= 500 {
+            return SendEnd::Failure {
+                head: head.clone(),
+                body,
+            };
+        }
+        self.write_answer(head, &body).await
+    }
+
+    /// Tells whether the target says that it did not run the request.
+    fn is_not_run(&self, head: &AnswerMessage) -> bool {
+        head.status == 421 || head.headers.contains(&self.state.dialect.not_run)
+    }
+
+    /// Reads a refusal to its end, so that the connection can be kept.
+    async fn discard(&self, mut call: TargetCall, slot: &SlotGuard) {
+        let collected = timeout(DISCARD_TIME, collect_body(&mut call)).await;
+        if matches!(collected, Ok(Ok(_)))
+            && let Some((link, head)) = call.into_kept()
+        {
+            self.state.links.put(&slot.target().name, link, &head);
+        }
+    }
+
+    /// Returns the request as this target gets it.
+    fn request_bytes(&self, slot: &SlotGuard) -> Vec<u8> {
+        let routed = self.routed;
+        let dialect = &self.state.dialect;
+        let mut message = routed.request.message.clone();
+        let left = routed.deadline.saturating_sub(boot_now());
+        let headers = &mut message.headers;
+        headers.push(&dialect.deadline_ms, left.as_millis().to_string());
+        headers.push(&dialect.target, &slot.target().name);
+        if let Some(last) = self.progress.last_id() {
+            headers.retain(|name| !name.eq_ignore_ascii_case(&dialect.resume_after));
+            headers.push(&dialect.resume_after, last);
+        }
+        let body = &routed.request.body;
+        let mut bytes = Vec::with_capacity(body.len() + 1024);
+        message.write_to(body.len(), &mut bytes);
+        bytes.extend_from_slice(body);
+        bytes
+    }
+}
--- a/standins/src/link/link_connection.rs
+++ b/standins/src/link/link_connection.rs
@@ -15,6 +15,8 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 
+use super::link_server::LinkMode;
+
 /// How much is passed on at once, in bytes.
 const PIECE_BYTES: usize = 16 << 10;
 
@@ -22,26 +24,32 @@
 #[derive(Debug)]
 pub(crate) struct LinkConnection {
     pub(crate) client: SocketAddr,
-    silent: AtomicBool,
+    silent_forth: AtomicBool,
+    silent_back: AtomicBool,
     cut: AtomicBool,
     ended: AtomicBool,
     changed: Event,
 }
 
 impl LinkConnection {
-    pub(crate) fn new(client: SocketAddr, silent: bool) -> Self {
+    pub(crate) fn new(client: SocketAddr, mode: LinkMode) -> Self {
         Self {
             client,
-            silent: AtomicBool::new(silent),
+            silent_forth: AtomicBool::new(mode.swallows_forth()),
+            silent_back: AtomicBool::new(mode.swallows_back()),
             cut: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             changed: Event::new(),
         }
     }
 
-    /// Swallows everything from now on, without an end in either direction.
-    pub(crate) fn silence(&self) {
-        self.silent.store(true, Ordering::Release);
+    /// Swallows from now on what `mode` says, without an end. A direction that was
+    /// silenced stays so.
+    pub(crate) fn silence(&self, mode: LinkMode) {
+        self.silent_forth
+            .fetch_or(mode.swallows_forth(), Ordering::AcqRel);
+        self.silent_back
+            .fetch_or(mode.swallows_back(), Ordering::AcqRel);
     }
 
     /// Ends the connection on both sides.
@@ -54,10 +62,6 @@
         self.ended.load(Ordering::Acquire)
     }
 
-    fn is_silent(&self) -> bool {
-        self.silent.load(Ordering::Acquire)
-    }
-
     async fn wait_for_cut(&self) {
         loop {
             let changed = self.changed.listen();
@@ -75,8 +79,18 @@
         upstream: TcpStream,
         delay_ms: Arc<AtomicU64>,
     ) {
-        let forth = self.pump(client.clone(), upstream.clone(), &delay_ms);
-        let back = self.pump(upstream.clone(), client.clone(), &delay_ms);
+        let forth = pump(
+            client.clone(),
+            upstream.clone(),
+            &self.silent_forth,
+            &delay_ms,
+        );
+        let back = pump(
+            upstream.clone(),
+            client.clone(),
+            &self.silent_back,
+            &delay_ms,
+        );
         let both = futures_lite::future::zip(forth, back);
         async {
             both.await;
@@ -87,30 +101,30 @@
         upstream.shutdown(Shutdown::Both).ok();
         self.ended.store(true, Ordering::Release);
     }
+}
 
-    /// Passes bytes on in one direction. A silent connection also hides the end.
-    async fn pump(&self, mut from: TcpStream, mut to: TcpStream, delay_ms: &AtomicU64) {
-        let mut piece = vec![0; PIECE_BYTES];
-        loop {
-            let count = from.read(&mut piece).await.unwrap_or(0);
-            let delay = Duration::from_millis(delay_ms.load(Ordering::Relaxed));
-            if !delay.is_zero() {
-                task::sleep(delay).await;
-            }
-            if self.is_silent() {
-                self.swallow(&mut from).await;
-            }
-            if count == 0 || to.write_all(&piece[..count]).await.is_err() {
-                to.shutdown(Shutdown::Write).ok();
-                return;
-            }
+/// Passes bytes on in one direction. A silent one also hides the end.
+async fn pump(mut from: TcpStream, mut to: TcpStream, silent: &AtomicBool, delay_ms: &AtomicU64) {
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let count = from.read(&mut piece).await.unwrap_or(0);
+        let delay = Duration::from_millis(delay_ms.load(Ordering::Relaxed));
+        if !delay.is_zero() {
+            task::sleep(delay).await;
+        }
+        if silent.load(Ordering::Acquire) {
+            swallow(&mut from).await;
+        }
+        if count == 0 || to.write_all(&piece[..count]).await.is_err() {
+            to.shutdown(Shutdown::Write).ok();
+            return;
         }
     }
+}
 
-    /// Reads and drops what still comes, and never returns.
-    async fn swallow(&self, from: &mut TcpStream) {
-        let mut piece = vec![0; PIECE_BYTES];
-        while from.read(&mut piece).await.unwrap_or(0) > 0 {}
-        futures_lite::future::pending::<()>().await;
-    }
+/// Reads and drops what still comes, and never returns.
+async fn swallow(from: &mut TcpStream) {
+    let mut piece = vec![0; PIECE_BYTES];
+    while from.read(&mut piece).await.unwrap_or(0) > 0 {}
+    futures_lite::future::pending::<()>().await;
 }
--- a/standins/src/link/link_server.rs
+++ b/standins/src/link/link_server.rs
@@ -36,6 +36,20 @@
     Cut,
     /// Swallows everything, on new connections too, and ends none.
     Silent,
+    /// Swallows what clients write, and passes answers on.
+    SilentForth,
+    /// Swallows answers, and passes on what clients write.
+    SilentBack,
+}
+
+impl LinkMode {
+    pub(super) const fn swallows_forth(self) -> bool {
+        matches!(self, Self::Silent | Self::SilentForth)
+    }
+
+    pub(super) const fn swallows_back(self) -> bool {
+        matches!(self, Self::Silent | Self::SilentBack)
+    }
 }
 
 /// The body of a link process's `POST /control`; what is absent stays.
@@ -82,16 +96,15 @@
         let connections = self.connections().clone();
         for connection in connections {
             match self.mode_of(connection.client) {
-                LinkMode::Open => {}
                 LinkMode::Cut => connection.cut(),
-                LinkMode::Silent => connection.silence(),
+                mode => connection.silence(mode),
             }
         }
     }
 
     fn silence_existing(&self) {
         for connection in self.connections().iter() {
-            connection.silence();
+            connection.silence(LinkMode::Silent);
         }
     }
 
@@ -237,7 +250,7 @@
     };
     stream.set_nodelay(true).ok();
     upstream.set_nodelay(true).ok();
-    let connection = Arc::new(LinkConnection::new(client, mode == LinkMode::Silent));
+    let connection = Arc::new(LinkConnection::new(client, mode));
     {
         let mut connections = shared.connections();
         connections.retain(|connection| !connection.has_ended());
--- /dev/null
+++ b/tests/soak/raw_link.rs
@@ -0,0 +1,183 @@
+//! HTTP/1.1 read and written by hand, so that nothing hides what came.
+
+use std::io;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The head of a request or an answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RawHead {
+    text: String,
+}
+
+/// A body, and whether its end was proven.
+#[derive(Debug, Default)]
+pub(crate) struct RawBody {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) whole: bool,
+}
+
+/// One end of a connection.
+pub(crate) struct RawLink {
+    stream: TcpStream,
+    pending: Vec<u8>,
+    /// Until when reads may wait.
+    pub(crate) deadline: Instant,
+}
+
+impl RawHead {
+    /// Returns the part of the first line at `index`.
+    pub(crate) fn word(&self, index: usize) -> &str {
+        let first = self.text.lines().next().unwrap_or_default();
+        first.split(' ').nth(index).unwrap_or_default()
+    }
+
+    /// Returns an answer's status; 0 where there is none.
+    pub(crate) fn status(&self) -> u16 {
+        self.word(1).parse().unwrap_or(0)
+    }
+
+    /// Returns the value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let mut fields = self.text.lines().filter_map(|line| line.split_once(": "));
+        let found = fields.find(|(held, _)| held.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.trim())
+    }
+
+    /// Tells whether the connection ends behind this message.
+    pub(crate) fn closes(&self) -> bool {
+        let value = self.header("connection");
+        value.is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
+
+impl RawLink {
+    /// Takes a connection over.
+    pub(crate) fn new(stream: TcpStream, patience: Duration) -> Self {
+        stream.set_nodelay(true).ok();
+        Self {
+            stream,
+            pending: Vec::new(),
+            deadline: Instant::now() + patience,
+        }
+    }
+
+    /// Writes all of `text`.
+    pub(crate) fn write(&mut self, text: &str) -> io::Result<()> {
+        self.stream
+            .set_write_timeout(Some(Duration::from_secs(2)))?;
+        self.stream.write_all(text.as_bytes())
+    }
+
+    /// Returns whether bytes are there that nobody has read yet.
+    pub(crate) fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Reads a head; `None` where the connection ended before it.
+    pub(crate) fn read_head(&mut self) -> io::Result<Option<RawHead>> {
+        loop {
+            let end = self.pending.windows(4).position(|part| part == b"\r\n\r\n");
+            if let Some(end) = end {
+                let text = String::from_utf8_lossy(&self.pending[..end]).into_owned();
+                self.pending.drain(..end + 4);
+                return Ok(Some(RawHead { text }));
+            }
+            if self.fill()? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Reads the body that belongs to `head`; what was cut is returned as far as it came.
+    pub(crate) fn read_body(&mut self, head: &RawHead) -> RawBody {
+        let chunked = head
+            .header("transfer-encoding")
+            .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
+        if chunked {
+            return self.read_chunks();
+        }
+        let length = head.header("content-length");
+        let Some(length) = length.and_then(|length| length.parse().ok()) else {
+            return self.read_to_end();
+        };
+        let whole = self.wait_for(length).is_ok();
+        let count = self.pending.len().min(length);
+        RawBody {
+            bytes: self.pending.drain(..count).collect(),
+            whole,
+        }
+    }
+
+    fn read_to_end(&mut self) -> RawBody {
+        let whole = loop {
+            match self.fill() {
+                Ok(0) => break true,
+                Ok(_) => {}
+                Err(_) => break false,
+            }
+        };
+        RawBody {
+            bytes: std::mem::take(&mut self.pending),
+            whole,
+        }
+    }
+
+    fn read_chunks(&mut self) -> RawBody {
+        let mut body = RawBody::default();
+        while let Ok(size) = self.read_chunk_size() {
+            // Each chunk, also the last one, ends in an empty line.
+            if self.wait_for(size + 2).is_err() {
+                return body;
+            }
+            body.bytes.extend(self.pending.drain(..size));
+            self.pending.drain(..2);
+            if size == 0 {
+                body.whole = true;
+                return body;
+            }
+        }
+        body
+    }
+
+    fn read_chunk_size(&mut self) -> io::Result<usize> {
+        loop {
+            let end = self.pending.windows(2).position(|part| part == b"\r\n");
+            let Some(end) = end else {
+                if self.fill()? == 0 {
+                    return Err(ErrorKind::UnexpectedEof.into());
+                }
+                continue;
+            };
+            let line = String::from_utf8_lossy(&self.pending[..end]).into_owned();
+            self.pending.drain(..end + 2);
+            return usize::from_str_radix(line.trim(), 16)
+                .map_err(|_| ErrorKind::InvalidData.into());
+        }
+    }
+
+    fn wait_for(&mut self, count: usize) -> io::Result<()> {
+        while self.pending.len() < count {
+            if self.fill()? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+        Ok(())
+    }
+
+    fn fill(&mut self) -> io::Result<usize> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        let mut piece = [0; 8192];
+        let count = self.stream.read(&mut piece)?;
+        self.pending.extend_from_slice(&piece[..count]);
+        Ok(count)
+    }
+}
