Feed: a peer's view leaves lapsed targets out; soak seed 42

Seed 42 of the soak: one host never served a stream again. Cause: behind an outage of the store a host lets lapsed targets serve on for 1.5 s. A peer that took its view in that time got them as standing, together with a revision behind their removal, so its own watch never told it. Views for peers leave them out now, and a peer's word on the store's return is taken before its view, so that the receiver knows of the outage when it judges what the view lacks. Ruled out: a watch that stopped (the host took later changes), removals forgotten (two minutes). The test in feed_view failed before; seed 42 stays as a case.

--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -204,14 +204,20 @@
     async fn take_receipt(&self, peer: &HostName, receipt: NewsReceipt, begun: Duration) {
         let feed = &self.state.feed;
         let (revision, catalog) = feed.marks();
+        // The peer's word was given after the call began, so its view was the store's at
+        // this moment or later.
+        let age = receipt.evidence_age_ms.map(Duration::from_millis);
+        let shown = age.map(|age| begun.saturating_sub(age));
+        // The word comes before the view: what the view lacks may have lapsed only
+        // because the store was away, and the word says whether it was.
+        if let Some(shown) = shown {
+            feed.vouch(receipt.catalog, shown, boot_now());
+        }
         if receipt.catalog > catalog || self.is_behind(revision, receipt.revision) {
             self.fetch_view(peer).await;
-        }
-        if let Some(age) = receipt.evidence_age_ms {
-            // The peer's word was given after the call began, so its view was the
-            // store's at this moment or later.
-            let shown = begun.saturating_sub(Duration::from_millis(age));
-            feed.vouch(receipt.catalog, shown, boot_now());
+            if let Some(shown) = shown {
+                feed.vouch(receipt.catalog, shown, boot_now());
+            }
         }
     }
 
--- a/src/feed/fleet_feed.rs
+++ b/src/feed/fleet_feed.rs
@@ -71,6 +71,9 @@
     }
 
     /// Returns the whole view for a peer whose catalog has `known` as version.
+    ///
+    /// Lapsed targets are left out. The store removed them before the view's revision,
+    /// so a peer that took them for standing would never hear of their removal.
     pub fn whole_update(&self, known: CatalogVersion) -> FeedUpdate {
         let catalog = self.catalog.as_ref();
         FeedUpdate {
@@ -79,7 +82,7 @@
             catalog: catalog
                 .filter(|catalog| catalog.version() > known)
                 .map(|catalog| catalog.parts().clone()),
-            targets: self.targets.values().cloned().collect(),
+            targets: self.standing_targets().cloned().collect(),
             removals: Vec::new(),
         }
     }
@@ -105,6 +108,11 @@
         change
     }
 
+    fn standing_targets(&self) -> impl Iterator<Item = &TargetRecord> {
+        let targets = self.targets.values();
+        targets.filter(|target| !self.lapses.contains_key(&target.name))
+    }
+
     /// Lets go of lapsed targets that did not come back in time.
     pub fn expire_lapses(&mut self, now: Duration) -> FeedChange {
         let mut change = FeedChange::default();
--- a/tests/feed_view.rs
+++ b/tests/feed_view.rs
@@ -187,3 +187,26 @@
 
     assert_eq!(feed.evidence_age(seconds(110)), Some(seconds(10)));
 }
+
+/// The store was away, and two targets were replaced meanwhile. One host had the news
+/// from the store and let the old ones serve on for a moment, as lapsed registrations
+/// come back; its peer took its view in that moment. The peer held the old ones for
+/// ever: it sent to them what their successors refused, three requests of four.
+#[test]
+fn a_peer_takes_no_lapsed_target_for_one_that_stands() {
+    let (first, second) = (SharedFeed::default(), SharedFeed::default());
+    let start = seconds(100);
+    let known = [target("old", 3), target("other", 4)];
+    first.take_store_answer(whole(5, &known), start, start);
+    second.take_store_answer(whole(5, &known), start, start);
+    let back = start + seconds(10);
+    first.take_store_answer(FeedUpdate::default(), back, back);
+    first.take_store_answer(removal("old", 8), back, back);
+    assert_eq!(first.targets().len(), 2, "it may still come back");
+
+    second.take_peer_view(first.whole_update(0), back);
+
+    second.expire_lapses(back + seconds(2));
+    let names: Vec<String> = second.targets().into_iter().map(|held| held.name).collect();
+    assert_eq!(names, ["other"]);
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -47,6 +47,12 @@
 /// The seeds by hand where `SOAK_SEEDS` names none.
 const USUAL_SEEDS: Range<u64> = 1..51;
 
+/// Seeds that once failed, at the usual length. They stay as they are.
+///
+/// 42: a host took a peer's view while that peer let lapsed targets serve on behind an
+/// outage of the store, and held them for ever.
+const KEPT_SEEDS: [u64; 1] = [42];
+
 /// Plays one seed, prints its trace when a promise was broken, and returns whether
 /// none was.
 fn holds(seed: u64, size: Option<SoakSize>, length: Duration) -> bool {
@@ -80,6 +86,13 @@
     assert!(holds(7, None, SHORT_LENGTH));
 }
 
+#[test]
+fn seeds_that_failed_keep_the_promises() {
+    for seed in KEPT_SEEDS {
+        assert!(holds(seed, None, USUAL_LENGTH), "seed {seed}");
+    }
+}
+
 /// Many seeds, some side by side.
 #[test]
 #[ignore = "takes minutes; run by hand"]
