--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -185,7 +185,7 @@
         self.may_have_run |= !matches!(end, SendEnd::NotRun(_));
         let (cause, repeatable, kind) = match end {
             SendEnd::Done { status } => {
-                self.write_answered(&target, status);
+                self.write_served(&target, status);
                 return Some(RunEnd::Answered);
             }
             SendEnd::CallerGone => return Some(RunEnd::Closed),
@@ -239,7 +239,11 @@
         }
         if let Some((head, body)) = self.failure.take() {
             return match self.write_answer(&head, &body).await {
-                SendEnd::Done { .. } => RunEnd::Answered,
+                SendEnd::Done { status } => {
+                    let target = self.tried.last().cloned().unwrap_or_default();
+                    self.write_answered(&target, status, RequestOutcome::Unknown);
+                    RunEnd::Answered
+                }
                 _ => RunEnd::Closed,
             };
         }
--- a/src/edge/run_report.rs
+++ b/src/edge/run_report.rs
@@ -54,20 +54,26 @@
         });
     }
 
-    /// Counts and writes down an answer.
-    pub(super) fn write_answered(&self, target: &TargetName, status: u16) {
-        let state = self.state;
+    /// Counts and writes down a target's whole answer.
+    pub(super) fn write_served(&self, target: &TargetName, status: u16) {
+        count(&self.state.metrics.answered);
+        if !self.progress.began {
+            // A plain answer begins as it ends.
+            let total = boot_now().saturating_sub(self.routed.request.arrived);
+            self.routed.series.record_first_token(total);
+        }
+        self.state.suspects.note_success(self.routed.fingerprint);
+        self.write_answered(target, status, RequestOutcome::Done);
+    }
+
+    /// Counts and writes down what a target answered, be it a failure.
+    pub(super) fn write_answered(&self, target: &TargetName, status: u16, outcome: RequestOutcome) {
         let total = boot_now().saturating_sub(self.routed.request.arrived);
         let first = self.progress.first_at().map_or(total, |first| {
             first.saturating_sub(self.routed.request.arrived)
         });
-        count(&state.metrics.answered);
-        if !self.progress.began {
-            self.routed.series.record_first_token(first);
-        }
-        self.record_end(RequestOutcome::Done);
-        state.suspects.note_success(self.routed.fingerprint);
-        state.log.write(&DecisionLine::RequestAnswered {
+        self.record_end(outcome);
+        self.state.log.write(&DecisionLine::RequestAnswered {
             request: self.routed.id.clone(),
             target: target.clone(),
             status,
--- a/src/edge/tests/metrics.rs
+++ b/src/edge/tests/metrics.rs
@@ -57,6 +57,23 @@
     );
 }
 
+/// All targets fail a lookup, and its caller gets the last one's failure: an operator
+/// must find it among the answers, under what is known of it.
+#[test]
+fn a_failure_that_is_passed_on_is_counted() {
+    let failing = RawTarget::spawn(|request, stream| {
+        write_text(stream, &request.answer("500 Failed", "no"));
+        true
+    });
+    let host = EdgeFixture::open(&[failing.clone(), failing]);
+
+    let answer = host.call(&request_for("/again/x", "id1"));
+
+    assert_eq!(status_of(&answer), 500);
+    let unknown = ["answers_total", "class=\"/again/\"", "outcome=\"unknown\""];
+    assert_eq!(value(&host.metrics(), &unknown), 1.0);
+}
+
 /// Requests that get no answer of a target are counted with what is known of them.
 #[test]
 fn a_refusal_is_counted_by_kind_tier_and_outcome() {
