Link stand-in: nothing passes behind a cut

Trace of the link: the cut is set, then one poll of the connection's task passes the request and its answer on, and only then looks at the cut. Under load the service answers within that poll. Bytes are now held against the cut as they are read. The test is unchanged.

--- a/standins/src/link/link_connection.rs
+++ b/standins/src/link/link_connection.rs
@@ -83,12 +83,14 @@
             client.clone(),
             upstream.clone(),
             &self.silent_forth,
+            &self.cut,
             &delay_ms,
         );
         let back = pump(
             upstream.clone(),
             client.clone(),
             &self.silent_back,
+            &self.cut,
             &delay_ms,
         );
         let both = futures_lite::future::zip(forth, back);
@@ -104,7 +106,13 @@
 }
 
 /// Passes bytes on in one direction. A silent one also hides the end.
-async fn pump(mut from: TcpStream, mut to: TcpStream, silent: &AtomicBool, delay_ms: &AtomicU64) {
+async fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    silent: &AtomicBool,
+    cut: &AtomicBool,
+    delay_ms: &AtomicU64,
+) {
     let mut piece = vec![0; PIECE_BYTES];
     loop {
         let count = from.read(&mut piece).await.unwrap_or(0);
@@ -115,6 +123,11 @@
         if silent.load(Ordering::Acquire) {
             swallow(&mut from).await;
         }
+        // What came behind a cut may be read before the task that waits for the cut has
+        // its turn; a request and its whole answer got through.
+        if cut.load(Ordering::Acquire) {
+            return;
+        }
         if count == 0 || to.write_all(&piece[..count]).await.is_err() {
             to.shutdown(Shutdown::Write).ok();
             return;
