--- a/examples/claim_round.rs
+++ b/examples/claim_round.rs
@@ -4,6 +4,8 @@
 //! `cargo run --release --example claim_round` prints both for several rates at
 //! which calls are under way at once.
 
+mod meters;
+
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,13 +34,13 @@
 use cardamomgw::roster::RosterPlan;
 use cardamomgw::roster::RosterTag;
 use cardamomgw::roster::SeatLife;
+use meters::processor_micros;
+use meters::wire_bytes;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// The calls a second to one seat that are tried; 72 is the full size's share.
 const RATES: [u32; 4] = [72, 288, 504, 1_008];
 const SPAN: Duration = Duration::from_secs(5);
-/// Clock ticks a second in `/proc/self/stat`, fixed by the kernel's interface.
-const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Answers claims from a seat.
 struct SeatHandler {
@@ -150,24 +152,3 @@
         key: b"key".to_vec(),
     }
 }
-
-/// Returns bytes read and written over all links.
-fn wire_bytes(mesh: &PeerMesh) -> f64 {
-    let links = mesh.links();
-    let bytes: u64 = links
-        .iter()
-        .map(|link| link.read_bytes + link.written_bytes)
-        .sum();
-    bytes as f64
-}
-
-/// Returns the processor time of this process, in microseconds.
-fn processor_micros() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat.split_whitespace().collect();
-    let ticks: f64 = [13, 14]
-        .iter()
-        .filter_map(|index| fields.get(*index)?.parse::<f64>().ok())
-        .sum();
-    ticks / TICKS_PER_SECOND * 1e6
-}
--- a/examples/peer_cost.rs
+++ b/examples/peer_cost.rs
@@ -6,6 +6,8 @@
 //! second of an idle connection; and what an exchange of digests costs: whole both
 //! ways (as before deltas), and by changes, where no target changed or each did.
 
+mod meters;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -34,6 +36,8 @@
 use cardamomgw::roster::RosterDigest;
 use cardamomgw::roster::RosterTag;
 use cardamomgw::roster::SeatLife;
+use meters::processor_micros;
+use meters::wire_bytes;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// Calls and rounds whose times are taken one by one.
@@ -47,8 +51,6 @@
 /// Digests of each size.
 const DIGESTS: u64 = 1_000;
 const IDLE: Duration = Duration::from_secs(10);
-/// Clock ticks a second in `/proc/self/stat`, fixed by the kernel's interface.
-const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Answers digests, and a document call with a stream of small pieces.
 #[derive(Default)]
@@ -113,27 +115,6 @@
     assert!(matches!(reply, Ok(PeerReply::Digest(_))), "{reply:?}");
 }
 
-/// Returns bytes read and written over all links.
-fn wire_bytes(mesh: &PeerMesh) -> f64 {
-    let links = mesh.links();
-    let bytes: u64 = links
-        .iter()
-        .map(|link| link.read_bytes + link.written_bytes)
-        .sum();
-    bytes as f64
-}
-
-/// Returns the processor time of this process, in microseconds.
-fn processor_micros() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat.split_whitespace().collect();
-    let ticks: f64 = [13, 14]
-        .iter()
-        .filter_map(|index| fields.get(*index)?.parse::<f64>().ok())
-        .sum();
-    ticks / TICKS_PER_SECOND * 1e6
-}
-
 fn quantile(times: &mut [Duration], share: f64) -> f64 {
     times.sort_unstable();
     let index = ((times.len() - 1) as f64 * share) as usize;
--- a/src/catalog/service_route.rs
+++ b/src/catalog/service_route.rs
@@ -57,8 +57,6 @@
     pub timeout: Option<Duration>,
     /// Within which the first event, or the whole answer, is worth the most.
     pub objective: Duration,
-    /// The longest pause between events for which a stream is still on time.
-    pub pause_objective: Option<Duration>,
     /// How long callers wait for the first event before they give up, where that is
     /// known to be shorter than their deadline.
     pub patience: Option<Duration>,
--- a/src/catalog/target_pool.rs
+++ b/src/catalog/target_pool.rs
@@ -12,6 +12,4 @@
     pub name: PoolName,
     /// Whether its targets are model engines, which batch and stream.
     pub engine: bool,
-    /// How many connections a target takes from all hosts together.
-    pub max_connections: Option<u32>,
 }
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -81,7 +81,7 @@
     let end = run.serve().await;
     let sends = run.sends();
     if !matches!(end, RunEnd::Answered) {
-        run.record_end(run.outcome());
+        routed.record_end(run.outcome());
     }
     match end {
         RunEnd::Answered => {
@@ -106,7 +106,7 @@
             state.log.write(&DecisionLine::CallerLeft {
                 request: routed.id.clone(),
                 attempts: sends,
-                total_ms: boot_now().saturating_sub(arrived).as_millis() as u64,
+                total_ms: routed.age().as_millis() as u64,
             });
             false
         }
@@ -150,10 +150,7 @@
     match spend_allowance(state, &routed) {
         Ok(()) => Ok(routed),
         Err((refusal, cost)) => {
-            let waited = boot_now().saturating_sub(routed.request.arrived);
-            routed
-                .series
-                .record_answer(RequestOutcome::NotRun, waited, false);
+            routed.record_end(RequestOutcome::NotRun);
             let message = routed.request.message;
             Err(refuse(message, refusal, account, Some(cost)))
         }
--- a/src/edge/feed_controller.rs
+++ b/src/edge/feed_controller.rs
@@ -118,7 +118,7 @@
         match source.read_catalog().await {
             Ok(update) => {
                 backoff.reset();
-                let change = state.feed.take_catalog(update, begun, boot_now());
+                let change = state.feed.take_store_answer(update, begun, boot_now());
                 state.take_change(change, None);
             }
             // The watch writes down that the store is lost.
--- a/src/edge/news_controller.rs
+++ b/src/edge/news_controller.rs
@@ -208,16 +208,18 @@
         // this moment or later.
         let age = receipt.evidence_age_ms.map(Duration::from_millis);
         let shown = age.map(|age| begun.saturating_sub(age));
+        let take_word = || {
+            if let Some(shown) = shown {
+                feed.vouch(receipt.catalog, shown, boot_now());
+            }
+        };
         // The word comes before the view: what the view lacks may have lapsed only
         // because the store was away, and the word says whether it was.
-        if let Some(shown) = shown {
-            feed.vouch(receipt.catalog, shown, boot_now());
-        }
+        take_word();
         if receipt.catalog > catalog || self.is_behind(revision, receipt.revision) {
             self.fetch_view(peer).await;
-            if let Some(shown) = shown {
-                feed.vouch(receipt.catalog, shown, boot_now());
-            }
+            // It counts only for what is held, which is more now.
+            take_word();
         }
     }
 
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -10,8 +10,10 @@
 use crate::catalog::ClientAccount;
 use crate::catalog::RouteCatalog;
 use crate::catalog::ServiceRoute;
+use crate::clock::boot_now;
 use crate::dispatch::UrgencyRank;
 use crate::errors::ErrorKind;
+use crate::errors::RequestOutcome;
 use crate::ids::PoolName;
 use crate::metrics::RequestSeries;
 use crate::suspects::RequestFingerprint;
@@ -67,6 +69,19 @@
     pub(crate) fingerprint: RequestFingerprint,
 }
 
+impl RoutedRequest {
+    /// Returns how long ago it arrived.
+    pub(crate) fn age(&self) -> Duration {
+        boot_now().saturating_sub(self.request.arrived)
+    }
+
+    /// Records how it ended.
+    pub(crate) fn record_end(&self, outcome: RequestOutcome) {
+        let in_time = boot_now() <= self.deadline;
+        self.series.record_answer(outcome, self.age(), in_time);
+    }
+}
+
 /// A request that was given back with the reason.
 #[derive(Debug)]
 pub(crate) struct UnroutedRequest {
--- a/src/edge/run_report.rs
+++ b/src/edge/run_report.rs
@@ -2,7 +2,6 @@
 
 use super::edge_metrics::count;
 use super::request_run::RequestRun;
-use crate::clock::boot_now;
 use crate::errors::RequestOutcome;
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
@@ -11,7 +10,7 @@
     /// Counts and writes down a send.
     pub(super) fn write_sent(&self, target: &TargetName) {
         let state = self.state;
-        let waited = boot_now().saturating_sub(self.routed.request.arrived);
+        let waited = self.routed.age();
         count(&state.metrics.sends);
         if self.sends > 1 {
             count(&state.metrics.repeats);
@@ -35,14 +34,6 @@
         });
     }
 
-    /// Records how the request ended.
-    pub(crate) fn record_end(&self, outcome: RequestOutcome) {
-        let now = boot_now();
-        let total = now.saturating_sub(self.routed.request.arrived);
-        let in_time = now <= self.routed.deadline;
-        self.routed.series.record_answer(outcome, total, in_time);
-    }
-
     /// Writes down a send that brought no whole answer.
     pub(super) fn write_failure(&self, target: &TargetName, cause: &str, again: bool) {
         self.state.log.write(&DecisionLine::SendFailed {
@@ -59,8 +50,7 @@
         count(&self.state.metrics.answered);
         if !self.progress.began {
             // A plain answer begins as it ends.
-            let total = boot_now().saturating_sub(self.routed.request.arrived);
-            self.routed.series.record_first_token(total);
+            self.routed.series.record_first_token(self.routed.age());
         }
         self.state.suspects.note_success(self.routed.fingerprint);
         self.write_answered(target, status, RequestOutcome::Done);
@@ -68,11 +58,11 @@
 
     /// Counts and writes down what a target answered, be it a failure.
     pub(super) fn write_answered(&self, target: &TargetName, status: u16, outcome: RequestOutcome) {
-        let total = boot_now().saturating_sub(self.routed.request.arrived);
+        let total = self.routed.age();
         let first = self.progress.first_at().map_or(total, |first| {
             first.saturating_sub(self.routed.request.arrived)
         });
-        self.record_end(outcome);
+        self.routed.record_end(outcome);
         self.state.log.write(&DecisionLine::RequestAnswered {
             request: self.routed.id.clone(),
             target: target.clone(),
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -10,6 +10,7 @@
 use super::answer_relay::RelayBounds;
 use super::answer_relay::RelayEnd;
 use super::answer_relay::collect_body;
+use super::caller_link::CallerLink;
 use super::crash_check::check_crash;
 use super::request_run::LEAST_LEFT;
 use super::request_run::RequestRun;
@@ -93,18 +94,7 @@
                 Err(_) => Err(SendEnd::Lost(LossCause::Silent)),
             }
         };
-        let called = match routed.kind {
-            // It may run by now, and is left alone if its caller leaves.
-            CallKind::NonIdempotent => sent.await,
-            _ => {
-                let caller = &mut *self.caller;
-                let gone = async {
-                    caller.gone().await;
-                    Err(SendEnd::CallerGone)
-                };
-                or(sent, gone).await
-            }
-        };
+        let called = unless_caller_leaves(self.caller, routed.kind, sent).await;
         if let Err(SendEnd::Lost(cause)) = &called
             && *cause != LossCause::Silent
         {
@@ -168,17 +158,7 @@
                 Err(_) => Err(SendEnd::TimeOver),
             }
         };
-        let body = match self.routed.kind {
-            CallKind::NonIdempotent => collected.await?,
-            _ => {
-                let caller = &mut *self.caller;
-                let gone = async {
-                    caller.gone().await;
-                    Err(SendEnd::CallerGone)
-                };
-                or(collected, gone).await?
-            }
-        };
+        let body = unless_caller_leaves(self.caller, self.routed.kind, collected).await?;
         slot.note_event();
         Ok((call, body))
     }
@@ -238,3 +218,20 @@
         bytes
     }
 }
+
+/// Goes on with `work` until the caller leaves. What may run once may run by now, and is
+/// left alone if its caller leaves.
+async fn unless_caller_leaves<T>(
+    caller: &mut CallerLink,
+    kind: CallKind,
+    work: impl Future<Output = Result<T, SendEnd>>,
+) -> Result<T, SendEnd> {
+    if kind == CallKind::NonIdempotent {
+        return work.await;
+    }
+    let gone = async {
+        caller.gone().await;
+        Err(SendEnd::CallerGone)
+    };
+    or(work, gone).await
+}
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -279,7 +279,6 @@
         kind,
         timeout: Some(Duration::from_secs(3)),
         objective: Duration::from_millis(100),
-        pause_objective: None,
         patience: None,
         tier: 0,
         max_attempts: 2,
@@ -303,7 +302,6 @@
         pools: vec![TargetPool {
             name: "p".into(),
             engine: false,
-            max_connections: None,
         }],
         accounts: vec![ClientAccount {
             name: "acme".into(),
--- a/src/feed/shared_feed.rs
+++ b/src/feed/shared_feed.rs
@@ -37,7 +37,8 @@
 }
 
 impl SharedFeed {
-    /// Takes in what the store answered to a call that was begun at `begun`.
+    /// Takes in what the store answered, whole or the catalog alone, to a call that was
+    /// begun at `begun`.
     pub fn take_store_answer(
         &self,
         update: FeedUpdate,
@@ -52,16 +53,6 @@
         change
     }
 
-    /// Takes in the catalog alone, which the store showed to a call begun at `begun`.
-    pub fn take_catalog(&self, update: FeedUpdate, begun: Duration, now: Duration) -> FeedChange {
-        let mut state = self.lock();
-        self.note_sign(&mut state, begun, now);
-        let change = self.apply(&mut state, update, now);
-        drop(state);
-        self.raise_evidence(begun);
-        change
-    }
-
     /// Takes in what a peer believes. Its view proves nothing about its age; see
     /// [`SharedFeed::vouch`].
     pub fn take_peer_view(&self, update: FeedUpdate, now: Duration) -> FeedChange {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -58,16 +58,6 @@
         /// The first fault.
         fault: String,
     },
-    /// The host says that it is ready, or not.
-    #[display("ready: {ready}")]
-    Readiness {
-        /// Whether it is.
-        ready: bool,
-        /// How old the view of the store is, in milliseconds.
-        evidence_age_ms: Option<u64>,
-        /// The catalog in force; 0 when there is none.
-        catalog: CatalogVersion,
-    },
     /// The store does not answer.
     #[display("store lost: {reason}")]
     StoreLost {
--- a/src/logs/request_story.rs
+++ b/src/logs/request_story.rs
@@ -5,12 +5,11 @@
 use crate::sorted::SortedMap;
 
 /// Events that change what a host believes; the last one of each is in force.
-const BELIEFS: [&str; 13] = [
+const BELIEFS: [&str; 12] = [
     "catalog-in-force",
     "leaving",
     "members-changed",
     "peers-changed",
-    "readiness",
     "settings-refused",
     "settings-reloaded",
     "started",
--- a/tests/feed_view.rs
+++ b/tests/feed_view.rs
@@ -124,7 +124,7 @@
     };
     feed.take_store_answer(first, seconds(100), seconds(100));
 
-    feed.take_catalog(with_catalog(7), seconds(105), seconds(105));
+    feed.take_store_answer(with_catalog(7), seconds(105), seconds(105));
     feed.take_store_answer(removal("a", 6), seconds(105), seconds(106));
 
     assert_eq!(feed.targets().len(), 1);
--- a/tests/process_leaving.rs
+++ b/tests/process_leaving.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_std::task;
@@ -32,8 +33,12 @@
 
 /// Callers that go on until they are stopped.
 fn endless_load(fleet: &TestFleet) -> LoadRun {
-    LoadRun::spawn(LoadPlan {
-        gateways: fleet.caller_addresses(),
+    LoadRun::spawn(endless_plan(fleet.caller_addresses()))
+}
+
+fn endless_plan(gateways: Vec<SocketAddr>) -> LoadPlan {
+    LoadPlan {
+        gateways,
         token: TOKEN.to_owned(),
         class: Some("briefing".to_owned()),
         callers: 6,
@@ -41,7 +46,7 @@
         stream: true,
         max_tokens: 4,
         ..LoadPlan::default()
-    })
+    }
 }
 
 /// Asserts that engine 1 gets nothing new once the bound has passed.
@@ -206,15 +211,8 @@
     let mut gateways = fleet.caller_addresses();
     gateways.extend(fresh.iter().map(|host| host.process.caller_address()));
     let run = LoadRun::spawn(LoadPlan {
-        gateways,
-        token: TOKEN.to_owned(),
-        class: Some("briefing".to_owned()),
-        callers: 6,
-        requests: 1_000_000,
-        stream: true,
-        max_tokens: 4,
         tries: 100,
-        ..LoadPlan::default()
+        ..endless_plan(gateways)
     });
 
     for host in fresh {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -126,7 +126,6 @@
         hosts: 60,
         targets: 40,
         callers: 80,
-        length: USUAL_LENGTH,
     };
     assert!(holds(11, Some(size), USUAL_LENGTH));
 }
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -39,8 +39,6 @@
     pub(crate) hosts: usize,
     pub(crate) targets: usize,
     pub(crate) callers: usize,
-    /// For how long things befall the fleet.
-    pub(crate) length: Duration,
 }
 
 /// What a soak found.
@@ -55,24 +53,23 @@
 
 impl SoakSize {
     /// Draws the usual size: three to five hosts.
-    pub(crate) fn draw(rng: &mut ChaCha8Rng, length: Duration) -> Self {
+    pub(crate) fn draw(rng: &mut ChaCha8Rng) -> Self {
         Self {
             hosts: rng.random_range(3..=5),
             targets: rng.random_range(4..=7),
             callers: 16,
-            length,
         }
     }
 }
 
-/// Plays one soak; its processes leave their output in `directory`.
+/// Plays one soak in which things befall the fleet for `length`; its processes leave their output in `directory`.
 pub(crate) fn play(seed: u64, size: Option<SoakSize>, length: Duration) -> SoakVerdict {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let drawn = SoakSize::draw(&mut rng, length);
+    let drawn = SoakSize::draw(&mut rng);
     let size = size.unwrap_or(drawn);
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
-    let plan = draw_plan(&mut rng, size.hosts, size.targets, size.length);
+    let plan = draw_plan(&mut rng, size.hosts, size.targets, length);
     let ledger = Arc::new(SoakLedger::default());
     let sizes = (size.hosts, size.targets);
     let mut fleet = SoakFleet::start(run, sizes, &directory, Arc::clone(&ledger));
