Cold targets by turns; evacuated zones get nothing

Cause: a target that came back empty had the most free slots, so every host sent to it at once: 35 requests in a second where a cold one bears 16, and the rule allows 29. It crashed, came back cold, and again. Evacuations were not read at all.

Change: the registration says for how long a target stays cold, the pool what it bears. All known hosts, dead ones included, use a cold target by turns in three quarters of that rate; a turn that isn't used is not kept. What was lost, or lies in a zone that is taken back, counts as cold until its registration had time to say otherwise. A host that doesn't know its turn sends to no cold target. Evacuations come with the view, by revision, from the store and from peers.

Ruled out: shares by the live count (a partition would double the sum), and few hosts for each target (a host that is cut off would lead by itself).

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -16,4 +16,5 @@
 pub use service_route::CallKind;
 pub use service_route::PoolShare;
 pub use service_route::ServiceRoute;
+pub use target_pool::ColdLimit;
 pub use target_pool::TargetPool;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! [`PoolTable`] is pure: it is told what happened and when, and has neither
 //! clock nor network. [`DispatchQueue`] shares one among the requests of a host.
 
+mod cold_start;
 mod dispatch_queue;
 mod first_estimate;
 mod pace_track;
@@ -17,6 +18,7 @@
 mod target_choice;
 mod target_runtime;
 
+pub use cold_start::HostTurn;
 pub(crate) use dispatch_queue::DispatchQueue;
 pub(crate) use dispatch_queue::WaitVerdict;
 pub use peer_loads::TargetLoad;
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::HostTurn;
 use super::PlacedTarget;
 use super::PlacementRequest;
 use super::QueueTicket;
@@ -20,6 +21,7 @@
 use super::target_choice::fastest_pause;
 use super::target_choice::shortest_first;
 use super::target_runtime::TargetRuntime;
+use crate::catalog::ColdLimit;
 use crate::ids::HostName;
 use crate::ids::PoolName;
 use crate::ids::TargetName;
@@ -43,6 +45,10 @@
     pub record: TargetRecord,
     /// Whether it is a model engine.
     pub engine: bool,
+    /// What it bears while it is cold; `None` where it is never cold.
+    pub cold_limit: Option<ColdLimit>,
+    /// Whether its availability zone is evacuated.
+    pub evacuated: bool,
 }
 
 /// How often a host can send work at least, a second, as long as nothing is known.
@@ -68,6 +74,16 @@
     pools: SortedMap<PoolName, PoolEntry>,
     peer_loads: PeerLoads,
     slot_limit: Option<SlotLimit>,
+    turn: Option<HostTurn>,
+}
+
+/// What a placement knows of the host.
+#[derive(Clone, Debug)]
+struct HostView {
+    own_zone: ZoneName,
+    slot_limit: Option<u32>,
+    turn: Option<HostTurn>,
+    now: Duration,
 }
 
 /// How many requests this host may run at engines, until when.
@@ -86,12 +102,13 @@
             pools: SortedMap::new(),
             peer_loads: PeerLoads::default(),
             slot_limit: None,
+            turn: None,
         }
     }
 
     /// Replaces the targets. What is known of those that stay is kept; those that
     /// are gone take no new work at once, and what runs there goes on.
-    pub fn set_targets(&mut self, members: Vec<PoolMember>) {
+    pub fn set_targets(&mut self, members: Vec<PoolMember>, now: Duration) {
         let mut known: Vec<TargetRuntime> = Vec::new();
         for (_, pool) in self.pools.iter_mut() {
             known.append(&mut pool.targets);
@@ -107,10 +124,10 @@
             let target = match held {
                 Some(index) => {
                     let mut target = known.swap_remove(index);
-                    target.renew(member.record);
+                    target.renew(member, now);
                     target
                 }
-                None => TargetRuntime::new(member.record),
+                None => TargetRuntime::new(member, now),
             };
             pool.targets.push(target);
         }
@@ -128,6 +145,12 @@
         }
     }
 
+    /// Takes this host's place among all, by which it may send to cold targets; `None` where
+    /// it doesn't know it.
+    pub fn set_turn(&mut self, turn: Option<HostTurn>) {
+        self.turn = turn;
+    }
+
     fn mark_shard(&mut self) {
         for (_, pool) in self.pools.iter_mut() {
             pool.mark_shard(&self.shard, &self.own_zone);
@@ -179,6 +202,15 @@
         usable.map(|target| target.record.slots).sum()
     }
 
+    fn host_view(&self, now: Duration) -> HostView {
+        HostView {
+            own_zone: self.own_zone.clone(),
+            slot_limit: self.limit_now(now),
+            turn: self.turn,
+            now,
+        }
+    }
+
     /// Returns the limit in force.
     fn limit_now(&self, now: Duration) -> Option<u32> {
         let limit = self.slot_limit.filter(|limit| now < limit.until);
@@ -199,19 +231,18 @@
         now: Duration,
         spread: f64,
     ) -> Option<PlacedTarget> {
-        let limit = self.limit_now(now);
+        let host = self.host_view(now);
         let pool = self.pools.get_mut(&request.pool)?;
-        pool.place(request, &self.own_zone, limit, now, spread)
+        pool.place(request, &host, spread)
     }
 
     /// Tells whether a target has room for a request now.
     pub fn has_room_for(&self, request: &PlacementRequest, now: Duration) -> bool {
-        let limit = self.limit_now(now);
+        let host = self.host_view(now);
         let Some(pool) = self.pools.get(&request.pool) else {
             return false;
         };
-        pool.choose(request, &self.own_zone, limit, now, 0.5)
-            .is_some()
+        pool.choose(request, &host, 0.5).is_some()
     }
 
     /// Returns how long a request would wait, by those that stand before it and by how
@@ -293,9 +324,9 @@
         mut spread: impl FnMut() -> f64,
     ) -> Vec<(QueueTicket, PlacedTarget)> {
         let mut assigned = Vec::new();
-        let limit = self.limit_now(now);
+        let host = self.host_view(now);
         for (_, pool) in self.pools.iter_mut() {
-            while let Some(pair) = pool.assign_next(&self.own_zone, limit, now, &mut spread) {
+            while let Some(pair) = pool.assign_next(&host, &mut spread) {
                 assigned.push(pair);
             }
         }
@@ -492,24 +523,19 @@
         }
     }
 
-    fn choose(
-        &self,
-        request: &PlacementRequest,
-        own_zone: &str,
-        limit: Option<u32>,
-        now: Duration,
-        spread: f64,
-    ) -> Option<usize> {
+    fn choose(&self, request: &PlacementRequest, host: &HostView, spread: f64) -> Option<usize> {
         let running = || self.running.values().sum::<u32>();
+        let limit = host.slot_limit;
         if self.engine && limit.is_some_and(|limit| running() >= limit) {
             return None;
         }
         let view = ChoiceView {
             engine: self.engine,
-            own_zone,
+            own_zone: &host.own_zone,
             first: self.first,
             limited: limit.is_some(),
-            now,
+            turn: host.turn,
+            now: host.now,
         };
         choose_target(&self.targets, request, view, spread)
     }
@@ -517,17 +543,15 @@
     fn place(
         &mut self,
         request: &PlacementRequest,
-        own_zone: &str,
-        limit: Option<u32>,
-        now: Duration,
+        host: &HostView,
         spread: f64,
     ) -> Option<PlacedTarget> {
-        let index = self.choose(request, own_zone, limit, now, spread)?;
+        let index = self.choose(request, host, spread)?;
         let target = &mut self.targets[index];
         let prompt_tokens = request.prompt_tokens;
         let tokens_ahead = target.tokens_ahead();
-        target.note_dispatch(prompt_tokens, now);
-        self.begins.note(now);
+        target.note_dispatch(prompt_tokens, host.turn, host.now);
+        self.begins.note(host.now);
         *self.running.get_or_insert_with(request.rank, || 0) += 1;
         Some(PlacedTarget {
             name: TargetName::clone(&target.record.name),
@@ -540,15 +564,13 @@
 
     fn assign_next(
         &mut self,
-        own_zone: &str,
-        limit: Option<u32>,
-        now: Duration,
+        host: &HostView,
         spread: &mut impl FnMut() -> f64,
     ) -> Option<(QueueTicket, PlacedTarget)> {
         if self.queue.len() == 0 {
             return None;
         }
-        self.queue.sort_late(now);
+        self.queue.sort_late(host.now);
         let late_may_start = self.has_room_for_late();
         let waiting: Vec<(QueueTicket, PlacementRequest)> = self
             .queue
@@ -559,7 +581,7 @@
             .map(|(number, request, _)| (number, request.clone()))
             .collect();
         for (number, request) in waiting {
-            if let Some(placed) = self.place(&request, own_zone, limit, now, spread()) {
+            if let Some(placed) = self.place(&request, host, spread()) {
                 self.queue.remove(number);
                 return Some((number, placed));
             }
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::HostTurn;
 use super::PlacementRequest;
 use super::first_estimate::FirstEstimate;
 use super::target_runtime::TargetRuntime;
@@ -41,6 +42,8 @@
     pub(super) first: FirstEstimate,
     /// Whether hosts have slots of their own: those of a target that seem taken may be free.
     pub(super) limited: bool,
+    /// The host's turn at cold targets.
+    pub(super) turn: Option<HostTurn>,
     /// The time.
     pub(super) now: Duration,
 }
@@ -83,6 +86,7 @@
             TargetOffer {
                 allowed: target.is_accepting()
                     && fit
+                    && target.has_turn(view.turn, view.now)
                     && !request.tried.contains(&target.record.name),
                 first: view.first.predict(tokens, slowness),
                 slowness,
@@ -150,7 +154,8 @@
         true => OWN_ZONE_FACTOR,
         false => 1.0,
     };
-    let in_shard = match target.in_shard {
+    // A cold target takes few requests of each host, so all of them use it.
+    let in_shard = match target.in_shard || target.is_cold(view.now) {
         true => 1.0,
         false if view.limited => 0.0,
         false => REMOTE_FACTOR,
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use super::HostTurn;
+use super::PoolMember;
 use super::WorkEnd;
+use super::cold_start::ColdStart;
 use super::pace_track::PaceTrack;
 use super::peer_loads::LoadSum;
+use crate::catalog::ColdLimit;
 use crate::view::TargetPhase;
 use crate::view::TargetRecord;
 
@@ -33,6 +37,10 @@
     pub(super) pace: PaceTrack,
     /// Whether this host uses it first.
     pub(super) in_shard: bool,
+    /// Whether its availability zone is evacuated.
+    evacuated: bool,
+    cold_limit: Option<ColdLimit>,
+    cold_start: Option<ColdStart>,
     /// Share of failures among the last outcomes.
     failures: f64,
     /// Since when nothing was heard although work of this host is there.
@@ -43,8 +51,13 @@
 
 impl TargetRuntime {
     /// Starts with a target of which nothing but its registration is known.
-    pub(super) fn new(record: TargetRecord) -> Self {
+    pub(super) fn new(member: PoolMember, now: Duration) -> Self {
+        let record = member.record;
+        let is_cold = !record.cold_remaining.is_zero();
         Self {
+            evacuated: member.evacuated,
+            cold_limit: member.cold_limit,
+            cold_start: is_cold.then(|| ColdStart::registered(record.cold_remaining, now)),
             record,
             own: 0,
             peers: LoadSum::default(),
@@ -60,19 +73,47 @@
 
     /// Takes a new registration in. A new life of the target knows nothing of
     /// the one before, so what was seen of that is forgotten.
-    pub(super) fn renew(&mut self, record: TargetRecord) {
+    pub(super) fn renew(&mut self, member: PoolMember, now: Duration) {
+        let record = &member.record;
         if self.record.born_ms != record.born_ms || self.record.address != record.address {
             let own = self.own;
-            *self = Self::new(record);
+            *self = Self::new(member, now);
             self.own = own;
             return;
         }
-        self.record = record;
+        if self.evacuated && !member.evacuated {
+            self.cold_start = Some(ColdStart::returned(now));
+        }
+        let is_news = self.record.revision != record.revision;
+        if is_news && !record.cold_remaining.is_zero() {
+            let cold_start = self.cold_start.get_or_insert(ColdStart::lost(now));
+            cold_start.extend(record.cold_remaining, now);
+        }
+        self.evacuated = member.evacuated;
+        self.cold_limit = member.cold_limit;
+        self.record = member.record;
     }
 
     /// Tells whether the target may get new work at all.
     pub(super) fn is_accepting(&self) -> bool {
-        self.record.phase == TargetPhase::Ready
+        self.record.phase == TargetPhase::Ready && !self.evacuated
+    }
+
+    /// Tells whether the target is cold, or may be.
+    pub(super) fn is_cold(&self, now: Duration) -> bool {
+        let cold_start = self.cold_start.filter(|_| self.cold_limit.is_some());
+        cold_start.is_some_and(|cold_start| !cold_start.is_over(now))
+    }
+
+    /// Tells whether this host may send to it now, as far as it is cold. A host that doesn't
+    /// know its turn sends to no cold target.
+    pub(super) fn has_turn(&self, turn: Option<HostTurn>, now: Duration) -> bool {
+        !self.is_cold(now) || self.open_turn(turn, now).is_some()
+    }
+
+    fn open_turn(&self, turn: Option<HostTurn>, now: Duration) -> Option<u64> {
+        let cold_start = self.cold_start.as_ref()?;
+        cold_start.open_turn(&self.record.name, self.cold_limit?, turn?, now)
     }
 
     /// Tells whether the target seems fit for new work.
@@ -117,7 +158,16 @@
     }
 
     /// Notes that work is sent there.
-    pub(super) fn note_dispatch(&mut self, prompt_tokens: u64, now: Duration) {
+    pub(super) fn note_dispatch(
+        &mut self,
+        prompt_tokens: u64,
+        turn: Option<HostTurn>,
+        now: Duration,
+    ) {
+        let number = self.open_turn(turn, now);
+        if let (Some(cold_start), Some(number)) = (&mut self.cold_start, number) {
+            cold_start.use_turn(number);
+        }
         self.own += 1;
         self.unread_tokens += prompt_tokens;
         self.silent_since.get_or_insert(now);
@@ -126,6 +176,9 @@
     /// Notes that the target sent something.
     pub(super) fn note_heard(&mut self, now: Duration) {
         self.silent_since = Some(now);
+        if let Some(cold_start) = &mut self.cold_start {
+            cold_start.note_answer(now);
+        }
     }
 
     /// Notes that a prompt was read: its first event came, or it ended before.
@@ -149,6 +202,7 @@
             WorkEnd::Rejected => self.rest(now, FIRST_REST),
             WorkEnd::Unreachable | WorkEnd::Silent => {
                 self.rest(now, self.next_rest);
+                self.cold_start = Some(ColdStart::lost(now));
                 self.next_rest = (self.next_rest * 2).min(LONGEST_REST);
             }
             WorkEnd::GivenUp => {}
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -321,6 +321,13 @@
             });
         }
         self.refresh_targets();
+        for evacuation in change.evacuations {
+            self.log.write(&DecisionLine::ZoneEvacuation {
+                availability_zone: evacuation.availability_zone,
+                revision: evacuation.revision,
+                active: evacuation.active,
+            });
+        }
         if !change.changed.is_empty() || !change.gone.is_empty() {
             self.log.write(&DecisionLine::TargetsChanged {
                 revision: self.view.marks().0,
@@ -332,15 +339,19 @@
 
     fn refresh_targets(&self) {
         let catalog = self.view.catalog();
-        let is_engine = |pool: &str| {
-            let pool = catalog.as_ref().and_then(|catalog| catalog.find_pool(pool));
-            pool.is_some_and(|pool| pool.engine)
-        };
-        let members = self.view.targets().into_iter().map(|record| PoolMember {
-            engine: is_engine(&record.pool),
-            record,
+        let evacuated = self.view.evacuated_zones();
+        let members = self.view.targets().into_iter().map(|record| {
+            let catalog = catalog.as_ref();
+            let pool = catalog.and_then(|catalog| catalog.find_pool(&record.pool));
+            PoolMember {
+                engine: pool.is_some_and(|pool| pool.engine),
+                cold_limit: pool.and_then(|pool| pool.cold_limit),
+                evacuated: evacuated.binary_search(&record.availability_zone).is_ok(),
+                record,
+            }
         });
-        self.queue.lock_table().set_targets(members.collect());
+        let members = members.collect();
+        self.queue.lock_table().set_targets(members, boot_now());
         self.queue.assign_waiting();
     }
 }
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -76,6 +76,7 @@
                 .map(|(index, target)| record_of(index, target, version))
                 .collect(),
             removals: Vec::new(),
+            evacuations: Vec::new(),
         };
         *self.state.lock().unwrap() = Some(update);
     }
@@ -303,6 +304,7 @@
         pools: vec![TargetPool {
             name: "p".into(),
             engine: false,
+            cold_limit: None,
         }],
         accounts: vec![ClientAccount {
             name: "acme".into(),
@@ -330,6 +332,7 @@
         slots: 4,
         phase: TargetPhase::Ready,
         born_ms: 0,
+        cold_remaining: Duration::ZERO,
         revision,
     }
 }
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -13,6 +13,7 @@
 use crate::ids::PoolName;
 use crate::ids::StoreRevision;
 use crate::ids::TargetName;
+use crate::ids::ZoneName;
 
 /// One decision that touches a request or changes what the process believes.
 ///
@@ -88,6 +89,16 @@
         /// Targets that are gone.
         gone: Vec<TargetName>,
     },
+    /// The targets of an availability zone get no new work, or do so again.
+    #[display("evacuation of {availability_zone}: {active}")]
+    ZoneEvacuation {
+        /// The availability zone.
+        availability_zone: ZoneName,
+        /// The revision at which the store was changed.
+        revision: StoreRevision,
+        /// Whether the zone is evacuated.
+        active: bool,
+    },
     /// The peers that can be called changed.
     #[display("peers changed")]
     PeersChanged {
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -8,6 +8,7 @@
 use super::HostSighting;
 use super::MemberNote;
 use super::hash_host;
+use crate::dispatch::HostTurn;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
 use crate::ids::ZoneName;
@@ -248,6 +249,15 @@
             .collect()
     }
 
+    /// Returns this host's place among all that there may be, in the order of their names.
+    pub fn own_turn(&self) -> HostTurn {
+        let others = self.rows.iter();
+        HostTurn {
+            index: others.filter(|(host, _)| **host < self.own).count(),
+            hosts: self.size(),
+        }
+    }
+
     /// Returns how many hosts there may be, this one included. Dead ones count:
     /// they may serve callers behind a cut.
     pub fn size(&self) -> usize {
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -9,6 +9,7 @@
 mod shared_view;
 mod target_record;
 mod view_update;
+mod zone_evacuation;
 
 pub use fleet_source::FleetSource;
 pub use fleet_source::SourceError;
@@ -21,3 +22,4 @@
 pub use view_update::TargetRemoval;
 pub use view_update::ViewChange;
 pub use view_update::ViewUpdate;
+pub use zone_evacuation::ZoneEvacuation;
--- a/src/view/platform_view.rs
+++ b/src/view/platform_view.rs
@@ -8,11 +8,13 @@
 use super::TargetRemoval;
 use super::ViewChange;
 use super::ViewUpdate;
+use super::ZoneEvacuation;
 use crate::catalog::CatalogParts;
 use crate::catalog::RouteCatalog;
 use crate::ids::CatalogVersion;
 use crate::ids::StoreRevision;
 use crate::ids::TargetName;
+use crate::ids::ZoneName;
 use crate::sorted::SortedMap;
 
 /// How long removals are remembered. A peer that has not heard of one for as
@@ -43,6 +45,8 @@
     /// Targets whose registration lapsed while the store was away, and until
     /// when they may still serve.
     lapses: SortedMap<TargetName, Duration>,
+    /// What was last asked for each availability zone that was ever evacuated.
+    evacuations: SortedMap<ZoneName, ZoneEvacuation>,
 }
 
 impl PlatformView {
@@ -72,6 +76,12 @@
         self.targets.values()
     }
 
+    /// Returns the availability zones whose targets are to get no new work, sorted.
+    pub fn evacuated_zones(&self) -> Vec<ZoneName> {
+        let active = self.evacuations.values().filter(|held| held.active);
+        active.map(|held| held.availability_zone.clone()).collect()
+    }
+
     /// Returns the whole view for a peer whose catalog has `known` as version.
     ///
     /// Lapsed targets are left out. The store removed them before the view's revision,
@@ -86,6 +96,7 @@
                 .map(|catalog| catalog.parts().clone()),
             targets: self.standing_targets().cloned().collect(),
             removals: Vec::new(),
+            evacuations: self.evacuations.values().cloned().collect(),
         }
     }
 
@@ -104,6 +115,7 @@
         let targets = self.standing_targets();
         let targets = targets.filter(|target| target.revision > complete);
         let removals = self.removals.iter();
+        let evacuations = self.evacuations.values();
         let update = ViewUpdate {
             revision: self.revision,
             whole: false,
@@ -116,9 +128,15 @@
                     revision: mark.revision,
                 })
                 .collect(),
+            evacuations: evacuations
+                .filter(|evacuation| evacuation.revision > complete)
+                .cloned()
+                .collect(),
         };
-        let lacks =
-            update.catalog.is_some() || !update.targets.is_empty() || !update.removals.is_empty();
+        let lacks = update.catalog.is_some()
+            || !update.targets.is_empty()
+            || !update.removals.is_empty()
+            || !update.evacuations.is_empty();
         lacks.then_some(update)
     }
 
@@ -129,6 +147,7 @@
             change.catalog = self.raise_catalog(parts);
         }
         if update.whole {
+            self.end_absent_evacuations(&update.evacuations, update.revision, &mut change);
             self.remove_absent(&update.targets, update.revision, outage, now, &mut change);
         }
         for record in update.targets {
@@ -137,6 +156,9 @@
         for removal in update.removals {
             self.take_removal(removal, outage, now, &mut change);
         }
+        for evacuation in update.evacuations {
+            self.take_evacuation(evacuation, &mut change);
+        }
         self.revision = self.revision.max(update.revision);
         let forgotten = &mut self.forgotten;
         self.removals.retain(|_, mark| {
@@ -204,6 +226,41 @@
         }
     }
 
+    /// Ends the evacuations that a whole update doesn't name.
+    fn end_absent_evacuations(
+        &mut self,
+        present: &[ZoneEvacuation],
+        revision: StoreRevision,
+        change: &mut ViewChange,
+    ) {
+        let is_present = |zone: &ZoneName| {
+            let mut evacuations = present.iter();
+            evacuations.any(|evacuation| evacuation.availability_zone == *zone)
+        };
+        let active = self.evacuated_zones().into_iter();
+        for availability_zone in active.filter(|zone| !is_present(zone)) {
+            let ended = ZoneEvacuation {
+                availability_zone,
+                revision,
+                active: false,
+            };
+            self.take_evacuation(ended, change);
+        }
+    }
+
+    fn take_evacuation(&mut self, evacuation: ZoneEvacuation, change: &mut ViewChange) {
+        let held = self.evacuations.get(&evacuation.availability_zone);
+        if held.is_some_and(|held| held.revision >= evacuation.revision) {
+            return;
+        }
+        self.changed_at = self.changed_at.max(evacuation.revision);
+        if held.is_some_and(|held| held.active) != evacuation.active {
+            change.evacuations.push(evacuation.clone());
+        }
+        let zone = evacuation.availability_zone.clone();
+        self.evacuations.insert(zone, evacuation);
+    }
+
     fn take_record(&mut self, record: TargetRecord, change: &mut ViewChange) {
         if let Some(mark) = self.removals.get(&record.name)
             && mark.revision >= record.revision
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -18,6 +18,7 @@
 use crate::catalog::RouteCatalog;
 use crate::ids::CatalogVersion;
 use crate::ids::StoreRevision;
+use crate::ids::ZoneName;
 
 /// The view behind a lock, the catalog behind an atomic pointer for the requests'
 /// path, and the age of what is believed.
@@ -125,6 +126,11 @@
         self.lock().view.targets().cloned().collect()
     }
 
+    /// Returns the availability zones whose targets are to get no new work.
+    pub fn evacuated_zones(&self) -> Vec<ZoneName> {
+        self.lock().view.evacuated_zones()
+    }
+
     /// Returns the whole view for a peer whose catalog has `known` as version.
     pub fn whole_update(&self, known: CatalogVersion) -> ViewUpdate {
         self.lock().view.whole_update(known)
--- a/src/view/target_record.rs
+++ b/src/view/target_record.rs
@@ -1,6 +1,7 @@
 //! One target as it registered itself.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -37,6 +38,8 @@
     /// When this life of it began, in milliseconds of its own clock; a target may
     /// start again under its old name and then knows nothing of before.
     pub born_ms: u64,
+    /// For how long it stays cold, as of this registration.
+    pub cold_remaining: Duration,
     /// The revision of the store at which it was written.
     pub revision: StoreRevision,
 }
--- a/src/view/view_update.rs
+++ b/src/view/view_update.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::TargetRecord;
+use super::ZoneEvacuation;
 use crate::catalog::CatalogParts;
 use crate::ids::CatalogVersion;
 use crate::ids::StoreRevision;
@@ -31,6 +32,8 @@
     pub targets: Vec<TargetRecord>,
     /// Targets that are registered no more.
     pub removals: Vec<TargetRemoval>,
+    /// Availability zones that are evacuated, or no longer are.
+    pub evacuations: Vec<ZoneEvacuation>,
 }
 
 /// What an update changed.
@@ -42,11 +45,16 @@
     pub changed: Vec<TargetName>,
     /// Targets that are gone.
     pub gone: Vec<TargetName>,
+    /// Availability zones whose evacuation started or ended.
+    pub evacuations: Vec<ZoneEvacuation>,
 }
 
 impl ViewChange {
     /// Tells whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        self.catalog.is_none() && self.changed.is_empty() && self.gone.is_empty()
+        self.catalog.is_none()
+            && self.changed.is_empty()
+            && self.gone.is_empty()
+            && self.evacuations.is_empty()
     }
 }
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -35,15 +35,18 @@
             slots,
             phase: TargetPhase::Ready,
             born_ms: 0,
+            cold_remaining: Duration::ZERO,
             revision: 1,
         },
         engine: true,
+        cold_limit: None,
+        evacuated: false,
     }
 }
 
 fn board_of(members: Vec<PoolMember>) -> PoolTable {
     let mut board = PoolTable::new("za".into());
-    board.set_targets(members);
+    board.set_targets(members, start());
     board
 }
 
@@ -311,7 +314,7 @@
             member.record.availability_zone = ["za", "zb", "zc"][target / 20].into();
             member
         });
-        table.set_targets(members.collect());
+        table.set_targets(members.collect(), start());
         table.set_share(share_of(index));
         preferred.extend(table.shard_targets());
     }
--- a/tests/platform_view.rs
+++ b/tests/platform_view.rs
@@ -9,6 +9,7 @@
 use cardamomgw::view::TargetRecord;
 use cardamomgw::view::TargetRemoval;
 use cardamomgw::view::ViewUpdate;
+use cardamomgw::view::ZoneEvacuation;
 
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -23,6 +24,7 @@
         slots: 4,
         phase: TargetPhase::Ready,
         born_ms: 0,
+        cold_remaining: Duration::ZERO,
         revision,
     }
 }
@@ -210,3 +212,67 @@
     let names: Vec<String> = second.targets().into_iter().map(|held| held.name).collect();
     assert_eq!(names, ["other"]);
 }
+
+fn evacuation(zone: &str, revision: u64, active: bool) -> ViewUpdate {
+    ViewUpdate {
+        revision,
+        evacuations: vec![ZoneEvacuation {
+            availability_zone: zone.into(),
+            revision,
+            active,
+        }],
+        ..ViewUpdate::default()
+    }
+}
+
+/// Guards against an evacuation that ends because a peer is behind, or that goes on after
+/// the operator took it back.
+#[test]
+fn the_newest_word_on_an_evacuation_holds() {
+    let view = SharedView::default();
+    let now = seconds(100);
+
+    view.take_store_answer(evacuation("za", 5, true), now, now);
+    let repeated = view.take_peer_view(evacuation("za", 4, false), now);
+    let held = view.evacuated_zones();
+    let ended = view.take_peer_view(evacuation("za", 9, false), now);
+    view.take_peer_view(evacuation("za", 5, true), now);
+
+    assert!(repeated.is_empty());
+    assert_eq!(held, ["za"]);
+    assert_eq!(ended.evacuations.len(), 1);
+    assert!(view.evacuated_zones().is_empty());
+}
+
+/// Guards against an evacuation that goes on because its end fell into a lost history: the
+/// store is read whole then.
+#[test]
+fn a_whole_read_ends_an_evacuation_that_it_does_not_name() {
+    let view = SharedView::default();
+    let now = seconds(100);
+    view.take_store_answer(evacuation("za", 5, true), now, now);
+
+    let change = view.take_store_answer(whole(9, &[]), now, now);
+
+    assert_eq!(change.evacuations.len(), 1);
+    assert!(view.evacuated_zones().is_empty());
+}
+
+/// Guards against a host that starts during an evacuation, and learns the view from a peer.
+#[test]
+fn peers_pass_an_evacuation_on() {
+    let view = SharedView::default();
+    let young = SharedView::default();
+    let late = SharedView::default();
+    let now = seconds(100);
+    view.take_store_answer(whole(3, &[target("a", 3)]), now, now);
+    view.take_store_answer(evacuation("za", 5, true), now, now);
+    late.take_peer_view(whole(3, &[target("a", 3)]), now);
+
+    young.take_peer_view(view.whole_update(0), now);
+    let lacking = view.update_since(3, 0).expect("it lacks the evacuation");
+    late.take_peer_view(lacking, now);
+
+    assert_eq!(young.evacuated_zones(), ["za"]);
+    assert_eq!(late.evacuated_zones(), ["za"]);
+}
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -70,9 +70,12 @@
             slots: SLOTS as u32,
             phase: TargetPhase::Ready,
             born_ms: 0,
+            cold_remaining: Duration::ZERO,
             revision: 1,
         },
         engine: true,
+        cold_limit: None,
+        evacuated: false,
     }
 }
 
@@ -80,7 +83,7 @@
     fn new(divides: bool) -> Self {
         let table = || {
             let mut table = PoolTable::new("za".into());
-            table.set_targets((0..ENGINES).map(engine).collect());
+            table.set_targets((0..ENGINES).map(engine).collect(), Duration::ZERO);
             table
         };
         Self {
@@ -309,7 +312,7 @@
 fn what_turns_late_is_rejected_at_once_where_slots_are_divided() {
     let now = Duration::from_secs(100);
     let mut table = PoolTable::new("za".into());
-    table.set_targets(vec![engine(0)]);
+    table.set_targets(vec![engine(0)], now);
     let request = |returned: bool| PlacementRequest {
         pool: POOL.into(),
         rank: UrgencyRank {
