Slots of a shard are granted by target

Cause: half of the requests for engines came where 12 or more were in flight before 11 slots: hosts had a number of slots and chose targets by loads 0.2 to 0.5 s old. First events took 234 to 660 ms there, 90 ms below 12.

--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use super::GrantTarget;
 use super::HostTurn;
 use super::PlacedTarget;
 use super::PlacementRequest;
+use super::PoolGrants;
 use super::QueueTicket;
 use super::ShardRange;
 use super::SlotDemand;
@@ -35,8 +37,8 @@
 /// and can still be in time begins at once.
 const LATE_RESERVE: f64 = 0.06;
 
-/// How long a limit on slots counts: some reports may be lost.
-const LIMIT_TIME: Duration = Duration::from_millis(1000);
+/// How long granted slots may be used: some reports may be lost.
+const GRANT_TIME: Duration = Duration::from_millis(1000);
 
 /// A target and whether its pool's targets are engines.
 #[derive(Clone, Debug)]
@@ -64,6 +66,8 @@
     begins: RateTrack,
     /// How many requests of this host run there, by urgency.
     running: SortedMap<UrgencyRank, u32>,
+    /// The slots that this host may use, where they are divided.
+    granted: Option<GrantedSlots>,
 }
 
 /// All targets and waiting requests of one host.
@@ -73,7 +77,6 @@
     shard: ShardRange,
     pools: SortedMap<PoolName, PoolEntry>,
     peer_loads: PeerLoads,
-    slot_limit: Option<SlotLimit>,
     turn: Option<HostTurn>,
 }
 
@@ -81,15 +84,14 @@
 #[derive(Clone, Debug)]
 struct HostView {
     own_zone: ZoneName,
-    slot_limit: Option<u32>,
     turn: Option<HostTurn>,
     now: Duration,
 }
 
-/// How many requests this host may run at engines, until when.
-#[derive(Clone, Copy, Debug)]
-struct SlotLimit {
-    slots: u32,
+/// The slots that this host may use at each target, sorted, and until when.
+#[derive(Debug)]
+struct GrantedSlots {
+    granted: PoolGrants,
     until: Duration,
 }
 
@@ -101,7 +103,6 @@
             shard: ShardRange::default(),
             pools: SortedMap::new(),
             peer_loads: PeerLoads::default(),
-            slot_limit: None,
             turn: None,
         }
     }
@@ -157,26 +158,34 @@
         }
     }
 
-    /// Takes how many requests this host may run at engines for a while; `None` where they
-    /// have slots enough for all hosts.
-    pub fn set_slot_limit(&mut self, slots: Option<u32>, now: Duration) {
-        self.slot_limit = slots.map(|slots| SlotLimit {
-            slots,
-            until: now + LIMIT_TIME,
-        });
+    /// Takes the slots that this host may use for a while; all of a pool that is not named.
+    pub fn set_grants(&mut self, mut pools: Vec<PoolGrants>, now: Duration) {
+        for (name, pool) in self.pools.iter_mut() {
+            let index = pools.iter().position(|granted| granted.pool == *name);
+            pool.granted = index.map(|index| GrantedSlots {
+                granted: pools.swap_remove(index),
+                until: now + GRANT_TIME,
+            });
+        }
     }
 
     /// Returns how many slots this host wants at engines, by urgency.
     pub fn slot_demands(&self) -> Vec<SlotDemand> {
         let mut demands: Vec<SlotDemand> = Vec::new();
-        let mut add = |rank: Option<UrgencyRank>, slots: u32| {
-            let held = demands.iter_mut().find(|demand| demand.rank == rank);
-            match held {
-                Some(held) => held.slots += slots,
-                None => demands.push(SlotDemand { rank, slots }),
-            }
-        };
-        for pool in self.pools.values().filter(|pool| pool.engine) {
+        for (name, pool) in self.pools.iter().filter(|(_, pool)| pool.engine) {
+            let first = demands.len();
+            let mut add = |rank: Option<UrgencyRank>, slots: u32| {
+                let held = demands[first..].iter_mut();
+                let held = held.into_iter().find(|demand| demand.rank == rank);
+                match held {
+                    Some(held) => held.slots += slots,
+                    None => demands.push(SlotDemand {
+                        pool: name.clone(),
+                        rank,
+                        slots,
+                    }),
+                }
+            };
             for (rank, running) in pool.running.iter() {
                 add(Some(*rank), *running);
             }
@@ -193,30 +202,51 @@
         engines.any(|pool| pool.queue.len() > 0)
     }
 
-    /// Returns how many slots the engines have that this host's group prefers.
-    pub fn shard_slots(&self, now: Duration) -> u32 {
-        let engines = self.pools.values().filter(|pool| pool.engine);
-        let targets = engines.flat_map(|pool| &pool.targets);
-        let usable = targets
-            .filter(|target| target.in_shard && target.is_accepting() && target.is_healthy(now));
-        usable.map(|target| target.record.slots).sum()
+    /// Returns the engines whose slots this host's group divides, as far as the grants of
+    /// `receiver` depend on them; `own` is this host, `members` those that hold grants.
+    pub fn grant_targets(
+        &self,
+        receiver: &str,
+        own: &str,
+        members: &[HostName],
+        now: Duration,
+    ) -> Vec<(PoolName, Vec<GrantTarget>)> {
+        let engines = self.pools.iter().filter(|(_, pool)| pool.engine);
+        let running_of = |host: &str, target: &TargetRuntime| match host == own {
+            true => target.own,
+            false => self.peer_loads.load_of(host, &target.record.name).running,
+        };
+        let grant_target = |target: &TargetRuntime| {
+            let running = running_of(receiver, target);
+            let others = members.iter().filter(|host| *host != receiver);
+            let by_members: u32 = others.map(|host| running_of(host, target)).sum();
+            let all = target.own + target.peers.running;
+            GrantTarget {
+                name: target.record.name.clone(),
+                slots: target.record.slots,
+                running,
+                outside: all.saturating_sub(by_members + running),
+            }
+        };
+        engines
+            .map(|(name, pool)| {
+                let usable = pool
+                    .targets
+                    .iter()
+                    .filter(|target| target.is_grantable(now));
+                (name.clone(), usable.map(grant_target).collect())
+            })
+            .collect()
     }
 
     fn host_view(&self, now: Duration) -> HostView {
         HostView {
             own_zone: self.own_zone.clone(),
-            slot_limit: self.limit_now(now),
             turn: self.turn,
             now,
         }
     }
 
-    /// Returns the limit in force.
-    fn limit_now(&self, now: Duration) -> Option<u32> {
-        let limit = self.slot_limit.filter(|limit| now < limit.until);
-        limit.map(|limit| limit.slots)
-    }
-
     /// Tells whether any target of the pool takes new work.
     pub fn has_accepting_target(&self, pool: &str) -> bool {
         self.pools
@@ -283,16 +313,14 @@
         };
         let first = shortest_first(&pool.targets, request, pool.first);
         let is_late = now + first > request.objective_at;
-        pool.engine && is_late && !request.returned && self.limit_now(now).is_some()
+        pool.engine && is_late && !request.returned && pool.grants(now).is_some()
     }
 
     /// Takes those that wait without hope out of the queues; see [`PoolTable::is_hopeless`].
     pub fn drop_hopeless(&mut self, now: Duration) -> Vec<QueueTicket> {
-        if self.limit_now(now).is_none() {
-            return Vec::new();
-        }
         let mut dropped = Vec::new();
-        for (_, pool) in self.pools.iter_mut().filter(|(_, pool)| pool.engine) {
+        let divided = self.pools.iter_mut();
+        for (_, pool) in divided.filter(|(_, pool)| pool.engine && pool.grants(now).is_some()) {
             pool.queue.sort_late(now);
             let late = pool.queue.iter().filter(|(_, _, late)| *late);
             let hopeless = late.filter(|(_, request, _)| !request.returned);
@@ -523,17 +551,24 @@
         }
     }
 
+    /// Returns the slots that this host may use; `None` where it may use all.
+    fn grants(&self, now: Duration) -> Option<&PoolGrants> {
+        let granted = self.granted.as_ref();
+        let in_force = granted.filter(|granted| now < granted.until);
+        in_force.map(|granted| &granted.granted)
+    }
+
     fn choose(&self, request: &PlacementRequest, host: &HostView, spread: f64) -> Option<usize> {
+        let grants = self.grants(host.now);
         let running = || self.running.values().sum::<u32>();
-        let limit = host.slot_limit;
-        if self.engine && limit.is_some_and(|limit| running() >= limit) {
+        if self.engine && grants.is_some_and(|granted| running() >= granted.slots) {
             return None;
         }
         let view = ChoiceView {
             engine: self.engine,
             own_zone: &host.own_zone,
             first: self.first,
-            limited: limit.is_some(),
+            grants: grants.map(|granted| granted.grants.as_slice()),
             turn: host.turn,
             now: host.now,
         };
--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -7,6 +7,7 @@
 
 use super::UrgencyRank;
 use crate::ids::HostName;
+use crate::ids::PoolName;
 use crate::sorted::SortedMap;
 
 /// From which part of the slots on that are wanted they are divided.
@@ -18,8 +19,10 @@
 const DEMAND_MEMORY: Duration = Duration::from_millis(1500);
 
 /// How many slots requests of one urgency want, running ones included.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SlotDemand {
+    /// The pool.
+    pub pool: PoolName,
     /// Their urgency; `None` for those that can't be in time any more, behind all others.
     pub rank: Option<UrgencyRank>,
     /// How many they want.
@@ -53,18 +56,21 @@
             .retain(|_, demand| now.saturating_sub(demand.at) < DEMAND_MEMORY);
     }
 
-    /// Returns how many of `slots` a host may use; `None` while there are enough for all.
-    pub fn share_of(&self, host: &str, slots: u32) -> Option<u32> {
-        let wanted: u32 = self.hosts.values().map(HostDemand::total).sum();
+    /// Returns how many of a pool's `slots` a host may use; `None` while there are enough for
+    /// all.
+    pub fn share_of(&self, host: &str, pool: &str, slots: u32) -> Option<u32> {
+        let demands = || self.hosts.values().flat_map(|demand| demand.in_pool(pool));
+        let wanted: u32 = demands().map(|demand| demand.slots).sum();
         if slots == 0 || f64::from(wanted) < f64::from(slots) * DIVIDED_FROM {
             return None;
         }
         let mut left = f64::from(slots) * GIVEN_PART;
         let mut share = 0.0;
-        for rank in self.ranks() {
-            let all: f64 = self.hosts.values().map(|demand| demand.of(rank)).sum();
+        for rank in ranks_of(demands()) {
+            let hosts = self.hosts.values();
+            let all: f64 = hosts.map(|demand| demand.of(pool, rank)).sum();
             let part = (left / all).min(1.0);
-            share += self.share_of_rank(host, rank, part);
+            share += self.share_of_rank(host, pool, rank, part);
             left -= all * part;
         }
         // What nobody wants yet is for what comes before the next report.
@@ -74,35 +80,35 @@
 
     /// Returns the `part` of what a host wants for one urgency. Each host's slots end where
     /// the next one's start, so that rounding loses none.
-    fn share_of_rank(&self, host: &str, rank: Option<UrgencyRank>, part: f64) -> f64 {
+    fn share_of_rank(&self, host: &str, pool: &str, rank: Option<UrgencyRank>, part: f64) -> f64 {
         let mut end = 0.0;
         for (name, demand) in self.hosts.iter() {
             let start: f64 = end;
-            end += demand.of(rank) * part;
+            end += demand.of(pool, rank) * part;
             if name == host {
                 return end.round() - start.round();
             }
         }
         0.0
     }
+}
 
-    /// Returns all urgencies that want slots, the most urgent first.
-    fn ranks(&self) -> Vec<Option<UrgencyRank>> {
-        let demands = self.hosts.values().flat_map(|demand| &demand.demands);
-        let mut ranks: Vec<Option<UrgencyRank>> = demands.map(|demand| demand.rank).collect();
-        ranks.sort_by_key(|rank| (rank.is_none(), *rank));
-        ranks.dedup();
-        ranks
-    }
+/// Returns all urgencies that want slots, the most urgent first.
+fn ranks_of<'d>(demands: impl Iterator<Item = &'d SlotDemand>) -> Vec<Option<UrgencyRank>> {
+    let mut ranks: Vec<Option<UrgencyRank>> = demands.map(|demand| demand.rank).collect();
+    ranks.sort_by_key(|rank| (rank.is_none(), *rank));
+    ranks.dedup();
+    ranks
 }
 
 impl HostDemand {
-    fn total(&self) -> u32 {
-        self.demands.iter().map(|demand| demand.slots).sum()
+    fn in_pool(&self, pool: &str) -> impl Iterator<Item = &SlotDemand> {
+        let demands = self.demands.iter();
+        demands.filter(move |demand| demand.pool == pool)
     }
 
-    fn of(&self, rank: Option<UrgencyRank>) -> f64 {
-        let mut demands = self.demands.iter();
+    fn of(&self, pool: &str, rank: Option<UrgencyRank>) -> f64 {
+        let mut demands = self.in_pool(pool);
         let found = demands.find(|demand| demand.rank == rank);
         found.map_or(0.0, |demand| f64::from(demand.slots))
     }
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -4,6 +4,7 @@
 
 use super::HostTurn;
 use super::PlacementRequest;
+use super::SlotGrant;
 use super::first_estimate::FirstEstimate;
 use super::target_runtime::TargetRuntime;
 
@@ -26,8 +27,6 @@
 /// How much a target counts that other hosts use first: only where those that this
 /// host uses first are full.
 const REMOTE_FACTOR: f64 = 0.01;
-/// By how many requests a target may seem overfull to a host that has slots of its own.
-const LIMITED_EXCESS: u32 = 4;
 /// The wait for a first event that halves a target's chance, beside the shortest.
 const WAIT_HALF: Duration = Duration::from_millis(60);
 
@@ -40,8 +39,8 @@
     pub(super) own_zone: &'a str,
     /// How long first events take.
     pub(super) first: FirstEstimate,
-    /// Whether hosts have slots of their own: those of a target that seem taken may be free.
-    pub(super) limited: bool,
+    /// The slots that the host may use, where hosts have slots of their own.
+    pub(super) grants: Option<&'a [SlotGrant]>,
     /// The host's turn at cold targets.
     pub(super) turn: Option<HostTurn>,
     /// The time.
@@ -144,11 +143,11 @@
     view: ChoiceView<'_>,
     shortest: Duration,
 ) -> f64 {
-    let room = match view.engine {
-        true if view.limited => f64::from(target.slots_within(LIMITED_EXCESS)),
-        true => f64::from(target.free_slots()),
+    let room = match (view.engine, view.grants) {
+        (true, Some(grants)) => f64::from(target.granted_room(grants, view.now)),
+        (true, None) => f64::from(target.free_slots()),
         // The work of a plain service is over before a peer could tell of it.
-        false => plain_room(target),
+        (false, _) => plain_room(target),
     };
     let zone = match target.record.availability_zone == view.own_zone {
         true => OWN_ZONE_FACTOR,
@@ -157,7 +156,7 @@
     // A cold target takes few requests of each host, so all of them use it.
     let in_shard = match target.in_shard || target.is_cold(view.now) {
         true => 1.0,
-        false if view.limited => 0.0,
+        false if view.grants.is_some() => 0.0,
         false => REMOTE_FACTOR,
     };
     let success_rate = target.success_rate().max(LEAST_SUCCESS_RATE);
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -4,6 +4,7 @@
 
 use super::HostTurn;
 use super::PoolMember;
+use super::SlotGrant;
 use super::WorkEnd;
 use super::cold_start::ColdStart;
 use super::pace_track::PaceTrack;
@@ -105,6 +106,11 @@
         cold_start.is_some_and(|cold_start| !cold_start.is_over(now))
     }
 
+    /// Tells whether the leader of a group may grant its slots.
+    pub(super) fn is_grantable(&self, now: Duration) -> bool {
+        self.in_shard && self.is_accepting() && self.is_healthy(now) && !self.is_cold(now)
+    }
+
     /// Tells whether this host may send to it now, as far as it is cold. A host that doesn't
     /// know its turn sends to no cold target.
     pub(super) fn has_turn(&self, turn: Option<HostTurn>, now: Duration) -> bool {
@@ -130,13 +136,20 @@
 
     /// Returns how many requests it can start at once.
     pub(super) fn free_slots(&self) -> u32 {
-        self.slots_within(0)
+        let taken = self.own + self.peers.running;
+        self.record.slots.saturating_sub(taken)
     }
 
-    /// Returns how many requests it can take until it has `excess` more than slots.
-    pub(super) fn slots_within(&self, excess: u32) -> u32 {
-        let most = self.record.slots + excess;
-        most.saturating_sub(self.own + self.peers.running)
+    /// Returns how many requests this host may start there by what it was granted. A cold
+    /// target is not granted to anybody, as all hosts use it by turns.
+    pub(super) fn granted_room(&self, grants: &[SlotGrant], now: Duration) -> u32 {
+        if self.is_cold(now) {
+            return self.free_slots();
+        }
+        let name = &self.record.name;
+        let index = grants.binary_search_by(|grant| grant.target.cmp(name));
+        let granted = index.map_or(0, |index| grants[index].slots);
+        granted.saturating_sub(self.own)
     }
 
     /// Returns how many tokens are read there before those of a new prompt.
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -23,7 +23,7 @@
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
 use crate::dispatch::PoolMember;
-use crate::dispatch::SlotShares;
+use crate::dispatch::SlotGrants;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
 use crate::logs::DecisionLine;
@@ -69,8 +69,8 @@
     passed_over: Mutex<SortedMap<HostName, Duration>>,
     sent_state: Mutex<SentState>,
     deadlines: Mutex<DeadlineHistory>,
-    /// How the group that reports to this host divides its slots.
-    slot_shares: Mutex<SlotShares>,
+    /// The slots that hosts which report to this one may use.
+    slot_grants: Mutex<SlotGrants>,
     quotas: Mutex<QuotaLedger>,
     retries: Mutex<RetryBudget>,
     /// Boot time in milliseconds of the signal to leave; 0 before it.
@@ -107,7 +107,7 @@
             known_by: Mutex::default(),
             passed_over: Mutex::default(),
             deadlines: Mutex::default(),
-            slot_shares: Mutex::default(),
+            slot_grants: Mutex::default(),
             sent_state: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             dialect,
@@ -142,9 +142,9 @@
         lock(&self.reports)
     }
 
-    /// Gives access to the division of slots; never held over a wait.
-    pub(crate) fn slot_shares(&self) -> MutexGuard<'_, SlotShares> {
-        lock(&self.slot_shares)
+    /// Gives access to the granted slots; never held over a wait.
+    pub(crate) fn slot_grants(&self) -> MutexGuard<'_, SlotGrants> {
+        lock(&self.slot_grants)
     }
 
     /// Returns this host's role.
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -230,9 +230,9 @@
     fn take_own_share(&self, now: Duration) {
         let host = self.state.settings.load().host.clone();
         let demands = self.state.queue.lock_table().slot_demands();
-        self.state.slot_shares().take(&host, demands, now);
-        let share = self.state.slot_share(&host, now);
-        self.state.queue.lock_table().set_slot_limit(share, now);
+        self.state.slot_grants().take_demands(&host, demands, now);
+        let grants = self.state.grant_slots(&host, now);
+        self.state.queue.lock_table().set_grants(grants, now);
     }
 
     /// Makes one exchange.
@@ -441,11 +441,11 @@
     let now = boot_now();
     let host = message.own.host;
     if let Some(demands) = message.slot_demands {
-        state.slot_shares().take(&host, demands, now);
+        state.slot_grants().take_demands(&host, demands, now);
     }
     if scope == UsageScope::Fleet {
         let mut table = state.queue.lock_table();
-        table.set_slot_limit(message.slot_share, now);
+        table.set_grants(message.slot_grants, now);
     }
     let report = UsageReport {
         incarnation: message.own.incarnation,
--- a/src/edge/local_digest.rs
+++ b/src/edge/local_digest.rs
@@ -4,6 +4,7 @@
 
 use super::edge_state::EdgeState;
 use crate::clock::boot_now;
+use crate::dispatch::PoolGrants;
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
 use crate::members::GossipMessage;
@@ -122,9 +123,9 @@
             loads: request.near.then(|| self.loads_for(request)).flatten(),
             slot_demands: (request.scope == Some(UsageScope::Host))
                 .then(|| self.queue.lock_table().slot_demands()),
-            slot_share: match request.scope {
-                Some(UsageScope::Fleet) => self.slot_share(request.receiver, now),
-                _ => None,
+            slot_grants: match request.scope {
+                Some(UsageScope::Fleet) => self.grant_slots(request.receiver, now),
+                _ => Vec::new(),
             },
             usage,
             silent,
@@ -143,10 +144,15 @@
         update.map(Box::new)
     }
 
-    /// Returns how many slots of the shard a host of the group may use.
-    pub(crate) fn slot_share(&self, host: &str, now: Duration) -> Option<u32> {
-        let slots = self.queue.lock_table().shard_slots(now);
-        self.slot_shares().share_of(host, slots)
+    /// Grants a host of the group its part of the shard's slots.
+    pub(crate) fn grant_slots(&self, host: &str, now: Duration) -> Vec<PoolGrants> {
+        let settings = self.settings.load();
+        let mut granted = self.slot_grants();
+        let members = granted.hosts();
+        let table = self.queue.lock_table();
+        let pools = table.grant_targets(host, &settings.host, &members, now);
+        drop(table);
+        granted.grant(host, pools, now)
     }
 
     fn own_note(&self) -> MemberNote {
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dispatch::PoolGrants;
 use crate::dispatch::SlotDemand;
 use crate::dispatch::TargetLoad;
 use crate::ids::CatalogVersion;
@@ -89,8 +90,8 @@
     pub loads: Option<Vec<TargetLoad>>,
     /// How many slots the sender wants; in a report to its leader.
     pub slot_demands: Option<Vec<SlotDemand>>,
-    /// How many of them it may use; in the leader's answer, where not all can be had.
-    pub slot_share: Option<u32>,
+    /// Which slots it may use, of pools that have too few for all; in the leader's answer.
+    pub slot_grants: Vec<PoolGrants>,
     /// What was admitted lately of each account's quota.
     pub usage: Vec<AccountUsage>,
     /// Hosts of the scope that are silent.
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -5,10 +5,12 @@
 
 use cardamomgw::dispatch::PlacedTarget;
 use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolGrants;
 use cardamomgw::dispatch::PoolMember;
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::QueueTicket;
 use cardamomgw::dispatch::SlotDemand;
+use cardamomgw::dispatch::SlotGrants;
 use cardamomgw::dispatch::SlotShares;
 use cardamomgw::dispatch::UrgencyRank;
 use cardamomgw::dispatch::WorkEnd;
@@ -50,7 +52,7 @@
 struct GroupWorld {
     tables: Vec<PoolTable>,
     engines: Vec<EngineModel>,
-    shares: SlotShares,
+    granted: SlotGrants,
     divides: bool,
     chance: ChaCha8Rng,
     waiting: Vec<(QueueTicket, usize, u8, Duration)>,
@@ -89,7 +91,7 @@
         Self {
             tables: (0..HOSTS).map(|_| table()).collect(),
             engines: (0..ENGINES).map(|_| EngineModel::default()).collect(),
-            shares: SlotShares::default(),
+            granted: SlotGrants::default(),
             divides,
             chance: ChaCha8Rng::seed_from_u64(5),
             waiting: Vec::new(),
@@ -202,7 +204,7 @@
         for host in (0..HOSTS).filter(|host| (host + tick).is_multiple_of(20)) {
             let name = format!("e{host}");
             let demands = self.tables[host].slot_demands();
-            self.shares.take(&name, demands, now);
+            self.granted.take_demands(&name, demands, now);
             let loads = self.tables[host].own_loads();
             self.tables[0].take_peer_loads(name.clone(), loads, UsageScope::Host, now);
             let others = self.tables[0].loads_without(&name);
@@ -211,9 +213,10 @@
                 self.tables[host].take_peer_loads(leader, others, UsageScope::Fleet, now);
             }
             if self.divides {
-                let slots = self.tables[host].shard_slots(now);
-                let share = self.shares.share_of(&name, slots);
-                self.tables[host].set_slot_limit(share, now);
+                let members = self.granted.hosts();
+                let pools = self.tables[0].grant_targets(&name, "e0", &members, now);
+                let grants = self.granted.grant(&name, pools, now);
+                self.tables[host].set_grants(grants, now);
             }
         }
     }
@@ -264,6 +267,7 @@
 
 fn demand(tier: u8, slots: u32) -> SlotDemand {
     SlotDemand {
+        pool: POOL.into(),
         rank: Some(UrgencyRank {
             account: 0,
             route: tier,
@@ -274,7 +278,9 @@
 
 fn shares_of(shares: &SlotShares, slots: u32) -> Vec<Option<u32>> {
     let hosts = ["e1", "e2", "e3"].iter();
-    hosts.map(|host| shares.share_of(host, slots)).collect()
+    hosts
+        .map(|host| shares.share_of(host, POOL, slots))
+        .collect()
 }
 
 /// Guards against slots that nobody, or more than one host, may use.
@@ -296,6 +302,7 @@
     let now = Duration::from_secs(100);
     let mut shares = SlotShares::default();
     let late = SlotDemand {
+        pool: POOL.into(),
         rank: None,
         slots: 40,
     };
@@ -329,7 +336,12 @@
     let late = now + OBJECTIVE;
 
     let undivided = table.drop_hopeless(late);
-    table.set_slot_limit(Some(0), late);
+    let nothing = PoolGrants {
+        pool: POOL.into(),
+        slots: 0,
+        grants: Vec::new(),
+    };
+    table.set_grants(vec![nothing], late);
     let divided = table.drop_hopeless(late);
 
     assert!(undivided.is_empty());
