--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -37,12 +37,15 @@
 /// How long the rest of a stream may wait for a target at least: callers leave a stream
 /// that pauses for two seconds.
 const RESUME_PATIENCE: Duration = Duration::from_millis(1500);
-/// When a caller may come back whose request found no room or no target: for a
-/// stream, whose deadline is long, behind the worst of a burst of some seconds; for
-/// others while their deadline lasts. Spread, or all would come back together.
-const STREAM_DELAY: Duration = Duration::from_millis(1800);
+/// When a caller may come back whose stream found no room, as a part of the time that it has
+/// left. Its answer will be late in any case, so it comes when the burst is over rather than
+/// into it; behind a third of their time callers come back whatever they are told.
+const STREAM_DELAY_PART: f64 = 0.33;
+/// The same for a call, which can still be in time.
 const CALL_DELAY: Duration = Duration::from_millis(150);
-const DELAY_SPREAD: f64 = 0.6;
+/// By how much delays differ, as a share, so that callers don't come back together.
+const STREAM_DELAY_SPREAD: f64 = 0.25;
+const CALL_DELAY_SPREAD: f64 = 0.6;
 
 /// How one request ended, for the connection that it came on.
 #[derive(Debug)]
@@ -273,10 +276,11 @@
     }
 
     fn room_delay(&self) -> Duration {
-        let delay = match self.routed.kind.is_stream() {
-            true => STREAM_DELAY,
-            false => CALL_DELAY,
-        };
-        delay.mul_f64(1.0 + DELAY_SPREAD * rand::random::<f64>())
+        let spread = rand::random::<f64>();
+        if !self.routed.kind.is_stream() {
+            return CALL_DELAY.mul_f64(1.0 + CALL_DELAY_SPREAD * spread);
+        }
+        let left = self.routed.deadline.saturating_sub(boot_now());
+        left.mul_f64(STREAM_DELAY_PART * (1.0 - STREAM_DELAY_SPREAD * spread))
     }
 }
