--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -37,4 +37,5 @@
 pub use slot_grants::SlotGrants;
 pub(crate) use slot_guard::SlotGuard;
 pub use slot_shares::SlotDemand;
+pub use slot_shares::SlotShare;
 pub use slot_shares::SlotShares;
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -92,6 +92,8 @@
 #[derive(Debug)]
 struct GrantedSlots {
     granted: PoolGrants,
+    /// How many late requests were started since they were granted.
+    late_started: u32,
     until: Duration,
 }
 
@@ -164,6 +166,7 @@
             let index = pools.iter().position(|granted| granted.pool == *name);
             pool.granted = index.map(|index| GrantedSlots {
                 granted: pools.swap_remove(index),
+                late_started: 0,
                 until: now + GRANT_TIME,
             });
         }
@@ -263,7 +266,13 @@
     ) -> Option<PlacedTarget> {
         let host = self.host_view(now);
         let pool = self.pools.get_mut(&request.pool)?;
-        pool.place(request, &host, spread)
+        let is_late = pool.is_late(request, now);
+        if is_late && !pool.has_room_for_late(now) {
+            return None;
+        }
+        let placed = pool.place(request, &host, spread)?;
+        pool.note_start(is_late);
+        Some(placed)
     }
 
     /// Tells whether a target has room for a request now.
@@ -311,8 +320,7 @@
         let Some(pool) = self.pools.get(&request.pool) else {
             return false;
         };
-        let first = shortest_first(&pool.targets, request, pool.first);
-        let is_late = now + first > request.objective_at;
+        let is_late = pool.is_late(request, now);
         pool.engine && is_late && !request.returned && pool.grants(now).is_some()
     }
 
@@ -606,17 +614,18 @@
             return None;
         }
         self.queue.sort_late(host.now);
-        let late_may_start = self.has_room_for_late();
-        let waiting: Vec<(QueueTicket, PlacementRequest)> = self
+        let late_may_start = self.has_room_for_late(host.now);
+        let waiting: Vec<(QueueTicket, PlacementRequest, bool)> = self
             .queue
             .iter()
             .filter(|(_, _, late)| !late || late_may_start)
             // Two with different targets behind them may stand one behind the other.
             .take(4)
-            .map(|(number, request, _)| (number, request.clone()))
+            .map(|(number, request, late)| (number, request.clone(), late))
             .collect();
-        for (number, request) in waiting {
+        for (number, request, late) in waiting {
             if let Some(placed) = self.place(&request, host, spread()) {
+                self.note_start(late);
                 self.queue.remove(number);
                 return Some((number, placed));
             }
@@ -624,11 +633,27 @@
         None
     }
 
+    /// Tells whether a request can't be in time any more, wherever it is sent.
+    fn is_late(&self, request: &PlacementRequest, now: Duration) -> bool {
+        now + shortest_first(&self.targets, request, self.first) > request.objective_at
+    }
+
+    /// Notes that a request was started.
+    fn note_start(&mut self, late: bool) {
+        if let Some(granted) = &mut self.granted {
+            granted.late_started += u32::from(late);
+        }
+    }
+
     /// Tells whether late work may take a slot and still leave the reserve.
-    fn has_room_for_late(&self) -> bool {
+    fn has_room_for_late(&self, now: Duration) -> bool {
         if !self.engine {
             return true;
         }
+        let granted = self.granted.as_ref();
+        if let Some(granted) = granted.filter(|granted| now < granted.until) {
+            return granted.late_started < granted.granted.late;
+        }
         let open = || self.targets.iter().filter(|target| target.is_accepting());
         let slots: u32 = open().map(|target| target.record.slots).sum();
         let free: u32 = open().map(TargetRuntime::free_slots).sum();
--- a/src/dispatch/slot_grants.rs
+++ b/src/dispatch/slot_grants.rs
@@ -35,6 +35,8 @@
     pub pool: PoolName,
     /// How many requests it may run in all.
     pub slots: u32,
+    /// How many requests may start that can't be in time any more.
+    pub late: u32,
     /// What it may use at each target, sorted; nothing at all others.
     pub grants: Vec<SlotGrant>,
 }
@@ -99,13 +101,14 @@
             let Some(share) = self.shares.share_of(host, &pool, slots) else {
                 continue;
             };
-            let grants = self.divide(&targets, share);
+            let grants = self.divide(&targets, share.slots);
             for grant in &grants {
                 held.insert(grant.target.clone(), grant.slots);
             }
             granted.push(PoolGrants {
                 pool,
-                slots: share,
+                slots: share.slots,
+                late: share.late,
                 grants,
             });
         }
--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -15,6 +15,8 @@
 /// How many slots are given out, in parts of those that there are: some of those given are
 /// free for a moment, and a target queues what comes too much.
 const GIVEN_PART: f64 = 1.05;
+/// The part of the slots that late work leaves free, for what comes before the next report.
+const LATE_RESERVE: f64 = 0.06;
 /// How long the demand of a host counts that tells no other.
 const DEMAND_MEMORY: Duration = Duration::from_millis(1500);
 
@@ -29,6 +31,15 @@
     pub slots: u32,
 }
 
+/// How many slots of a pool a host may use.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SlotShare {
+    /// How many in all, running ones included.
+    pub slots: u32,
+    /// How many more requests may start that can't be in time any more.
+    pub late: u32,
+}
+
 #[derive(Clone, Debug)]
 struct HostDemand {
     demands: Vec<SlotDemand>,
@@ -58,7 +69,7 @@
 
     /// Returns how many of a pool's `slots` a host may use; `None` while there are enough for
     /// all.
-    pub fn share_of(&self, host: &str, pool: &str, slots: u32) -> Option<u32> {
+    pub fn share_of(&self, host: &str, pool: &str, slots: u32) -> Option<SlotShare> {
         let demands = || self.hosts.values().flat_map(|demand| demand.in_pool(pool));
         let wanted: u32 = demands().map(|demand| demand.slots).sum();
         if slots == 0 || f64::from(wanted) < f64::from(slots) * DIVIDED_FROM {
@@ -66,16 +77,28 @@
         }
         let mut left = f64::from(slots) * GIVEN_PART;
         let mut share = 0.0;
+        let mut late = 0.0;
+        let reserve = f64::from(slots) * LATE_RESERVE;
         for rank in ranks_of(demands()) {
             let hosts = self.hosts.values();
             let all: f64 = hosts.map(|demand| demand.of(pool, rank)).sum();
-            let part = (left / all).min(1.0);
-            share += self.share_of_rank(host, pool, rank, part);
-            left -= all * part;
+            let given = match rank {
+                Some(_) => all.min(left),
+                None => all.min((left - reserve).max(0.0)),
+            };
+            let granted = self.share_of_rank(host, pool, rank, given / all);
+            share += granted;
+            if rank.is_none() {
+                late = granted;
+            }
+            left -= given;
         }
         // What nobody wants yet is for what comes before the next report.
         let spare = (left / self.hosts.len() as f64).ceil();
-        Some(share as u32 + spare as u32)
+        Some(SlotShare {
+            slots: share as u32 + spare as u32,
+            late: late as u32,
+        })
     }
 
     /// Returns the `part` of what a host wants for one urgency. Each host's slots end where
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -161,7 +161,10 @@
         PlacementRequest {
             pool: routed.pool.clone(),
             rank: routed.rank,
-            objective_at: (routed.request.arrived + routed.objective).saturating_sub(routed.waited),
+            objective_at: match self.progress.began {
+                true => boot_now() + RESUME_PATIENCE,
+                false => (routed.request.arrived + routed.objective).saturating_sub(routed.waited),
+            },
             // Nobody comes back for the rest of a stream.
             returned: !routed.waited.is_zero() || self.progress.began,
             prompt_tokens: routed.usage.map_or(0, |usage| usage.prompt),
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -278,9 +278,8 @@
 
 fn shares_of(shares: &SlotShares, slots: u32) -> Vec<Option<u32>> {
     let hosts = ["e1", "e2", "e3"].iter();
-    hosts
-        .map(|host| shares.share_of(host, POOL, slots))
-        .collect()
+    let shares = hosts.map(|host| shares.share_of(host, POOL, slots));
+    shares.map(|share| Some(share?.slots)).collect()
 }
 
 /// Guards against slots that nobody, or more than one host, may use.
@@ -339,6 +338,7 @@
     let nothing = PoolGrants {
         pool: POOL.into(),
         slots: 0,
+        late: 0,
         grants: Vec::new(),
     };
     table.set_grants(vec![nothing], late);
