--- a/src/edge/answer_relay.rs
+++ b/src/edge/answer_relay.rs
@@ -57,6 +57,7 @@
     pub(crate) began: bool,
     first_at: Option<Duration>,
     last_at: Duration,
+    longest_pause: Duration,
     arrived: Duration,
     series: Arc<RequestSeries>,
     framing: Option<AnswerFraming>,
@@ -80,6 +81,7 @@
             began: false,
             first_at: None,
             last_at: arrived,
+            longest_pause: Duration::ZERO,
             arrived,
             series,
             framing: None,
@@ -96,6 +98,11 @@
         self.first_at
     }
 
+    /// Returns the longest pause between two events that went out.
+    pub(crate) const fn longest_pause(&self) -> Duration {
+        self.longest_pause
+    }
+
     /// Passes events on as they come. A silent target is left only where `can_move` says that
     /// another one has room for the rest. The head goes out with the first one: until
     /// then another target can still answer.
@@ -182,6 +189,7 @@
             Some(_) => {
                 let gap = now.saturating_sub(self.last_at);
                 self.series.record_token_gap(gap);
+                self.longest_pause = self.longest_pause.max(gap);
             }
         }
         self.last_at = now;
--- a/src/edge/header_dialect.rs
+++ b/src/edge/header_dialect.rs
@@ -15,6 +15,8 @@
     pub(crate) not_run: String,
     /// Prompt tokens and the most output tokens, with a comma between.
     pub(crate) token_usage: String,
+    /// How many output tokens the caller expects; often far off.
+    pub(crate) length_hint: String,
     /// The id of the last event that was passed on, when a stream goes on.
     pub(crate) resume_after: String,
     /// What stands before the key in `Authorization`.
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -31,6 +31,8 @@
     pub(crate) prompt: u64,
     /// Tokens that it may get at most.
     pub(crate) output: u64,
+    /// Tokens that the caller expects, where it says so.
+    pub(crate) expected_output: Option<u64>,
 }
 
 /// A request with all that decides how it is served.
@@ -236,11 +238,13 @@
 }
 
 fn token_usage(state: &EdgeState, request: &CallerRequest) -> Option<TokenUsage> {
-    let text = request.message.headers.text(&state.dialect.token_usage)?;
+    let headers = &request.message.headers;
+    let text = headers.text(&state.dialect.token_usage)?;
     let (prompt, output) = text.split_once(',')?;
     Some(TokenUsage {
         prompt: prompt.trim().parse().ok()?,
         output: output.trim().parse().ok()?,
+        expected_output: headers.number(&state.dialect.length_hint),
     })
 }
 
--- a/src/edge/run_report.rs
+++ b/src/edge/run_report.rs
@@ -30,6 +30,10 @@
             target: target.clone(),
             attempt: self.sends,
             waited_ms: waited.as_millis() as u64,
+            earlier_ms: self.routed.waited.as_millis() as u64,
+            prompt_tokens: self.routed.usage.map(|usage| usage.prompt),
+            output_tokens: self.routed.usage.map(|usage| usage.output),
+            expected_tokens: self.routed.usage.and_then(|usage| usage.expected_output),
             catalog: self.routed.catalog.version(),
         });
     }
@@ -70,6 +74,7 @@
             attempts: self.sends,
             first_ms: first.as_millis() as u64,
             total_ms: total.as_millis() as u64,
+            longest_pause_ms: self.progress.longest_pause().as_millis() as u64,
         });
     }
 }
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -263,6 +263,7 @@
         target: "X-Wanted-Target".into(),
         not_run: "X-Not-Run".into(),
         token_usage: "X-Tokens".into(),
+        length_hint: "X-Expected".into(),
         resume_after: "X-Resume-After".into(),
         key_scheme: "Token".into(),
         reserved: vec![
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -142,6 +142,14 @@
         attempt: u32,
         /// How long it waited for a target, in milliseconds.
         waited_ms: u64,
+        /// How long its caller had waited in earlier attempts, in milliseconds.
+        earlier_ms: u64,
+        /// Tokens of its prompt, as it says itself.
+        prompt_tokens: Option<u64>,
+        /// The most tokens that it may get.
+        output_tokens: Option<u64>,
+        /// The tokens that its caller expects.
+        expected_tokens: Option<u64>,
         /// The catalog that routed it.
         catalog: CatalogVersion,
     },
@@ -174,6 +182,8 @@
         first_ms: u64,
         /// From its arrival to the end, in milliseconds.
         total_ms: u64,
+        /// The longest pause between two events of a stream, in milliseconds.
+        longest_pause_ms: u64,
     },
     /// A request was answered by the host itself, or cut.
     #[display("refused: {kind}")]
