--- a/src/edge/deadline_history.rs
+++ b/src/edge/deadline_history.rs
@@ -11,14 +11,29 @@
 /// The highest count, so that deadlines that are no longer used are forgotten.
 const MAX_COUNT: u32 = 1000;
 
+/// Where callers start with deadlines of their own, these differ by less than this part. One
+/// that was told to come back has less left than that.
+const FIRST_PART: f64 = 0.8;
+/// How long a deadline counts among those that callers start with.
+const DEADLINE_MEMORY: Duration = Duration::from_secs(30);
+
 /// The deadlines that came for each route.
 ///
-/// Callers start with one of a few deadlines, while one that comes back after a rejection
-/// has an odd rest of it left. The objective counts from its first attempt, so it may have
-/// passed already.
+/// Callers start with one of a few deadlines, or with one of their own near the longest, while
+/// one that comes back after a rejection has an odd rest of it left. The objective counts from
+/// its first attempt, so it may have passed already.
 #[derive(Debug, Default)]
 pub(crate) struct DeadlineHistory {
-    routes: SortedMap<String, Vec<SeenDeadline>>,
+    routes: SortedMap<String, RouteDeadlines>,
+}
+
+#[derive(Debug, Default)]
+struct RouteDeadlines {
+    seen: Vec<SeenDeadline>,
+    /// The longest of the present period, and of the one before.
+    longest: Duration,
+    longest_before: Duration,
+    since: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -29,15 +44,34 @@
 
 impl DeadlineHistory {
     /// Notes what a caller of a route has left; returns how long it has waited already.
-    pub(crate) fn note(&mut self, route: &str, left: Duration) -> Duration {
-        let seen = self.routes.get_or_insert_with(route.to_owned(), Vec::new);
-        count(seen, left);
-        let usual = seen.iter().filter(|held| held.count >= LEAST_COUNT);
+    pub(crate) fn note(&mut self, route: &str, left: Duration, now: Duration) -> Duration {
+        let route = self
+            .routes
+            .get_or_insert_with(route.to_owned(), RouteDeadlines::default);
+        count(&mut route.seen, left);
+        let longest = route.longest_with(left, now);
+        let usual = route.seen.iter().filter(|held| held.count >= LEAST_COUNT);
         let started = usual
             .map(|held| held.deadline)
             .filter(|deadline| *deadline >= left)
             .min();
-        started.map_or(Duration::ZERO, |started| started - left)
+        match started {
+            Some(started) => started - left,
+            None if left < longest.mul_f64(FIRST_PART) => longest - left,
+            None => Duration::ZERO,
+        }
+    }
+}
+
+impl RouteDeadlines {
+    /// Notes a deadline; returns the longest that came lately.
+    fn longest_with(&mut self, left: Duration, now: Duration) -> Duration {
+        if now.saturating_sub(self.since) >= DEADLINE_MEMORY {
+            self.longest_before = std::mem::take(&mut self.longest);
+            self.since = now;
+        }
+        self.longest = self.longest.max(left);
+        self.longest.max(self.longest_before)
     }
 }
 
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -221,7 +221,7 @@
 
     /// Notes what a caller of a route has left; returns how long it has waited already.
     pub(crate) fn note_deadline(&self, route: &str, left: Duration) -> Duration {
-        lock(&self.deadlines).note(route, left)
+        lock(&self.deadlines).note(route, left, boot_now())
     }
 
     /// Returns how old the view of the store is.
