--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -55,6 +55,8 @@
 
 /// How often a host can send work at least, a second, as long as nothing is known.
 const LEAST_BEGIN_RATE: f64 = 4.0;
+/// The same for work that can't be in time any more.
+const LEAST_LATE_RATE: f64 = 1.0;
 
 #[derive(Debug, Default)]
 struct PoolEntry {
@@ -64,6 +66,8 @@
     first: FirstEstimate,
     /// How often this host sends work there.
     begins: RateTrack,
+    /// How often it sends work there that can't be in time any more.
+    late_begins: RateTrack,
     /// How many requests of this host run there, by urgency.
     running: SortedMap<UrgencyRank, u32>,
     /// The slots that this host may use, where they are divided.
@@ -271,7 +275,7 @@
             return None;
         }
         let placed = pool.place(request, &host, spread)?;
-        pool.note_start(is_late);
+        pool.note_start(is_late, now);
         Some(placed)
     }
 
@@ -295,9 +299,16 @@
         };
         let first = shortest_first(&pool.targets, request, pool.first);
         let due = request.objective_at.saturating_sub(first);
-        let ahead = pool.queue.ahead(request.rank, due, now) as f64;
-        let rate = pool.begins.per_second(now).max(LEAST_BEGIN_RATE);
-        Duration::from_secs_f64(ahead / rate)
+        let ahead = pool.queue.ahead(request.rank, due, now);
+        let begins = pool.begins.per_second(now).max(LEAST_BEGIN_RATE);
+        let wait = ahead as f64 / begins;
+        // Late work starts only where nothing else does, whatever the rate of all.
+        let late_ahead = match due < now {
+            true => pool.queue.late_ahead(request.rank, due),
+            false => 0,
+        };
+        let late_begins = pool.late_begins.per_second(now).max(LEAST_LATE_RATE);
+        Duration::from_secs_f64(wait.max(late_ahead as f64 / late_begins))
     }
 
     /// Lets a request wait; [`PoolTable::assign`] gives it a target.
@@ -625,7 +636,7 @@
             .collect();
         for (number, request, late) in waiting {
             if let Some(placed) = self.place(&request, host, spread()) {
-                self.note_start(late);
+                self.note_start(late, host.now);
                 self.queue.remove(number);
                 return Some((number, placed));
             }
@@ -639,7 +650,10 @@
     }
 
     /// Notes that a request was started.
-    fn note_start(&mut self, late: bool) {
+    fn note_start(&mut self, late: bool, now: Duration) {
+        if late {
+            self.late_begins.note(now);
+        }
         if let Some(granted) = &mut self.granted {
             granted.late_started += u32::from(late);
         }
--- a/src/dispatch/request_queue.rs
+++ b/src/dispatch/request_queue.rs
@@ -51,6 +51,18 @@
         self.entries.partition_point(|held| held.place < place)
     }
 
+    /// Returns how many late ones stand before a late request of this rank.
+    pub(super) fn late_ahead(&self, rank: UrgencyRank, due: Duration) -> usize {
+        let place = QueueOrder {
+            late: true,
+            rank,
+            due,
+            number: QueueTicket::MAX,
+        };
+        let before = self.entries.iter().filter(|held| held.place < place);
+        before.filter(|held| held.place.late).count()
+    }
+
     /// Adds a request that must be dispatched by `due` to meet its objective.
     pub(super) fn add(
         &mut self,
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -34,6 +34,9 @@
 /// The share of a caller's patience that its request may wait for a target; the rest
 /// is for the first event.
 const QUEUE_SHARE: f64 = 0.75;
+/// The part of the time left that a request may wait that can't be in time any more. It starts
+/// only where there is room that nobody else needs, and its caller has waited long already.
+const LATE_QUEUE_SHARE: f64 = 0.25;
 /// How long the rest of a stream may wait for a target at least: callers leave a stream
 /// that pauses for two seconds.
 const RESUME_PATIENCE: Duration = Duration::from_millis(1500);
@@ -181,9 +184,10 @@
         let patience = routed.patience_end.saturating_sub(routed.request.arrived);
         let end = routed.request.arrived + patience.mul_f64(QUEUE_SHARE);
         let patience = end.saturating_sub(boot_now());
-        let patience = match self.progress.began {
-            true => patience.max(RESUME_PATIENCE),
-            false => patience,
+        let patience = match (self.progress.began, routed.waited.is_zero()) {
+            (true, _) => patience.max(RESUME_PATIENCE),
+            (false, true) => patience,
+            (false, false) => patience.min(left.mul_f64(LATE_QUEUE_SHARE)),
         };
         patience.min(left - LEAST_LEFT)
     }
