--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod cold_start;
 mod dispatch_queue;
 mod first_estimate;
+mod output_estimate;
 mod pace_track;
 mod peer_loads;
 mod placement_request;
--- a/src/dispatch/placement_request.rs
+++ b/src/dispatch/placement_request.rs
@@ -35,6 +35,10 @@
     pub returned: bool,
     /// How many tokens must be read before its first event.
     pub prompt_tokens: u64,
+    /// How many tokens its caller expects, where it says so.
+    pub output_tokens: Option<u64>,
+    /// When its time is over.
+    pub deadline: Duration,
     /// Targets that it was sent to already.
     pub tried: Vec<TargetName>,
 }
@@ -52,6 +56,8 @@
     pub prompt_tokens: u64,
     /// How many tokens were to be read there before its own.
     pub tokens_ahead: u64,
+    /// How many tokens its caller expects, where it says so.
+    pub output_tokens: Option<u64>,
 }
 
 /// How a request at a target ended, as far as it tells of the target.
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -14,6 +14,7 @@
 use super::UrgencyRank;
 use super::WorkEnd;
 use super::first_estimate::FirstEstimate;
+use super::output_estimate::OutputEstimate;
 use super::peer_loads::PeerLoads;
 use super::rate_track::RateTrack;
 use super::request_queue::RequestQueue;
@@ -64,6 +65,7 @@
     targets: Vec<TargetRuntime>,
     queue: RequestQueue,
     first: FirstEstimate,
+    output: OutputEstimate,
     /// How often this host sends work there.
     begins: RateTrack,
     /// How often it sends work there that can't be in time any more.
@@ -402,6 +404,19 @@
         }
     }
 
+    /// Notes a whole stream, whose events came within `lasted`.
+    pub fn note_stream(&mut self, pool: &str, placed: &PlacedTarget, lasted: Duration) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let fastest = fastest_pause(&pool.targets);
+        let mut targets = pool.targets.iter();
+        let target = targets.find(|target| target.record.name == placed.name);
+        if let (Some(target), Some(tokens)) = (target, placed.output_tokens) {
+            pool.output.note(tokens, target.slowness(fastest), lasted);
+        }
+    }
+
     /// Notes the pause between two events of a stream.
     pub fn note_pause(&mut self, pool: &str, target: &str, pause: Duration, now: Duration) {
         if let Some(target) = self.find(pool, target) {
@@ -587,6 +602,7 @@
             engine: self.engine,
             own_zone: &host.own_zone,
             first: self.first,
+            output: self.output,
             grants: grants.map(|granted| granted.grants.as_slice()),
             turn: host.turn,
             now: host.now,
@@ -613,6 +629,7 @@
             rank: request.rank,
             prompt_tokens,
             tokens_ahead,
+            output_tokens: request.output_tokens,
         })
     }
 
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -16,6 +16,7 @@
     pool: PoolName,
     placed: PlacedTarget,
     began: Duration,
+    first_event: Option<Duration>,
     last_event: Option<Duration>,
     end: WorkEnd,
 }
@@ -27,6 +28,7 @@
             pool,
             placed,
             began: boot_now(),
+            first_event: None,
             last_event: None,
             // What is dropped on the way, as its caller left, tells nothing.
             end: WorkEnd::GivenUp,
@@ -54,6 +56,7 @@
                 table.note_pause(&self.pool, &self.placed.name, pause, now);
             }
         }
+        self.first_event.get_or_insert(now);
         self.last_event = Some(now);
     }
 
@@ -66,9 +69,13 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let now = boot_now();
-        self.queue
-            .lock_table()
-            .note_end(&self.pool, &self.placed, self.end, now);
+        let mut table = self.queue.lock_table();
+        if let (WorkEnd::Served, Some(first)) = (self.end, self.first_event) {
+            let lasted = now.saturating_sub(first);
+            table.note_stream(&self.pool, &self.placed, lasted);
+        }
+        table.note_end(&self.pool, &self.placed, self.end, now);
+        drop(table);
         self.queue.assign_waiting();
     }
 }
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -6,6 +6,7 @@
 use super::PlacementRequest;
 use super::SlotGrant;
 use super::first_estimate::FirstEstimate;
+use super::output_estimate::OutputEstimate;
 use super::target_runtime::TargetRuntime;
 
 /// How much a target in the host's own zone is preferred: enough to break ties.
@@ -27,6 +28,8 @@
 /// How much a target counts that other hosts use first: only where those that this
 /// host uses first are full.
 const REMOTE_FACTOR: f64 = 0.01;
+/// How many times as long as expected an output may take and still end in time.
+const OUTPUT_MARGIN: f64 = 1.5;
 /// The wait for a first event that halves a target's chance, beside the shortest.
 const WAIT_HALF: Duration = Duration::from_millis(60);
 
@@ -39,6 +42,8 @@
     pub(super) own_zone: &'a str,
     /// How long first events take.
     pub(super) first: FirstEstimate,
+    /// How long outputs take.
+    pub(super) output: OutputEstimate,
     /// The slots that the host may use, where hosts have slots of their own.
     pub(super) grants: Option<&'a [SlotGrant]>,
     /// The host's turn at cold targets.
@@ -54,6 +59,8 @@
     allowed: bool,
     /// How long the first event would take.
     first: Duration,
+    /// Whether the answer would end before the request's time is over.
+    ends: bool,
     slowness: f64,
 }
 
@@ -63,8 +70,9 @@
 /// taking the best one would send all of them to it at once.
 ///
 /// A long prompt on a slow target, or behind another long one, is late before it
-/// began. Where some target could still be in time, only those that can be are
-/// taken; the request waits for one of them to have room.
+/// began, and a long answer does not end there before its caller's time is over. Where
+/// some target could do better, only such ones are taken; the request waits for one of
+/// them to have room.
 pub(super) fn choose_target(
     targets: &[TargetRuntime],
     request: &PlacementRequest,
@@ -82,33 +90,35 @@
             let fit = target.is_healthy(view.now) || !any_healthy;
             let slowness = target.slowness(fastest);
             let tokens = target.tokens_ahead() + request.prompt_tokens;
+            let first = view.first.predict(tokens, slowness);
+            let output_tokens = request.output_tokens.unwrap_or(0);
+            let output = view.output.predict(output_tokens, slowness);
             TargetOffer {
                 allowed: target.is_accepting()
                     && fit
                     && target.has_turn(view.turn, view.now)
                     && !request.tried.contains(&target.record.name),
-                first: view.first.predict(tokens, slowness),
+                first,
+                ends: view.now + first + output.mul_f64(OUTPUT_MARGIN) <= request.deadline,
                 slowness,
             }
         })
         .collect();
     let left = request.objective_at.saturating_sub(view.now);
-    let in_time = |offer: &TargetOffer| offer.first <= left;
-    let shortest = offers
-        .iter()
-        .filter(|offer| offer.allowed)
-        .map(|offer| offer.first)
-        .min()?;
+    let allowed = || offers.iter().filter(|offer| offer.allowed);
+    let shortest = allowed().map(|offer| offer.first).min()?;
     let only_in_time = view.engine && shortest <= left;
+    let in_time = |offer: &TargetOffer| !only_in_time || offer.first <= left;
+    let only_ending = view.engine && allowed().any(|offer| in_time(offer) && offer.ends);
+    let is_taken =
+        |offer: &TargetOffer| offer.allowed && in_time(offer) && (!only_ending || offer.ends);
     let weights: Vec<f64> = targets
         .iter()
         .zip(&offers)
-        .map(
-            |(target, offer)| match offer.allowed && (!only_in_time || in_time(offer)) {
-                true => weigh(target, offer, view, shortest),
-                false => 0.0,
-            },
-        )
+        .map(|(target, offer)| match is_taken(offer) {
+            true => weigh(target, offer, view, shortest),
+            false => 0.0,
+        })
         .collect();
     pick(&weights, spread)
 }
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -171,6 +171,8 @@
             // Nobody comes back for the rest of a stream.
             returned: !routed.waited.is_zero() || self.progress.began,
             prompt_tokens: routed.usage.map_or(0, |usage| usage.prompt),
+            output_tokens: routed.usage.and_then(|usage| usage.expected_output),
+            deadline: routed.deadline,
             tried: self.tried.clone(),
         }
     }
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -87,6 +87,8 @@
         objective_at: now + Duration::from_millis(400),
         returned: false,
         prompt_tokens: 600,
+        output_tokens: None,
+        deadline: now + Duration::from_secs(12),
         tried: Vec::new(),
     }
 }
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -61,6 +61,8 @@
         objective_at: now + millis(400),
         returned: false,
         prompt_tokens,
+        output_tokens: None,
+        deadline: now + Duration::from_secs(12),
         tried: Vec::new(),
     }
 }
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -133,6 +133,8 @@
                 objective_at: now + OBJECTIVE,
                 returned: false,
                 prompt_tokens: 0,
+                output_tokens: None,
+                deadline: now + Duration::from_secs(12),
                 tried: Vec::new(),
             };
             let spread = self.chance.random::<f64>();
@@ -328,6 +330,8 @@
         objective_at: now + OBJECTIVE,
         returned,
         prompt_tokens: 0,
+        output_tokens: None,
+        deadline: now + Duration::from_secs(12),
         tried: Vec::new(),
     };
     table.wait(1, request(false), now);
