--- a/src/catalog/service_route.rs
+++ b/src/catalog/service_route.rs
@@ -57,6 +57,8 @@
     pub timeout: Option<Duration>,
     /// Within which the first event, or the whole answer, is worth the most.
     pub objective: Duration,
+    /// The longest pause between two events of a stream that is still in time.
+    pub pause_objective: Option<Duration>,
     /// How long callers wait for the first event before they give up, where that is
     /// known to be shorter than their deadline.
     pub patience: Option<Duration>,
--- a/src/dispatch/first_estimate.rs
+++ b/src/dispatch/first_estimate.rs
@@ -39,6 +39,12 @@
         Duration::from_secs_f64(millis.clamp(0.0, 60_000.0) / 1000.0)
     }
 
+    /// Returns how long a target reads `tokens` that is `slowness` times as slow as the fastest.
+    pub(super) fn read_time(self, tokens: u64, slowness: f64) -> Duration {
+        let millis = slowness * tokens as f64 / self.tokens_per_ms;
+        Duration::from_secs_f64(millis.clamp(0.0, 60_000.0) / 1000.0)
+    }
+
     /// Learns from a first event that took `waited`.
     pub(super) fn note(&mut self, tokens: u64, slowness: f64, waited: Duration) {
         let tokens = tokens as f64;
--- a/src/dispatch/placement_request.rs
+++ b/src/dispatch/placement_request.rs
@@ -37,6 +37,8 @@
     pub prompt_tokens: u64,
     /// How many tokens its caller expects, where it says so.
     pub output_tokens: Option<u64>,
+    /// The longest pause between two events that is still in time.
+    pub pause_objective: Option<Duration>,
     /// When its time is over.
     pub deadline: Duration,
     /// Targets that it was sent to already.
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -30,6 +30,8 @@
 const REMOTE_FACTOR: f64 = 0.01;
 /// How many times as long as expected an output may take and still end in time.
 const OUTPUT_MARGIN: f64 = 1.5;
+/// How many times as long as at the fastest target an output may take that ends nowhere in time.
+const NEAR_OUTPUT: f64 = 1.5;
 /// The wait for a first event that halves a target's chance, beside the shortest.
 const WAIT_HALF: Duration = Duration::from_millis(60);
 
@@ -59,8 +61,12 @@
     allowed: bool,
     /// How long the first event would take.
     first: Duration,
+    /// How long the output would take.
+    output: Duration,
     /// Whether the answer would end before the request's time is over.
     ends: bool,
+    /// Whether streams that run there would pause for too long while the prompt is read.
+    stalls: bool,
     slowness: f64,
 }
 
@@ -99,6 +105,8 @@
                     && target.has_turn(view.turn, view.now)
                     && !request.tried.contains(&target.record.name),
                 first,
+                output,
+                stalls: stalls(target, tokens, slowness, request, view),
                 ends: view.now + first + output.mul_f64(OUTPUT_MARGIN) <= request.deadline,
                 slowness,
             }
@@ -109,9 +117,13 @@
     let shortest = allowed().map(|offer| offer.first).min()?;
     let only_in_time = view.engine && shortest <= left;
     let in_time = |offer: &TargetOffer| !only_in_time || offer.first <= left;
-    let only_ending = view.engine && allowed().any(|offer| in_time(offer) && offer.ends);
-    let is_taken =
-        |offer: &TargetOffer| offer.allowed && in_time(offer) && (!only_ending || offer.ends);
+    let least_output = allowed().map(|offer| offer.output).min()?;
+    let ends = |offer: &TargetOffer| {
+        offer.ends || offer.output <= least_output.mul_f64(NEAR_OUTPUT) || !view.engine
+    };
+    let is_good = |offer: &TargetOffer| in_time(offer) && ends(offer) && !offer.stalls;
+    let only_good = allowed().any(is_good);
+    let is_taken = |offer: &TargetOffer| offer.allowed && (!only_good || is_good(offer));
     let weights: Vec<f64> = targets
         .iter()
         .zip(&offers)
@@ -123,6 +135,25 @@
     pick(&weights, spread)
 }
 
+/// Tells whether streams that run at the target would pause for too long while so many tokens
+/// are read there.
+///
+/// Load it answers: long prompts at slow targets, each of which makes all streams there late.
+fn stalls(
+    target: &TargetRuntime,
+    tokens: u64,
+    slowness: f64,
+    request: &PlacementRequest,
+    view: ChoiceView<'_>,
+) -> bool {
+    let (Some(objective), Some(pause_ms)) = (request.pause_objective, target.pace.pause_ms())
+    else {
+        return false;
+    };
+    let pause = Duration::from_secs_f64(pause_ms / 1000.0);
+    view.engine && pause + view.first.read_time(tokens, slowness) > objective
+}
+
 /// Returns how long the first event takes at least, wherever the request is sent.
 pub(super) fn shortest_first(
     targets: &[TargetRuntime],
--- a/src/edge/request_run.rs
+++ b/src/edge/request_run.rs
@@ -172,6 +172,7 @@
             returned: !routed.waited.is_zero() || self.progress.began,
             prompt_tokens: routed.usage.map_or(0, |usage| usage.prompt),
             output_tokens: routed.usage.and_then(|usage| usage.expected_output),
+            pause_objective: routed.pause_objective,
             deadline: routed.deadline,
             tried: self.tried.clone(),
         }
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -282,6 +282,7 @@
         kind,
         timeout: Some(Duration::from_secs(3)),
         objective: Duration::from_millis(100),
+        pause_objective: None,
         patience: None,
         tier: 0,
         max_attempts: 2,
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -62,6 +62,7 @@
         returned: false,
         prompt_tokens,
         output_tokens: None,
+        pause_objective: None,
         deadline: now + Duration::from_secs(12),
         tried: Vec::new(),
     }
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -134,6 +134,7 @@
                 returned: false,
                 prompt_tokens: 0,
                 output_tokens: None,
+                pause_objective: None,
                 deadline: now + Duration::from_secs(12),
                 tried: Vec::new(),
             };
@@ -331,6 +332,7 @@
         returned,
         prompt_tokens: 0,
         output_tokens: None,
+        pause_objective: None,
         deadline: now + Duration::from_secs(12),
         tried: Vec::new(),
     };
