--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -162,7 +162,7 @@
 
     fn mark_shard(&mut self) {
         for (_, pool) in self.pools.iter_mut() {
-            pool.mark_shard(&self.shard, &self.own_zone);
+            pool.mark_shard(&self.shard);
         }
     }
 
@@ -555,7 +555,7 @@
 impl PoolEntry {
     /// Puts the targets in the order of zones and names, and marks those that this
     /// host's group prefers.
-    fn mark_shard(&mut self, shard: &ShardRange, own_zone: &str) {
+    fn mark_shard(&mut self, shard: &ShardRange) {
         self.targets.sort_by(|left, right| {
             let key = |target: &TargetRuntime| {
                 let record = &target.record;
@@ -566,22 +566,12 @@
         let accepting: Vec<usize> = (0..self.targets.len())
             .filter(|index| self.targets[*index].is_accepting())
             .collect();
-        let zones: Vec<ZoneName> = accepting
-            .iter()
-            .map(|index| self.targets[*index].record.availability_zone.clone())
-            .collect();
         for (rank, index) in accepting.iter().enumerate() {
-            let zone = &zones[rank];
-            let first = zones.partition_point(|held| held < zone);
-            let end = zones.partition_point(|held| held <= zone);
             let place = TargetPlace {
-                zone,
-                index_in_zone: rank - first,
-                in_zone: end - first,
                 index: rank,
-                count: zones.len(),
+                count: accepting.len(),
             };
-            self.targets[*index].in_shard = shard.holds(place, own_zone);
+            self.targets[*index].in_shard = shard.holds(place);
         }
     }
 
