--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -38,6 +38,10 @@
 /// and can still be in time begins at once.
 const LATE_RESERVE: f64 = 0.06;
 
+/// The part of a shard's targets that must be usable for its slots to be divided. Where more
+/// are lost, hosts look for room in other shards.
+const LEAST_USABLE: f64 = 0.5;
+
 /// How long granted slots may be used: some reports may be lost.
 const GRANT_TIME: Duration = Duration::from_millis(1000);
 
@@ -237,14 +241,17 @@
                 outside: all.saturating_sub(by_members + running),
             }
         };
+        let grantable = |pool: &PoolEntry| -> Vec<GrantTarget> {
+            let in_shard = || pool.targets.iter().filter(|target| target.in_shard);
+            let usable = in_shard().filter(|target| target.is_grantable(now));
+            let usable: Vec<GrantTarget> = usable.map(grant_target).collect();
+            match (usable.len() as f64) < in_shard().count() as f64 * LEAST_USABLE {
+                true => Vec::new(),
+                false => usable,
+            }
+        };
         engines
-            .map(|(name, pool)| {
-                let usable = pool
-                    .targets
-                    .iter()
-                    .filter(|target| target.is_grantable(now));
-                (name.clone(), usable.map(grant_target).collect())
-            })
+            .map(|(name, pool)| (name.clone(), grantable(pool)))
             .collect()
     }
 
@@ -563,15 +570,12 @@
             };
             key(left).cmp(&key(right))
         });
-        let accepting: Vec<usize> = (0..self.targets.len())
-            .filter(|index| self.targets[*index].is_accepting())
-            .collect();
-        for (rank, index) in accepting.iter().enumerate() {
-            let place = TargetPlace {
-                index: rank,
-                count: accepting.len(),
-            };
-            self.targets[*index].in_shard = shard.holds(place);
+        let targets = self.targets.iter();
+        let count = targets.filter(|target| target.is_accepting()).count();
+        let mut index = 0;
+        for target in &mut self.targets {
+            target.in_shard = target.is_accepting() && shard.holds(TargetPlace { index, count });
+            index += usize::from(target.is_accepting());
         }
     }
 
@@ -582,18 +586,27 @@
         in_force.map(|granted| &granted.granted)
     }
 
+    /// Returns how many requests of this host run at targets that are not cold.
+    fn warm_running(&self, now: Duration) -> u32 {
+        let targets = self.targets.iter();
+        let warm = targets.filter(|target| !target.is_cold(now));
+        warm.map(|target| target.own).sum()
+    }
+
     fn choose(&self, request: &PlacementRequest, host: &HostView, spread: f64) -> Option<usize> {
         let grants = self.grants(host.now);
-        let running = || self.running.values().sum::<u32>();
-        if self.engine && grants.is_some_and(|granted| running() >= granted.slots) {
-            return None;
-        }
         let view = ChoiceView {
             engine: self.engine,
             own_zone: &host.own_zone,
             first: self.first,
             output: self.output,
-            grants: grants.map(|granted| granted.grants.as_slice()),
+            grants: grants.map(
+                |granted| match self.warm_running(host.now) < granted.slots {
+                    true => granted.grants.as_slice(),
+                    // Only cold targets are left, which nobody is granted.
+                    false => &[],
+                },
+            ),
             turn: host.turn,
             now: host.now,
         };
