Dispatch: one file a type; tests of grants, late work, long answers and shards

What a target can't keep is dropped from the choice step by step: streams that stall first, then answers that don't end in time, then first events.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod pace_track;
 mod peer_loads;
 mod placement_request;
+mod pool_entry;
 mod pool_table;
 mod rate_track;
 mod request_queue;
--- /dev/null
+++ b/src/dispatch/pool_entry.rs
@@ -0,0 +1,203 @@
+//! The targets and waiting requests of one pool.
+
+use std::time::Duration;
+
+use super::HostTurn;
+use super::PlacedTarget;
+use super::PlacementRequest;
+use super::PoolGrants;
+use super::QueueTicket;
+use super::ShardRange;
+use super::UrgencyRank;
+use super::first_estimate::FirstEstimate;
+use super::output_estimate::OutputEstimate;
+use super::rate_track::RateTrack;
+use super::request_queue::RequestQueue;
+use super::shard_range::TargetPlace;
+use super::target_choice::ChoiceView;
+use super::target_choice::choose_target;
+use super::target_choice::shortest_first;
+use super::target_runtime::TargetRuntime;
+use crate::ids::TargetName;
+use crate::ids::ZoneName;
+use crate::sorted::SortedMap;
+
+/// The share of a pool's slots that late work leaves free, so that what comes next
+/// and can still be in time begins at once.
+const LATE_RESERVE: f64 = 0.06;
+
+/// The targets and waiting requests of one pool.
+#[derive(Debug, Default)]
+pub(super) struct PoolEntry {
+    pub(super) engine: bool,
+    pub(super) targets: Vec<TargetRuntime>,
+    pub(super) queue: RequestQueue,
+    pub(super) first: FirstEstimate,
+    pub(super) output: OutputEstimate,
+    /// How often this host sends work there.
+    pub(super) begins: RateTrack,
+    /// How often it sends work there that can't be in time any more.
+    pub(super) late_begins: RateTrack,
+    /// How many requests of this host run there, by urgency.
+    pub(super) running: SortedMap<UrgencyRank, u32>,
+    /// The slots that this host may use, where they are divided.
+    pub(super) granted: Option<GrantedSlots>,
+}
+
+/// What a placement knows of the host.
+#[derive(Clone, Debug)]
+pub(super) struct HostView {
+    pub(super) own_zone: ZoneName,
+    pub(super) turn: Option<HostTurn>,
+    pub(super) now: Duration,
+}
+
+/// The slots that this host may use at each target, sorted, and until when.
+#[derive(Debug)]
+pub(super) struct GrantedSlots {
+    pub(super) granted: PoolGrants,
+    /// How many late requests were started since they were granted.
+    pub(super) late_started: u32,
+    pub(super) until: Duration,
+}
+
+impl PoolEntry {
+    /// Puts the targets in the order of zones and names, and marks those that this
+    /// host's group prefers.
+    pub(super) fn mark_shard(&mut self, shard: &ShardRange) {
+        self.targets.sort_by(|left, right| {
+            let key = |target: &TargetRuntime| {
+                let record = &target.record;
+                (record.availability_zone.clone(), record.name.clone())
+            };
+            key(left).cmp(&key(right))
+        });
+        let targets = self.targets.iter();
+        let count = targets.filter(|target| target.is_accepting()).count();
+        let mut index = 0;
+        for target in &mut self.targets {
+            target.in_shard = target.is_accepting() && shard.holds(TargetPlace { index, count });
+            index += usize::from(target.is_accepting());
+        }
+    }
+
+    /// Returns the slots that this host may use; `None` where it may use all.
+    pub(super) fn grants(&self, now: Duration) -> Option<&PoolGrants> {
+        let granted = self.granted.as_ref();
+        let in_force = granted.filter(|granted| now < granted.until);
+        in_force.map(|granted| &granted.granted)
+    }
+
+    /// Returns how many requests of this host run at targets that are not cold.
+    pub(super) fn warm_running(&self, now: Duration) -> u32 {
+        let targets = self.targets.iter();
+        let warm = targets.filter(|target| !target.is_cold(now));
+        warm.map(|target| target.own).sum()
+    }
+
+    pub(super) fn choose(
+        &self,
+        request: &PlacementRequest,
+        host: &HostView,
+        spread: f64,
+    ) -> Option<usize> {
+        let grants = self.grants(host.now);
+        let view = ChoiceView {
+            engine: self.engine,
+            own_zone: &host.own_zone,
+            first: self.first,
+            output: self.output,
+            grants: grants.map(
+                |granted| match self.warm_running(host.now) < granted.slots {
+                    true => granted.grants.as_slice(),
+                    // Only cold targets are left, which nobody is granted.
+                    false => &[],
+                },
+            ),
+            turn: host.turn,
+            now: host.now,
+        };
+        choose_target(&self.targets, request, view, spread)
+    }
+
+    pub(super) fn place(
+        &mut self,
+        request: &PlacementRequest,
+        host: &HostView,
+        spread: f64,
+    ) -> Option<PlacedTarget> {
+        let index = self.choose(request, host, spread)?;
+        let target = &mut self.targets[index];
+        let prompt_tokens = request.prompt_tokens;
+        let tokens_ahead = target.tokens_ahead();
+        target.note_dispatch(prompt_tokens, host.turn, host.now);
+        self.begins.note(host.now);
+        *self.running.get_or_insert_with(request.rank, || 0) += 1;
+        Some(PlacedTarget {
+            name: TargetName::clone(&target.record.name),
+            address: target.record.address,
+            rank: request.rank,
+            prompt_tokens,
+            tokens_ahead,
+            output_tokens: request.output_tokens,
+        })
+    }
+
+    pub(super) fn assign_next(
+        &mut self,
+        host: &HostView,
+        spread: &mut impl FnMut() -> f64,
+    ) -> Option<(QueueTicket, PlacedTarget)> {
+        if self.queue.len() == 0 {
+            return None;
+        }
+        self.queue.sort_late(host.now);
+        let late_may_start = self.has_room_for_late(host.now);
+        let waiting: Vec<(QueueTicket, PlacementRequest, bool)> = self
+            .queue
+            .iter()
+            .filter(|(_, _, late)| !late || late_may_start)
+            // Two with different targets behind them may stand one behind the other.
+            .take(4)
+            .map(|(number, request, late)| (number, request.clone(), late))
+            .collect();
+        for (number, request, late) in waiting {
+            if let Some(placed) = self.place(&request, host, spread()) {
+                self.note_start(late, host.now);
+                self.queue.remove(number);
+                return Some((number, placed));
+            }
+        }
+        None
+    }
+
+    /// Tells whether a request can't be in time any more, wherever it is sent.
+    pub(super) fn is_late(&self, request: &PlacementRequest, now: Duration) -> bool {
+        now + shortest_first(&self.targets, request, self.first) > request.objective_at
+    }
+
+    /// Notes that a request was started.
+    pub(super) fn note_start(&mut self, late: bool, now: Duration) {
+        if late {
+            self.late_begins.note(now);
+        }
+        if let Some(granted) = &mut self.granted {
+            granted.late_started += u32::from(late);
+        }
+    }
+
+    /// Tells whether late work may take a slot and still leave the reserve.
+    pub(super) fn has_room_for_late(&self, now: Duration) -> bool {
+        if !self.engine {
+            return true;
+        }
+        let granted = self.granted.as_ref();
+        if let Some(granted) = granted.filter(|granted| now < granted.until) {
+            return granted.late_started < granted.granted.late;
+        }
+        let open = || self.targets.iter().filter(|target| target.is_accepting());
+        let slots: u32 = open().map(|target| target.record.slots).sum();
+        let free: u32 = open().map(TargetRuntime::free_slots).sum();
+        f64::from(free) > (f64::from(slots) * LATE_RESERVE).floor()
+    }
+}
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -13,14 +13,10 @@
 use super::TargetLoad;
 use super::UrgencyRank;
 use super::WorkEnd;
-use super::first_estimate::FirstEstimate;
-use super::output_estimate::OutputEstimate;
 use super::peer_loads::PeerLoads;
-use super::rate_track::RateTrack;
-use super::request_queue::RequestQueue;
-use super::shard_range::TargetPlace;
-use super::target_choice::ChoiceView;
-use super::target_choice::choose_target;
+use super::pool_entry::GrantedSlots;
+use super::pool_entry::HostView;
+use super::pool_entry::PoolEntry;
 use super::target_choice::fastest_pause;
 use super::target_choice::shortest_first;
 use super::target_runtime::TargetRuntime;
@@ -34,10 +30,6 @@
 use crate::sorted::SortedMap;
 use crate::view::TargetRecord;
 
-/// The share of a pool's slots that late work leaves free, so that what comes next
-/// and can still be in time begins at once.
-const LATE_RESERVE: f64 = 0.06;
-
 /// The part of a shard's targets that must be usable for its slots to be divided. Where more
 /// are lost, hosts look for room in other shards.
 const LEAST_USABLE: f64 = 0.5;
@@ -45,6 +37,11 @@
 /// How long granted slots may be used: some reports may be lost.
 const GRANT_TIME: Duration = Duration::from_millis(1000);
 
+/// How often a host can send work at least, a second, as long as nothing is known.
+const LEAST_BEGIN_RATE: f64 = 4.0;
+/// The same for work that can't be in time any more.
+const LEAST_LATE_RATE: f64 = 1.0;
+
 /// A target and whether its pool's targets are engines.
 #[derive(Clone, Debug)]
 pub struct PoolMember {
@@ -58,28 +55,6 @@
     pub evacuated: bool,
 }
 
-/// How often a host can send work at least, a second, as long as nothing is known.
-const LEAST_BEGIN_RATE: f64 = 4.0;
-/// The same for work that can't be in time any more.
-const LEAST_LATE_RATE: f64 = 1.0;
-
-#[derive(Debug, Default)]
-struct PoolEntry {
-    engine: bool,
-    targets: Vec<TargetRuntime>,
-    queue: RequestQueue,
-    first: FirstEstimate,
-    output: OutputEstimate,
-    /// How often this host sends work there.
-    begins: RateTrack,
-    /// How often it sends work there that can't be in time any more.
-    late_begins: RateTrack,
-    /// How many requests of this host run there, by urgency.
-    running: SortedMap<UrgencyRank, u32>,
-    /// The slots that this host may use, where they are divided.
-    granted: Option<GrantedSlots>,
-}
-
 /// All targets and waiting requests of one host.
 #[derive(Debug)]
 pub struct PoolTable {
@@ -90,23 +65,6 @@
     turn: Option<HostTurn>,
 }
 
-/// What a placement knows of the host.
-#[derive(Clone, Debug)]
-struct HostView {
-    own_zone: ZoneName,
-    turn: Option<HostTurn>,
-    now: Duration,
-}
-
-/// The slots that this host may use at each target, sorted, and until when.
-#[derive(Debug)]
-struct GrantedSlots {
-    granted: PoolGrants,
-    /// How many late requests were started since they were granted.
-    late_started: u32,
-    until: Duration,
-}
-
 impl PoolTable {
     /// Makes a table without targets, for a host in `own_zone`.
     pub fn new(own_zone: ZoneName) -> Self {
@@ -558,139 +516,3 @@
         targets.iter_mut().find(|held| held.record.name == target)
     }
 }
-
-impl PoolEntry {
-    /// Puts the targets in the order of zones and names, and marks those that this
-    /// host's group prefers.
-    fn mark_shard(&mut self, shard: &ShardRange) {
-        self.targets.sort_by(|left, right| {
-            let key = |target: &TargetRuntime| {
-                let record = &target.record;
-                (record.availability_zone.clone(), record.name.clone())
-            };
-            key(left).cmp(&key(right))
-        });
-        let targets = self.targets.iter();
-        let count = targets.filter(|target| target.is_accepting()).count();
-        let mut index = 0;
-        for target in &mut self.targets {
-            target.in_shard = target.is_accepting() && shard.holds(TargetPlace { index, count });
-            index += usize::from(target.is_accepting());
-        }
-    }
-
-    /// Returns the slots that this host may use; `None` where it may use all.
-    fn grants(&self, now: Duration) -> Option<&PoolGrants> {
-        let granted = self.granted.as_ref();
-        let in_force = granted.filter(|granted| now < granted.until);
-        in_force.map(|granted| &granted.granted)
-    }
-
-    /// Returns how many requests of this host run at targets that are not cold.
-    fn warm_running(&self, now: Duration) -> u32 {
-        let targets = self.targets.iter();
-        let warm = targets.filter(|target| !target.is_cold(now));
-        warm.map(|target| target.own).sum()
-    }
-
-    fn choose(&self, request: &PlacementRequest, host: &HostView, spread: f64) -> Option<usize> {
-        let grants = self.grants(host.now);
-        let view = ChoiceView {
-            engine: self.engine,
-            own_zone: &host.own_zone,
-            first: self.first,
-            output: self.output,
-            grants: grants.map(
-                |granted| match self.warm_running(host.now) < granted.slots {
-                    true => granted.grants.as_slice(),
-                    // Only cold targets are left, which nobody is granted.
-                    false => &[],
-                },
-            ),
-            turn: host.turn,
-            now: host.now,
-        };
-        choose_target(&self.targets, request, view, spread)
-    }
-
-    fn place(
-        &mut self,
-        request: &PlacementRequest,
-        host: &HostView,
-        spread: f64,
-    ) -> Option<PlacedTarget> {
-        let index = self.choose(request, host, spread)?;
-        let target = &mut self.targets[index];
-        let prompt_tokens = request.prompt_tokens;
-        let tokens_ahead = target.tokens_ahead();
-        target.note_dispatch(prompt_tokens, host.turn, host.now);
-        self.begins.note(host.now);
-        *self.running.get_or_insert_with(request.rank, || 0) += 1;
-        Some(PlacedTarget {
-            name: TargetName::clone(&target.record.name),
-            address: target.record.address,
-            rank: request.rank,
-            prompt_tokens,
-            tokens_ahead,
-            output_tokens: request.output_tokens,
-        })
-    }
-
-    fn assign_next(
-        &mut self,
-        host: &HostView,
-        spread: &mut impl FnMut() -> f64,
-    ) -> Option<(QueueTicket, PlacedTarget)> {
-        if self.queue.len() == 0 {
-            return None;
-        }
-        self.queue.sort_late(host.now);
-        let late_may_start = self.has_room_for_late(host.now);
-        let waiting: Vec<(QueueTicket, PlacementRequest, bool)> = self
-            .queue
-            .iter()
-            .filter(|(_, _, late)| !late || late_may_start)
-            // Two with different targets behind them may stand one behind the other.
-            .take(4)
-            .map(|(number, request, late)| (number, request.clone(), late))
-            .collect();
-        for (number, request, late) in waiting {
-            if let Some(placed) = self.place(&request, host, spread()) {
-                self.note_start(late, host.now);
-                self.queue.remove(number);
-                return Some((number, placed));
-            }
-        }
-        None
-    }
-
-    /// Tells whether a request can't be in time any more, wherever it is sent.
-    fn is_late(&self, request: &PlacementRequest, now: Duration) -> bool {
-        now + shortest_first(&self.targets, request, self.first) > request.objective_at
-    }
-
-    /// Notes that a request was started.
-    fn note_start(&mut self, late: bool, now: Duration) {
-        if late {
-            self.late_begins.note(now);
-        }
-        if let Some(granted) = &mut self.granted {
-            granted.late_started += u32::from(late);
-        }
-    }
-
-    /// Tells whether late work may take a slot and still leave the reserve.
-    fn has_room_for_late(&self, now: Duration) -> bool {
-        if !self.engine {
-            return true;
-        }
-        let granted = self.granted.as_ref();
-        if let Some(granted) = granted.filter(|granted| now < granted.until) {
-            return granted.late_started < granted.granted.late;
-        }
-        let open = || self.targets.iter().filter(|target| target.is_accepting());
-        let slots: u32 = open().map(|target| target.record.slots).sum();
-        let free: u32 = open().map(TargetRuntime::free_slots).sum();
-        f64::from(free) > (f64::from(slots) * LATE_RESERVE).floor()
-    }
-}
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -115,15 +115,17 @@
     let left = request.objective_at.saturating_sub(view.now);
     let allowed = || offers.iter().filter(|offer| offer.allowed);
     let shortest = allowed().map(|offer| offer.first).min()?;
-    let only_in_time = view.engine && shortest <= left;
-    let in_time = |offer: &TargetOffer| !only_in_time || offer.first <= left;
     let least_output = allowed().map(|offer| offer.output).min()?;
+    let in_time = |offer: &TargetOffer| !view.engine || offer.first <= left;
     let ends = |offer: &TargetOffer| {
         offer.ends || offer.output <= least_output.mul_f64(NEAR_OUTPUT) || !view.engine
     };
-    let is_good = |offer: &TargetOffer| in_time(offer) && ends(offer) && !offer.stalls;
-    let only_good = allowed().any(is_good);
-    let is_taken = |offer: &TargetOffer| offer.allowed && (!only_good || is_good(offer));
+    // What some target can keep is asked of all, as far as the others before it can be kept.
+    let good = |offer: &TargetOffer| in_time(offer) && ends(offer) && !offer.stalls;
+    let ending = |offer: &TargetOffer| in_time(offer) && ends(offer);
+    let wanted: [&dyn Fn(&TargetOffer) -> bool; 3] = [&good, &ending, &in_time];
+    let wanted = wanted.into_iter().find(|wanted| allowed().any(wanted));
+    let is_taken = |offer: &TargetOffer| offer.allowed && wanted.is_none_or(|wanted| wanted(offer));
     let weights: Vec<f64> = targets
         .iter()
         .zip(&offers)
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -49,7 +49,7 @@
 const GROUP_TURNS: usize = 4;
 /// How long a host that has started waits for a peer's view before it reads the store:
 /// where many start at once, or one at a time, a peer knows it already.
-const FIRST_PATIENCE: Duration = Duration::from_millis(200);
+const FIRST_PATIENCE: Duration = Duration::from_millis(80);
 /// How often a host that doesn't watch the store looks whether it has to.
 const ROLE_LOOK: Duration = Duration::from_millis(100);
 /// How often the age is looked at.
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -326,3 +326,77 @@
     let all: Vec<String> = (0..60).map(|target| format!("t{target:02}")).collect();
     assert_eq!(preferred, all);
 }
+
+/// Shows the board whole streams, of a hundred expected tokens, that took so long there.
+fn show_stream(board: &mut PoolTable, placed: &PlacedTarget, millis_a_token: u64) {
+    let mut stream = placed.clone();
+    stream.output_tokens = Some(100);
+    for _ in 0..30 {
+        board.note_stream(POOL, &stream, millis(100 * millis_a_token));
+    }
+}
+
+/// Guards against long answers at slow engines, which don't end before their callers' time is
+/// over and hold a slot until then.
+#[test]
+fn a_long_answer_goes_where_it_can_end() {
+    let now = start();
+    let mut board = board_of(vec![engine("fast", 12), engine("slow", 12)]);
+    show_pause(&mut board, "fast", 25, now);
+    show_pause(&mut board, "slow", 100, now);
+    let first = board.place(&wish_of(0, 0, now), now, 0.0).unwrap();
+    show_stream(&mut board, &first, 3);
+    let mut wish = wish_of(0, 0, now);
+    wish.objective_at = now + millis(2_000);
+    wish.output_tokens = Some(1_500);
+
+    let names: Vec<String> = (0..11)
+        .filter_map(|index| board.place(&wish, now, f64::from(index) / 11.0))
+        .map(|placed| placed.name)
+        .collect();
+    let full = board.place(&wish, now, 0.5);
+
+    assert_eq!(first.name, "fast");
+    assert_eq!(names, vec!["fast"; 11]);
+    assert_eq!(full, None, "it waits for the one that can");
+}
+
+/// Guards against long prompts at slow engines: the streams that run there pause for too long
+/// while the prompt is read.
+#[test]
+fn a_long_prompt_stalls_no_streams_at_a_slow_engine() {
+    let now = start();
+    let mut board = board_of(vec![engine("fast", 12), engine("slow", 12)]);
+    show_pause(&mut board, "fast", 25, now);
+    show_pause(&mut board, "slow", 100, now);
+    let mut wish = wish_of(0, 12_000, now);
+    wish.objective_at = now + millis(5_000);
+    wish.pause_objective = Some(millis(400));
+
+    let names: Vec<String> = (0..12)
+        .filter_map(|index| {
+            let placed = board.place(&wish, now, f64::from(index) / 12.0)?;
+            board.note_first(POOL, &placed, millis(180));
+            Some(placed.name)
+        })
+        .collect();
+
+    assert_eq!(names, vec!["fast"; 12]);
+}
+
+/// Guards against a zone whose groups have no targets left while those of other zones keep
+/// theirs to themselves.
+#[test]
+fn groups_of_a_zone_without_targets_take_a_part_of_the_others() {
+    let mut sizes = Vec::new();
+    for index in 0..8 {
+        let own_zone = if index < 4 { "za" } else { "zb" };
+        let mut table = PoolTable::new(own_zone.into());
+        let members = (0..40).map(|target| engine(&format!("t{target:02}"), 1));
+        table.set_targets(members.collect(), start());
+        table.set_share(share_of(index));
+        sizes.push(table.shard_targets().len());
+    }
+
+    assert_eq!(sizes, vec![5; 8]);
+}
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use cardamomgw::dispatch::GrantTarget;
 use cardamomgw::dispatch::PlacedTarget;
 use cardamomgw::dispatch::PlacementRequest;
 use cardamomgw::dispatch::PoolGrants;
@@ -10,6 +11,7 @@
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::QueueTicket;
 use cardamomgw::dispatch::SlotDemand;
+use cardamomgw::dispatch::SlotGrant;
 use cardamomgw::dispatch::SlotGrants;
 use cardamomgw::dispatch::SlotShares;
 use cardamomgw::dispatch::UrgencyRank;
@@ -244,10 +246,6 @@
     let mut shared = GroupWorld::new(false);
     shared.run(capacity() * 2.0, Duration::from_secs(10));
 
-    eprintln!(
-        "DBG {:?} {:?} {:?} {:?}",
-        divided.asked, divided.in_time, shared.asked, shared.in_time
-    );
     let urgent = divided.part_in_time(0);
     assert!(urgent >= 0.9, "{urgent}");
     assert!(shared.part_in_time(0) < 0.5, "{}", shared.part_in_time(0));
@@ -355,3 +353,77 @@
     assert!(table.is_hopeless(&request(false), late));
     assert_eq!(table.waiting(POOL), 1);
 }
+
+fn grant_target(name: &str, running: u32, outside: u32) -> GrantTarget {
+    GrantTarget {
+        name: name.into(),
+        slots: 8,
+        running,
+        outside,
+    }
+}
+
+/// Guards against hosts that all choose the same target: each sees it free, and what is too
+/// much waits in its queue.
+#[test]
+fn no_target_is_granted_beyond_its_slots() {
+    let now = Duration::from_secs(100);
+    let mut granted = SlotGrants::default();
+    for host in ["e1", "e2", "e3"] {
+        granted.take_demands(host, vec![demand(1, 20)], now);
+    }
+
+    let mut sums = [0; 2];
+    for (host, running) in [("e1", 3), ("e2", 1), ("e3", 0)] {
+        let targets = vec![grant_target("t0", running, 1), grant_target("t1", 0, 0)];
+        let pools = granted.grant(host, vec![(POOL.into(), targets)], now);
+        for grant in &pools[0].grants {
+            sums[usize::from(grant.target == "t1")] += grant.slots;
+        }
+    }
+
+    // One more than its slots may wait at a target, of which one is taken by another group.
+    assert_eq!(sums, [8, 9]);
+}
+
+/// Guards against callers that come back, whose answers will be late in any case, and take the
+/// slots of new ones.
+#[test]
+fn late_work_starts_only_as_far_as_it_is_granted() {
+    let now = Duration::from_secs(100);
+    let mut table = PoolTable::new("za".into());
+    table.set_targets(vec![engine(0)], now);
+    let request = |objective_at: Duration| PlacementRequest {
+        pool: POOL.into(),
+        rank: UrgencyRank {
+            account: 0,
+            route: 0,
+        },
+        objective_at,
+        returned: true,
+        prompt_tokens: 0,
+        output_tokens: None,
+        pause_objective: None,
+        deadline: now + Duration::from_secs(12),
+        tried: Vec::new(),
+    };
+    let grants = PoolGrants {
+        pool: POOL.into(),
+        slots: 4,
+        late: 1,
+        grants: vec![SlotGrant {
+            target: "t0".into(),
+            slots: 4,
+        }],
+    };
+    table.set_grants(vec![grants], now);
+
+    let late = request(now - OBJECTIVE);
+    let first = table.place(&late, now, 0.5);
+    let second = table.place(&late, now, 0.5);
+    let in_time = table.place(&request(now + OBJECTIVE), now, 0.5);
+
+    assert!(first.is_some());
+    assert_eq!(second, None, "one late start was granted");
+    assert!(in_time.is_some());
+}
