--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -86,7 +86,9 @@
                 Some(_) => all.min(left),
                 None => all.min((left - reserve).max(0.0)),
             };
-            let granted = self.share_of_rank(host, pool, rank, given / all);
+            // Nobody may want slots of an urgency any more that was reported before.
+            let part = if all > 0.0 { given / all } else { 0.0 };
+            let granted = self.share_of_rank(host, pool, rank, part);
             share += granted;
             if rank.is_none() {
                 late = granted;
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -87,8 +87,10 @@
         }
         let is_news = self.record.revision != record.revision;
         if is_news && !record.cold_remaining.is_zero() {
-            let cold_start = self.cold_start.get_or_insert(ColdStart::lost(now));
+            let cold_start = self.cold_start.filter(|held| !held.is_over(now));
+            let mut cold_start = cold_start.unwrap_or(ColdStart::lost(now));
             cold_start.extend(record.cold_remaining, now);
+            self.cold_start = Some(cold_start);
         }
         self.evacuated = member.evacuated;
         self.cold_limit = member.cold_limit;
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -313,6 +313,19 @@
     assert_eq!(shares_of(&shares, 80), [Some(38), Some(46), Some(0)]);
 }
 
+/// Guards against hosts that get no slots at all where an urgency was reported of which nobody
+/// wants any more.
+#[test]
+fn an_urgency_that_nobody_wants_takes_nothing_from_the_others() {
+    let now = Duration::from_secs(100);
+    let mut shares = SlotShares::default();
+    for host in ["e1", "e2", "e3"] {
+        shares.take(host, vec![demand(0, 0), demand(2, 40)], now);
+    }
+
+    assert_eq!(shares_of(&shares, 80), [Some(28); 3]);
+}
+
 /// Guards against requests that are held until their callers leave, though no slot will be
 /// theirs in time.
 #[test]
