Dispatch: a placement borrows its zone; fields of a group's share that nobody reads are gone

Shards are runs over all zones, so a group's place within its zone decides nothing any more. Whether grants are in force is asked in one place. Behaviour is untouched.

--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -45,9 +45,9 @@
 }
 
 /// What a placement knows of the host.
-#[derive(Clone, Debug)]
-pub(super) struct HostView {
-    pub(super) own_zone: ZoneName,
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HostView<'h> {
+    pub(super) own_zone: &'h ZoneName,
     pub(super) turn: Option<HostTurn>,
     pub(super) now: Duration,
 }
@@ -83,9 +83,12 @@
 
     /// Returns the slots that this host may use; `None` where it may use all.
     pub(super) fn grants(&self, now: Duration) -> Option<&PoolGrants> {
+        self.granted_now(now).map(|granted| &granted.granted)
+    }
+
+    fn granted_now(&self, now: Duration) -> Option<&GrantedSlots> {
         let granted = self.granted.as_ref();
-        let in_force = granted.filter(|granted| now < granted.until);
-        in_force.map(|granted| &granted.granted)
+        granted.filter(|granted| now < granted.until)
     }
 
     /// Returns how many requests of this host run at targets that are not cold.
@@ -98,13 +101,13 @@
     pub(super) fn choose(
         &self,
         request: &PlacementRequest,
-        host: &HostView,
+        host: HostView<'_>,
         spread: f64,
     ) -> Option<usize> {
         let grants = self.grants(host.now);
         let view = ChoiceView {
             engine: self.engine,
-            own_zone: &host.own_zone,
+            own_zone: host.own_zone,
             first: self.first,
             output: self.output,
             grants: grants.map(
@@ -123,7 +126,7 @@
     pub(super) fn place(
         &mut self,
         request: &PlacementRequest,
-        host: &HostView,
+        host: HostView<'_>,
         spread: f64,
     ) -> Option<PlacedTarget> {
         let index = self.choose(request, host, spread)?;
@@ -145,7 +148,7 @@
 
     pub(super) fn assign_next(
         &mut self,
-        host: &HostView,
+        host: HostView<'_>,
         spread: &mut impl FnMut() -> f64,
     ) -> Option<(QueueTicket, PlacedTarget)> {
         if self.queue.len() == 0 {
@@ -191,8 +194,7 @@
         if !self.engine {
             return true;
         }
-        let granted = self.granted.as_ref();
-        if let Some(granted) = granted.filter(|granted| now < granted.until) {
+        if let Some(granted) = self.granted_now(now) {
             return granted.late_started < granted.granted.late;
         }
         let open = || self.targets.iter().filter(|target| target.is_accepting());
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -213,14 +213,6 @@
             .collect()
     }
 
-    fn host_view(&self, now: Duration) -> HostView {
-        HostView {
-            own_zone: self.own_zone.clone(),
-            turn: self.turn,
-            now,
-        }
-    }
-
     /// Tells whether any target of the pool takes new work.
     pub fn has_accepting_target(&self, pool: &str) -> bool {
         self.pools
@@ -235,24 +227,32 @@
         now: Duration,
         spread: f64,
     ) -> Option<PlacedTarget> {
-        let host = self.host_view(now);
+        let host = HostView {
+            own_zone: &self.own_zone,
+            turn: self.turn,
+            now,
+        };
         let pool = self.pools.get_mut(&request.pool)?;
         let is_late = pool.is_late(request, now);
         if is_late && !pool.has_room_for_late(now) {
             return None;
         }
-        let placed = pool.place(request, &host, spread)?;
+        let placed = pool.place(request, host, spread)?;
         pool.note_start(is_late, now);
         Some(placed)
     }
 
     /// Tells whether a target has room for a request now.
     pub fn has_room_for(&self, request: &PlacementRequest, now: Duration) -> bool {
-        let host = self.host_view(now);
+        let host = HostView {
+            own_zone: &self.own_zone,
+            turn: self.turn,
+            now,
+        };
         let Some(pool) = self.pools.get(&request.pool) else {
             return false;
         };
-        pool.choose(request, &host, 0.5).is_some()
+        pool.choose(request, host, 0.5).is_some()
     }
 
     /// Returns how long a request would wait, by those that stand before it and by how
@@ -338,9 +338,13 @@
         mut spread: impl FnMut() -> f64,
     ) -> Vec<(QueueTicket, PlacedTarget)> {
         let mut assigned = Vec::new();
-        let host = self.host_view(now);
+        let host = HostView {
+            own_zone: &self.own_zone,
+            turn: self.turn,
+            now,
+        };
         for (_, pool) in self.pools.iter_mut() {
-            while let Some(pair) = pool.assign_next(&host, &mut spread) {
+            while let Some(pair) = pool.assign_next(host, &mut spread) {
                 assigned.push(pair);
             }
         }
--- a/src/members/group_layout.rs
+++ b/src/members/group_layout.rs
@@ -30,10 +30,6 @@
 /// Which share of a pool's targets a group prefers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct GroupShare {
-    /// The group among those of its availability zone.
-    pub index_in_zone: usize,
-    /// How many groups the zone has.
-    pub groups_in_zone: usize,
     /// The group among all.
     pub index: usize,
     /// How many groups there are.
@@ -125,14 +121,6 @@
 
     /// Returns the share of a pool's targets that this host's group prefers.
     pub fn own_share(&self) -> GroupShare {
-        let Some(place) = self.hosts.get(self.starts[self.own_group]) else {
-            return GroupShare::default();
-        };
-        let in_zone = |group: &usize| {
-            let start = self.starts[*group];
-            self.hosts[start].availability_zone == place.availability_zone
-        };
-        let groups: Vec<usize> = (0..self.group_count()).filter(in_zone).collect();
         let mut zones: Vec<ZoneName> = self
             .hosts
             .iter()
@@ -140,8 +128,6 @@
             .collect();
         zones.dedup();
         GroupShare {
-            index_in_zone: self.own_group - groups.first().copied().unwrap_or(0),
-            groups_in_zone: groups.len(),
             index: self.own_group,
             groups: self.group_count(),
             zones,
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -274,11 +274,9 @@
     assert!(top < low);
 }
 
-/// Returns the share of one of eight groups of hosts, four in each of two zones.
+/// Returns the share of one of eight groups of hosts in two zones.
 fn share_of(index: usize) -> GroupShare {
     GroupShare {
-        index_in_zone: index % 4,
-        groups_in_zone: 4,
         index,
         groups: 8,
         zones: vec!["za".into(), "zb".into()],
