Logs: the age of the view at each send, and exchanges with peers that fail

The record of the requests to a leaving target could not tell a leader that was silent from one whose answers were too large: no line said that gossip failed, nor by how old a view a request was sent. request-sent has view_age_ms, gossip-failed and gossip-back are written once a change, and view_age_ms is a gauge.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -229,6 +229,12 @@
         self.view.evidence_age(boot_now())
     }
 
+    /// Returns how old the view of the targets is, in milliseconds.
+    pub(crate) fn view_age_ms(&self) -> Option<u64> {
+        let age = self.view.view_age(boot_now())?;
+        Some(age.as_millis() as u64)
+    }
+
     /// Tells whether the view of keys is young enough to run a request with one.
     ///
     /// Guards against a host that is cut off, or was suspended: it would admitted a
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use crate::ids::CatalogVersion;
 use crate::ids::HostName;
 use crate::ids::StoreRevision;
+use crate::logs::DecisionLine;
 use crate::members::DuePeer;
 use crate::members::GossipMessage;
 use crate::members::GossipPeer;
@@ -67,6 +69,8 @@
     state: Arc<EdgeState>,
     mesh: Arc<PeerMesh>,
     behind: Mutex<Option<BehindMark>>,
+    /// Peers whose last exchange failed, sorted.
+    failing: Mutex<Vec<HostName>>,
 }
 
 /// A change that a peer has seen and this host has not.
@@ -82,6 +86,7 @@
         state,
         mesh,
         behind: Mutex::default(),
+        failing: Mutex::default(),
     });
     let mut logger = ViewLogger::default();
     let mut linked: Vec<HostName> = Vec::new();
@@ -250,12 +255,12 @@
         let call = PeerCall::Gossip(Box::new(message));
         let reply = self.mesh.call(&peer.host, call, CALL_TIMEOUT).await;
         // A peer that doesn't answer shows in the list of those that can be called.
-        let Ok(PeerReply::Gossip(mut received)) = reply else {
-            self.state.schedule().end(&peer.host, None);
-            return self
-                .state
-                .pass_over(&peer.host, boot_now() + PASS_OVER_TIME);
+        let mut received = match reply {
+            Ok(PeerReply::Gossip(received)) => received,
+            Ok(_) => return self.fail_exchange(&peer.host, "another reply"),
+            Err(error) => return self.fail_exchange(&peer.host, &error.to_string()),
         };
+        self.note_success(&peer.host);
         self.state.schedule().end(&peer.host, Some(version));
         if self.state.role().is_placed() && received.scope.is_none() {
             // It is no leader: it joins or leaves, or knows other hosts.
@@ -289,6 +294,35 @@
         self.take_mark(mark, begun);
     }
 
+    /// Ends an exchange that failed, and passes the peer over for a while.
+    fn fail_exchange(&self, peer: &HostName, reason: &str) {
+        let state = &self.state;
+        state.schedule().end(peer, None);
+        state.pass_over(peer, boot_now() + PASS_OVER_TIME);
+        let mut failing = self.failing();
+        if let Err(index) = failing.binary_search(peer) {
+            failing.insert(index, peer.clone());
+            state.log.write(&DecisionLine::GossipFailed {
+                peer: peer.clone(),
+                reason: reason.to_owned(),
+                view_age_ms: state.view_age_ms(),
+            });
+        }
+    }
+
+    /// Notes that an exchange succeeded.
+    fn note_success(&self, peer: &HostName) {
+        let mut failing = self.failing();
+        if let Ok(index) = failing.binary_search(peer) {
+            let peer = failing.remove(index);
+            self.state.log.write(&DecisionLine::GossipBack { peer });
+        }
+    }
+
+    fn failing(&self) -> MutexGuard<'_, Vec<HostName>> {
+        self.failing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes how young a peer's view is, as it says itself.
     ///
     /// It was given after the call began, so the peer's view was the store's at this
--- a/src/edge/operator_pages.rs
+++ b/src/edge/operator_pages.rs
@@ -60,6 +60,7 @@
         ("catalog_version", catalog),
         ("store_revision", revision),
         ("evidence_age_ms", age),
+        ("view_age_ms", state.view_age_ms().unwrap_or(0)),
         ("members_live", state.live_hosts() as u64),
         ("requests_running", state.running() as u64),
         ("target_connections_kept", state.links.kept() as u64),
--- a/src/edge/run_report.rs
+++ b/src/edge/run_report.rs
@@ -35,6 +35,7 @@
             output_tokens: self.routed.usage.map(|usage| usage.output),
             expected_tokens: self.routed.usage.and_then(|usage| usage.expected_output),
             catalog: self.routed.catalog.version(),
+            view_age_ms: state.view_age_ms(),
         });
     }
 
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -105,6 +105,22 @@
         /// All that can be called now.
         connected: Vec<HostName>,
     },
+    /// Gossip with a peer failed, for the first time since an exchange succeeded.
+    #[display("gossip with {peer} failed: {reason}")]
+    GossipFailed {
+        /// The peer.
+        peer: HostName,
+        /// How the call failed.
+        reason: String,
+        /// Age of the view of the targets, in milliseconds.
+        view_age_ms: Option<u64>,
+    },
+    /// Gossip with a peer succeeds again.
+    #[display("gossip with {peer} succeeds again")]
+    GossipBack {
+        /// The peer.
+        peer: HostName,
+    },
     /// Other hosts joined, said that they leave, or were not heard of for long.
     #[display("{hosts} hosts serve")]
     MembersChanged {
@@ -152,6 +168,8 @@
         expected_tokens: Option<u64>,
         /// The catalog that routed it.
         catalog: CatalogVersion,
+        /// Age of the view of the targets, in milliseconds.
+        view_age_ms: Option<u64>,
     },
     /// A send did not bring a whole answer.
     #[display("no whole answer from {target}")]
@@ -240,6 +258,7 @@
         match self {
             Self::RequestSent { .. } | Self::RequestAnswered { .. } => Level::Debug,
             Self::StoreLost { .. }
+            | Self::GossipFailed { .. }
             | Self::SettingsRefused { .. }
             | Self::SendFailed { .. }
             | Self::RequestRefused { .. }
