--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -27,9 +27,11 @@
 use crate::edge::HeaderDialect;
 use crate::edge::SettingsLoader;
 use crate::edge::edge_host::EdgeParts;
+use crate::edge::edge_state::EdgeState;
 use crate::json::DocumentFault;
 use crate::logs::DecisionLog;
 use crate::logs::LineQueue;
+use crate::metrics::RequestMetrics;
 use crate::view::FleetSource;
 use crate::view::SourceError;
 use crate::view::SourceFuture;
@@ -240,6 +242,27 @@
     ([127, 0, 0, 1], 0).into()
 }
 
+/// Returns the state of a host that has no connections.
+pub(super) fn lone_state(bounds: EdgeBounds) -> Arc<EdgeState> {
+    let log = DecisionLog::open_on(LineQueue::spawn(std::io::sink())).unwrap();
+    let requests = RequestMetrics::open().unwrap();
+    EdgeState::new(settings_with(bounds), dialect(), log, requests)
+}
+
+/// Returns a catalog with so many more routes.
+pub(super) fn large_catalog(version: u64, routes: usize) -> CatalogParts {
+    let mut catalog = catalog_of(version, &["k1"]);
+    let more = (0..routes).map(|index| {
+        let route = route_of(&format!("/more/{index:05}/"), CallKind::Idempotent);
+        ServiceRoute {
+            host: format!("host-{index:05}.example"),
+            ..route
+        }
+    });
+    catalog.routes.extend(more);
+    catalog
+}
+
 fn settings_with(bounds: EdgeBounds) -> EdgeSettings {
     EdgeSettings {
         host: "e1".into(),
--- a/src/edge/tests/following.rs
+++ b/src/edge/tests/following.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 
 use super::super::watch_controller::watch_wait;
+use super::edge_fixture::lone_state;
+use crate::clock::boot_now;
+use crate::edge::EdgeBounds;
+use crate::view::ViewUpdate;
 
 /// How long a read may take beyond its wait, and how long the pause behind a failed
 /// one is at most.
@@ -24,3 +28,20 @@
         assert!(calls <= 27.0, "{calls} a second by {hosts} hosts");
     }
 }
+
+/// Guards against a host that hears nothing of targets and uses one that has left.
+#[test]
+fn a_host_reads_the_store_before_its_view_of_the_targets_is_too_old() {
+    let host = lone_state(EdgeBounds::default());
+    let now = boot_now();
+    let update = ViewUpdate {
+        revision: 1,
+        ..ViewUpdate::default()
+    };
+
+    let begun = now.saturating_sub(Duration::from_millis(1600));
+    host.view.take_store_answer(update, begun, now);
+
+    // A target that leaves gets no new work after 2 s by default.
+    assert!(host.watches_store());
+}
--- /dev/null
+++ b/src/edge/tests/gossip.rs
@@ -0,0 +1,63 @@
+//! What gossip carries.
+
+use bincode::config::standard;
+
+use super::edge_fixture::large_catalog;
+use super::edge_fixture::lone_state;
+use crate::clock::boot_now;
+use crate::edge::EdgeBounds;
+use crate::edge::local_digest::MessageRequest;
+use crate::view::TargetRemoval;
+use crate::view::ViewUpdate;
+
+/// What each of 16 hosts of a group may get within 400 ms over a link of 10 Mbit/s, in bytes.
+const NARROW_LINK_BYTES: usize = 31_000;
+
+fn catalog_update(version: u64, routes: usize) -> ViewUpdate {
+    ViewUpdate {
+        revision: version,
+        catalog: Some(large_catalog(version, routes)),
+        ..ViewUpdate::default()
+    }
+}
+
+fn removal_update(revision: u64) -> ViewUpdate {
+    let removal = TargetRemoval {
+        name: "t0".into(),
+        revision,
+    };
+    ViewUpdate {
+        revision,
+        removals: vec![removal],
+        ..ViewUpdate::default()
+    }
+}
+
+/// Guards against a large catalog that holds up what a peer must know of leaving targets.
+#[test]
+fn a_leaving_target_is_told_without_the_catalog() {
+    let leader = lone_state(EdgeBounds::default());
+    let member = lone_state(EdgeBounds::default());
+    let now = boot_now();
+    member
+        .view
+        .take_store_answer(catalog_update(1, 10), now, now);
+    leader
+        .view
+        .take_store_answer(catalog_update(2, 1400), now, now);
+    leader.view.take_store_answer(removal_update(3), now, now);
+    let (message, _) = member.message_for(MessageRequest {
+        receiver: "leader",
+        scope: None,
+        near: false,
+        new: false,
+        peer_hosts: 1,
+        since: None,
+    });
+
+    let update = leader.update_for(&message).unwrap();
+
+    let bytes = bincode::serde::encode_to_vec(&*update, standard()).unwrap();
+    assert_eq!(update.removals.len(), 1);
+    assert!(bytes.len() < NARROW_LINK_BYTES, "{} bytes", bytes.len());
+}
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -5,6 +5,7 @@
 mod deadlines;
 mod edge_fixture;
 mod following;
+mod gossip;
 mod keys;
 mod leaving;
 mod metrics;
