Gossip: the catalog is fetched apart from the targets, compressed

Cause: an answer to a gossip call carried all that the caller lacked, catalog and targets in one message, and the whole call has 800 ms. A leader with 10 Mbit/s can't send a large catalog to 14 members in that time; each retry started anew, the link was full, and the removals in the same message never arrived. Evidence: gossip-failed "no reply in time" on the members as the configuration comes, kb_out of the leaders at their links' limit, hosts of leaders with 200 Mbit/s in time. Ruled out: the store (it served every call of these seconds), a late send of a request placed before (it waited 119 ms in all).

Now gossip carries targets and evacuations only. Targets may be newer than the catalog now, so the store is watched from the lower of both revisions.

--- a/src/catalog/route_catalog.rs
+++ b/src/catalog/route_catalog.rs
@@ -1,13 +1,16 @@
 //! One version of all routes, pools and accounts, with its indexes.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::ClientAccount;
 use super::ServiceRoute;
 use super::TargetPool;
+use super::catalog_package::pack_catalog;
 use crate::ids::CatalogVersion;
 
 /// What callers may send and how long they may take.
@@ -56,6 +59,8 @@
     parts: CatalogParts,
     /// Each key with the place of its account, sorted by key.
     keys: Vec<(String, usize)>,
+    /// The parts as peers get them, once one has asked.
+    package: OnceLock<Bytes>,
 }
 
 impl RouteCatalog {
@@ -74,7 +79,11 @@
             .flat_map(|(index, account)| account.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
         keys.sort();
-        Self { parts, keys }
+        Self {
+            parts,
+            keys,
+            package: OnceLock::new(),
+        }
     }
 
     /// Returns the version.
@@ -82,9 +91,10 @@
         self.parts.version
     }
 
-    /// Returns the parts, for a peer that asks for them.
-    pub const fn parts(&self) -> &CatalogParts {
-        &self.parts
+    /// Returns the parts for a peer that asks for them; see
+    /// [`unpack_catalog`](super::unpack_catalog).
+    pub fn package(&self) -> &Bytes {
+        self.package.get_or_init(|| pack_catalog(&self.parts))
     }
 
     /// Returns the bounds of callers.
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -9,8 +9,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 
 use super::edge_state::EdgeState;
@@ -18,6 +21,9 @@
 use super::local_digest::MessageRequest;
 use super::local_digest::is_young;
 use super::view_logger::ViewLogger;
+use crate::catalog::CatalogParts;
+use crate::catalog::MAX_PACKAGE_BYTES;
+use crate::catalog::unpack_catalog;
 use crate::clock::boot_now;
 use crate::ids::CatalogVersion;
 use crate::ids::HostName;
@@ -30,10 +36,12 @@
 use crate::members::HostSighting;
 use crate::members::PairCaller;
 use crate::peers::PeerCall;
+use crate::peers::PeerError;
 use crate::peers::PeerMesh;
 use crate::peers::PeerReply;
 use crate::quota::UsageReport;
 use crate::quota::UsageScope;
+use crate::view::ViewUpdate;
 
 /// How often due peers are looked for in a small fleet, and loads that changed are sent.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(100);
@@ -52,6 +60,8 @@
 const LEADER_PERIOD: Duration = Duration::from_millis(500);
 /// How long a peer may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long each piece of a catalog may take.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a change that a peer has seen may be missing here before the peer is
 /// asked for it, by a host that watches the store itself.
 const BEHIND_BOUND: Duration = Duration::from_millis(250);
@@ -71,6 +81,8 @@
     behind: Mutex<Option<BehindMark>>,
     /// Peers whose last exchange failed, sorted.
     failing: Mutex<Vec<HostName>>,
+    /// Whether a catalog is on its way.
+    fetches_catalog: AtomicBool,
 }
 
 /// A change that a peer has seen and this host has not.
@@ -87,6 +99,7 @@
         mesh,
         behind: Mutex::default(),
         failing: Mutex::default(),
+        fetches_catalog: AtomicBool::new(false),
     });
     let mut logger = ViewLogger::default();
     let mut linked: Vec<HostName> = Vec::new();
@@ -290,6 +303,9 @@
         } else if self.is_behind(mark) {
             self.fetch_view(&peer.host).await;
         }
+        if mark.catalog > self.state.view.marks().1 {
+            self.take_catalog(&peer.host, mark.catalog).await;
+        }
         // It counts only for what is held, which may be more now.
         self.take_mark(mark, begun);
     }
@@ -333,6 +349,7 @@
         if let Some(age) = mark.evidence_age_ms {
             view.vouch(mark.catalog, shown(age), boot_now());
         }
+        view.note_catalog_revision(mark.catalog, mark.catalog_revision);
         if let Some(age) = mark.view_age_ms {
             view.vouch_view(mark.revision, shown(age));
         }
@@ -341,14 +358,11 @@
     /// Tells whether a change that a peer has seen has been missing here for long.
     fn is_behind(&self, mark: ViewMark) -> bool {
         let now = boot_now();
-        let (own, catalog) = self.state.view.marks();
+        let own = self.state.view.marks().0;
         let mut behind = self.behind.lock().unwrap_or_else(PoisonError::into_inner);
         if behind.is_some_and(|mark| mark.revision <= own) {
             *behind = None;
         }
-        if mark.catalog > catalog {
-            return true;
-        }
         if mark.revision <= own {
             return false;
         }
@@ -360,14 +374,65 @@
     }
 
     async fn fetch_view(&self, peer: &HostName) {
-        let known = self.state.view.marks().1;
-        let call = PeerCall::FleetView { known };
-        let reply = self.mesh.call(peer, call, CALL_TIMEOUT).await;
+        let reply = self
+            .mesh
+            .call(peer, PeerCall::FleetView, CALL_TIMEOUT)
+            .await;
         if let Ok(PeerReply::FleetView(update)) = reply {
             let change = self.state.view.take_peer_view(*update, boot_now());
             self.state.take_change(change, Some(peer));
         }
     }
+
+    /// Takes the catalog of a peer that has a newer one, unless one is on its way already.
+    async fn take_catalog(&self, peer: &HostName, version: CatalogVersion) {
+        if self.fetches_catalog.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let fetched = self.fetch_catalog(peer).await;
+        self.fetches_catalog.store(false, Ordering::Release);
+        match fetched {
+            Ok(Some(parts)) => {
+                let update = ViewUpdate {
+                    catalog: Some(parts),
+                    ..ViewUpdate::default()
+                };
+                let change = self.state.view.take_peer_view(update, boot_now());
+                if !change.is_empty() {
+                    self.state.schedule().expedite_all();
+                }
+                self.state.take_change(change, Some(peer));
+            }
+            Ok(None) => {}
+            Err(error) => self.state.log.write(&DecisionLine::CatalogFetchFailed {
+                catalog: version,
+                peer: peer.clone(),
+                reason: error.to_string(),
+            }),
+        }
+    }
+
+    /// Reads the catalog of a peer; `None` where it has no newer one.
+    async fn fetch_catalog(&self, peer: &HostName) -> Result<Option<CatalogParts>, PeerError> {
+        let known = self.state.view.marks().1;
+        let call = self.mesh.open_call(peer, PeerCall::Catalog { known });
+        let mut pieces = timeout(PIECE_TIMEOUT, call).await??;
+        let mut package = Vec::new();
+        while let Some(reply) = timeout(PIECE_TIMEOUT, pieces.next()).await?? {
+            let PeerReply::CatalogPiece(piece) = reply else {
+                return Err(PeerError::MalformedMessage);
+            };
+            package.extend_from_slice(&piece);
+            if package.len() > MAX_PACKAGE_BYTES {
+                return Err(PeerError::MessageTooLarge);
+            }
+        }
+        if package.is_empty() {
+            return Ok(None);
+        }
+        let parts = unpack_catalog(&package).ok_or(PeerError::MalformedMessage)?;
+        Ok(Some(parts))
+    }
 }
 
 /// How far a peer's view of the fleet reaches, as it says itself.
@@ -375,6 +440,7 @@
 struct ViewMark {
     revision: StoreRevision,
     catalog: CatalogVersion,
+    catalog_revision: StoreRevision,
     evidence_age_ms: Option<u64>,
     view_age_ms: Option<u64>,
 }
@@ -384,6 +450,7 @@
         Self {
             revision: message.revision,
             catalog: message.catalog,
+            catalog_revision: message.catalog_revision,
             evidence_age_ms: message.evidence_age_ms,
             view_age_ms: message.view_age_ms,
         }
@@ -432,7 +499,8 @@
     let new = is_young(Duration::from_millis(message.life_ms)) || state.schedule().is_new(&peer);
     let since = state.schedule().last_exchange(&peer);
     let update = state.update_for(&message);
-    let is_ahead = message.revision > state.view.marks().0;
+    let (revision, catalog) = state.view.marks();
+    let is_ahead = message.revision > revision || message.catalog > catalog;
     let placed = role.is_placed() && message.grouped;
     if placed && message.scope == Some(UsageScope::Host) && !message.own.leaving {
         state.note_report(&peer, now);
--- a/src/edge/local_digest.rs
+++ b/src/edge/local_digest.rs
@@ -116,6 +116,7 @@
             revision,
             complete: self.view.revision(),
             catalog,
+            catalog_revision: self.view.catalog_revision(),
             evidence_age_ms: self.evidence_age().map(as_millis),
             view_age_ms: self.view.view_age(now).map(as_millis),
             update: None,
@@ -134,13 +135,13 @@
         (message, version)
     }
 
-    /// Returns what a peer's view lacks, by the message that it sent.
+    /// Returns the targets and evacuations that a peer's view lacks, by the message that it
+    /// sent.
     pub(crate) fn update_for(&self, message: &GossipMessage) -> Option<Box<ViewUpdate>> {
-        let (revision, catalog) = self.view.marks();
-        if revision <= message.revision && catalog <= message.catalog {
+        if self.view.marks().0 <= message.revision {
             return None;
         }
-        let update = self.view.update_since(message.complete, message.catalog);
+        let update = self.view.update_since(message.complete);
         update.map(Box::new)
     }
 
--- a/src/edge/tests/gossip.rs
+++ b/src/edge/tests/gossip.rs
@@ -4,6 +4,8 @@
 
 use super::edge_fixture::large_catalog;
 use super::edge_fixture::lone_state;
+use crate::catalog::RouteCatalog;
+use crate::catalog::unpack_catalog;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
 use crate::edge::local_digest::MessageRequest;
@@ -61,3 +63,21 @@
     assert_eq!(update.removals.len(), 1);
     assert!(bytes.len() < NARROW_LINK_BYTES, "{} bytes", bytes.len());
 }
+
+#[test]
+fn a_catalog_is_sent_packed() {
+    let parts = large_catalog(2, 1400);
+    let catalog = RouteCatalog::compile(parts);
+
+    let package = catalog.package();
+    let unpacked = RouteCatalog::compile(unpack_catalog(package).unwrap());
+
+    assert!(package.len() < NARROW_LINK_BYTES, "{}", package.len());
+    assert_eq!(unpacked.version(), 2);
+    assert!(
+        unpacked
+            .find_route("host-01399.example", "/more/01399/x")
+            .is_some()
+    );
+    assert!(unpack_catalog(&package[..package.len() / 2]).is_none());
+}
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -77,7 +77,7 @@
             true => source.read_whole().await,
             false => {
                 let wait = watch_wait(state.watching_hosts(), rand::random());
-                source.watch(state.view.revision(), wait).await
+                source.watch(state.view.complete_revision(), wait).await
             }
         };
         match read {
--- a/src/gateway/peer_service.rs
+++ b/src/gateway/peer_service.rs
@@ -65,7 +65,7 @@
                 Err(kind) => refuse(kind, replies).await,
             },
             // These hosts keep seats and digests in place of news.
-            PeerCall::Gossip(_) | PeerCall::FleetView { .. } => {
+            PeerCall::Gossip(_) | PeerCall::FleetView | PeerCall::Catalog { .. } => {
                 refuse(ErrorKind::NotReady, replies).await
             }
         };
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -121,6 +121,16 @@
         /// The peer.
         peer: HostName,
     },
+    /// A newer catalog could not be read from a peer.
+    #[display("catalog {catalog} of {peer} can't be read: {reason}")]
+    CatalogFetchFailed {
+        /// Its version.
+        catalog: CatalogVersion,
+        /// The peer that has it.
+        peer: HostName,
+        /// How the call failed.
+        reason: String,
+    },
     /// Other hosts joined, said that they leave, or were not heard of for long.
     #[display("{hosts} hosts serve")]
     MembersChanged {
@@ -259,6 +269,7 @@
             Self::RequestSent { .. } | Self::RequestAnswered { .. } => Level::Debug,
             Self::StoreLost { .. }
             | Self::GossipFailed { .. }
+            | Self::CatalogFetchFailed { .. }
             | Self::SettingsRefused { .. }
             | Self::SendFailed { .. }
             | Self::RequestRefused { .. }
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -77,12 +77,14 @@
     pub complete: StoreRevision,
     /// The version of the catalog in force there.
     pub catalog: CatalogVersion,
+    /// The revision up to which that catalog is the newest one.
+    pub catalog_revision: StoreRevision,
     /// How long ago the catalog was known to be the store's, in milliseconds. It counts
     /// in an answer only: how long a call was on its way is not known.
     pub evidence_age_ms: Option<u64>,
     /// The same of the whole view.
     pub view_age_ms: Option<u64>,
-    /// What the caller's view lacks; in an answer only.
+    /// Targets and evacuations that the caller's view lacks; in an answer only.
     pub update: Option<Box<ViewUpdate>>,
     /// Whose usage and loads the message tells; `None` where it tells of neither.
     pub scope: Option<UsageScope>,
--- a/src/peers/handshake_exchange.rs
+++ b/src/peers/handshake_exchange.rs
@@ -28,7 +28,7 @@
 use crate::ids::HostName;
 
 /// The version of the protocol between hosts; rises with each change of a message.
-pub const PROTOCOL_VERSION: u16 = 6;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 /// The first bytes of each handshake message.
 const MAGIC: [u8; 4] = *b"CMGW";
--- a/src/peers/peer_messages.rs
+++ b/src/peers/peer_messages.rs
@@ -58,10 +58,12 @@
     /// Tells what the calling host runs, spends and knows of others; answered with
     /// [`PeerReply::Gossip`].
     Gossip(Box<GossipMessage>),
-    /// Asks for the whole view of routes and targets; answered with
-    /// [`PeerReply::FleetView`].
-    FleetView {
-        /// The catalog that the caller has; it is left out unless there is a newer one.
+    /// Asks for all targets and evacuations; answered with [`PeerReply::FleetView`].
+    FleetView,
+    /// Asks for the catalog; [`PeerReply::CatalogPiece`]s are streamed back, none where the
+    /// called host has no newer one.
+    Catalog {
+        /// The version of the catalog that the caller has.
         known: CatalogVersion,
     },
 }
@@ -95,8 +97,10 @@
     Receipt(DigestReceipt),
     /// What the called host runs, spends and knows of others.
     Gossip(Box<GossipMessage>),
-    /// The whole view of routes and targets.
+    /// All targets and evacuations.
     FleetView(Box<ViewUpdate>),
+    /// A piece of a packed catalog.
+    CatalogPiece(Bytes),
 }
 
 /// What became of a delta, and which document the called host has in force.
--- a/src/view/platform_view.rs
+++ b/src/view/platform_view.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct PlatformView {
     revision: StoreRevision,
+    /// The revision up to which the catalog is the newest one.
+    catalog_revision: StoreRevision,
     /// The revision of the last change that is held.
     changed_at: StoreRevision,
     catalog: Option<Arc<RouteCatalog>>,
@@ -50,11 +52,25 @@
 }
 
 impl PlatformView {
-    /// Returns the revision up to which the view is complete.
+    /// Returns the revision up to which the targets and evacuations are complete.
     pub const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
+    /// Returns the revision up to which the catalog is the newest one. Peers send it apart
+    /// from the targets, so it may be behind them.
+    pub const fn catalog_revision(&self) -> StoreRevision {
+        self.catalog_revision
+    }
+
+    /// Notes that a catalog of this version was the newest one at `revision`; it counts only
+    /// if that one or a newer one is held.
+    pub fn note_catalog_revision(&mut self, version: CatalogVersion, revision: StoreRevision) {
+        if self.catalog_version() >= version {
+            self.catalog_revision = self.catalog_revision.max(revision);
+        }
+    }
+
     /// Returns the revision of the last change that is held. Two hosts that hold the
     /// same have the same one, whenever each last asked the store.
     pub const fn changed_at(&self) -> StoreRevision {
@@ -82,36 +98,28 @@
         active.map(|held| held.availability_zone.clone()).collect()
     }
 
-    /// Returns the whole view for a peer whose catalog has `known` as version.
+    /// Returns all targets and evacuations for a peer.
     ///
     /// Lapsed targets are left out. The store removed them before the view's revision,
     /// so a peer that took them for standing would never hear of their removal.
-    pub fn whole_update(&self, known: CatalogVersion) -> ViewUpdate {
-        let catalog = self.catalog.as_ref();
+    pub fn whole_update(&self) -> ViewUpdate {
         ViewUpdate {
             revision: self.revision,
             whole: true,
-            catalog: catalog
-                .filter(|catalog| catalog.version() > known)
-                .map(|catalog| catalog.parts().clone()),
+            catalog: None,
             targets: self.standing_targets().cloned().collect(),
             removals: Vec::new(),
             evacuations: self.evacuations.values().cloned().collect(),
         }
     }
 
-    /// Returns what a peer lacks whose view is complete up to `complete` and whose catalog
-    /// has `known` as version; `None` where it lacks nothing.
-    pub fn update_since(
-        &self,
-        complete: StoreRevision,
-        known: CatalogVersion,
-    ) -> Option<ViewUpdate> {
+    /// Returns the targets and evacuations that a peer lacks whose view is complete up to
+    /// `complete`; `None` where it lacks nothing. The catalog is not among them: it may be too
+    /// large for a message that must arrive within the bound on leaving targets.
+    pub fn update_since(&self, complete: StoreRevision) -> Option<ViewUpdate> {
         if complete < self.forgotten {
-            return Some(self.whole_update(known));
+            return Some(self.whole_update());
         }
-        let catalog = self.catalog.as_ref();
-        let catalog = catalog.filter(|catalog| catalog.version() > known);
         let targets = self.standing_targets();
         let targets = targets.filter(|target| target.revision > complete);
         let removals = self.removals.iter();
@@ -119,7 +127,7 @@
         let update = ViewUpdate {
             revision: self.revision,
             whole: false,
-            catalog: catalog.map(|catalog| catalog.parts().clone()),
+            catalog: None,
             targets: targets.cloned().collect(),
             removals: removals
                 .filter(|(_, mark)| mark.revision > complete)
@@ -133,8 +141,7 @@
                 .cloned()
                 .collect(),
         };
-        let lacks = update.catalog.is_some()
-            || !update.targets.is_empty()
+        let lacks = !update.targets.is_empty()
             || !update.removals.is_empty()
             || !update.evacuations.is_empty();
         lacks.then_some(update)
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -51,8 +51,11 @@
         let mut state = self.lock();
         self.note_sign(&mut state, begun, now);
         // A read of the catalog alone names no revision.
-        let all = update.revision > 0;
+        let revision = update.revision;
+        let all = revision > 0;
         let change = self.apply(&mut state, update, now);
+        let version = state.view.catalog_version();
+        state.view.note_catalog_revision(version, revision);
         drop(state);
         raise(&self.evidence_ms, begun);
         if all {
@@ -80,6 +83,12 @@
         raise(&self.evidence_ms, shown);
     }
 
+    /// Takes a peer's word that the catalog of this version was the newest one at `revision`;
+    /// it counts only if this host holds that catalog or a newer one.
+    pub fn note_catalog_revision(&self, version: CatalogVersion, revision: StoreRevision) {
+        self.lock().view.note_catalog_revision(version, revision);
+    }
+
     /// Takes a peer's word that its view, whose last change is `revision`, was the store's
     /// at `shown`; it counts only if this host holds that change.
     pub fn vouch_view(&self, revision: StoreRevision, shown: Duration) {
@@ -116,11 +125,23 @@
         (state.view.changed_at(), state.view.catalog_version())
     }
 
-    /// Returns the revision up to which the view is complete.
+    /// Returns the revision up to which the targets and evacuations are complete.
     pub fn revision(&self) -> StoreRevision {
         self.lock().view.revision()
     }
 
+    /// Returns the revision up to which the catalog is the newest one.
+    pub fn catalog_revision(&self) -> StoreRevision {
+        self.lock().view.catalog_revision()
+    }
+
+    /// Returns the revision up to which all of the view is complete.
+    pub fn complete_revision(&self) -> StoreRevision {
+        let state = self.lock();
+        let targets = state.view.revision();
+        targets.min(state.view.catalog_revision())
+    }
+
     /// Returns all targets.
     pub fn targets(&self) -> Vec<TargetRecord> {
         self.lock().view.targets().cloned().collect()
@@ -131,19 +152,15 @@
         self.lock().view.evacuated_zones()
     }
 
-    /// Returns the whole view for a peer whose catalog has `known` as version.
-    pub fn whole_update(&self, known: CatalogVersion) -> ViewUpdate {
-        self.lock().view.whole_update(known)
+    /// Returns all targets and evacuations for a peer.
+    pub fn whole_update(&self) -> ViewUpdate {
+        self.lock().view.whole_update()
     }
 
-    /// Returns what a peer lacks whose view is complete up to `complete` and whose catalog
-    /// has `known` as version; `None` where it lacks nothing.
-    pub fn update_since(
-        &self,
-        complete: StoreRevision,
-        known: CatalogVersion,
-    ) -> Option<ViewUpdate> {
-        self.lock().view.update_since(complete, known)
+    /// Returns the targets and evacuations that a peer lacks whose view is complete up to
+    /// `complete`; `None` where it lacks nothing.
+    pub fn update_since(&self, complete: StoreRevision) -> Option<ViewUpdate> {
+        self.lock().view.update_since(complete)
     }
 
     fn apply(&self, state: &mut ViewState, update: ViewUpdate, now: Duration) -> ViewChange {
--- a/tests/peers_mesh.rs
+++ b/tests/peers_mesh.rs
@@ -61,7 +61,8 @@
             }
             PeerCall::Claim(_)
             | PeerCall::DigestDelta(_)
-            | PeerCall::FleetView { .. }
+            | PeerCall::FleetView
+            | PeerCall::Catalog { .. }
             | PeerCall::Gossip(_) => {}
             PeerCall::Join { .. } => {
                 replies.closed().await;
--- a/tests/platform_view.rs
+++ b/tests/platform_view.rs
@@ -206,7 +206,7 @@
     first.take_store_answer(removal("old", 8), back, back);
     assert_eq!(first.targets().len(), 2, "it may still come back");
 
-    second.take_peer_view(first.whole_update(0), back);
+    second.take_peer_view(first.whole_update(), back);
 
     second.expire_lapses(back + seconds(2));
     let names: Vec<String> = second.targets().into_iter().map(|held| held.name).collect();
@@ -269,10 +269,31 @@
     view.take_store_answer(evacuation("za", 5, true), now, now);
     late.take_peer_view(whole(3, &[target("a", 3)]), now);
 
-    young.take_peer_view(view.whole_update(0), now);
-    let lacking = view.update_since(3, 0).expect("it lacks the evacuation");
+    young.take_peer_view(view.whole_update(), now);
+    let lacking = view.update_since(3).expect("it lacks the evacuation");
     late.take_peer_view(lacking, now);
 
     assert_eq!(young.evacuated_zones(), ["za"]);
     assert_eq!(late.evacuated_zones(), ["za"]);
 }
+
+/// Guards against a host that never reads a catalog since its targets are newer than it.
+#[test]
+fn the_store_is_read_from_the_catalogs_revision_on() {
+    let view = SharedView::default();
+    let now = seconds(100);
+    let first = ViewUpdate {
+        catalog: Some(catalog(7)),
+        ..whole(5, &[target("a", 3)])
+    };
+    view.take_store_answer(first, now, now);
+
+    view.take_peer_view(removal("a", 9), now);
+    view.note_catalog_revision(8, 9);
+    let behind = view.complete_revision();
+    view.take_peer_view(with_catalog(8), now);
+    view.note_catalog_revision(8, 9);
+
+    assert_eq!(behind, 5);
+    assert_eq!(view.complete_revision(), 9);
+}
