Store client: reads are bounded by pauses, not as a whole

A host behind a link of 10 Mbit/s could not read a configuration of 1.1 MB: the read had 900 ms in all, which such an answer takes on an idle link. Each host whose leader was silent began the same read about once a second, so its link was full and nothing else came through (kb_in at the link's limit for 10 s on 40 hosts in the record). The limit guards against a lost answer, which shows as a pause.

--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) use request_message::RequestMessage;
 pub(crate) use socket_options::SilenceBounds;
 pub(crate) use socket_options::bound_silence;
+pub(crate) use whole_answer::AnswerLimits;
 pub(crate) use whole_answer::WholeAnswer;
 pub(crate) use whole_answer::keeps_connection;
 pub(crate) use whole_answer::read_whole_answer;
--- a/src/wire/whole_answer.rs
+++ b/src/wire/whole_answer.rs
@@ -1,5 +1,8 @@
 //! Reads one answer to its proven end.
 
+use std::time::Duration;
+
+use async_std::future::timeout;
 use async_std::net::TcpStream;
 
 use super::AnswerMessage;
@@ -19,38 +22,52 @@
     pub(crate) keeps_connection: bool,
 }
 
+/// What bounds the reading of an answer. How long all of it takes depends on its size and on
+/// the link, so only pauses are bounded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerLimits {
+    /// The largest body, in bytes.
+    pub(crate) body_bytes: usize,
+    /// How long the first byte may take.
+    pub(crate) first_byte: Duration,
+    /// The longest pause between bytes.
+    pub(crate) pause: Duration,
+}
+
 /// Reads the answer to a request of `method`.
 ///
 /// # Errors
 ///
-/// `Cut` when the connection ended or failed first, `Malformed`, or `BodyTooLarge`
-/// beyond `max_bytes`.
+/// `Cut` when the connection ended or failed first, `TimedOut` behind a pause, `Malformed`,
+/// or `BodyTooLarge`.
 pub(crate) async fn read_whole_answer(
     stream: &TcpStream,
     input: &mut InputBuffer,
     method: &str,
-    max_bytes: usize,
+    limits: AnswerLimits,
 ) -> Result<WholeAnswer, WireError> {
+    let mut patience = limits.first_byte;
     let head = loop {
         if let Some(head) = AnswerMessage::take(input)? {
             break head;
         }
-        if input.fill(stream).await.map_err(|_| WireError::Cut)? == 0 {
+        if fill_within(stream, input, patience).await? == 0 {
             return Err(WireError::Cut);
         }
+        patience = limits.pause;
     };
     let framing = BodyFraming::of_answer(&head.headers, head.status, method)?;
     let mut decoder = BodyDecoder::new(framing);
     let mut body = Vec::new();
     loop {
         decoder.decode(input, &mut body)?;
-        if body.len() > max_bytes {
+        if body.len() > limits.body_bytes {
             return Err(WireError::BodyTooLarge);
         }
         if decoder.is_whole() {
             break;
         }
-        if input.fill(stream).await.map_err(|_| WireError::Cut)? == 0 {
+        if fill_within(stream, input, limits.pause).await? == 0 {
             decoder.end_of_connection()?;
         }
     }
@@ -61,6 +78,17 @@
     })
 }
 
+/// Reads what comes within `patience`; 0 at the connection's end.
+async fn fill_within(
+    stream: &TcpStream,
+    input: &mut InputBuffer,
+    patience: Duration,
+) -> Result<usize, WireError> {
+    let filled = timeout(patience, input.fill(stream)).await;
+    let filled = filled.map_err(|_| WireError::TimedOut)?;
+    filled.map_err(|_| WireError::Cut)
+}
+
 /// Tells whether the sender keeps the connection after this answer.
 pub(crate) fn keeps_connection(head: &AnswerMessage, framing: BodyFraming) -> bool {
     framing != BodyFraming::UntilClose
--- a/src/wire/wire_error.rs
+++ b/src/wire/wire_error.rs
@@ -18,4 +18,7 @@
     /// The connection ended before the message did.
     #[display("cut")]
     Cut,
+    /// No byte came in the time given.
+    #[display("no byte in time")]
+    TimedOut,
 }
