Edge: hosts poll the store before their view of the targets exceeds the bound on leaving targets

A host whose leader is silent reads the store itself, but only when its view was 3.5 s old (VIEW_BOUND), where a leaving target must get no new work after 3 s; the bound itself (drain-ms, evacuate-ms) was read nowhere. Its read then waited for changes like a watch, for up to 1.9 s, and began with a read of everything, a large configuration included.

Now the bound is a setting (target_delay, the lower of both). Hosts that watch for their zone wait for 0.3 of it at most, so that the views of others are young in calm times; the others poll at 0.6 to 0.75 of it by turns, without a wait, for changes after the revision that they hold. The catalog is left to peers then, and such a poll is no evidence for it.

--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -45,6 +45,9 @@
     pub(crate) key_evidence: Option<Duration>,
     /// Within which a new configuration must be in force.
     pub(crate) configuration_delay: Duration,
+    /// Within which a target that leaves, or whose availability zone is evacuated, must get
+    /// no new work.
+    pub(crate) target_delay: Duration,
     /// Repeats by requests, over all hosts.
     pub(crate) retry_ratio: f64,
     /// Repeats beyond that in a window, over all hosts.
@@ -61,6 +64,7 @@
             leave_grace: Duration::from_secs(8),
             key_evidence: Some(Duration::from_secs(5)),
             configuration_delay: Duration::from_secs(2),
+            target_delay: Duration::from_secs(2),
             retry_ratio: 0.2,
             retry_slack: 10.0,
             retry_window: Duration::from_secs(10),
--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -24,14 +24,25 @@
 const KNOWN_PART: f64 = 0.9;
 /// For how long a host waits at most until it knows that part.
 const LONGEST_JOIN: Duration = Duration::from_secs(5);
-/// How old the view of all targets may be before a host reads it that is not to: that of a
-/// host that watches is as old as its last wait, and gossip takes a second more.
-const VIEW_BOUND: Duration = Duration::from_millis(3500);
-/// By how much longer each further host waits.
-const VIEW_TURN: Duration = Duration::from_millis(100);
+/// The age of the view of the targets from which a host polls the store that doesn't watch
+/// it, as a part of the bound on changes of targets; and by how much more of it the last
+/// turn waits. What is left is for the read.
+const POLL_PART: f64 = 0.6;
+const POLL_TURNS_PART: f64 = 0.15;
 /// How many turns there are in which hosts read what nobody else has.
 const MAX_TURNS: usize = 9;
 
+/// How a host reads the changes of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StoreAccess {
+    /// It waits for changes, for its zone or for itself.
+    Watch,
+    /// It asks for changes at once: what it hears from others is too old.
+    Poll,
+    /// Others read for it.
+    Peers,
+}
+
 /// What this host does among all hosts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetRole {
@@ -185,15 +196,19 @@
         }
     }
 
-    /// Tells whether this host is to watch the store: it does so for its zone, or nobody
-    /// that it hears of does.
-    pub(crate) fn watches_store(&self) -> bool {
+    /// Returns how this host is to read the changes of the store now.
+    pub(crate) fn store_access(&self) -> StoreAccess {
         let role = self.role();
         if role.watches || role.may_watch && self.acts_as_leader(&role) {
-            return true;
+            return StoreAccess::Watch;
         }
-        let bound = VIEW_BOUND + VIEW_TURN * role.turn as u32;
+        let delay = self.settings.load().bounds.target_delay;
+        let turn = role.turn as f64 / MAX_TURNS as f64;
+        let bound = delay.mul_f64(POLL_PART + POLL_TURNS_PART * turn);
         let age = self.view.view_age(boot_now());
-        age.is_none_or(|age| age >= bound)
+        match age.is_none_or(|age| age >= bound) {
+            true => StoreAccess::Poll,
+            false => StoreAccess::Peers,
+        }
     }
 }
--- a/src/edge/tests/following.rs
+++ b/src/edge/tests/following.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::super::fleet_role::StoreAccess;
 use super::super::watch_controller::watch_wait;
 use super::edge_fixture::lone_state;
 use crate::clock::boot_now;
@@ -43,5 +44,5 @@
     host.view.take_store_answer(update, begun, now);
 
     // A target that leaves gets no new work after 2 s by default.
-    assert!(host.watches_store());
+    assert_eq!(host.store_access(), StoreAccess::Poll);
 }
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -7,6 +7,7 @@
 
 use super::edge_metrics::count;
 use super::edge_state::EdgeState;
+use super::fleet_role::StoreAccess;
 use crate::backoff::RetryBackoff;
 use crate::clock::boot_now;
 use crate::logs::DecisionLine;
@@ -22,6 +23,10 @@
 /// what changed meanwhile is learned from peers.
 const LEAST_WAIT: Duration = Duration::from_millis(1600);
 const LONGEST_WAIT: Duration = Duration::from_secs(12);
+/// The longest wait where hosts watch for others, as a part of the bound on changes of
+/// targets: the views of the others are older by the gossip's time, and must stay below the
+/// age at which they poll.
+const ZONE_WAIT_PART: f64 = 0.3;
 /// By how much waits differ, as a share: watches that a change woke together would
 /// otherwise end together for ever.
 const WAIT_SPREAD: f64 = 0.2;
@@ -64,21 +69,24 @@
 /// Follows the store until the process ends.
 pub(crate) async fn follow_store(state: Arc<EdgeState>, source: Arc<dyn FleetSource>) {
     let mut backoff = RetryBackoff::new(FIRST_RETRY, LONGEST_RETRY);
-    let mut needs_whole = true;
+    let mut needs_whole = false;
     let mut lost = false;
     loop {
-        if !may_read_first(&state) || !state.watches_store() {
+        let access = state.store_access();
+        if !may_read_first(&state) || access == StoreAccess::Peers {
             task::sleep(ROLE_LOOK).await;
             continue;
         }
         let begun = boot_now();
+        let after = match access {
+            StoreAccess::Watch => state.view.complete_revision(),
+            // The catalog comes from peers, which send it compressed.
+            _ => state.view.revision(),
+        };
         count(&state.metrics.store_calls);
-        let read = match needs_whole {
+        let read = match needs_whole || after == 0 {
             true => source.read_whole().await,
-            false => {
-                let wait = watch_wait(state.watching_hosts(), rand::random());
-                source.watch(state.view.complete_revision(), wait).await
-            }
+            false => source.watch(after, store_wait(&state, access)).await,
         };
         match read {
             Ok(update) => {
@@ -88,7 +96,10 @@
                 }
                 needs_whole = false;
                 backoff.reset();
-                let change = state.view.take_store_answer(update, begun, boot_now());
+                let change = match update.whole || access == StoreAccess::Watch {
+                    true => state.view.take_store_answer(update, begun, boot_now()),
+                    false => state.view.take_store_targets(update, begun, boot_now()),
+                };
                 let changed = !change.is_empty();
                 state.take_change(change, None);
                 if changed {
@@ -109,6 +120,19 @@
     }
 }
 
+/// Returns how long this host waits for changes.
+fn store_wait(state: &EdgeState, access: StoreAccess) -> Duration {
+    if access == StoreAccess::Poll {
+        return Duration::ZERO;
+    }
+    let wait = watch_wait(state.watching_hosts(), rand::random());
+    if !state.role().layout.is_grouped() {
+        return wait;
+    }
+    let delay = state.settings.load().bounds.target_delay;
+    wait.min(delay.mul_f64(ZONE_WAIT_PART))
+}
+
 /// Returns how long a watch waits in a fleet of `hosts`; `spread` is 0 to 1, evenly.
 pub(super) fn watch_wait(hosts: usize, spread: f64) -> Duration {
     let wait = (WAIT_A_HOST * hosts as u32).clamp(LEAST_WAIT, LONGEST_WAIT);
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -64,6 +64,21 @@
         change
     }
 
+    /// Takes in what the store answered to a call that was begun at `begun` and that asked for
+    /// changes of the targets alone. It proves nothing about the catalog.
+    pub fn take_store_targets(
+        &self,
+        update: ViewUpdate,
+        begun: Duration,
+        now: Duration,
+    ) -> ViewChange {
+        let mut state = self.lock();
+        let change = self.apply(&mut state, update, now);
+        drop(state);
+        raise(&self.view_ms, begun);
+        change
+    }
+
     /// Takes in what a peer believes. Its view proves nothing about its age; see
     /// [`SharedView::vouch`].
     pub fn take_peer_view(&self, update: ViewUpdate, now: Duration) -> ViewChange {
