Gossip: large views of the targets are fetched like the catalog

The same cause elsewhere: a host that starts got all targets in one gossip answer, bounded to 800 ms in all like the catalog was. 3,000 targets are 120,009 bytes an answer; behind a narrow link none arrives when a group of hosts starts together, and each retry starts anew.

A message carries 128 changes at most. The wait of 250 ms before such a read goes, since gossip brings what fits at once.

Test: gossip_does_not_carry_a_large_view, failed before with 120,009 bytes.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -3,14 +3,11 @@
 //! A [`RouteCatalog`] is one version of the whole, checked and compiled; it is
 //! replaced whole and never changed in place.
 
-mod catalog_package;
 mod client_account;
 mod route_catalog;
 mod service_route;
 mod target_pool;
 
-pub use catalog_package::MAX_PACKAGE_BYTES;
-pub use catalog_package::unpack_catalog;
 pub use client_account::ClientAccount;
 pub use client_account::TokenRate;
 pub use route_catalog::CallerLimits;
--- a/src/catalog/route_catalog.rs
+++ b/src/catalog/route_catalog.rs
@@ -10,8 +10,8 @@
 use super::ClientAccount;
 use super::ServiceRoute;
 use super::TargetPool;
-use super::catalog_package::pack_catalog;
 use crate::ids::CatalogVersion;
+use crate::peers::pack_value;
 
 /// What callers may send and how long they may take.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -91,10 +91,9 @@
         self.parts.version
     }
 
-    /// Returns the parts for a peer that asks for them; see
-    /// [`unpack_catalog`](super::unpack_catalog).
-    pub fn package(&self) -> &Bytes {
-        self.package.get_or_init(|| pack_catalog(&self.parts))
+    /// Returns the parts as a package for a peer that asks for them.
+    pub(crate) fn package(&self) -> &Bytes {
+        self.package.get_or_init(|| pack_value(&self.parts))
     }
 
     /// Returns the bounds of callers.
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -15,6 +15,7 @@
 
 use async_std::future::timeout;
 use async_std::task;
+use serde::de::DeserializeOwned;
 
 use super::edge_state::EdgeState;
 use super::fleet_role::FleetRole;
@@ -22,8 +23,6 @@
 use super::local_digest::is_young;
 use super::view_logger::ViewLogger;
 use crate::catalog::CatalogParts;
-use crate::catalog::MAX_PACKAGE_BYTES;
-use crate::catalog::unpack_catalog;
 use crate::clock::boot_now;
 use crate::ids::CatalogVersion;
 use crate::ids::HostName;
@@ -35,10 +34,12 @@
 use crate::members::GroupLayout;
 use crate::members::HostSighting;
 use crate::members::PairCaller;
+use crate::peers::MAX_PACKAGE_BYTES;
 use crate::peers::PeerCall;
 use crate::peers::PeerError;
 use crate::peers::PeerMesh;
 use crate::peers::PeerReply;
+use crate::peers::unpack_value;
 use crate::quota::UsageReport;
 use crate::quota::UsageScope;
 use crate::view::ViewUpdate;
@@ -60,11 +61,8 @@
 const LEADER_PERIOD: Duration = Duration::from_millis(500);
 /// How long a peer may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long each piece of a catalog may take.
+/// How long each piece of a package may take.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long a change that a peer has seen may be missing here before the peer is
-/// asked for it, by a host that watches the store itself.
-const BEHIND_BOUND: Duration = Duration::from_millis(250);
 /// How many of a group's candidates a member keeps connections to.
 const KEPT_CANDIDATES: usize = 2;
 /// How many dead hosts a host tries to reach at a time, and for how long: a cut that heals
@@ -78,18 +76,10 @@
 struct GossipSender {
     state: Arc<EdgeState>,
     mesh: Arc<PeerMesh>,
-    behind: Mutex<Option<BehindMark>>,
     /// Peers whose last exchange failed, sorted.
     failing: Mutex<Vec<HostName>>,
-    /// Whether a catalog is on its way.
-    fetches_catalog: AtomicBool,
-}
-
-/// A change that a peer has seen and this host has not.
-#[derive(Clone, Copy, Debug)]
-struct BehindMark {
-    revision: StoreRevision,
-    since: Duration,
+    /// Whether a package of a peer is on its way.
+    fetches: AtomicBool,
 }
 
 /// Gossips until the process ends.
@@ -97,9 +87,8 @@
     let sender = Arc::new(GossipSender {
         state,
         mesh,
-        behind: Mutex::default(),
         failing: Mutex::default(),
-        fetches_catalog: AtomicBool::new(false),
+        fetches: AtomicBool::new(false),
     });
     let mut logger = ViewLogger::default();
     let mut linked: Vec<HostName> = Vec::new();
@@ -295,17 +284,9 @@
         // because the store was away, and the age says whether it was.
         self.take_mark(mark, begun);
         if let Some(update) = update {
-            let change = self.state.view.take_peer_view(*update, boot_now());
-            if !change.is_empty() {
-                self.state.schedule().expedite_all();
-            }
-            self.state.take_change(change, Some(&peer.host));
-        } else if self.is_behind(mark) {
-            self.fetch_view(&peer.host).await;
-        }
-        if mark.catalog > self.state.view.marks().1 {
-            self.take_catalog(&peer.host, mark.catalog).await;
+            self.take_update(*update, &peer.host);
         }
+        self.catch_up(&peer.host, mark).await;
         // It counts only for what is held, which may be more now.
         self.take_mark(mark, begun);
     }
@@ -355,71 +336,71 @@
         }
     }
 
-    /// Tells whether a change that a peer has seen has been missing here for long.
-    fn is_behind(&self, mark: ViewMark) -> bool {
-        let now = boot_now();
-        let own = self.state.view.marks().0;
-        let mut behind = self.behind.lock().unwrap_or_else(PoisonError::into_inner);
-        if behind.is_some_and(|mark| mark.revision <= own) {
-            *behind = None;
+    /// Takes what is too large for gossip from a peer that has more, unless a package is on
+    /// its way already. The catalog goes first: without it nothing is served.
+    async fn catch_up(&self, peer: &HostName, mark: ViewMark) {
+        let (revision, catalog) = self.state.view.marks();
+        let is_behind = mark.catalog > catalog || mark.revision > revision;
+        if !is_behind || self.fetches.swap(true, Ordering::AcqRel) {
+            return;
         }
-        if mark.revision <= own {
-            return false;
+        let mut fetched = Ok(());
+        if mark.catalog > catalog {
+            fetched = self.take_catalog(peer).await;
+        }
+        if fetched.is_ok() && mark.revision > self.state.view.marks().0 {
+            fetched = self.take_targets(peer).await;
+        }
+        self.fetches.store(false, Ordering::Release);
+        if let Err(error) = fetched {
+            self.state.log.write(&DecisionLine::ViewFetchFailed {
+                peer: peer.clone(),
+                revision: mark.revision,
+                catalog: mark.catalog,
+                reason: error.to_string(),
+            });
         }
-        let mark = behind.get_or_insert(BehindMark {
-            revision: mark.revision,
-            since: now,
-        });
-        now.saturating_sub(mark.since) >= BEHIND_BOUND
     }
 
-    async fn fetch_view(&self, peer: &HostName) {
-        let reply = self
-            .mesh
-            .call(peer, PeerCall::FleetView, CALL_TIMEOUT)
-            .await;
-        if let Ok(PeerReply::FleetView(update)) = reply {
-            let change = self.state.view.take_peer_view(*update, boot_now());
-            self.state.take_change(change, Some(peer));
+    async fn take_catalog(&self, peer: &HostName) -> Result<(), PeerError> {
+        let known = self.state.view.marks().1;
+        let parts: Option<CatalogParts> = self.fetch(peer, PeerCall::Catalog { known }).await?;
+        if parts.is_some() {
+            let update = ViewUpdate {
+                catalog: parts,
+                ..ViewUpdate::default()
+            };
+            self.take_update(update, peer);
         }
+        Ok(())
     }
 
-    /// Takes the catalog of a peer that has a newer one, unless one is on its way already.
-    async fn take_catalog(&self, peer: &HostName, version: CatalogVersion) {
-        if self.fetches_catalog.swap(true, Ordering::AcqRel) {
-            return;
+    async fn take_targets(&self, peer: &HostName) -> Result<(), PeerError> {
+        if let Some(update) = self.fetch(peer, PeerCall::FleetView).await? {
+            self.take_update(update, peer);
         }
-        let fetched = self.fetch_catalog(peer).await;
-        self.fetches_catalog.store(false, Ordering::Release);
-        match fetched {
-            Ok(Some(parts)) => {
-                let update = ViewUpdate {
-                    catalog: Some(parts),
-                    ..ViewUpdate::default()
-                };
-                let change = self.state.view.take_peer_view(update, boot_now());
-                if !change.is_empty() {
-                    self.state.schedule().expedite_all();
-                }
-                self.state.take_change(change, Some(peer));
-            }
-            Ok(None) => {}
-            Err(error) => self.state.log.write(&DecisionLine::CatalogFetchFailed {
-                catalog: version,
-                peer: peer.clone(),
-                reason: error.to_string(),
-            }),
+        Ok(())
+    }
+
+    fn take_update(&self, update: ViewUpdate, peer: &HostName) {
+        let change = self.state.view.take_peer_view(update, boot_now());
+        if !change.is_empty() {
+            self.state.schedule().expedite_all();
         }
+        self.state.take_change(change, Some(peer));
     }
 
-    /// Reads the catalog of a peer; `None` where it has no newer one.
-    async fn fetch_catalog(&self, peer: &HostName) -> Result<Option<CatalogParts>, PeerError> {
-        let known = self.state.view.marks().1;
-        let call = self.mesh.open_call(peer, PeerCall::Catalog { known });
+    /// Makes a call that is answered with a package; `None` where that is empty.
+    async fn fetch<T: DeserializeOwned>(
+        &self,
+        peer: &HostName,
+        call: PeerCall,
+    ) -> Result<Option<T>, PeerError> {
+        let call = self.mesh.open_call(peer, call);
         let mut pieces = timeout(PIECE_TIMEOUT, call).await??;
         let mut package = Vec::new();
         while let Some(reply) = timeout(PIECE_TIMEOUT, pieces.next()).await?? {
-            let PeerReply::CatalogPiece(piece) = reply else {
+            let PeerReply::PackagePiece(piece) = reply else {
                 return Err(PeerError::MalformedMessage);
             };
             package.extend_from_slice(&piece);
@@ -430,8 +411,8 @@
         if package.is_empty() {
             return Ok(None);
         }
-        let parts = unpack_catalog(&package).ok_or(PeerError::MalformedMessage)?;
-        Ok(Some(parts))
+        let value = unpack_value(&package).ok_or(PeerError::MalformedMessage)?;
+        Ok(Some(value))
     }
 }
 
--- a/src/edge/local_digest.rs
+++ b/src/edge/local_digest.rs
@@ -21,7 +21,10 @@
 /// How many other hosts each message names in turn. Who is there hardly changes, and all
 /// of them would be most of its bytes in a large fleet.
 const NOTES_A_MESSAGE: usize = 2;
-/// How many it names to one that knows few.
+/// How many changes of targets a message carries at most: it must pass a narrow link to all
+/// hosts of a group in time.
+const CHANGES_A_MESSAGE: usize = 128;
+/// How many hosts it names to one that knows few.
 const FIRST_NOTES: usize = 512;
 /// The part of the hosts that a peer must know to be named only those that changed.
 const KNOWN_PART: f64 = 0.8;
@@ -136,13 +139,14 @@
     }
 
     /// Returns the targets and evacuations that a peer's view lacks, by the message that it
-    /// sent.
+    /// sent; `None` where they are too many for a message, which the peer fetches then.
     pub(crate) fn update_for(&self, message: &GossipMessage) -> Option<Box<ViewUpdate>> {
         if self.view.marks().0 <= message.revision {
             return None;
         }
-        let update = self.view.update_since(message.complete);
-        update.map(Box::new)
+        let update = self.view.update_since(message.complete)?;
+        let changes = update.targets.len() + update.removals.len();
+        (changes <= CHANGES_A_MESSAGE).then(|| Box::new(update))
     }
 
     /// Grants a host of the group its part of the shard's slots.
--- a/src/edge/tests/gossip.rs
+++ b/src/edge/tests/gossip.rs
@@ -1,14 +1,19 @@
 //! What gossip carries.
 
+use std::time::Duration;
+
 use bincode::config::standard;
 
 use super::edge_fixture::large_catalog;
 use super::edge_fixture::lone_state;
+use crate::catalog::CatalogParts;
 use crate::catalog::RouteCatalog;
-use crate::catalog::unpack_catalog;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
 use crate::edge::local_digest::MessageRequest;
+use crate::peers::unpack_value;
+use crate::view::TargetPhase;
+use crate::view::TargetRecord;
 use crate::view::TargetRemoval;
 use crate::view::ViewUpdate;
 
@@ -23,6 +28,25 @@
     }
 }
 
+fn targets_update(revision: u64, count: usize) -> ViewUpdate {
+    let target = |index: usize| TargetRecord {
+        name: format!("target-{index:05}"),
+        pool: "p".into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        availability_zone: "za".into(),
+        slots: 4,
+        phase: TargetPhase::Ready,
+        born_ms: 1_796_000_000_123,
+        cold_remaining: Duration::ZERO,
+        revision,
+    };
+    ViewUpdate {
+        revision,
+        targets: (0..count).map(target).collect(),
+        ..ViewUpdate::default()
+    }
+}
+
 fn removal_update(revision: u64) -> ViewUpdate {
     let removal = TargetRemoval {
         name: "t0".into(),
@@ -70,7 +94,9 @@
     let catalog = RouteCatalog::compile(parts);
 
     let package = catalog.package();
-    let unpacked = RouteCatalog::compile(unpack_catalog(package).unwrap());
+    let unpacked: CatalogParts = unpack_value(package).unwrap();
+    let cut: Option<CatalogParts> = unpack_value(&package[..package.len() / 2]);
+    let unpacked = RouteCatalog::compile(unpacked);
 
     assert!(package.len() < NARROW_LINK_BYTES, "{}", package.len());
     assert_eq!(unpacked.version(), 2);
@@ -79,5 +105,29 @@
             .find_route("host-01399.example", "/more/01399/x")
             .is_some()
     );
-    assert!(unpack_catalog(&package[..package.len() / 2]).is_none());
+    assert!(cut.is_none());
+}
+
+/// Guards against a host that starts and never gets the view, as no answer can carry it in time.
+#[test]
+fn gossip_does_not_carry_a_large_view() {
+    let leader = lone_state(EdgeBounds::default());
+    let young = lone_state(EdgeBounds::default());
+    let now = boot_now();
+    leader
+        .view
+        .take_store_answer(targets_update(1, 3000), now, now);
+    let (message, _) = young.message_for(MessageRequest {
+        receiver: "leader",
+        scope: None,
+        near: false,
+        new: true,
+        peer_hosts: 1,
+        since: None,
+    });
+
+    let update = leader.update_for(&message);
+
+    let bytes = bincode::serde::encode_to_vec(&update, standard()).unwrap();
+    assert!(bytes.len() < NARROW_LINK_BYTES, "{} bytes", bytes.len());
 }
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -121,13 +121,15 @@
         /// The peer.
         peer: HostName,
     },
-    /// A newer catalog could not be read from a peer.
-    #[display("catalog {catalog} of {peer} can't be read: {reason}")]
-    CatalogFetchFailed {
-        /// Its version.
-        catalog: CatalogVersion,
+    /// A newer view could not be read from a peer.
+    #[display("the view of {peer} can't be read: {reason}")]
+    ViewFetchFailed {
         /// The peer that has it.
         peer: HostName,
+        /// Its revision.
+        revision: StoreRevision,
+        /// The version of its catalog.
+        catalog: CatalogVersion,
         /// How the call failed.
         reason: String,
     },
@@ -269,7 +271,7 @@
             Self::RequestSent { .. } | Self::RequestAnswered { .. } => Level::Debug,
             Self::StoreLost { .. }
             | Self::GossipFailed { .. }
-            | Self::CatalogFetchFailed { .. }
+            | Self::ViewFetchFailed { .. }
             | Self::SettingsRefused { .. }
             | Self::SendFailed { .. }
             | Self::RequestRefused { .. }
--- a/src/peers/peer_messages.rs
+++ b/src/peers/peer_messages.rs
@@ -20,7 +20,6 @@
 use crate::poison::PoisonEntry;
 use crate::policy::HostDigest;
 use crate::roster::RosterDigest;
-use crate::view::ViewUpdate;
 
 /// A SHA-256 over the bytes of a fleet document.
 pub type ConfigDigest = [u8; 32];
@@ -58,9 +57,9 @@
     /// Tells what the calling host runs, spends and knows of others; answered with
     /// [`PeerReply::Gossip`].
     Gossip(Box<GossipMessage>),
-    /// Asks for all targets and evacuations; answered with [`PeerReply::FleetView`].
+    /// Asks for all targets and evacuations; [`PeerReply::PackagePiece`]s are streamed back.
     FleetView,
-    /// Asks for the catalog; [`PeerReply::CatalogPiece`]s are streamed back, none where the
+    /// Asks for the catalog; [`PeerReply::PackagePiece`]s are streamed back, none where the
     /// called host has no newer one.
     Catalog {
         /// The version of the catalog that the caller has.
@@ -97,10 +96,8 @@
     Receipt(DigestReceipt),
     /// What the called host runs, spends and knows of others.
     Gossip(Box<GossipMessage>),
-    /// All targets and evacuations.
-    FleetView(Box<ViewUpdate>),
-    /// A piece of a packed catalog.
-    CatalogPiece(Bytes),
+    /// A piece of a package.
+    PackagePiece(Bytes),
 }
 
 /// What became of a delta, and which document the called host has in force.
