Logs: a target names how many requests a second it takes

The record of the requests beyond a target's limit has no line that says which host knew of the limit and when. The header is read from each answer now, and target-limited is written at each change of it. Nothing obeys it yet.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod cold_start;
 mod dispatch_queue;
 mod first_estimate;
+mod limit_table;
 mod output_estimate;
 mod pace_track;
 mod peer_loads;
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -13,6 +13,7 @@
 use super::TargetLoad;
 use super::UrgencyRank;
 use super::WorkEnd;
+use super::limit_table::LimitTable;
 use super::peer_loads::PeerLoads;
 use super::pool_entry::GrantedSlots;
 use super::pool_entry::HostView;
@@ -62,6 +63,7 @@
     shard: ShardRange,
     pools: SortedMap<PoolName, PoolEntry>,
     peer_loads: PeerLoads,
+    limits: LimitTable,
     turn: Option<HostTurn>,
 }
 
@@ -73,6 +75,7 @@
             shard: ShardRange::default(),
             pools: SortedMap::new(),
             peer_loads: PeerLoads::default(),
+            limits: LimitTable::default(),
             turn: None,
         }
     }
@@ -104,6 +107,11 @@
         }
         self.pools
             .retain(|_, pool| !pool.targets.is_empty() || pool.queue.len() > 0);
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let mut names: Vec<&str> = targets.map(|target| target.record.name.as_str()).collect();
+        names.sort_unstable();
+        self.limits
+            .retain(|target| names.binary_search(&target).is_ok());
         self.mark_shard();
     }
 
@@ -358,6 +366,18 @@
         }
     }
 
+    /// Notes how many requests per second a target takes, as an answer says to a request that
+    /// was sent at `sent`; returns whether that changes the limit.
+    pub fn note_limit(
+        &mut self,
+        target: &TargetName,
+        per_second: Option<f64>,
+        sent: Duration,
+        now: Duration,
+    ) -> bool {
+        self.limits.note(target, per_second, sent, now)
+    }
+
     /// Notes the first byte of an answer, `waited` after its dispatch.
     pub fn note_first(&mut self, pool: &str, placed: &PlacedTarget, waited: Duration) {
         let Some(pool) = self.pools.get_mut(pool) else {
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -60,6 +60,13 @@
         self.last_event = Some(now);
     }
 
+    /// Notes how many requests per second the target takes, as its answer says; returns
+    /// whether that changes its limit.
+    pub(crate) fn note_limit(&self, per_second: Option<f64>) -> bool {
+        let mut table = self.queue.lock_table();
+        table.note_limit(&self.placed.name, per_second, self.began, boot_now())
+    }
+
     /// Frees the slot and notes how the request ended there.
     pub(crate) fn finish(mut self, end: WorkEnd) {
         self.end = end;
--- a/src/edge/header_dialect.rs
+++ b/src/edge/header_dialect.rs
@@ -13,6 +13,8 @@
     pub(crate) target: String,
     /// Stands in the answer of a target that did not run the request.
     pub(crate) not_run: String,
+    /// How many requests per second a target takes from all hosts; absent where it has no limit.
+    pub(crate) request_limit: String,
     /// Prompt tokens and the most output tokens, with a comma between.
     pub(crate) token_usage: String,
     /// How many output tokens the caller expects; often far off.
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -23,6 +23,7 @@
 use crate::clock::boot_now;
 use crate::dispatch::SlotGuard;
 use crate::dispatch::WorkEnd;
+use crate::logs::DecisionLine;
 use crate::wire::AnswerMessage;
 
 /// How long a stream that another target can go on with may be silent. Engines send
@@ -106,12 +107,31 @@
                 routed.id.clone(),
             ));
         }
-        if called.is_ok() && !routed.kind.is_stream() {
-            slot.note_event();
+        if let Ok(call) = &called {
+            self.note_limit(&call.head, slot);
+            if !routed.kind.is_stream() {
+                slot.note_event();
+            }
         }
         called
     }
 
+    /// Notes the limit that an answer names. Only a success without one says that there is
+    /// none: a failure may come from something before the target's own code.
+    fn note_limit(&self, head: &AnswerMessage, slot: &SlotGuard) {
+        let named = head.headers.text(&self.state.dialect.request_limit);
+        let per_second = named.and_then(|text| text.trim().parse().ok());
+        let per_second = per_second.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
+        let says_none = named.is_none() && (200..300).contains(&head.status);
+        if (per_second.is_some() || says_none) && slot.note_limit(per_second) {
+            self.state.log.write(&DecisionLine::TargetLimited {
+                target: slot.target().name.clone(),
+                per_second,
+                peer: None,
+            });
+        }
+    }
+
     /// Returns how long the answer's head is waited for.
     fn head_limit(&self) -> Duration {
         let routed = self.routed;
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -285,6 +285,7 @@
         account: "X-Account".into(),
         target: "X-Wanted-Target".into(),
         not_run: "X-Not-Run".into(),
+        request_limit: "X-Limit".into(),
         token_usage: "X-Tokens".into(),
         length_hint: "X-Expected".into(),
         resume_after: "X-Resume-After".into(),
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -153,6 +153,16 @@
         /// Targets that are used again since.
         back: Vec<TargetName>,
     },
+    /// A target names how many requests it takes, or no longer does.
+    #[display("{target} takes {per_second:?} requests a second")]
+    TargetLimited {
+        /// The target.
+        target: TargetName,
+        /// Requests per second over all hosts; absent where there is no limit any more.
+        per_second: Option<f64>,
+        /// The peer that told; absent where an answer of the target did.
+        peer: Option<HostName>,
+    },
     /// A request was sent to a target.
     #[display("sent to {target}")]
     RequestSent {
