--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -10,3 +10,4 @@
 mod leaving;
 mod metrics;
 mod raw_target;
+mod request_limits;
--- /dev/null
+++ b/src/edge/tests/request_limits.rs
@@ -0,0 +1,60 @@
+//! Targets that name how many requests a second they take.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::edge_fixture::EdgeFixture;
+use super::edge_fixture::request_for;
+use super::raw_target::RawTarget;
+use super::raw_target::write_text;
+
+/// The requests a second that the target names.
+const LIMIT: f64 = 2.0;
+/// The window over which requests are counted, and how long after the first answer that
+/// names the limit the first window starts.
+const WINDOW: Duration = Duration::from_secs(4);
+const DELAY: Duration = Duration::from_secs(1);
+
+/// Opens a target that names its limit, and notes when it got requests.
+fn limited_target(arrivals: Arc<Mutex<Vec<Instant>>>) -> RawTarget {
+    RawTarget::spawn(move |request, stream| {
+        arrivals.lock().unwrap().push(Instant::now());
+        let answer = request.answer("200 OK", "fine");
+        let named = format!("HTTP/1.1 200 OK\r\nX-Limit: {LIMIT}\r\n");
+        write_text(stream, &answer.replacen("HTTP/1.1 200 OK\r\n", &named, 1));
+        true
+    })
+}
+
+fn free_target() -> RawTarget {
+    RawTarget::spawn(|request, stream| {
+        write_text(stream, &request.answer("200 OK", "fine"));
+        true
+    })
+}
+
+/// Guards against a target in need that gets as many requests as before.
+#[test]
+fn a_target_gets_no_more_requests_than_it_names() {
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let targets = [limited_target(Arc::clone(&arrivals)), free_target()];
+    let host = EdgeFixture::open(&targets);
+
+    let begun = Instant::now();
+    for number in 0.. {
+        if begun.elapsed() >= DELAY + WINDOW {
+            break;
+        }
+        host.call(&request_for("/again/x", &format!("id{number}")));
+        thread::sleep(Duration::from_millis(40));
+    }
+
+    let arrivals = arrivals.lock().unwrap();
+    let first = *arrivals.first().expect("the target was never used");
+    let counted = arrivals.iter().filter(|at| **at >= first + DELAY).count();
+    let allowed = WINDOW.as_secs_f64() * LIMIT * 1.5 + 5.0;
+    assert!(counted as f64 <= allowed, "{counted} of {allowed}");
+}
