Dispatch: a target gets no more requests than it names, over all hosts

Ruled out: hosts that each use the whole limit, or learn of it late; the rates did not change at all.

Hosts use such a target by turns, like a cold one: each may send one request a round, in a part of the round of its own, so the sum holds without a word between hosts. Limits go by gossip, newest first, so that hosts learn of them, and of their end, that send there seldom. A limit ends with a success without one to a request that was sent after it was named. The turns of cold targets and of limits are one type now; a turn counts as used by the time of the last send, so a rate that changes neither blocks a host nor gives it one more.

--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
+use super::HostTurn;
+use super::shared_rate::SharedRate;
 use crate::catalog::ColdLimit;
 
 /// The part of a cold target's rate that all hosts use together: they learn at different
@@ -15,16 +15,6 @@
 /// Within which a target's registration shows that it has turned cold: two heartbeats.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(2500);
 
-/// A host's place among all that may send to a cold target, dead ones included: they may
-/// serve callers behind a partition.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct HostTurn {
-    /// How many hosts come before it.
-    pub index: usize,
-    /// How many there are.
-    pub hosts: usize,
-}
-
 /// A target that is cold, or may be.
 ///
 /// Load it answers: a target that comes back empty has more free slots than all others, so
@@ -37,8 +27,8 @@
     since: Duration,
     /// Until when it is cold; `None` where it was lost and has not answered since.
     until: Option<Duration>,
-    /// The last turn that was used.
-    used_turn: Option<u64>,
+    /// When this host sent there last.
+    used_at: Option<Duration>,
 }
 
 impl ColdStart {
@@ -47,7 +37,7 @@
         Self {
             since: now,
             until: Some(now + remaining),
-            used_turn: None,
+            used_at: None,
         }
     }
 
@@ -56,7 +46,7 @@
         Self {
             since: now,
             until: None,
-            used_turn: None,
+            used_at: None,
         }
     }
 
@@ -81,30 +71,24 @@
         self.until.is_some_and(|until| now >= until)
     }
 
-    /// Returns the number of the turn that this host may use now.
-    pub(super) fn open_turn(
+    /// Tells whether this host may send there now.
+    pub(super) fn has_turn(
         &self,
         target: &str,
         limit: ColdLimit,
         turn: HostTurn,
         now: Duration,
-    ) -> Option<u64> {
-        let hosts = turn.hosts.max(1);
-        let round = hosts as f64 / (limit.requests_per_second * USED_PART);
-        // Each target has another host that comes first.
-        let index = (turn.index + xxh3_64(target.as_bytes()) as usize % hosts) % hosts;
-        let first = index as f64 / hosts as f64;
-        let rounds = now.saturating_sub(self.since).as_secs_f64() / round - first;
-        let number = rounds.floor();
-        let is_open = number >= 0.0 && (rounds - number) * round <= TURN_LENGTH.as_secs_f64();
-        let number = is_open.then_some(number as u64)?;
-        self.used_turn
-            .is_none_or(|used| number > used)
-            .then_some(number)
+    ) -> bool {
+        let rate = SharedRate {
+            per_second: limit.requests_per_second * USED_PART,
+            since: self.since,
+            turn_length: TURN_LENGTH,
+        };
+        rate.is_open(target, turn, self.used_at, now)
     }
 
-    /// Notes that this host used a turn.
-    pub(super) const fn use_turn(&mut self, number: u64) {
-        self.used_turn = Some(number);
+    /// Notes that this host sends there.
+    pub(super) const fn note_dispatch(&mut self, now: Duration) {
+        self.used_at = Some(now);
     }
 }
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -91,11 +91,11 @@
         granted.filter(|granted| now < granted.until)
     }
 
-    /// Returns how many requests of this host run at targets that are not cold.
-    pub(super) fn warm_running(&self, now: Duration) -> u32 {
+    /// Returns how many requests of this host run at targets whose slots are granted.
+    pub(super) fn granted_running(&self, now: Duration) -> u32 {
         let targets = self.targets.iter();
-        let warm = targets.filter(|target| !target.is_cold(now));
-        warm.map(|target| target.own).sum()
+        let granted = targets.filter(|target| !target.is_rate_limited(now));
+        granted.map(|target| target.own).sum()
     }
 
     pub(super) fn choose(
@@ -111,9 +111,9 @@
             first: self.first,
             output: self.output,
             grants: grants.map(
-                |granted| match self.warm_running(host.now) < granted.slots {
+                |granted| match self.granted_running(host.now) < granted.slots {
                     true => granted.grants.as_slice(),
-                    // Only cold targets are left, which nobody is granted.
+                    // Only targets that are used by turns are left, which nobody is granted.
                     false => &[],
                 },
             ),
@@ -133,7 +133,7 @@
         let target = &mut self.targets[index];
         let prompt_tokens = request.prompt_tokens;
         let tokens_ahead = target.tokens_ahead();
-        target.note_dispatch(prompt_tokens, host.turn, host.now);
+        target.note_dispatch(prompt_tokens, host.now);
         self.begins.note(host.now);
         *self.running.get_or_insert_with(request.rank, || 0) += 1;
         Some(PlacedTarget {
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -10,6 +10,7 @@
 use super::QueueTicket;
 use super::ShardRange;
 use super::SlotDemand;
+use super::TargetLimit;
 use super::TargetLoad;
 use super::UrgencyRank;
 use super::WorkEnd;
@@ -112,6 +113,14 @@
         names.sort_unstable();
         self.limits
             .retain(|target| names.binary_search(&target).is_ok());
+        let limits = &self.limits;
+        let targets = self
+            .pools
+            .iter_mut()
+            .flat_map(|(_, pool)| &mut pool.targets);
+        for target in targets {
+            target.set_limit(limits.get(&target.record.name).copied());
+        }
         self.mark_shard();
     }
 
@@ -124,7 +133,8 @@
         }
     }
 
-    /// Takes this host's place among all, by which it may send to cold targets; `None` where
+    /// Takes this host's place among all, by which it may send to targets that take few
+    /// requests; `None` where
     /// it doesn't know it.
     pub fn set_turn(&mut self, turn: Option<HostTurn>) {
         self.turn = turn;
@@ -375,7 +385,40 @@
         sent: Duration,
         now: Duration,
     ) -> bool {
-        self.limits.note(target, per_second, sent, now)
+        let changes = self.limits.note(target, per_second, sent, now);
+        if changes {
+            self.apply_limit(target);
+        }
+        changes
+    }
+
+    /// Takes in what a peer knows of limits; returns those that change.
+    pub fn take_limits(&mut self, limits: Vec<TargetLimit>, now: Duration) -> Vec<TargetLimit> {
+        let mut changed = Vec::new();
+        for limit in limits {
+            if self.limits.merge(&limit, now) {
+                self.apply_limit(&limit.target);
+                changed.push(limit);
+            }
+        }
+        changed
+    }
+
+    /// Returns the limits that changed since a time, for a peer; all of them if it is new.
+    pub fn changed_limits(&self, new: bool, since: Duration, now: Duration) -> Vec<TargetLimit> {
+        self.limits.changes(new, since, now)
+    }
+
+    fn apply_limit(&mut self, name: &str) {
+        let entry = self.limits.get(name).copied();
+        let mut pools = self.pools.iter_mut().map(|(_, pool)| pool);
+        let found = pools.find_map(|pool| {
+            let mut targets = pool.targets.iter_mut();
+            targets.find(|target| target.record.name == name)
+        });
+        if let Some(target) = found {
+            target.set_limit(entry);
+        }
     }
 
     /// Notes the first byte of an answer, `waited` after its dispatch.
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -48,7 +48,7 @@
     pub(super) output: OutputEstimate,
     /// The slots that the host may use, where hosts have slots of their own.
     pub(super) grants: Option<&'a [SlotGrant]>,
-    /// The host's turn at cold targets.
+    /// The host's turn at targets that hosts use by turns.
     pub(super) turn: Option<HostTurn>,
     /// The time.
     pub(super) now: Duration,
@@ -196,8 +196,8 @@
         true => OWN_ZONE_FACTOR,
         false => 1.0,
     };
-    // A cold target takes few requests of each host, so all of them use it.
-    let in_shard = match target.in_shard || target.is_cold(view.now) {
+    // A target that is used by turns takes few requests of each host, so all of them use it.
+    let in_shard = match target.in_shard || target.is_rate_limited(view.now) {
         true => 1.0,
         false if view.grants.is_some() => 0.0,
         false => REMOTE_FACTOR,
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -7,8 +7,10 @@
 use super::SlotGrant;
 use super::WorkEnd;
 use super::cold_start::ColdStart;
+use super::limit_table::LimitEntry;
 use super::pace_track::PaceTrack;
 use super::peer_loads::LoadSum;
+use super::request_limit::RequestLimit;
 use crate::catalog::ColdLimit;
 use crate::view::TargetPhase;
 use crate::view::TargetRecord;
@@ -42,6 +44,7 @@
     evacuated: bool,
     cold_limit: Option<ColdLimit>,
     cold_start: Option<ColdStart>,
+    limit: Option<RequestLimit>,
     /// Share of failures among the last outcomes.
     failures: f64,
     /// Since when nothing was heard although work of this host is there.
@@ -59,6 +62,7 @@
             evacuated: member.evacuated,
             cold_limit: member.cold_limit,
             cold_start: is_cold.then(|| ColdStart::registered(record.cold_remaining, now)),
+            limit: None,
             record,
             own: 0,
             peers: LoadSum::default(),
@@ -102,26 +106,52 @@
         self.record.phase == TargetPhase::Ready && !self.evacuated
     }
 
-    /// Tells whether the target is cold, or may be.
-    pub(super) fn is_cold(&self, now: Duration) -> bool {
+    /// Tells whether all hosts use it by turns: it is cold, or may be, or it names how many
+    /// requests it takes.
+    pub(super) fn is_rate_limited(&self, now: Duration) -> bool {
+        self.is_cold(now) || self.limit.is_some()
+    }
+
+    fn is_cold(&self, now: Duration) -> bool {
         let cold_start = self.cold_start.filter(|_| self.cold_limit.is_some());
         cold_start.is_some_and(|cold_start| !cold_start.is_over(now))
     }
 
+    /// Takes the limit that the target names.
+    pub(super) fn set_limit(&mut self, entry: Option<LimitEntry>) {
+        let named = entry.and_then(|entry| Some((entry.per_second?, entry.since)));
+        self.limit = named.map(|(per_second, since)| match self.limit {
+            Some(limit) => limit.renew(per_second, since),
+            None => RequestLimit::new(per_second, since),
+        });
+    }
+
     /// Tells whether the leader of a group may grant its slots.
     pub(super) fn is_grantable(&self, now: Duration) -> bool {
-        self.in_shard && self.is_accepting() && self.is_healthy(now) && !self.is_cold(now)
+        let usable = self.is_accepting() && self.is_healthy(now);
+        self.in_shard && usable && !self.is_rate_limited(now)
     }
 
-    /// Tells whether this host may send to it now, as far as it is cold. A host that doesn't
-    /// know its turn sends to no cold target.
+    /// Tells whether this host may send to it now, as far as hosts use it by turns. A host
+    /// that doesn't know its turn sends to no such target.
     pub(super) fn has_turn(&self, turn: Option<HostTurn>, now: Duration) -> bool {
-        !self.is_cold(now) || self.open_turn(turn, now).is_some()
+        self.has_cold_turn(turn, now) && self.has_limit_turn(turn, now)
     }
 
-    fn open_turn(&self, turn: Option<HostTurn>, now: Duration) -> Option<u64> {
-        let cold_start = self.cold_start.as_ref()?;
-        cold_start.open_turn(&self.record.name, self.cold_limit?, turn?, now)
+    fn has_cold_turn(&self, turn: Option<HostTurn>, now: Duration) -> bool {
+        let (true, Some(cold_start), Some(limit)) =
+            (self.is_cold(now), self.cold_start, self.cold_limit)
+        else {
+            return true;
+        };
+        turn.is_some_and(|turn| cold_start.has_turn(&self.record.name, limit, turn, now))
+    }
+
+    fn has_limit_turn(&self, turn: Option<HostTurn>, now: Duration) -> bool {
+        let Some(limit) = self.limit else {
+            return true;
+        };
+        turn.is_some_and(|turn| limit.has_turn(&self.record.name, turn, now))
     }
 
     /// Tells whether the target seems fit for new work.
@@ -142,10 +172,10 @@
         self.record.slots.saturating_sub(taken)
     }
 
-    /// Returns how many requests this host may start there by what it was granted. A cold
-    /// target is not granted to anybody, as all hosts use it by turns.
+    /// Returns how many requests this host may start there by what it was granted. A target
+    /// that all hosts use by turns is not granted to anybody.
     pub(super) fn granted_room(&self, grants: &[SlotGrant], now: Duration) -> u32 {
-        if self.is_cold(now) {
+        if self.is_rate_limited(now) {
             return self.free_slots();
         }
         let name = &self.record.name;
@@ -173,15 +203,12 @@
     }
 
     /// Notes that work is sent there.
-    pub(super) fn note_dispatch(
-        &mut self,
-        prompt_tokens: u64,
-        turn: Option<HostTurn>,
-        now: Duration,
-    ) {
-        let number = self.open_turn(turn, now);
-        if let (Some(cold_start), Some(number)) = (&mut self.cold_start, number) {
-            cold_start.use_turn(number);
+    pub(super) fn note_dispatch(&mut self, prompt_tokens: u64, now: Duration) {
+        if let Some(cold_start) = &mut self.cold_start {
+            cold_start.note_dispatch(now);
+        }
+        if let Some(limit) = &mut self.limit {
+            limit.note_dispatch(now);
         }
         self.own += 1;
         self.unread_tokens += prompt_tokens;
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -575,9 +575,26 @@
     drop(members);
     state.note_known_by(&message.own.host, usize::from(message.hosts));
     state.poison.merge(&message.poison);
+    take_limits(state, message);
     state.note_fleet_size(usize::from(message.hosts), message.grouped, now);
 }
 
+/// Takes in the limits of targets that a peer knows of.
+fn take_limits(state: &EdgeState, message: &GossipMessage) {
+    if message.limits.is_empty() {
+        return;
+    }
+    let limits = message.limits.clone();
+    let changed = state.queue.lock_table().take_limits(limits, boot_now());
+    for limit in changed {
+        state.log.write(&DecisionLine::TargetLimited {
+            target: limit.target,
+            per_second: limit.per_second,
+            peer: Some(message.own.host.clone()),
+        });
+    }
+}
+
 fn hashes_of(sightings: &[HostSighting]) -> Vec<u32> {
     sightings.iter().map(|sighting| sighting.host).collect()
 }
--- a/src/edge/local_digest.rs
+++ b/src/edge/local_digest.rs
@@ -133,6 +133,7 @@
             },
             usage,
             silent,
+            limits: self.queue.lock_table().changed_limits(new, since, now),
             poison: self.poison.changed_entries(new, since),
         };
         (message, version)
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -8,6 +8,7 @@
 
 use crate::dispatch::PoolGrants;
 use crate::dispatch::SlotDemand;
+use crate::dispatch::TargetLimit;
 use crate::dispatch::TargetLoad;
 use crate::ids::CatalogVersion;
 use crate::ids::HostName;
@@ -98,6 +99,8 @@
     pub usage: Vec<AccountUsage>,
     /// Hosts of the scope that are silent.
     pub silent: SilentHosts,
+    /// Limits that targets name, as far as they changed.
+    pub limits: Vec<TargetLimit>,
     /// Requests that targets were lost to.
     pub poison: Vec<PoisonEntry>,
 }
--- /dev/null
+++ b/tests/request_limits.rs
@@ -0,0 +1,220 @@
+//! Many hosts before targets that name how many requests per second they take, in virtual time.
+
+use std::time::Duration;
+
+use cardamomgw::dispatch::HostTurn;
+use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolMember;
+use cardamomgw::dispatch::PoolTable;
+use cardamomgw::dispatch::TargetLimit;
+use cardamomgw::dispatch::UrgencyRank;
+use cardamomgw::dispatch::WorkEnd;
+use cardamomgw::view::TargetPhase;
+use cardamomgw::view::TargetRecord;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const POOL: &str = "engines";
+const STEP: Duration = Duration::from_millis(20);
+/// How long the target works on a request.
+const SERVICE: Duration = Duration::from_millis(200);
+/// The window over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// How long hosts are played.
+const LENGTH: Duration = Duration::from_secs(40);
+/// Within which all hosts know of a limit, by answers or by gossip.
+const SPREAD: Duration = Duration::from_millis(900);
+
+/// Hosts with more requests than they can place, before one target.
+struct LimitedWorld {
+    tables: Vec<PoolTable>,
+    chance: ChaCha8Rng,
+}
+
+fn start() -> Duration {
+    Duration::from_secs(100)
+}
+
+fn name() -> String {
+    "t0".into()
+}
+
+fn member() -> PoolMember {
+    PoolMember {
+        record: TargetRecord {
+            name: name(),
+            pool: POOL.into(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            availability_zone: "za".into(),
+            slots: 12,
+            phase: TargetPhase::Ready,
+            born_ms: 0,
+            cold_remaining: Duration::ZERO,
+            revision: 1,
+        },
+        engine: true,
+        cold_limit: None,
+        evacuated: false,
+    }
+}
+
+fn request(now: Duration) -> PlacementRequest {
+    PlacementRequest {
+        pool: POOL.into(),
+        rank: UrgencyRank {
+            account: 0,
+            route: 0,
+        },
+        objective_at: now + Duration::from_millis(400),
+        returned: false,
+        prompt_tokens: 600,
+        output_tokens: None,
+        pause_objective: None,
+        deadline: now + Duration::from_secs(12),
+        tried: Vec::new(),
+    }
+}
+
+impl LimitedWorld {
+    fn new(hosts: usize) -> Self {
+        let table = |index| {
+            let mut table = PoolTable::new("za".into());
+            table.set_turn(Some(HostTurn { index, hosts }));
+            table.set_targets(vec![member()], start());
+            table
+        };
+        Self {
+            tables: (0..hosts).map(table).collect(),
+            chance: ChaCha8Rng::seed_from_u64(11),
+        }
+    }
+
+    /// Lets each host learn of a limit that the target names from `at` on.
+    fn name_limit(&mut self, per_second: Option<f64>, at: Duration) {
+        for table in &mut self.tables {
+            let age = SPREAD.mul_f64(self.chance.random::<f64>());
+            let limit = TargetLimit {
+                target: name(),
+                per_second,
+                lasted_ms: age.as_millis() as u64,
+                age_ms: age.as_millis() as u64,
+            };
+            table.take_limits(vec![limit], at + age);
+        }
+    }
+
+    /// Lets all hosts send what they can for `length`; returns when.
+    fn run(&mut self, from: Duration, length: Duration) -> Vec<Duration> {
+        let mut sent = Vec::new();
+        let mut running = Vec::new();
+        let mut now = from;
+        while now < from + length {
+            for (host, table) in self.tables.iter_mut().enumerate() {
+                while let Some(placed) = table.place(&request(now), now, self.chance.random()) {
+                    sent.push(now);
+                    running.push((now + SERVICE, host, placed));
+                }
+            }
+            for (_, host, placed) in running.extract_if(.., |(end, _, _)| *end <= now) {
+                self.tables[host].note_end(POOL, &placed, WorkEnd::Served, now);
+            }
+            now += STEP;
+        }
+        sent
+    }
+}
+
+/// Returns the most requests that were sent within a window.
+fn most_in_a_window(sent: &[Duration]) -> usize {
+    let starts = sent.iter().enumerate();
+    let counts = starts.map(|(first, at)| {
+        let end = *at + WINDOW;
+        sent.partition_point(|held| *held < end) - first
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// Returns how many requests a target may get within a window.
+fn allowed(per_second: f64) -> f64 {
+    per_second * WINDOW.as_secs_f64() * 1.5 + 5.0
+}
+
+/// Guards against each host using the whole limit, and against a limit that nobody uses.
+#[test]
+fn all_hosts_together_keep_a_limit_and_use_it() {
+    for hosts in [1, 8, 85, 320] {
+        for per_second in [0.5, 3.1, 4.1, 40.0] {
+            let mut world = LimitedWorld::new(hosts);
+            world.name_limit(Some(per_second), start());
+
+            let sent = world.run(start() + SPREAD, LENGTH);
+
+            let most = most_in_a_window(&sent) as f64;
+            let used = sent.len() as f64 / LENGTH.as_secs_f64() / per_second;
+            assert!(
+                most <= allowed(per_second),
+                "{most} of {hosts} at {per_second}"
+            );
+            assert!(used >= 0.5, "{used} of {hosts} at {per_second}");
+        }
+    }
+}
+
+/// Guards against a limit that changes and lets each host send once more.
+#[test]
+fn a_limit_that_changes_often_is_kept() {
+    let mut world = LimitedWorld::new(8);
+    let mut sent = Vec::new();
+    for step in 0..60 {
+        let from = start() + Duration::from_secs(step * 2);
+        let per_second = [3.0, 4.0, 3.4, 4.4][step as usize % 4];
+        world.name_limit(Some(per_second), from);
+        sent.extend(world.run(from + SPREAD, Duration::from_secs(2)));
+    }
+
+    let most = most_in_a_window(&sent) as f64;
+
+    // The lowest mean of two limits that follow each other.
+    assert!(most <= allowed(3.5), "{most}");
+    assert!(sent.len() >= 120, "{}", sent.len());
+}
+
+/// Guards against a target that is spared for ever after its need is over.
+#[test]
+fn a_limit_ends_when_an_answer_names_none() {
+    let mut world = LimitedWorld::new(1);
+    let table = &mut world.tables[0];
+    let second = |seconds| start() + Duration::from_secs(seconds);
+
+    let named = table.note_limit(&name(), Some(2.0), second(1), second(2));
+    let older = table.note_limit(&name(), None, second(1), second(3));
+    let ended = table.note_limit(&name(), None, second(4), second(5));
+
+    assert!(named && ended);
+    assert!(!older, "it was sent before the limit was named");
+    let sent = world.run(second(5), Duration::from_secs(1));
+    assert!(sent.len() >= 12, "{}", sent.len());
+}
+
+/// Guards against hosts that learn of a limit, or of its end, only by what they send themselves.
+#[test]
+fn peers_pass_limits_and_their_end_on() {
+    let mut world = LimitedWorld::new(2);
+    let second = |seconds| start() + Duration::from_secs(seconds);
+    let [first, other] = &mut world.tables[..] else {
+        unreachable!("there are two");
+    };
+
+    first.note_limit(&name(), Some(2.0), second(1), second(2));
+    let named = first.changed_limits(false, second(0), second(2));
+    let taken = other.take_limits(named.clone(), second(2));
+    let again = other.take_limits(named, second(3));
+    first.note_limit(&name(), None, second(3), second(4));
+    let ended = first.changed_limits(false, second(3), second(4));
+    other.take_limits(ended, second(4));
+
+    assert_eq!(taken.len(), 1);
+    assert!(again.is_empty());
+    assert!(other.changed_limits(true, second(0), second(5)).is_empty());
+}
