Soak: targets name limits, and all hosts together must keep them

Limits overlap with the other troubles, from a generator of their own, so that the seeds that failed once draw what they drew. They are judged in calm times.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -37,7 +37,9 @@
 use std::time::Duration;
 
 use soak_run::SoakSize;
+use soak_run::SoakVerdict;
 use soak_run::play;
+use soak_run::play_limit;
 
 /// For how long things befall the fleet in the usual run, and in the short one.
 const USUAL_LENGTH: Duration = Duration::from_secs(14);
@@ -56,7 +58,10 @@
 /// Plays one seed, prints its trace when a promise was broken, and returns whether
 /// none was.
 fn holds(seed: u64, size: Option<SoakSize>, length: Duration) -> bool {
-    let verdict = play(seed, size, length);
+    is_kept(seed, &play(seed, size, length))
+}
+
+fn is_kept(seed: u64, verdict: &SoakVerdict) -> bool {
     let (sent, whole) = verdict.counts;
     let faults = verdict.faults.len();
     println!("seed {seed}: {sent} requests, {whole} whole answers, {faults} faults");
@@ -93,6 +98,17 @@
     }
 }
 
+/// Guards against hosts that each use the whole limit which a target names.
+#[test]
+fn all_hosts_keep_a_limit_that_a_target_names() {
+    let size = SoakSize {
+        hosts: 5,
+        targets: 4,
+        callers: 16,
+    };
+    assert!(is_kept(13, &play_limit(13, size, USUAL_LENGTH)));
+}
+
 /// Many seeds, some side by side.
 #[test]
 #[ignore = "takes minutes; run by hand"]
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -160,6 +160,10 @@
                 let troubled = mode != TargetMode::Sound;
                 set_trouble(&self.ledger, &mut held.behaviour, troubled);
             }
+            SoakStep::LimitOf(index, limit) => {
+                let target = self.targets[index].target.set_limit(limit);
+                self.ledger.note_limit(&target, limit);
+            }
             SoakStep::TargetLink(index, mode) => self.set_target_link(index, mode),
             SoakStep::TargetDelay(index, millis) => {
                 let link = &self.targets[index].link;
@@ -175,6 +179,7 @@
         for index in 0..self.targets.len() {
             self.revive_target(index);
             self.take(SoakStep::ModeOf(index, TargetMode::Sound));
+            self.take(SoakStep::LimitOf(index, None));
             self.take(SoakStep::TargetLink(index, LinkMode::Open));
             self.take(SoakStep::TargetDelay(index, 0));
         }
--- a/tests/soak/soak_ledger.rs
+++ b/tests/soak/soak_ledger.rs
@@ -18,6 +18,12 @@
 const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 const REPEAT_RATIO: f64 = 0.2;
 const REPEAT_SLACK: f64 = 40.0;
+/// When a limit that a target names binds all hosts, over what window, and what may come
+/// beyond it.
+const LIMIT_DELAY: Duration = Duration::from_secs(3);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_OVERAGE: f64 = 0.5;
+const LIMIT_SLACK: f64 = 5.0;
 /// To how many targets the routes let a request be sent.
 const MAX_ATTEMPTS: usize = 2;
 
@@ -61,6 +67,14 @@
     until: Option<Instant>,
 }
 
+/// A limit that a target named.
+#[derive(Clone, Debug)]
+struct NamedLimit {
+    target: String,
+    per_second: u32,
+    span: TimeSpan,
+}
+
 /// What callers and targets saw.
 #[derive(Default)]
 pub(crate) struct SoakLedger {
@@ -70,6 +84,7 @@
     disturbances: Mutex<Vec<TimeSpan>>,
     /// When the key that comes and goes did not stand in the configuration.
     key_gaps: Mutex<Vec<TimeSpan>>,
+    limits: Mutex<Vec<NamedLimit>>,
 }
 
 impl TimeSpan {
@@ -112,6 +127,24 @@
         end(&self.key_gaps, number);
     }
 
+    /// Notes that a target names a limit from now on, or none any more.
+    pub(crate) fn note_limit(&self, target: &str, limit: Option<u32>) {
+        let mut limits = self.limits.lock().unwrap();
+        let now = Instant::now();
+        let named = limits.iter_mut().filter(|named| named.target == target);
+        for named in named {
+            named.span.until.get_or_insert(now);
+        }
+        limits.extend(limit.map(|per_second| NamedLimit {
+            target: target.to_owned(),
+            per_second,
+            span: TimeSpan {
+                from: now,
+                until: None,
+            },
+        }));
+    }
+
     /// Tells whether nothing disturbed the fleet until `until`, from some seconds
     /// before `from` on.
     pub(crate) fn was_calm(&self, from: Instant, until: Instant) -> bool {
@@ -142,6 +175,7 @@
         }
         faults.extend(judge_strays(&arrivals, &requests));
         faults.extend(judge_spending(&arrivals));
+        faults.extend(self.judge_limits(&arrivals));
         faults.extend(judge_repeats(&arrivals, &requests));
         faults.extend(judge_recovery(&requests, hosts, healed));
         faults
@@ -155,6 +189,33 @@
         calm.then(|| format!("no answer in calm times: {request:?}"))
     }
 
+    /// In calm times a target gets no more requests than it names, over all hosts.
+    fn judge_limits(&self, arrivals: &[Arrival]) -> Vec<String> {
+        let limits = self.limits.lock().unwrap();
+        let mut faults = Vec::new();
+        for named in limits.iter() {
+            let from = named.span.from + LIMIT_DELAY;
+            let is_bound = |at: Instant| {
+                let ended = named.span.until.is_some_and(|until| at >= until);
+                at >= from && !ended
+            };
+            let arrived = arrivals.iter();
+            let arrived = arrived.filter(|arrival| arrival.target == named.target);
+            let mut times: Vec<Instant> = arrived.map(|arrival| arrival.at).collect();
+            times.retain(|at| is_bound(*at) && self.was_calm(*at, *at + LIMIT_WINDOW));
+            times.sort_unstable();
+            let rate = f64::from(named.per_second) * (1.0 + LIMIT_OVERAGE);
+            let allowed = rate * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+            let most = most_within(&times, LIMIT_WINDOW);
+            if most as f64 > allowed {
+                faults.push(format!(
+                    "{most} requests in a window, allowed {allowed}: {named:?}"
+                ));
+            }
+        }
+        faults
+    }
+
     /// A key that was taken away stops to work everywhere, until it stands again: what
     /// waited at a host's door meanwhile may run then.
     fn judge_key(&self, request: &SentRequest, runs: &[&Arrival], key: &str) -> Option<String> {
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use standins::LinkMode;
 
@@ -26,6 +27,9 @@
 const SLEEP_MS: std::ops::Range<u64> = 5500..7500;
 const KEY_AWAY: Duration = Duration::from_millis(9000);
 
+/// What the generator of limits differs by from that of the other troubles.
+const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
+
 /// One thing that is done to the fleet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SoakStep {
@@ -48,6 +52,8 @@
     RetireTarget(usize),
     ReviveTarget(usize),
     ModeOf(usize, TargetMode),
+    /// The target names how many requests per second it takes, or none any more.
+    LimitOf(usize, Option<u32>),
     TargetLink(usize, LinkMode),
     TargetDelay(usize, u64),
     TakeKey,
@@ -82,6 +88,23 @@
     steps
 }
 
+/// Draws limits that targets name meanwhile. They have a generator of their own: what else
+/// a seed draws stays as it is.
+pub(crate) fn draw_limits(seed: u64, targets: usize, length: Duration) -> Vec<TimedStep> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(0..=2) {
+        let target = rng.random_range(0..targets);
+        let at = length.mul_f64(rng.random_range(0.0..0.5));
+        let limit = SoakStep::LimitOf(target, Some(rng.random_range(2..=8)));
+        steps.push(TimedStep { at, step: limit });
+        let at = at + length.mul_f64(rng.random_range(0.3..1.0));
+        let end = SoakStep::LimitOf(target, None);
+        steps.push(TimedStep { at, step: end });
+    }
+    steps
+}
+
 /// Draws one trouble and its end.
 fn draw_trouble(
     rng: &mut ChaCha8Rng,
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -18,7 +18,9 @@
 use super::soak_caller::SoakCaller;
 use super::soak_fleet::SoakFleet;
 use super::soak_ledger::SoakLedger;
+use super::soak_plan::SoakStep;
 use super::soak_plan::TimedStep;
+use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
 
 /// How long the hosts have to find each other before anything befalls them.
@@ -27,6 +29,8 @@
 /// that is looked at.
 const HEAL_TIME: Duration = Duration::from_secs(6);
 const LOOK_TIME: Duration = Duration::from_secs(4);
+/// When a target names its limit in an otherwise calm fleet.
+const CALM_START: Duration = Duration::from_secs(1);
 /// How often processes are looked at between steps.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -67,9 +71,25 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let drawn = SoakSize::draw(&mut rng);
     let size = size.unwrap_or(drawn);
+    let mut plan = draw_plan(&mut rng, size.hosts, size.targets, length);
+    plan.extend(draw_limits(seed, size.targets, length));
+    plan.sort_by_key(|step| step.at);
+    play_plan(seed, rng, size, &plan)
+}
+
+/// Plays a limit that one target names while nothing else befalls the fleet.
+pub(crate) fn play_limit(seed: u64, size: SoakSize, length: Duration) -> SoakVerdict {
+    let limit = |at: Duration, limit: Option<u32>| TimedStep {
+        at,
+        step: SoakStep::LimitOf(0, limit),
+    };
+    let plan = [limit(CALM_START, Some(3)), limit(length, None)];
+    play_plan(seed, ChaCha8Rng::seed_from_u64(seed), size, &plan)
+}
+
+fn play_plan(seed: u64, mut rng: ChaCha8Rng, size: SoakSize, plan: &[TimedStep]) -> SoakVerdict {
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
-    let plan = draw_plan(&mut rng, size.hosts, size.targets, length);
     let ledger = Arc::new(SoakLedger::default());
     let sizes = (size.hosts, size.targets);
     let mut fleet = SoakFleet::start(run, sizes, &directory, Arc::clone(&ledger));
@@ -90,7 +110,7 @@
             thread::spawn(move || caller.run())
         })
         .collect();
-    let trace = take_steps(&plan, &mut fleet, &ledger);
+    let trace = take_steps(plan, &mut fleet, &ledger);
     fleet.heal();
     let healed = watch(&mut fleet, &ledger, HEAL_TIME);
     watch(&mut fleet, &ledger, LOOK_TIME);
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -65,6 +65,8 @@
 struct TargetShared {
     identity: Mutex<TargetIdentity>,
     mode: Mutex<TargetMode>,
+    /// How many requests per second it says that it takes.
+    limit: Mutex<Option<u32>>,
     busy: AtomicUsize,
     ledger: Arc<SoakLedger>,
 }
@@ -88,6 +90,7 @@
             shared: Arc::new(TargetShared {
                 identity: Mutex::new(identity),
                 mode: Mutex::default(),
+                limit: Mutex::default(),
                 busy: AtomicUsize::new(0),
                 ledger,
             }),
@@ -111,6 +114,19 @@
     pub(crate) fn set_mode(&self, mode: TargetMode) {
         *self.shared.mode.lock().unwrap() = mode;
     }
+
+    /// Lets it name a limit from now on, or none; returns its present name.
+    pub(crate) fn set_limit(&self, limit: Option<u32>) -> String {
+        *self.shared.limit.lock().unwrap() = limit;
+        self.shared.identity.lock().unwrap().name.clone()
+    }
+}
+
+/// Returns the header line of a limit.
+fn limit_line(limit: Option<u32>) -> String {
+    limit.map_or_else(String::new, |limit| {
+        format!("{}: {limit}.0\r\n", headers::LIMIT)
+    })
 }
 
 /// Returns what proves that `target` answered `request` with `body`.
@@ -149,11 +165,12 @@
     fn serve_request(&self, link: &mut RawLink, head: &RawHead) -> bool {
         let identity = self.identity.lock().unwrap().clone();
         let mode = *self.mode.lock().unwrap();
+        let limit = limit_line(*self.limit.lock().unwrap());
         let request = head.header(headers::REQUEST).unwrap_or_default();
         self.judge_request(head, &identity);
         let meant = head.header(headers::TARGET);
         if meant.is_some_and(|meant| meant != identity.name) {
-            return refuse(link, request, 421);
+            return refuse(link, request, 421, "");
         }
         let busy = BusyGuard::enter(&self.busy);
         let full = busy.count() > SLOTS + QUEUE || mode == TargetMode::Full;
@@ -166,7 +183,7 @@
             ran: !full,
         });
         if full {
-            return refuse(link, request, 503);
+            return refuse(link, request, 503, &limit);
         }
         let slower = if mode == TargetMode::Slow {
             SLOWNESS
@@ -184,15 +201,16 @@
             }
             TargetMode::Failing => {
                 let body = "failed";
-                let answer = plain_answer(&identity.name, request, 500, body.as_bytes());
+                let answer = plain_answer(&identity.name, request, 500, body.as_bytes(), &limit);
                 link.write(&answer).is_ok()
             }
             _ if SoakRoute::of_path(head.word(1)).is_some_and(SoakRoute::is_stream) => {
-                self.serve_stream(link, head, &identity.name, mode, EVENT_PAUSE * slower)
+                let pause = EVENT_PAUSE * slower;
+                self.serve_stream(link, head, &identity.name, mode, pause, &limit)
             }
             _ => {
                 thread::sleep(RUN_TIME * slower);
-                serve_plain(link, request, &identity.name, mode)
+                serve_plain(link, request, &identity.name, mode, &limit)
             }
         }
     }
@@ -226,12 +244,13 @@
         target: &str,
         mode: TargetMode,
         pause: Duration,
+        limit: &str,
     ) -> bool {
         let request = head.header(headers::REQUEST).unwrap_or_default();
         let after = head.header(headers::LAST_EVENT);
         let first = after.and_then(|id| id.parse().ok()).unwrap_or(0) + 1;
         let opening = format!(
-            "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {}\r\n\
+            "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {}\r\n{limit}\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             headers::REQUEST,
             headers::SIGNATURE,
@@ -258,8 +277,14 @@
     }
 }
 
-fn serve_plain(link: &mut RawLink, request: &str, target: &str, mode: TargetMode) -> bool {
-    let answer = plain_answer(target, request, 200, &plain_body(request));
+fn serve_plain(
+    link: &mut RawLink,
+    request: &str,
+    target: &str,
+    mode: TargetMode,
+    limit: &str,
+) -> bool {
+    let answer = plain_answer(target, request, 200, &plain_body(request), limit);
     match mode {
         TargetMode::Cutting => {
             link.write(&answer[..answer.len() - 40]).ok();
@@ -270,9 +295,9 @@
     }
 }
 
-fn plain_answer(target: &str, request: &str, status: u16, body: &[u8]) -> String {
+fn plain_answer(target: &str, request: &str, status: u16, body: &[u8], limit: &str) -> String {
     format!(
-        "HTTP/1.1 {status} Answer\r\n{}: {request}\r\n{}: {}\r\nKeep-Alive: timeout=4\r\n\
+        "HTTP/1.1 {status} Answer\r\n{}: {request}\r\n{}: {}\r\n{limit}Keep-Alive: timeout=4\r\n\
          Content-Length: {}\r\n\r\n{}",
         headers::REQUEST,
         headers::SIGNATURE,
@@ -283,9 +308,9 @@
 }
 
 /// Refuses a request unrun.
-fn refuse(link: &mut RawLink, request: &str, status: u16) -> bool {
+fn refuse(link: &mut RawLink, request: &str, status: u16, limit: &str) -> bool {
     let answer = format!(
-        "HTTP/1.1 {status} Refused\r\n{}: {request}\r\n{}: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 {status} Refused\r\n{}: {request}\r\n{}: 1\r\n{limit}Content-Length: 0\r\n\r\n",
         headers::REQUEST,
         headers::NOT_RUN,
     );
