--- a/src/dispatch/limit_table.rs
+++ b/src/dispatch/limit_table.rs
@@ -1,4 +1,4 @@
-//! The requests per second that targets take, as they name them.
+//! Request limits that targets state in their answers.
 
 use std::time::Duration;
 
@@ -11,51 +11,52 @@
 /// The relative change of a limit from which on it counts as another one.
 const LIMIT_CHANGE: f64 = 0.1;
 
-/// What a target said of the requests that it takes, for a peer.
+/// The request limit of a target, for a peer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetLimit {
     /// The target.
     pub target: TargetName,
-    /// Requests per second over all hosts; `None` since it names no limit any more.
+    /// Requests per second over all hosts; `None` once the limit has ended.
     pub per_second: Option<f64>,
-    /// For how long it has been naming limits, in milliseconds.
+    /// Time since the target first stated a limit, in milliseconds.
     pub lasted_ms: u64,
-    /// How long ago it said so last, in milliseconds.
+    /// Age of its last statement, in milliseconds.
     pub age_ms: u64,
 }
 
+/// The last statement of a target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LimitEntry {
-    /// Requests per second over all hosts; `None` since it names no limit any more.
+    /// Requests per second over all hosts; `None` once the limit has ended.
     pub(super) per_second: Option<f64>,
-    /// Since when it has been naming limits, on the boot clock.
+    /// When the target first stated a limit, on the boot clock.
     pub(super) since: Duration,
-    /// When it said so last.
-    said_at: Duration,
-    /// When this host learned of it.
+    /// When it last stated this.
+    stated_at: Duration,
+    /// When it last changed at this host.
     changed_at: Duration,
 }
 
-/// The requests per second that targets take, as they name them in their answers.
+/// Request limits of targets, by their answers to this host and to its peers.
 ///
-/// Load it answers: a target in need. Each host alone would learn of the limit by what it
-/// sends there itself, and each would use all of it.
+/// Load it answers: an overloaded target. Without it each host finds the limit by its own
+/// requests and uses all of it.
 #[derive(Debug, Default)]
 pub(super) struct LimitTable {
     entries: SortedMap<TargetName, LimitEntry>,
 }
 
 impl LimitTable {
-    /// Returns what a target said.
+    /// Returns the last statement of a target.
     pub(super) fn get(&self, target: &str) -> Option<&LimitEntry> {
         self.entries.get(target)
     }
 
-    /// Notes what an answer to a request names that was sent at `sent`; returns whether that
-    /// changes the limit.
+    /// Notes the limit in the answer to a request that was sent at `sent`; returns whether the
+    /// limit changes.
     ///
-    /// A limit ends with an answer to a request that was sent after it was named: an older
-    /// one may have been answered before.
+    /// Only a request that was sent after the last statement can end the limit: the answer to
+    /// an older one may be older than the limit.
     pub(super) fn note(
         &mut self,
         target: &TargetName,
@@ -64,24 +65,24 @@
         now: Duration,
     ) -> bool {
         let held = self.entries.get(target);
-        if per_second.is_none() && held.is_none_or(|held| sent <= held.said_at) {
+        if per_second.is_none() && held.is_none_or(|held| sent <= held.stated_at) {
             return false;
         }
         self.take(target, per_second, now, now, now)
     }
 
-    /// Takes in what a peer knows; returns whether that changes the limit.
+    /// Merges the limit that a peer holds; returns whether the limit changes.
     pub(super) fn merge(&mut self, limit: &TargetLimit, now: Duration) -> bool {
-        let said_at = now.saturating_sub(Duration::from_millis(limit.age_ms));
+        let stated_at = now.saturating_sub(Duration::from_millis(limit.age_ms));
         let since = now.saturating_sub(Duration::from_millis(limit.lasted_ms));
         let held = self.entries.get(&limit.target);
-        if held.is_some_and(|held| said_at <= held.said_at) {
+        if held.is_some_and(|held| stated_at <= held.stated_at) {
             return false;
         }
-        self.take(&limit.target, limit.per_second, since, said_at, now)
+        self.take(&limit.target, limit.per_second, since, stated_at, now)
     }
 
-    /// Returns what changed since a time, or all limits.
+    /// Returns the limits that changed since a time, or all that are in force.
     pub(super) fn changes(&self, all: bool, since: Duration, now: Duration) -> Vec<TargetLimit> {
         let entries = self.entries.iter();
         let changed = entries.filter(|(_, entry)| match all {
@@ -94,7 +95,7 @@
                 target: target.clone(),
                 per_second: entry.per_second,
                 lasted_ms: age_of(entry.since),
-                age_ms: age_of(entry.said_at),
+                age_ms: age_of(entry.stated_at),
             })
             .collect()
     }
@@ -109,20 +110,20 @@
         target: &TargetName,
         per_second: Option<f64>,
         since: Duration,
-        said_at: Duration,
+        stated_at: Duration,
         now: Duration,
     ) -> bool {
         let held = self.entries.get(target).copied();
         let limited = held.filter(|held| held.per_second.is_some());
         let changes = differs(held.and_then(|held| held.per_second), per_second);
         let entry = LimitEntry {
-            // Small changes are not sent on, so all hosts keep the same limit meanwhile.
+            // Small changes are not gossiped, so they must not make hosts differ.
             per_second: match held {
                 Some(held) if !changes => held.per_second,
                 _ => per_second,
             },
             since: limited.map_or(since, |held| held.since.min(since)),
-            said_at,
+            stated_at,
             changed_at: match held {
                 Some(held) if !changes => held.changed_at,
                 _ => now,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod peer_loads;
 mod placement_request;
 mod pool_entry;
+mod pool_feedback;
 mod pool_table;
 mod rate_track;
 mod request_limit;
--- /dev/null
+++ b/src/dispatch/pool_feedback.rs
@@ -0,0 +1,130 @@
+//! What the answers of targets show: paces, failures, request limits.
+
+use std::time::Duration;
+
+use super::PlacedTarget;
+use super::PoolTable;
+use super::TargetLimit;
+use super::WorkEnd;
+use super::target_choice::fastest_pause;
+use crate::ids::TargetName;
+
+impl PoolTable {
+    /// Notes that a target sent something for a request.
+    pub fn note_heard(&mut self, pool: &str, target: &str, now: Duration) {
+        if let Some(target) = self.find(pool, target) {
+            target.note_heard(now);
+        }
+    }
+
+    /// Notes how many requests per second a target takes, as an answer says to a request that
+    /// was sent at `sent`; returns whether that changes the limit.
+    pub fn note_limit(
+        &mut self,
+        target: &TargetName,
+        per_second: Option<f64>,
+        sent: Duration,
+        now: Duration,
+    ) -> bool {
+        let changes = self.limits.note(target, per_second, sent, now);
+        if changes {
+            self.apply_limit(target);
+        }
+        changes
+    }
+
+    /// Takes in what a peer knows of limits; returns those that change.
+    pub fn take_limits(&mut self, limits: Vec<TargetLimit>, now: Duration) -> Vec<TargetLimit> {
+        let mut changed = Vec::new();
+        for limit in limits {
+            if self.limits.merge(&limit, now) {
+                self.apply_limit(&limit.target);
+                changed.push(limit);
+            }
+        }
+        changed
+    }
+
+    /// Returns the limits that changed since a time, for a peer; all of them if it is new.
+    pub fn changed_limits(&self, new: bool, since: Duration, now: Duration) -> Vec<TargetLimit> {
+        self.limits.changes(new, since, now)
+    }
+
+    fn apply_limit(&mut self, name: &str) {
+        let entry = self.limits.get(name).copied();
+        let mut pools = self.pools.iter_mut().map(|(_, pool)| pool);
+        let found = pools.find_map(|pool| {
+            let mut targets = pool.targets.iter_mut();
+            targets.find(|target| target.record.name == name)
+        });
+        if let Some(target) = found {
+            target.set_limit(entry);
+        }
+    }
+
+    /// Notes the first byte of an answer, `waited` after its dispatch.
+    pub fn note_first(&mut self, pool: &str, placed: &PlacedTarget, waited: Duration) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let fastest = fastest_pause(&pool.targets);
+        let mut targets = pool.targets.iter_mut();
+        let found = targets.find(|target| target.record.name == placed.name);
+        if let Some(target) = found {
+            target.note_prompt_read(placed.prompt_tokens);
+            let tokens = placed.tokens_ahead + placed.prompt_tokens;
+            pool.first.note(tokens, target.slowness(fastest), waited);
+        }
+    }
+
+    /// Notes a whole stream, whose events came within `lasted`.
+    pub fn note_stream(&mut self, pool: &str, placed: &PlacedTarget, lasted: Duration) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let fastest = fastest_pause(&pool.targets);
+        let mut targets = pool.targets.iter();
+        let target = targets.find(|target| target.record.name == placed.name);
+        if let (Some(target), Some(tokens)) = (target, placed.output_tokens) {
+            pool.output.note(tokens, target.slowness(fastest), lasted);
+        }
+    }
+
+    /// Notes the pause between two events of a stream.
+    pub fn note_pause(&mut self, pool: &str, target: &str, pause: Duration, now: Duration) {
+        if let Some(target) = self.find(pool, target) {
+            target.pace.note_pause(pause);
+            target.note_heard(now);
+        }
+    }
+
+    /// Notes the end of a request at a target.
+    pub fn note_end(&mut self, pool: &str, placed: &PlacedTarget, end: WorkEnd, now: Duration) {
+        if let Some(pool) = self.pools.get_mut(pool)
+            && let Some(running) = pool.running.get_mut(&placed.rank)
+        {
+            *running = running.saturating_sub(1);
+        }
+        if let Some(target) = self.find(pool, &placed.name) {
+            target.note_prompt_read(placed.prompt_tokens);
+            target.note_end(end, now);
+        }
+    }
+
+    /// Forgets the limits of targets that are gone, and applies the others.
+    pub(super) fn renew_limits(&mut self) {
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let mut names: Vec<&str> = targets.map(|target| target.record.name.as_str()).collect();
+        names.sort_unstable();
+        self.limits
+            .retain(|target| names.binary_search(&target).is_ok());
+        let limits = &self.limits;
+        let targets = self
+            .pools
+            .iter_mut()
+            .flat_map(|(_, pool)| &mut pool.targets);
+        for target in targets {
+            target.set_limit(limits.get(&target.record.name).copied());
+        }
+    }
+}
--- a/src/dispatch/request_limit.rs
+++ b/src/dispatch/request_limit.rs
@@ -1,26 +1,25 @@
-//! How often a target may be sent requests that names a limit, and by which host when.
+//! Rate limiting, across hosts, of a target that states a request limit.
 
 use std::time::Duration;
 
 use super::HostTurn;
 use super::shared_rate::SharedRate;
 
-/// The part of the limit that all hosts use together: they learn of it at different moments.
+/// The part of the limit that is used: hosts learn of it at different times.
 const USED_PART: f64 = 0.75;
-/// How long a host may use its turn. Hosts whose turns overlap a window of some seconds may
-/// all use them within it.
+/// Length of a host's time slot. All hosts whose slots overlap a window may send within it.
 const TURN_LENGTH: Duration = Duration::from_millis(2500);
 
-/// How often a target may be sent requests.
+/// The share of this host in the request limit of a target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequestLimit {
     rate: SharedRate,
-    /// When this host sent there last.
+    /// Last send of this host.
     used_at: Option<Duration>,
 }
 
 impl RequestLimit {
-    /// Makes the limit of a target that has named limits since a time.
+    /// Makes the limit of a target that first stated one at `since`.
     pub(super) fn new(per_second: f64, since: Duration) -> Self {
         Self {
             rate: shared_rate(per_second, since),
@@ -28,7 +27,7 @@
         }
     }
 
-    /// Returns the same with another rate.
+    /// Returns the limit with another rate; the time of the last send is kept.
     pub(super) fn renew(self, per_second: f64, since: Duration) -> Self {
         Self {
             rate: shared_rate(per_second, since),
@@ -36,12 +35,12 @@
         }
     }
 
-    /// Tells whether this host may send there now.
+    /// Tells whether this host may send now.
     pub(super) fn has_turn(&self, target: &str, turn: HostTurn, now: Duration) -> bool {
         self.rate.is_open(target, turn, self.used_at, now)
     }
 
-    /// Notes that this host sends there.
+    /// Notes a send of this host.
     pub(super) const fn note_dispatch(&mut self, now: Duration) {
         self.used_at = Some(now);
     }
--- a/src/dispatch/shared_rate.rs
+++ b/src/dispatch/shared_rate.rs
@@ -1,11 +1,11 @@
-//! A rate of requests that all hosts share by turns.
+//! Rate limiting of one target across hosts, by time slots.
 
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A host's place among all that may send to a target, dead ones included: they may
-/// serve callers behind a partition.
+/// still serve callers across a partition.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HostTurn {
     /// How many hosts come before it.
@@ -14,21 +14,21 @@
     pub hosts: usize,
 }
 
-/// A rate of requests to one target that all hosts share by turns: each may send one request
-/// a round, so the sum holds also for hosts that don't reach each other.
+/// A rate of requests to one target, shared by time slots: each host may send one request a
+/// round, so the total holds across a partition.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct SharedRate {
     /// Requests per second of all hosts together.
     pub(super) per_second: f64,
-    /// When the first round starts, about the same on all hosts.
+    /// Start of the first round, about the same on all hosts.
     pub(super) since: Duration,
-    /// How long a host may use its turn. What it doesn't use is not kept for later, or all
-    /// hosts could use what they have kept at once.
+    /// Length of a host's time slot. An unused slot expires: saved ones could all be used at
+    /// once.
     pub(super) turn_length: Duration,
 }
 
 impl SharedRate {
-    /// Tells whether a host that sent there last at `used` may send now.
+    /// Tells whether a host whose last send was at `used` may send now.
     pub(super) fn is_open(
         &self,
         target: &str,
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -9,40 +9,29 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use async_std::future::timeout;
 use async_std::task;
-use serde::de::DeserializeOwned;
 
 use super::edge_state::EdgeState;
 use super::fleet_role::FleetRole;
+use super::gossip_merge::merge_members;
+use super::gossip_merge::merge_message;
 use super::local_digest::MessageRequest;
-use super::local_digest::is_young;
+use super::view_fetcher::ViewFetcher;
+use super::view_fetcher::ViewMark;
 use super::view_logger::ViewLogger;
-use crate::catalog::CatalogParts;
 use crate::clock::boot_now;
-use crate::ids::CatalogVersion;
 use crate::ids::HostName;
-use crate::ids::StoreRevision;
 use crate::logs::DecisionLine;
 use crate::members::DuePeer;
-use crate::members::GossipMessage;
 use crate::members::GossipPeer;
 use crate::members::GroupLayout;
-use crate::members::HostSighting;
 use crate::members::PairCaller;
-use crate::peers::MAX_PACKAGE_BYTES;
 use crate::peers::PeerCall;
-use crate::peers::PeerError;
 use crate::peers::PeerMesh;
 use crate::peers::PeerReply;
-use crate::peers::unpack_value;
-use crate::quota::UsageReport;
 use crate::quota::UsageScope;
-use crate::view::ViewUpdate;
 
 /// How often due peers are looked for in a small fleet, and loads that changed are sent.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(100);
@@ -61,8 +50,6 @@
 const LEADER_PERIOD: Duration = Duration::from_millis(500);
 /// How long a peer may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long each piece of a package may take.
-const PIECE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How many of a group's candidates a member keeps connections to.
 const KEPT_CANDIDATES: usize = 2;
 /// How many dead hosts a host tries to reach at a time, and for how long: a cut that heals
@@ -78,17 +65,16 @@
     mesh: Arc<PeerMesh>,
     /// Peers whose last exchange failed, sorted.
     failing: Mutex<Vec<HostName>>,
-    /// Whether a package of a peer is on its way.
-    fetches: AtomicBool,
+    fetcher: ViewFetcher,
 }
 
 /// Gossips until the process ends.
 pub(crate) async fn run_gossip(state: Arc<EdgeState>, mesh: Arc<PeerMesh>) {
     let sender = Arc::new(GossipSender {
+        fetcher: ViewFetcher::new(Arc::clone(&state), Arc::clone(&mesh)),
         state,
         mesh,
         failing: Mutex::default(),
-        fetches: AtomicBool::new(false),
     });
     let mut logger = ViewLogger::default();
     let mut linked: Vec<HostName> = Vec::new();
@@ -284,9 +270,9 @@
         // because the store was away, and the age says whether it was.
         self.take_mark(mark, begun);
         if let Some(update) = update {
-            self.take_update(*update, &peer.host);
+            self.fetcher.take_update(*update, &peer.host);
         }
-        self.catch_up(&peer.host, mark).await;
+        self.fetcher.catch_up(&peer.host, mark).await;
         // It counts only for what is held, which may be more now.
         self.take_mark(mark, begun);
     }
@@ -335,107 +321,6 @@
             view.vouch_view(mark.revision, shown(age));
         }
     }
-
-    /// Takes what is too large for gossip from a peer that has more, unless a package is on
-    /// its way already. The catalog goes first: without it nothing is served.
-    async fn catch_up(&self, peer: &HostName, mark: ViewMark) {
-        let (revision, catalog) = self.state.view.marks();
-        let is_behind = mark.catalog > catalog || mark.revision > revision;
-        if !is_behind || self.fetches.swap(true, Ordering::AcqRel) {
-            return;
-        }
-        let mut fetched = Ok(());
-        if mark.catalog > catalog {
-            fetched = self.take_catalog(peer).await;
-        }
-        if fetched.is_ok() && mark.revision > self.state.view.marks().0 {
-            fetched = self.take_targets(peer).await;
-        }
-        self.fetches.store(false, Ordering::Release);
-        if let Err(error) = fetched {
-            self.state.log.write(&DecisionLine::ViewFetchFailed {
-                peer: peer.clone(),
-                revision: mark.revision,
-                catalog: mark.catalog,
-                reason: error.to_string(),
-            });
-        }
-    }
-
-    async fn take_catalog(&self, peer: &HostName) -> Result<(), PeerError> {
-        let known = self.state.view.marks().1;
-        let parts: Option<CatalogParts> = self.fetch(peer, PeerCall::Catalog { known }).await?;
-        if parts.is_some() {
-            let update = ViewUpdate {
-                catalog: parts,
-                ..ViewUpdate::default()
-            };
-            self.take_update(update, peer);
-        }
-        Ok(())
-    }
-
-    async fn take_targets(&self, peer: &HostName) -> Result<(), PeerError> {
-        if let Some(update) = self.fetch(peer, PeerCall::FleetView).await? {
-            self.take_update(update, peer);
-        }
-        Ok(())
-    }
-
-    fn take_update(&self, update: ViewUpdate, peer: &HostName) {
-        let change = self.state.view.take_peer_view(update, boot_now());
-        if !change.is_empty() {
-            self.state.schedule().expedite_all();
-        }
-        self.state.take_change(change, Some(peer));
-    }
-
-    /// Makes a call that is answered with a package; `None` where that is empty.
-    async fn fetch<T: DeserializeOwned>(
-        &self,
-        peer: &HostName,
-        call: PeerCall,
-    ) -> Result<Option<T>, PeerError> {
-        let call = self.mesh.open_call(peer, call);
-        let mut pieces = timeout(PIECE_TIMEOUT, call).await??;
-        let mut package = Vec::new();
-        while let Some(reply) = timeout(PIECE_TIMEOUT, pieces.next()).await?? {
-            let PeerReply::PackagePiece(piece) = reply else {
-                return Err(PeerError::MalformedMessage);
-            };
-            package.extend_from_slice(&piece);
-            if package.len() > MAX_PACKAGE_BYTES {
-                return Err(PeerError::MessageTooLarge);
-            }
-        }
-        if package.is_empty() {
-            return Ok(None);
-        }
-        let value = unpack_value(&package).ok_or(PeerError::MalformedMessage)?;
-        Ok(Some(value))
-    }
-}
-
-/// How far a peer's view of the fleet reaches, as it says itself.
-#[derive(Clone, Copy, Debug)]
-struct ViewMark {
-    revision: StoreRevision,
-    catalog: CatalogVersion,
-    catalog_revision: StoreRevision,
-    evidence_age_ms: Option<u64>,
-    view_age_ms: Option<u64>,
-}
-
-impl ViewMark {
-    const fn of(message: &GossipMessage) -> Self {
-        Self {
-            revision: message.revision,
-            catalog: message.catalog,
-            catalog_revision: message.catalog_revision,
-            evidence_age_ms: message.evidence_age_ms,
-            view_age_ms: message.view_age_ms,
-        }
-    }
 }
 
 fn mesh_peers(connected: &[HostName]) -> Vec<GossipPeer> {
@@ -469,132 +354,3 @@
         near: true,
     }
 }
-
-/// Takes a peer's message in, and returns this host's.
-pub(crate) fn answer_gossip(state: &Arc<EdgeState>, message: GossipMessage) -> GossipMessage {
-    let peer = message.own.host.clone();
-    let now = boot_now();
-    let role = state.role();
-    let near = message.loads.is_some();
-    let peer_hosts = usize::from(message.hosts);
-    let new = is_young(Duration::from_millis(message.life_ms)) || state.schedule().is_new(&peer);
-    let since = state.schedule().last_exchange(&peer);
-    let update = state.update_for(&message);
-    let (revision, catalog) = state.view.marks();
-    let is_ahead = message.revision > revision || message.catalog > catalog;
-    let placed = role.is_placed() && message.grouped;
-    if placed && message.scope == Some(UsageScope::Host) && !message.own.leaving {
-        state.note_report(&peer, now);
-    }
-    let leads = placed && !state.is_leaving() && state.acts_as_leader(&role);
-    let is_mesh = !role.layout.is_grouped() && !message.grouped;
-    let scope = match message.scope {
-        Some(UsageScope::Host) if is_mesh => Some(UsageScope::Host),
-        Some(UsageScope::Host) if leads => Some(UsageScope::Fleet),
-        Some(UsageScope::Group) if leads => Some(UsageScope::Group),
-        _ => None,
-    };
-    match scope {
-        Some(_) => merge_message(state, message),
-        None => merge_members(state, &message),
-    }
-    let (mut own, version) = state.message_for(MessageRequest {
-        peer_hosts,
-        receiver: &peer,
-        scope,
-        near,
-        new,
-        since,
-    });
-    own.update = update;
-    let mut schedule = state.schedule();
-    schedule.note_answered(&peer, version, now);
-    if is_ahead && scope == Some(UsageScope::Group) {
-        schedule.expedite(&peer);
-    }
-    own
-}
-
-/// Takes a peer's message in.
-fn merge_message(state: &Arc<EdgeState>, message: GossipMessage) {
-    merge_members(state, &message);
-    let Some(scope) = message.scope else {
-        return;
-    };
-    let now = boot_now();
-    let host = message.own.host;
-    if let Some(demands) = message.slot_demands {
-        state.slot_grants().take_demands(&host, demands, now);
-    }
-    if scope == UsageScope::Fleet {
-        let mut table = state.queue.lock_table();
-        table.set_grants(message.slot_grants, now);
-    }
-    let report = UsageReport {
-        incarnation: message.own.incarnation,
-        age: Duration::from_millis(message.life_ms),
-        scope,
-        hosts: match scope {
-            UsageScope::Host => 1,
-            UsageScope::Group => message.sightings.len(),
-            UsageScope::Fleet => usize::from(message.hosts).saturating_sub(1),
-        },
-        covered: match scope {
-            UsageScope::Host => vec![crate::members::hash_host(&host)],
-            UsageScope::Group => hashes_of(&message.sightings),
-            UsageScope::Fleet => Vec::new(),
-        },
-        accounts: message.usage,
-        silent: message.silent,
-    };
-    let mut quotas = state.quotas();
-    quotas.take_report(host.clone(), report, now);
-    if message.own.leaving {
-        quotas.note_left(&host);
-    }
-    drop(quotas);
-    if let Some(loads) = message.loads {
-        state
-            .queue
-            .lock_table()
-            .take_peer_loads(host, loads, scope, now);
-        state.queue.assign_waiting();
-    }
-}
-
-fn merge_members(state: &EdgeState, message: &GossipMessage) {
-    let now = boot_now();
-    let mut members = state.members();
-    members.take_note(&message.own, now);
-    for note in &message.members {
-        members.take_note(note, now);
-    }
-    for sighting in &message.sightings {
-        members.take_sighting(*sighting, now);
-    }
-    drop(members);
-    state.note_known_by(&message.own.host, usize::from(message.hosts));
-    state.poison.merge(&message.poison);
-    take_limits(state, message);
-    state.note_fleet_size(usize::from(message.hosts), message.grouped, now);
-}
-
-/// Takes in the limits of targets that a peer knows of.
-fn take_limits(state: &EdgeState, message: &GossipMessage) {
-    if message.limits.is_empty() {
-        return;
-    }
-    let limits = message.limits.clone();
-    let changed = state.queue.lock_table().take_limits(limits, boot_now());
-    for limit in changed {
-        state.log.write(&DecisionLine::TargetLimited {
-            target: limit.target,
-            per_second: limit.per_second,
-            peer: Some(message.own.host.clone()),
-        });
-    }
-}
-
-fn hashes_of(sightings: &[HostSighting]) -> Vec<u32> {
-    sightings.iter().map(|sighting| sighting.host).collect()
-}
--- /dev/null
+++ b/src/edge/gossip_merge.rs
@@ -0,0 +1,144 @@
+//! Takes the messages of peers in, and answers them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::edge_state::EdgeState;
+use super::local_digest::MessageRequest;
+use super::local_digest::is_young;
+use crate::clock::boot_now;
+use crate::logs::DecisionLine;
+use crate::members::GossipMessage;
+use crate::members::HostSighting;
+use crate::quota::UsageReport;
+use crate::quota::UsageScope;
+
+/// Takes a peer's message in, and returns this host's.
+pub(crate) fn answer_gossip(state: &Arc<EdgeState>, message: GossipMessage) -> GossipMessage {
+    let peer = message.own.host.clone();
+    let now = boot_now();
+    let role = state.role();
+    let near = message.loads.is_some();
+    let peer_hosts = usize::from(message.hosts);
+    let new = is_young(Duration::from_millis(message.life_ms)) || state.schedule().is_new(&peer);
+    let since = state.schedule().last_exchange(&peer);
+    let update = state.update_for(&message);
+    let (revision, catalog) = state.view.marks();
+    let is_ahead = message.revision > revision || message.catalog > catalog;
+    let placed = role.is_placed() && message.grouped;
+    if placed && message.scope == Some(UsageScope::Host) && !message.own.leaving {
+        state.note_report(&peer, now);
+    }
+    let leads = placed && !state.is_leaving() && state.acts_as_leader(&role);
+    let is_mesh = !role.layout.is_grouped() && !message.grouped;
+    let scope = match message.scope {
+        Some(UsageScope::Host) if is_mesh => Some(UsageScope::Host),
+        Some(UsageScope::Host) if leads => Some(UsageScope::Fleet),
+        Some(UsageScope::Group) if leads => Some(UsageScope::Group),
+        _ => None,
+    };
+    match scope {
+        Some(_) => merge_message(state, message),
+        None => merge_members(state, &message),
+    }
+    let (mut own, version) = state.message_for(MessageRequest {
+        peer_hosts,
+        receiver: &peer,
+        scope,
+        near,
+        new,
+        since,
+    });
+    own.update = update;
+    let mut schedule = state.schedule();
+    schedule.note_answered(&peer, version, now);
+    if is_ahead && scope == Some(UsageScope::Group) {
+        schedule.expedite(&peer);
+    }
+    own
+}
+
+/// Takes a peer's message in.
+pub(super) fn merge_message(state: &Arc<EdgeState>, message: GossipMessage) {
+    merge_members(state, &message);
+    let Some(scope) = message.scope else {
+        return;
+    };
+    let now = boot_now();
+    let host = message.own.host;
+    if let Some(demands) = message.slot_demands {
+        state.slot_grants().take_demands(&host, demands, now);
+    }
+    if scope == UsageScope::Fleet {
+        let mut table = state.queue.lock_table();
+        table.set_grants(message.slot_grants, now);
+    }
+    let report = UsageReport {
+        incarnation: message.own.incarnation,
+        age: Duration::from_millis(message.life_ms),
+        scope,
+        hosts: match scope {
+            UsageScope::Host => 1,
+            UsageScope::Group => message.sightings.len(),
+            UsageScope::Fleet => usize::from(message.hosts).saturating_sub(1),
+        },
+        covered: match scope {
+            UsageScope::Host => vec![crate::members::hash_host(&host)],
+            UsageScope::Group => hashes_of(&message.sightings),
+            UsageScope::Fleet => Vec::new(),
+        },
+        accounts: message.usage,
+        silent: message.silent,
+    };
+    let mut quotas = state.quotas();
+    quotas.take_report(host.clone(), report, now);
+    if message.own.leaving {
+        quotas.note_left(&host);
+    }
+    drop(quotas);
+    if let Some(loads) = message.loads {
+        state
+            .queue
+            .lock_table()
+            .take_peer_loads(host, loads, scope, now);
+        state.queue.assign_waiting();
+    }
+}
+
+/// Takes in what a peer knows of hosts, targets' limits and poison requests.
+pub(super) fn merge_members(state: &EdgeState, message: &GossipMessage) {
+    let now = boot_now();
+    let mut members = state.members();
+    members.take_note(&message.own, now);
+    for note in &message.members {
+        members.take_note(note, now);
+    }
+    for sighting in &message.sightings {
+        members.take_sighting(*sighting, now);
+    }
+    drop(members);
+    state.note_known_by(&message.own.host, usize::from(message.hosts));
+    state.poison.merge(&message.poison);
+    take_limits(state, message);
+    state.note_fleet_size(usize::from(message.hosts), message.grouped, now);
+}
+
+/// Takes in the limits of targets that a peer knows of.
+fn take_limits(state: &EdgeState, message: &GossipMessage) {
+    if message.limits.is_empty() {
+        return;
+    }
+    let limits = message.limits.clone();
+    let changed = state.queue.lock_table().take_limits(limits, boot_now());
+    for limit in changed {
+        state.log.write(&DecisionLine::TargetLimited {
+            target: limit.target,
+            per_second: limit.per_second,
+            peer: Some(message.own.host.clone()),
+        });
+    }
+}
+
+fn hashes_of(sightings: &[HostSighting]) -> Vec<u32> {
+    sightings.iter().map(|sighting| sighting.host).collect()
+}
--- a/src/edge/gossip_service.rs
+++ b/src/edge/gossip_service.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 use super::edge_state::EdgeState;
-use super::gossip_controller::answer_gossip;
+use super::gossip_merge::answer_gossip;
 use crate::errors::ErrorKind;
 use crate::ids::CatalogVersion;
 use crate::ids::HostName;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -21,6 +21,7 @@
 mod event_splitter;
 mod fleet_role;
 mod gossip_controller;
+mod gossip_merge;
 mod gossip_service;
 mod header_dialect;
 mod leave_controller;
@@ -37,6 +38,7 @@
 mod target_send;
 #[cfg(test)]
 mod tests;
+mod view_fetcher;
 mod view_logger;
 mod watch_controller;
 
--- /dev/null
+++ b/src/edge/view_fetcher.rs
@@ -0,0 +1,148 @@
+//! Reads from a peer what is too large for gossip: the catalog, and a large view.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use serde::de::DeserializeOwned;
+
+use super::edge_state::EdgeState;
+use crate::catalog::CatalogParts;
+use crate::clock::boot_now;
+use crate::ids::CatalogVersion;
+use crate::ids::HostName;
+use crate::ids::StoreRevision;
+use crate::logs::DecisionLine;
+use crate::members::GossipMessage;
+use crate::peers::MAX_PACKAGE_BYTES;
+use crate::peers::PeerCall;
+use crate::peers::PeerError;
+use crate::peers::PeerMesh;
+use crate::peers::PeerReply;
+use crate::peers::unpack_value;
+use crate::view::ViewUpdate;
+
+/// How long each piece of a package may take.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How far a peer's view of the fleet reaches, as it says itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ViewMark {
+    pub(super) revision: StoreRevision,
+    pub(super) catalog: CatalogVersion,
+    pub(super) catalog_revision: StoreRevision,
+    pub(super) evidence_age_ms: Option<u64>,
+    pub(super) view_age_ms: Option<u64>,
+}
+
+impl ViewMark {
+    pub(super) const fn of(message: &GossipMessage) -> Self {
+        Self {
+            revision: message.revision,
+            catalog: message.catalog,
+            catalog_revision: message.catalog_revision,
+            evidence_age_ms: message.evidence_age_ms,
+            view_age_ms: message.view_age_ms,
+        }
+    }
+}
+
+/// Reads views from peers, one at a time.
+pub(super) struct ViewFetcher {
+    state: Arc<EdgeState>,
+    mesh: Arc<PeerMesh>,
+    /// Whether a package is on its way.
+    is_fetching: AtomicBool,
+}
+
+impl ViewFetcher {
+    pub(super) const fn new(state: Arc<EdgeState>, mesh: Arc<PeerMesh>) -> Self {
+        Self {
+            state,
+            mesh,
+            is_fetching: AtomicBool::new(false),
+        }
+    }
+
+    /// Reads what a peer has and this host lacks, unless a package is on its way already. The
+    /// catalog goes first: without it nothing is served.
+    pub(super) async fn catch_up(&self, peer: &HostName, mark: ViewMark) {
+        let (revision, catalog) = self.state.view.marks();
+        let is_behind = mark.catalog > catalog || mark.revision > revision;
+        if !is_behind || self.is_fetching.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let mut fetched = Ok(());
+        if mark.catalog > catalog {
+            fetched = self.take_catalog(peer).await;
+        }
+        if fetched.is_ok() && mark.revision > self.state.view.marks().0 {
+            fetched = self.take_targets(peer).await;
+        }
+        self.is_fetching.store(false, Ordering::Release);
+        if let Err(error) = fetched {
+            self.state.log.write(&DecisionLine::ViewFetchFailed {
+                peer: peer.clone(),
+                revision: mark.revision,
+                catalog: mark.catalog,
+                reason: error.to_string(),
+            });
+        }
+    }
+
+    async fn take_catalog(&self, peer: &HostName) -> Result<(), PeerError> {
+        let known = self.state.view.marks().1;
+        let parts: Option<CatalogParts> = self.fetch(peer, PeerCall::Catalog { known }).await?;
+        if parts.is_some() {
+            let update = ViewUpdate {
+                catalog: parts,
+                ..ViewUpdate::default()
+            };
+            self.take_update(update, peer);
+        }
+        Ok(())
+    }
+
+    async fn take_targets(&self, peer: &HostName) -> Result<(), PeerError> {
+        if let Some(update) = self.fetch(peer, PeerCall::FleetView).await? {
+            self.take_update(update, peer);
+        }
+        Ok(())
+    }
+
+    /// Takes an update of a peer in, and has it passed on.
+    pub(super) fn take_update(&self, update: ViewUpdate, peer: &HostName) {
+        let change = self.state.view.take_peer_view(update, boot_now());
+        if !change.is_empty() {
+            self.state.schedule().expedite_all();
+        }
+        self.state.take_change(change, Some(peer));
+    }
+
+    /// Makes a call that is answered with a package; `None` where that is empty.
+    async fn fetch<T: DeserializeOwned>(
+        &self,
+        peer: &HostName,
+        call: PeerCall,
+    ) -> Result<Option<T>, PeerError> {
+        let call = self.mesh.open_call(peer, call);
+        let mut pieces = timeout(PIECE_TIMEOUT, call).await??;
+        let mut package = Vec::new();
+        while let Some(reply) = timeout(PIECE_TIMEOUT, pieces.next()).await?? {
+            let PeerReply::PackagePiece(piece) = reply else {
+                return Err(PeerError::MalformedMessage);
+            };
+            package.extend_from_slice(&piece);
+            if package.len() > MAX_PACKAGE_BYTES {
+                return Err(PeerError::MessageTooLarge);
+            }
+        }
+        if package.is_empty() {
+            return Ok(None);
+        }
+        let value = unpack_value(&package).ok_or(PeerError::MalformedMessage)?;
+        Ok(Some(value))
+    }
+}
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -153,14 +153,14 @@
         /// Targets that are used again since.
         back: Vec<TargetName>,
     },
-    /// A target names how many requests it takes, or no longer does.
+    /// A target states a request limit, another one, or none any more.
     #[display("{target} takes {per_second:?} requests a second")]
     TargetLimited {
         /// The target.
         target: TargetName,
-        /// Requests per second over all hosts; absent where there is no limit any more.
+        /// Requests per second over all hosts; absent once the limit has ended.
         per_second: Option<f64>,
-        /// The peer that told; absent where an answer of the target did.
+        /// The peer that reported it; absent for an answer of the target.
         peer: Option<HostName>,
     },
     /// A request was sent to a target.
