--- a/tests/process_edge.rs
+++ b/tests/process_edge.rs
@@ -75,3 +75,25 @@
     assert!(host.await_end(Duration::from_secs(7)));
     assert_eq!(host.judge_output(), Vec::<String>::new());
 }
+
+/// Guards against a host that ends since its settings file is being rewritten as it starts.
+#[test]
+fn a_host_that_starts_waits_for_whole_settings() {
+    let store = StoreServer::spawn();
+    let mut host = open_host(1, &store);
+    host.write_settings(true);
+
+    host.launch();
+    std::thread::sleep(SIGNAL_TIME);
+    host.write_settings(false);
+
+    let begun = Instant::now();
+    while !host.has_metrics() && begun.elapsed() < START_LIMIT {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(host.judge(), None);
+    assert!(host.has_metrics());
+    host.signal(Signal::TERM);
+    assert!(host.await_end(Duration::from_secs(7)));
+    assert_eq!(host.judge_output(), Vec::<String>::new());
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -53,7 +53,9 @@
 ///
 /// 42: a host took a peer's view while that peer let lapsed targets serve on behind an
 /// outage of the store, and held them for ever.
-const KEPT_SEEDS: [u64; 1] = [42];
+///
+/// 429: a host started while its settings file was being rewritten, and ended.
+const KEPT_SEEDS: [u64; 2] = [42, 429];
 
 /// Plays one seed, prints its trace when a promise was broken, and returns whether
 /// none was.
