--- a/src/edge/gossip_service.rs
+++ b/src/edge/gossip_service.rs
@@ -63,8 +63,8 @@
     fn view_package(&self) -> Bytes {
         let packed = &self.packed_view;
         let mut packed = packed.lock().unwrap_or_else(PoisonError::into_inner);
-        let update = self.state.view.whole_update();
-        if packed.0 != update.revision || packed.1.is_empty() {
+        if packed.0 != self.state.view.revision() || packed.1.is_empty() {
+            let update = self.state.view.whole_update();
             *packed = (update.revision, pack_value(&update));
         }
         packed.1.clone()
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -98,8 +98,8 @@
         raise(&self.evidence_ms, shown);
     }
 
-    /// Takes a peer's word that the catalog of this version was the newest one at `revision`;
-    /// it counts only if this host holds that catalog or a newer one.
+    /// Notes that the catalog of this version was the newest one at `revision`, by a peer; it
+    /// counts only if this host holds that catalog or a newer one.
     pub fn note_catalog_revision(&self, version: CatalogVersion, revision: StoreRevision) {
         self.lock().view.note_catalog_revision(version, revision);
     }
--- a/tests/process_edge.rs
+++ b/tests/process_edge.rs
@@ -44,6 +44,19 @@
     SoakHost::open(OWN_RUN, number, store.address(), directory)
 }
 
+/// Waits until the host serves, and lets it end.
+fn assert_serves_and_ends(host: &mut SoakHost) {
+    let begun = Instant::now();
+    while !host.has_metrics() && begun.elapsed() < START_LIMIT {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(host.judge(), None);
+    assert!(host.has_metrics());
+    host.signal(Signal::TERM);
+    assert!(host.await_end(Duration::from_secs(7)));
+    assert_eq!(host.judge_output(), Vec::<String>::new());
+}
+
 /// A host that was killed comes back, and the operator's new settings are announced by
 /// SIGHUP in the same moment. The host did not take signals yet: it ended, and its
 /// callers were sent elsewhere until somebody started it by hand.
@@ -65,15 +78,7 @@
     pipe.write_all(host.plan.document().as_bytes()).unwrap();
     drop(pipe);
 
-    let begun = Instant::now();
-    while !host.has_metrics() && begun.elapsed() < START_LIMIT {
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    assert_eq!(host.judge(), None);
-    assert!(host.has_metrics());
-    host.signal(Signal::TERM);
-    assert!(host.await_end(Duration::from_secs(7)));
-    assert_eq!(host.judge_output(), Vec::<String>::new());
+    assert_serves_and_ends(&mut host);
 }
 
 /// Guards against a host that ends since its settings file is being rewritten as it starts.
@@ -87,13 +92,5 @@
     std::thread::sleep(SIGNAL_TIME);
     host.write_settings(false);
 
-    let begun = Instant::now();
-    while !host.has_metrics() && begun.elapsed() < START_LIMIT {
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    assert_eq!(host.judge(), None);
-    assert!(host.has_metrics());
-    host.signal(Signal::TERM);
-    assert!(host.await_end(Duration::from_secs(7)));
-    assert_eq!(host.judge_output(), Vec::<String>::new());
+    assert_serves_and_ends(&mut host);
 }
