Logs: a target says in an answer that it leaves, or asks for a pause

The adapter names the header of leaving targets, and the host reads it and Retry-After of a 503 in the head of each response. New lines target-leaving (with the status of the answer) and target-paused, each once for an incarnation or an extension; counters targets_leaving_total and target_pauses_total. What was stated is kept by incarnation. Placement does not read it yet.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch_queue;
 mod gap_tracker;
 mod limit_table;
+mod notice_table;
 mod output_estimate;
 mod peer_loads;
 mod placement_request;
--- a/src/dispatch/placement_request.rs
+++ b/src/dispatch/placement_request.rs
@@ -9,6 +9,7 @@
 use crate::ids::PoolName;
 use crate::ids::TargetName;
 use crate::ids::TierRank;
+use crate::view::TargetIncarnation;
 
 /// The number of a waiting request, unique in its process.
 pub type QueueTicket = u64;
@@ -52,6 +53,8 @@
     pub name: TargetName,
     /// The target's address.
     pub address: SocketAddr,
+    /// Start time of the target's process, in milliseconds of its own clock.
+    pub started_at_ms: u64,
     /// The request's priority.
     pub priority: RequestPriority,
     /// Prompt tokens of this request that the table counts as pending prefill at the target.
@@ -62,6 +65,17 @@
     pub output_tokens: Option<u64>,
 }
 
+impl PlacedTarget {
+    /// Returns the incarnation of the target to which the request was assigned.
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            name: self.name.clone(),
+            address: self.address,
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
+
 /// The outcome of an attempt at a target, as evidence of the target's health.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -139,6 +139,7 @@
         Some(PlacedTarget {
             name: TargetName::clone(&target.record.name),
             address: target.record.address,
+            started_at_ms: target.record.started_at_ms,
             priority: request.priority,
             prompt_tokens,
             tokens_ahead,
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -8,6 +8,7 @@
 use super::TargetLimit;
 use super::target_choice::shortest_mean_gap;
 use crate::ids::TargetName;
+use crate::view::TargetIncarnation;
 
 impl PoolTable {
     /// Records that a target sent something for a request.
@@ -50,6 +51,23 @@
         self.limits.changes(new, since, now)
     }
 
+    /// Records that a target is leaving, as stated in one of its answers; returns whether this
+    /// is new.
+    pub fn record_leaving(&mut self, target: TargetIncarnation, now: Duration) -> bool {
+        self.notices.record_leaving(target, now)
+    }
+
+    /// Records that a target asked for no requests during `pause`; returns whether its current
+    /// pause gets longer.
+    pub fn record_pause(
+        &mut self,
+        target: TargetIncarnation,
+        pause: Duration,
+        now: Duration,
+    ) -> bool {
+        self.notices.record_pause(target, pause, now)
+    }
+
     fn apply_limit(&mut self, name: &str) {
         let entry = self.limits.get(name).copied();
         let mut pools = self.pools.iter_mut().map(|(_, pool)| pool);
@@ -135,4 +153,14 @@
             target.set_limit(limits.get(&target.record.name).copied());
         }
     }
+
+    /// Removes statements of targets that are over.
+    pub(super) fn refresh_notices(&mut self, now: Duration) {
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let mut registered: Vec<TargetIncarnation> =
+            targets.map(|target| target.record.incarnation()).collect();
+        registered.sort_unstable();
+        let is_registered = |target: &TargetIncarnation| registered.binary_search(target).is_ok();
+        self.notices.expire(is_registered, now);
+    }
 }
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -13,6 +13,7 @@
 use super::SlotDemand;
 use super::TargetLoad;
 use super::limit_table::LimitTable;
+use super::notice_table::NoticeTable;
 use super::peer_loads::PeerLoads;
 use super::pool_entry::GrantedSlots;
 use super::pool_entry::HostView;
@@ -62,6 +63,7 @@
     pub(super) pools: SortedMap<PoolName, PoolEntry>,
     peer_loads: PeerLoads,
     pub(super) limits: LimitTable,
+    pub(super) notices: NoticeTable,
     host_position: Option<HostPosition>,
 }
 
@@ -74,6 +76,7 @@
             pools: SortedMap::new(),
             peer_loads: PeerLoads::default(),
             limits: LimitTable::default(),
+            notices: NoticeTable::default(),
             host_position: None,
         }
     }
@@ -106,6 +109,7 @@
         self.pools
             .retain(|_, pool| !pool.targets.is_empty() || pool.queue.len() > 0);
         self.refresh_limits();
+        self.refresh_notices(now);
         self.mark_shard();
     }
 
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -68,6 +68,19 @@
         table.record_limit(&self.placed.name, per_second, self.started_at, boot_now())
     }
 
+    /// Records that the target is leaving, as stated in its answer; returns whether this is new.
+    pub(crate) fn record_leaving(&self) -> bool {
+        let mut table = self.queue.lock_table();
+        table.record_leaving(self.placed.incarnation(), boot_now())
+    }
+
+    /// Records that the target asked for no requests during `pause`; returns whether its current
+    /// pause gets longer.
+    pub(crate) fn record_pause(&self, pause: Duration) -> bool {
+        let mut table = self.queue.lock_table();
+        table.record_pause(self.placed.incarnation(), pause, boot_now())
+    }
+
     /// Frees the slot and records the outcome.
     pub(crate) fn finish(mut self, end: AttemptOutcome) {
         self.end = end;
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -18,6 +18,10 @@
     /// Connections opened to targets.
     pub(crate) connects: AtomicU64,
     pub(crate) store_calls: AtomicU64,
+    /// Targets that stated in an answer that they are leaving.
+    pub(crate) leaving_targets: AtomicU64,
+    /// Pauses that targets asked for, and their extensions.
+    pub(crate) target_pauses: AtomicU64,
 }
 
 pub(crate) fn count(counter: &AtomicU64) {
@@ -35,6 +39,8 @@
             ("target_repeats_total", &self.retries),
             ("target_connects_total", &self.connects),
             ("store_calls_total", &self.store_calls),
+            ("targets_leaving_total", &self.leaving_targets),
+            ("target_pauses_total", &self.target_pauses),
         ];
         for (name, counter) in counters {
             line(&mut text, name, counter.load(Ordering::Relaxed));
--- a/src/edge/header_names.rs
+++ b/src/edge/header_names.rs
@@ -16,6 +16,8 @@
     /// Requests per second that a target accepts from all hosts; absent where it has no
     /// limit.
     pub(crate) request_limit: String,
+    /// States in any response of a target whether it is leaving.
+    pub(crate) leaving: String,
     /// Prompt tokens and maximum output tokens, separated by a comma.
     pub(crate) token_usage: String,
     /// Output tokens that the caller expects; often inaccurate.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -36,6 +36,7 @@
 mod settings_controller;
 mod shutdown_controller;
 mod target_call;
+mod target_notices;
 mod target_send;
 #[cfg(test)]
 mod tests;
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -118,6 +118,7 @@
         }
         if let Ok(call) = &sent {
             self.record_limit(&call.head, slot);
+            self.record_notices(&call.head, slot);
             if !routed.kind.is_stream() {
                 slot.record_event();
             }
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -165,6 +165,26 @@
         /// The peer that reported it; absent if it came with an answer of the target.
         peer: Option<HostName>,
     },
+    /// A target stated in an answer that it is leaving.
+    #[display("{target} is leaving")]
+    TargetLeaving {
+        /// The target.
+        target: TargetName,
+        /// The request that it answered.
+        request: String,
+        /// The status of the answer.
+        status: u16,
+    },
+    /// A target rejected a request and asked for no others for some time.
+    #[display("{target} asks for a pause of {pause_ms} ms")]
+    TargetPaused {
+        /// The target.
+        target: TargetName,
+        /// The request that it rejected.
+        request: String,
+        /// Length of the pause, in milliseconds.
+        pause_ms: u64,
+    },
     /// A request was sent to a target.
     #[display("sent to {target}")]
     RequestSent {
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -17,6 +17,7 @@
 pub use lease_grace::LeaseGrace;
 pub use platform_view::PlatformView;
 pub use shared_view::SharedView;
+pub use target_record::TargetIncarnation;
 pub use target_record::TargetPhase;
 pub use target_record::TargetRecord;
 pub use view_update::TargetRemoval;
--- a/src/view/target_record.rs
+++ b/src/view/target_record.rs
@@ -20,6 +20,18 @@
     Draining,
 }
 
+/// One run of a target's process. It ends with the process: one that starts under the same
+/// name or at the same address is another incarnation.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TargetIncarnation {
+    /// Name of the target.
+    pub name: TargetName,
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    /// Start time in milliseconds of the target's own clock.
+    pub started_at_ms: u64,
+}
+
 /// A target's registration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetRecord {
@@ -43,3 +55,14 @@
     /// Store revision at which it was written.
     pub revision: StoreRevision,
 }
+
+impl TargetRecord {
+    /// Returns the incarnation that was registered.
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            name: self.name.clone(),
+            address: self.address,
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
