--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -11,3 +11,4 @@
 mod responses;
 mod shutdown;
 mod store_access;
+mod target_notices;
