Dispatch: no new requests to a target that says in an answer that it leaves

Callers: while the store was unavailable, requests still reached a target for up to 12 s after its own answers had said that it leaves; what runs there when it exits is cut.

Cause: a target was taken as leaving by its registration only, which can't change while the store is away. Class: a statement in a target's answers is forwarded and obeyed by nobody, as with request limits before.

The statement belongs to an incarnation (name, address, start time) and is kept apart from the registration, which may be rewritten as ready, or expire in the outage and return. All ways to a target pass the same check: placement (first send, retry, resumed stream, queued request), and again once the connection is there. A new incarnation, a reused address and late answers of a former process inherit nothing. Shards are still divided by registrations, which all hosts share.

--- a/src/dispatch/notice_table.rs
+++ b/src/dispatch/notice_table.rs
@@ -42,6 +42,11 @@
         extends
     }
 
+    /// Returns whether a target stated that it is leaving.
+    pub(super) fn is_leaving(&self, target: &TargetIncarnation) -> bool {
+        self.leaving.contains_key(target)
+    }
+
     /// Removes the pauses that are over, and the leaving targets that have been gone for long.
     /// `is_registered` tells whether an incarnation is registered now.
     pub(super) fn expire(
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -71,13 +71,17 @@
             };
             key(left).cmp(&key(right))
         });
+        // Shards are divided by registrations, which all hosts share. Answers reach the hosts at
+        // different times.
         let targets = self.targets.iter();
-        let count = targets.filter(|target| target.is_accepting()).count();
+        let count = targets
+            .filter(|target| target.is_registered_ready())
+            .count();
         let mut index = 0;
         for target in &mut self.targets {
-            target.in_shard =
-                target.is_accepting() && shard.contains(TargetPosition { index, count });
-            index += usize::from(target.is_accepting());
+            let is_ready = target.is_registered_ready();
+            target.in_shard = is_ready && shard.contains(TargetPosition { index, count });
+            index += usize::from(is_ready);
         }
     }
 
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -7,6 +7,7 @@
 use super::PoolTable;
 use super::TargetLimit;
 use super::target_choice::shortest_mean_gap;
+use super::target_runtime::TargetRuntime;
 use crate::ids::TargetName;
 use crate::view::TargetIncarnation;
 
@@ -54,6 +55,9 @@
     /// Records that a target is leaving, as stated in one of its answers; returns whether this
     /// is new.
     pub fn record_leaving(&mut self, target: TargetIncarnation, now: Duration) -> bool {
+        if let Some(runtime) = self.find_incarnation(&target) {
+            runtime.set_leaving(true);
+        }
         self.notices.record_leaving(target, now)
     }
 
@@ -154,7 +158,15 @@
         }
     }
 
-    /// Removes statements of targets that are over.
+    fn find_incarnation(&mut self, target: &TargetIncarnation) -> Option<&mut TargetRuntime> {
+        let mut targets = self
+            .pools
+            .iter_mut()
+            .flat_map(|(_, pool)| &mut pool.targets);
+        targets.find(|held| held.is_incarnation(target))
+    }
+
+    /// Removes statements of targets that are over, and applies the others.
     pub(super) fn refresh_notices(&mut self, now: Duration) {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
         let mut registered: Vec<TargetIncarnation> =
@@ -162,5 +174,13 @@
         registered.sort_unstable();
         let is_registered = |target: &TargetIncarnation| registered.binary_search(target).is_ok();
         self.notices.expire(is_registered, now);
+        let notices = &self.notices;
+        let targets = self
+            .pools
+            .iter_mut()
+            .flat_map(|(_, pool)| &mut pool.targets);
+        for target in targets {
+            target.set_leaving(notices.is_leaving(&target.record.incarnation()));
+        }
     }
 }
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -248,6 +248,17 @@
         Some(placed)
     }
 
+    /// Returns whether a request may still be sent to the target that it was assigned. The target
+    /// may have announced that it is leaving while a connection was opened.
+    pub fn may_send(&self, pool: &str, placed: &PlacedTarget) -> bool {
+        let Some(pool) = self.pools.get(pool) else {
+            return false;
+        };
+        let incarnation = placed.incarnation();
+        let mut targets = pool.targets.iter();
+        targets.any(|target| target.is_incarnation(&incarnation) && target.is_accepting())
+    }
+
     /// Returns whether any target has a free slot for the request now.
     pub fn has_room_for(&self, request: &PlacementRequest, now: Duration) -> bool {
         let host = HostView {
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -41,6 +41,12 @@
         &self.placed
     }
 
+    /// Returns whether the request may still be sent to the target.
+    pub(crate) fn may_send(&self) -> bool {
+        let table = self.queue.lock_table();
+        table.may_send(&self.pool, &self.placed)
+    }
+
     /// Records an event of the answer.
     pub(crate) fn record_event(&mut self) {
         let now = boot_now();
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -12,6 +12,7 @@
 use super::peer_loads::LoadSum;
 use super::request_limit::RequestLimit;
 use crate::catalog::ColdLimit;
+use crate::view::TargetIncarnation;
 use crate::view::TargetPhase;
 use crate::view::TargetRecord;
 
@@ -43,6 +44,8 @@
     pub(super) in_shard: bool,
     /// Whether the target's availability zone is evacuated.
     evacuated: bool,
+    /// Whether the target stated in an answer that it is leaving.
+    is_leaving: bool,
     cold_limit: Option<ColdLimit>,
     cold_start: Option<ColdStart>,
     limit: Option<RequestLimit>,
@@ -62,6 +65,7 @@
         let is_cold = !record.cold_remaining.is_zero();
         Self {
             evacuated: member.evacuated,
+            is_leaving: false,
             cold_limit: member.cold_limit,
             cold_start: is_cold.then(|| ColdStart::registered(record.cold_remaining, now)),
             limit: None,
@@ -105,11 +109,30 @@
         self.record = member.record;
     }
 
-    /// Returns whether the target accepts new work.
-    pub(super) fn is_accepting(&self) -> bool {
+    /// Returns whether this is the state of the given incarnation.
+    pub(super) fn is_incarnation(&self, target: &TargetIncarnation) -> bool {
+        let record = &self.record;
+        record.name == target.name
+            && record.address == target.address
+            && record.started_at_ms == target.started_at_ms
+    }
+
+    /// Returns whether the target accepts new work by its registration.
+    pub(super) fn is_registered_ready(&self) -> bool {
         self.record.phase == TargetPhase::Ready && !self.evacuated
     }
 
+    /// Returns whether the target accepts new work by its registration and its answers.
+    pub(super) fn is_accepting(&self) -> bool {
+        self.is_registered_ready() && !self.is_leaving
+    }
+
+    /// Sets whether the target stated that it is leaving. Its registration may state that it is
+    /// ready for as long as the store is unavailable.
+    pub(super) const fn set_leaving(&mut self, is_leaving: bool) {
+        self.is_leaving = is_leaving;
+    }
+
     /// Returns whether hosts send to the target in send windows: it is cold, or may be, or it
     /// states a request limit.
     pub(super) fn is_rate_limited(&self, now: Duration) -> bool {
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -130,6 +130,11 @@
                 }
                 continue;
             };
+            if !slot.may_send() {
+                let name = &slot.target().name;
+                self.state.connections.put_unused(name, connection);
+                continue;
+            }
             if let Some(outcome) = self.send_once(slot, connection).await {
                 return outcome;
             }
--- /dev/null
+++ b/tests/target_notices.rs
@@ -0,0 +1,152 @@
+//! Placement at targets that state in their answers that they are leaving.
+
+use std::time::Duration;
+
+use cardamomgw::dispatch::AttemptOutcome;
+use cardamomgw::dispatch::PlacedTarget;
+use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolMember;
+use cardamomgw::dispatch::PoolTable;
+use cardamomgw::dispatch::RequestPriority;
+use cardamomgw::view::TargetPhase;
+use cardamomgw::view::TargetRecord;
+
+const POOL: &str = "engines";
+const LEAVING: &str = "t0";
+const OTHER: &str = "t1";
+
+const fn at_ms(millis: u64) -> Duration {
+    Duration::from_millis(100_000 + millis)
+}
+
+fn member(name: &str, started_at_ms: u64, revision: u64) -> PoolMember {
+    PoolMember {
+        record: TargetRecord {
+            name: name.into(),
+            pool: POOL.into(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            availability_zone: "za".into(),
+            slots: 2,
+            phase: TargetPhase::Ready,
+            started_at_ms,
+            cold_remaining: Duration::ZERO,
+            revision,
+        },
+        engine: true,
+        cold_limit: None,
+        evacuated: false,
+    }
+}
+
+fn table_of(members: Vec<PoolMember>) -> PoolTable {
+    let mut table = PoolTable::new("za".into());
+    table.set_targets(members, at_ms(0));
+    table
+}
+
+fn request(now: Duration) -> PlacementRequest {
+    PlacementRequest {
+        pool: POOL.into(),
+        priority: RequestPriority {
+            account: 0,
+            route: 0,
+        },
+        objective_at: now + Duration::from_millis(400),
+        is_retry: false,
+        prompt_tokens: 100,
+        output_tokens: None,
+        event_gap_objective: None,
+        deadline: now + Duration::from_secs(12),
+        tried: Vec::new(),
+    }
+}
+
+fn place(table: &mut PoolTable, now: Duration) -> Option<PlacedTarget> {
+    table.place(&request(now), now, 0.5)
+}
+
+/// Returns the names of the targets that get `count` requests.
+fn place_many(table: &mut PoolTable, count: usize, now: Duration) -> Vec<String> {
+    let placed = (0..count).filter_map(|_| place(table, now));
+    placed.map(|placed| placed.name).collect()
+}
+
+/// Guards against new requests to a leaving target whose registration is still ready, even when
+/// no other target has a free slot.
+#[test]
+fn a_leaving_target_gets_nothing_even_when_the_others_are_full() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+
+    let names = place_many(&mut table, 10, at_ms(10));
+
+    assert_eq!(names, [OTHER, OTHER]);
+}
+
+/// Guards against a queued request that is assigned to a target after it said it is leaving.
+#[test]
+fn a_queued_request_is_not_assigned_to_a_leaving_target() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let running: Vec<PlacedTarget> = std::iter::from_fn(|| place(&mut table, at_ms(0))).collect();
+    table.enqueue(1, request(at_ms(0)), at_ms(0));
+    table.record_leaving(running[0].incarnation(), at_ms(5));
+
+    let end = AttemptOutcome::Succeeded;
+    table.record_outcome(POOL, &running[0], end, at_ms(10));
+    let assigned = table.assign(at_ms(10), || 0.5);
+
+    assert!(assigned.is_empty());
+}
+
+/// Guards against a request that is sent to a target which said it is leaving while the
+/// connection was opened.
+#[test]
+fn a_placed_request_is_not_sent_to_a_leaving_target() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let placed = place(&mut table, at_ms(0)).unwrap();
+    let before = table.may_send(POOL, &placed);
+
+    table.record_leaving(placed.incarnation(), at_ms(5));
+
+    assert_eq!((before, table.may_send(POOL, &placed)), (true, false));
+}
+
+/// Guards against a registration that is rewritten as ready, or expires during a store outage
+/// and returns, and withdraws what the target said.
+#[test]
+fn a_registration_does_not_withdraw_that_the_target_is_leaving() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+
+    table.set_targets(vec![member(LEAVING, 1, 2)], at_ms(10));
+    let rewritten = place(&mut table, at_ms(10));
+    table.set_targets(Vec::new(), at_ms(20));
+    table.set_targets(vec![member(LEAVING, 1, 3)], at_ms(9000));
+    let returned = place(&mut table, at_ms(9000));
+
+    assert_eq!((rewritten, returned), (None, None));
+}
+
+/// Guards against a restarted target that gets nothing because its former process was leaving.
+#[test]
+fn a_new_incarnation_is_not_leaving() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+
+    table.set_targets(vec![member(LEAVING, 2, 2)], at_ms(10));
+    // A late answer of the former process.
+    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(20));
+
+    assert!(place(&mut table, at_ms(30)).is_some());
+}
+
+/// Guards against a target that gets nothing because another one at its address was leaving.
+#[test]
+fn a_reused_address_is_not_leaving() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+
+    table.set_targets(vec![member(OTHER, 1, 2)], at_ms(10));
+
+    assert!(place(&mut table, at_ms(20)).is_some());
+}
