Dispatch: a target that asks for a pause gets no requests until its end

Callers: 503 after one attempt, over a tenth of two classes, while nine of twelve engines had room: three engines turned everything away, asked for 3 s each time, and got 25 requests a second each.

Cause: Retry-After of a target's 503 was read nowhere. A rejection set a back-off of 250 ms, which any answer ends and which is passed over when no other target is healthy; and a target that rejects everything looks the emptiest. Class: as with leaving targets, a statement in an answer that nobody obeys.

The pause is a state of its own beside the back-off, kept by incarnation like the statement that a target leaves: only its end ends it, not an answer to an earlier request, a shorter pause, a registration that is rewritten or returns. Placement (first send, retry, resumed stream, queued request), the check before a request goes out on its connection, grants and the reserve for late requests all read it. It is per host, as asked; peers are not told. When all targets of a pool pause, a request that can't wait for the first end is rejected at once, with a Retry-After not before that end.

--- a/src/dispatch/notice_table.rs
+++ b/src/dispatch/notice_table.rs
@@ -47,6 +47,11 @@
         self.leaving.contains_key(target)
     }
 
+    /// Returns the end of the pause that a target asked for; zero if it asked for none.
+    pub(super) fn paused_until(&self, target: &TargetIncarnation) -> Duration {
+        self.pauses.get(target).copied().unwrap_or_default()
+    }
+
     /// Removes the pauses that are over, and the leaving targets that have been gone for long.
     /// `is_registered` tells whether an incarnation is registered now.
     pub(super) fn expire(
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -185,6 +185,13 @@
         now + shortest_first_event(&self.targets, request, self.prefill) > request.objective_at
     }
 
+    /// Returns how long all targets that accept new work still want no requests.
+    pub(super) fn pause_left(&self, now: Duration) -> Duration {
+        let accepting = self.targets.iter().filter(|target| target.is_accepting());
+        let left = accepting.map(|target| target.pause_left(now));
+        left.min().unwrap_or_default()
+    }
+
     /// Records the start of a request.
     pub(super) fn record_start(&mut self, late: bool, now: Duration) {
         if late {
@@ -203,7 +210,10 @@
         if let Some(granted) = self.granted_now(now) {
             return granted.late_started < granted.pool_grants.late;
         }
-        let open = || self.targets.iter().filter(|target| target.is_accepting());
+        let open = || {
+            let targets = self.targets.iter();
+            targets.filter(|target| target.is_available(now))
+        };
         let slots: u32 = open().map(|target| target.record.slots).sum();
         let free: u32 = open().map(TargetRuntime::free_slots).sum();
         f64::from(free) > (f64::from(slots) * LATE_RESERVE_FRACTION).floor()
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -69,7 +69,12 @@
         pause: Duration,
         now: Duration,
     ) -> bool {
-        self.notices.record_pause(target, pause, now)
+        let extends = self.notices.record_pause(target.clone(), pause, now);
+        let until = self.notices.paused_until(&target);
+        if let Some(runtime) = self.find_incarnation(&target) {
+            runtime.set_paused_until(until);
+        }
+        extends
     }
 
     fn apply_limit(&mut self, name: &str) {
@@ -180,7 +185,9 @@
             .iter_mut()
             .flat_map(|(_, pool)| &mut pool.targets);
         for target in targets {
-            target.set_leaving(notices.is_leaving(&target.record.incarnation()));
+            let incarnation = target.record.incarnation();
+            target.set_leaving(notices.is_leaving(&incarnation));
+            target.set_paused_until(notices.paused_until(&incarnation));
         }
     }
 }
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -249,14 +249,15 @@
     }
 
     /// Returns whether a request may still be sent to the target that it was assigned. The target
-    /// may have announced that it is leaving while a connection was opened.
-    pub fn may_send(&self, pool: &str, placed: &PlacedTarget) -> bool {
+    /// may have announced that it is leaving, or asked for a pause, while a connection was
+    /// opened.
+    pub fn may_send(&self, pool: &str, placed: &PlacedTarget, now: Duration) -> bool {
         let Some(pool) = self.pools.get(pool) else {
             return false;
         };
         let incarnation = placed.incarnation();
         let mut targets = pool.targets.iter();
-        targets.any(|target| target.is_incarnation(&incarnation) && target.is_accepting())
+        targets.any(|target| target.is_incarnation(&incarnation) && target.is_available(now))
     }
 
     /// Returns whether any target has a free slot for the request now.
@@ -295,7 +296,15 @@
             .late_dispatch_rate
             .per_second(now)
             .max(MIN_LATE_DISPATCH_RATE);
-        Duration::from_secs_f64(wait.max(late_ahead as f64 / late_dispatch_rate))
+        let wait = wait.max(late_ahead as f64 / late_dispatch_rate);
+        Duration::from_secs_f64(wait).max(pool.pause_left(now))
+    }
+
+    /// Returns how long all targets of a pool that accept new work still want no requests; zero
+    /// if one of them takes requests.
+    pub fn pause_left(&self, pool: &str, now: Duration) -> Duration {
+        let pool = self.pools.get(pool);
+        pool.map_or(Duration::ZERO, |pool| pool.pause_left(now))
     }
 
     /// Queues a request; [`PoolTable::assign`] assigns a target to it.
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -44,7 +44,7 @@
     /// Returns whether the request may still be sent to the target.
     pub(crate) fn may_send(&self) -> bool {
         let table = self.queue.lock_table();
-        table.may_send(&self.pool, &self.placed)
+        table.may_send(&self.pool, &self.placed, boot_now())
     }
 
     /// Records an event of the answer.
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -87,7 +87,7 @@
 ) -> Option<usize> {
     let any_healthy = targets
         .iter()
-        .any(|target| target.is_accepting() && target.is_healthy(context.now));
+        .any(|target| target.is_available(context.now) && target.is_healthy(context.now));
     let fastest = shortest_mean_gap(targets);
     let forecasts: Vec<TargetForecast> = targets
         .iter()
@@ -100,7 +100,7 @@
             let output_tokens = request.output_tokens.unwrap_or(0);
             let output = context.output.predict(output_tokens, slowness);
             TargetForecast {
-                allowed: target.is_accepting()
+                allowed: target.is_available(context.now)
                     && is_usable
                     && target.may_send(context.position, context.now)
                     && !request.tried.contains(&target.record.name),
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -46,6 +46,8 @@
     evacuated: bool,
     /// Whether the target stated in an answer that it is leaving.
     is_leaving: bool,
+    /// End of the pause that the target asked for.
+    paused_until: Duration,
     cold_limit: Option<ColdLimit>,
     cold_start: Option<ColdStart>,
     limit: Option<RequestLimit>,
@@ -66,6 +68,7 @@
         Self {
             evacuated: member.evacuated,
             is_leaving: false,
+            paused_until: Duration::ZERO,
             cold_limit: member.cold_limit,
             cold_start: is_cold.then(|| ColdStart::registered(record.cold_remaining, now)),
             limit: None,
@@ -133,6 +136,22 @@
         self.is_leaving = is_leaving;
     }
 
+    /// Sets the end of the pause that the target asked for. Unlike a back-off it is not cut short
+    /// by an answer, nor passed over when no other target is healthy.
+    pub(super) const fn set_paused_until(&mut self, until: Duration) {
+        self.paused_until = until;
+    }
+
+    /// Returns how much longer the target wants no requests.
+    pub(super) const fn pause_left(&self, now: Duration) -> Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
+    /// Returns whether the target accepts new work and has not asked for a pause.
+    pub(super) fn is_available(&self, now: Duration) -> bool {
+        self.is_accepting() && self.pause_left(now).is_zero()
+    }
+
     /// Returns whether hosts send to the target in send windows: it is cold, or may be, or it
     /// states a request limit.
     pub(super) fn is_rate_limited(&self, now: Duration) -> bool {
@@ -155,7 +174,7 @@
 
     /// Returns whether the leader of a group may grant the target's slots.
     pub(super) fn is_grantable(&self, now: Duration) -> bool {
-        let usable = self.is_accepting() && self.is_healthy(now);
+        let usable = self.is_available(now) && self.is_healthy(now);
         self.in_shard && usable && !self.is_rate_limited(now)
     }
 
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -308,7 +308,15 @@
         }
     }
 
+    /// Returns the delay after which the caller should retry: not before a target takes requests.
     fn retry_delay(&self) -> Duration {
+        let table = self.state.queue.lock_table();
+        let pause = table.pause_left(&self.routed.pool, boot_now());
+        self.capacity_delay().max(pause)
+    }
+
+    /// Returns the delay after which capacity may be free.
+    fn capacity_delay(&self) -> Duration {
         let spread = rand::random::<f64>();
         if !self.routed.kind.is_stream() {
             return CALL_RETRY_DELAY.mul_f64(1.0 + CALL_RETRY_JITTER * spread);
--- a/src/edge/target_notices.rs
+++ b/src/edge/target_notices.rs
@@ -42,7 +42,7 @@
 }
 
 /// Returns how long the target wants no requests; it may state a fraction of a second.
-fn requested_pause(head: &ResponseMessage) -> Option<Duration> {
+pub(super) fn requested_pause(head: &ResponseMessage) -> Option<Duration> {
     if head.status != 503 {
         return None;
     }
--- a/src/edge/tests/target_notices.rs
+++ b/src/edge/tests/target_notices.rs
@@ -6,12 +6,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::super::target_notices::requested_pause;
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
 use super::raw_target::RawRequest;
 use super::raw_target::RawTarget;
 use super::raw_target::event_chunk;
 use super::raw_target::write_text;
+use crate::wire::InputBuffer;
+use crate::wire::ResponseMessage;
 
 /// Pause between two requests of the caller.
 const CALL_PERIOD: Duration = Duration::from_millis(25);
@@ -128,3 +132,57 @@
     let count = arrivals.iter().filter(in_pause).count();
     assert!(count <= MAX_IN_PAUSE, "{count} requests in the pause");
 }
+
+/// Guards against callers that wait in vain, or are told to return too early, while the only
+/// target of their pool wants no requests.
+#[test]
+fn a_caller_is_told_to_return_after_the_pause_of_the_only_target() {
+    let arrivals = ArrivalTimes::default();
+    let header = format!("X-Not-Run: 1\r\nRetry-After: {}", PAUSE.as_secs());
+    let answer = move |request: &RawRequest| answer_with(request, "503 Busy", &header);
+    let targets = [recording_target(&arrivals, answer)];
+    let host = EdgeFixture::open(&targets);
+    host.call(&request_for("/again/x", "first"));
+
+    let started_at = Instant::now();
+    let answer = host.call(&request_for("/again/x", "second"));
+
+    let delay = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("Retry-After: "));
+    let delay: f64 = delay.unwrap().parse().unwrap();
+    assert_eq!(
+        (status_of(&answer), arrivals.lock().unwrap().len()),
+        (503, 1)
+    );
+    assert!(delay > 2.0 && started_at.elapsed() < PAUSE_DELAY, "{delay}");
+}
+
+/// Guards against a malformed or foreign header that takes a target out of use.
+#[test]
+fn only_a_positive_number_of_seconds_with_a_503_is_a_pause() {
+    let pause_of = |status: &str, value: &str| {
+        let mut input = InputBuffer::default();
+        let text = format!("HTTP/1.1 {status} x\r\nRetry-After: {value}\r\n\r\n");
+        input.append(text.as_bytes());
+        let head = ResponseMessage::take(&mut input).unwrap().unwrap();
+        requested_pause(&head).map(|pause| pause.as_millis())
+    };
+
+    let pauses = [
+        pause_of("503", "3"),
+        pause_of("503", " 0.25 "),
+        pause_of("503", "1e9"),
+        pause_of("503", "0"),
+        pause_of("503", "-1"),
+        pause_of("503", "inf"),
+        pause_of("503", "Fri, 04 Dec 2026 10:00:00 GMT"),
+        pause_of("200", "3"),
+    ];
+
+    let hour = Some(3_600_000);
+    assert_eq!(
+        pauses,
+        [Some(3000), Some(250), hour, None, None, None, None, None]
+    );
+}
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -1,4 +1,4 @@
-//! Placement at targets that state in their answers that they are leaving.
+//! Placement at targets that state in their answers that they are leaving, or ask for a pause.
 
 use std::time::Duration;
 
@@ -104,11 +104,14 @@
 fn a_placed_request_is_not_sent_to_a_leaving_target() {
     let mut table = table_of(vec![member(LEAVING, 1, 1)]);
     let placed = place(&mut table, at_ms(0)).unwrap();
-    let before = table.may_send(POOL, &placed);
+    let before = table.may_send(POOL, &placed, at_ms(10));
 
     table.record_leaving(placed.incarnation(), at_ms(5));
 
-    assert_eq!((before, table.may_send(POOL, &placed)), (true, false));
+    assert_eq!(
+        (before, table.may_send(POOL, &placed, at_ms(10))),
+        (true, false)
+    );
 }
 
 /// Guards against a registration that is rewritten as ready, or expires during a store outage
@@ -150,3 +153,101 @@
 
     assert!(place(&mut table, at_ms(20)).is_some());
 }
+
+const PAUSE: Duration = Duration::from_secs(3);
+
+fn pause_target(table: &mut PoolTable, name: &str, now: Duration) {
+    table.record_pause(member(name, 1, 1).record.incarnation(), PAUSE, now);
+}
+
+/// Guards against requests to a target that asked for a pause when no other one has room.
+#[test]
+fn a_paused_target_gets_nothing_even_when_the_others_are_full() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    pause_target(&mut table, LEAVING, at_ms(0));
+
+    let names = place_many(&mut table, 10, at_ms(10));
+    let before_end = place(&mut table, at_ms(2999));
+    let after_end = place(&mut table, at_ms(3000)).map(|placed| placed.name);
+
+    assert_eq!(names, [OTHER, OTHER]);
+    assert_eq!((before_end, after_end), (None, Some(LEAVING.into())));
+}
+
+/// Guards against a pause that is passed over because no other target is healthy.
+#[test]
+fn a_paused_target_does_not_replace_an_unhealthy_one() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    pause_target(&mut table, LEAVING, at_ms(0));
+    let placed = place(&mut table, at_ms(10)).unwrap();
+    table.record_outcome(POOL, &placed, AttemptOutcome::Unreachable, at_ms(20));
+
+    let names = place_many(&mut table, 2, at_ms(30));
+
+    assert_eq!(names, [OTHER, OTHER]);
+}
+
+/// Guards against a pause that ends early, by the answer to an earlier request, by a shorter
+/// pause, or by a registration that is rewritten or expires and returns.
+#[test]
+fn nothing_but_its_end_ends_a_pause() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let placed = place(&mut table, at_ms(0)).unwrap();
+    pause_target(&mut table, LEAVING, at_ms(10));
+
+    table.record_first_event(POOL, &placed, Duration::from_millis(50));
+    table.record_outcome(POOL, &placed, AttemptOutcome::Succeeded, at_ms(50));
+    table.record_pause(placed.incarnation(), Duration::from_millis(100), at_ms(60));
+    let after_answer = place(&mut table, at_ms(500));
+    table.set_targets(vec![member(LEAVING, 1, 2)], at_ms(600));
+    let rewritten = place(&mut table, at_ms(600));
+    table.set_targets(Vec::new(), at_ms(700));
+    table.set_targets(vec![member(LEAVING, 1, 3)], at_ms(2900));
+    let returned = place(&mut table, at_ms(2900));
+
+    assert_eq!((after_answer, rewritten, returned), (None, None, None));
+}
+
+/// Guards against a request that is sent after its target asked for a pause while the
+/// connection was opened.
+#[test]
+fn a_placed_request_is_not_sent_to_a_paused_target() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let placed = place(&mut table, at_ms(0)).unwrap();
+
+    pause_target(&mut table, LEAVING, at_ms(5));
+
+    assert!(!table.may_send(POOL, &placed, at_ms(10)));
+}
+
+/// Guards against a restarted target, or another one at its address, that gets nothing because
+/// the former process had asked for a pause.
+#[test]
+fn a_pause_is_not_inherited() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    pause_target(&mut table, LEAVING, at_ms(0));
+
+    table.set_targets(vec![member(LEAVING, 2, 2)], at_ms(10));
+    pause_target(&mut table, LEAVING, at_ms(20));
+    let restarted = place(&mut table, at_ms(30));
+    table.set_targets(vec![member(OTHER, 1, 3)], at_ms(40));
+    let replaced = place(&mut table, at_ms(50));
+
+    assert!(restarted.is_some() && replaced.is_some());
+}
+
+/// Guards against requests that wait in vain while all targets of their pool want none.
+#[test]
+fn the_expected_wait_includes_the_shortest_pause() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    pause_target(&mut table, LEAVING, at_ms(0));
+    let one_paused = table.expected_wait(&request(at_ms(10)), at_ms(10));
+    pause_target(&mut table, OTHER, at_ms(1000));
+
+    let all_paused = table.expected_wait(&request(at_ms(1000)), at_ms(1000));
+
+    assert_eq!(
+        (one_paused, all_paused),
+        (Duration::ZERO, Duration::from_secs(2))
+    );
+}
