Edge: a kept connection serves only the incarnation that it was opened to

Callers: requests to a restarted target went out on a connection to its former process, for as long as that process, or a path gone silent, kept it open; to a leaving process the request counts as new work.

Cause: idle connections were kept by the target's name, which a restarted target keeps, and not by its incarnation. The test failed before: all requests reached the former process for 5 s after the store named the other address. Now the pool is keyed by name, address and start time.

--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -10,8 +10,8 @@
 use futures_lite::future::poll_once;
 
 use crate::clock::boot_now;
-use crate::ids::TargetName;
 use crate::sorted::SortedMap;
+use crate::view::TargetIncarnation;
 use crate::wire::InputBuffer;
 use crate::wire::KeepaliveSettings;
 use crate::wire::ResponseMessage;
@@ -50,11 +50,11 @@
     expires_at: Duration,
 }
 
-/// Idle connections, keyed by the target's name: another target may have taken over the
-/// address by the next request.
+/// Idle connections, keyed by the target's incarnation: another target may have taken over the
+/// address by the next request, and a restarted target may listen at another one.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<SortedMap<TargetName, Vec<IdleConnection>>>,
+    idle: Mutex<SortedMap<TargetIncarnation, Vec<IdleConnection>>>,
 }
 
 impl TargetConnection {
@@ -79,7 +79,7 @@
 impl ConnectionPool {
     /// Returns the most recently used idle connection, which is the least likely to have
     /// been closed by the target.
-    pub(crate) async fn take(&self, target: &TargetName) -> Option<TargetConnection> {
+    pub(crate) async fn take(&self, target: &TargetIncarnation) -> Option<TargetConnection> {
         loop {
             let mut connection = self.pop(target)?;
             // Unsolicited bytes belong to no request, and a closed connection is readable
@@ -97,7 +97,7 @@
     /// Returns a connection to the pool after a complete response.
     pub(crate) fn put(
         &self,
-        target: &TargetName,
+        target: &TargetIncarnation,
         connection: TargetConnection,
         response: &ResponseMessage,
     ) {
@@ -123,7 +123,7 @@
     }
 
     /// Returns a connection to the pool on which no request was sent.
-    pub(crate) fn put_unused(&self, target: &TargetName, connection: TargetConnection) {
+    pub(crate) fn put_unused(&self, target: &TargetIncarnation, connection: TargetConnection) {
         let entry = IdleConnection {
             connection,
             expires_at: boot_now() + DEFAULT_IDLE,
@@ -149,7 +149,7 @@
         });
     }
 
-    fn pop(&self, target: &TargetName) -> Option<TargetConnection> {
+    fn pop(&self, target: &TargetIncarnation) -> Option<TargetConnection> {
         let now = boot_now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(target)?;
--- a/src/edge/crash_check.rs
+++ b/src/edge/crash_check.rs
@@ -32,7 +32,9 @@
     task::sleep(PROBE_DELAY).await;
     count(&state.metrics.connects);
     if let Ok(connection) = TargetConnection::open(target.address).await {
-        state.connections.put_unused(&target.name, connection);
+        state
+            .connections
+            .put_unused(&target.incarnation(), connection);
         return;
     }
     let name = target.name;
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -131,8 +131,8 @@
                 continue;
             };
             if !slot.may_send() {
-                let name = &slot.target().name;
-                self.state.connections.put_unused(name, connection);
+                let target = slot.target().incarnation();
+                self.state.connections.put_unused(&target, connection);
                 continue;
             }
             if let Some(outcome) = self.send_once(slot, connection).await {
@@ -208,8 +208,8 @@
     }
 
     async fn connect(&self, slot: &SlotGuard) -> Option<TargetConnection> {
-        let target = slot.target();
-        if let Some(connection) = self.state.connections.take(&target.name).await {
+        let target = slot.target().incarnation();
+        if let Some(connection) = self.state.connections.take(&target).await {
             return Some(connection);
         }
         count(&self.state.metrics.connects);
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -74,7 +74,7 @@
         if let Some((connection, head)) = call.into_reusable() {
             self.state
                 .connections
-                .put(&slot.target().name, connection, &head);
+                .put(&slot.target().incarnation(), connection, &head);
         }
         slot.finish(outcome.attempt_outcome());
         outcome
@@ -239,7 +239,7 @@
         {
             self.state
                 .connections
-                .put(&slot.target().name, connection, &head);
+                .put(&slot.target().incarnation(), connection, &head);
         }
     }
 
--- a/src/edge/tests/responses.rs
+++ b/src/edge/tests/responses.rs
@@ -3,6 +3,7 @@
 //! response as complete or another request's response.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::request_for;
@@ -303,3 +304,24 @@
     }
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
 }
+
+/// Guards against a kept connection that carries requests to a target's former process.
+#[test]
+fn a_restarted_target_gets_no_requests_on_connections_of_its_former_process() {
+    let former = healthy_target();
+    let restarted = healthy_target();
+    let host = EdgeFixture::open(std::slice::from_ref(&former));
+    host.call(&request_for("/again/x", "a1"));
+
+    host.store
+        .write(2, std::slice::from_ref(&restarted), &["k1"]);
+    let started_at = Instant::now();
+    while restarted.received().is_empty() && started_at.elapsed() < Duration::from_secs(5) {
+        host.call(&request_for("/again/x", "a2"));
+    }
+    let before = former.received().len();
+    host.call(&request_for("/again/x", "a3"));
+
+    assert_eq!(former.received().len(), before);
+    assert!(!restarted.received().is_empty());
+}
