Dispatch: a target's new incarnation answers for its own requests only

Callers: a restarted target got no requests for a back-off of its former process, whose lost requests were noticed after the restart, and counted as cold and lost.

Cause: outcomes, events and prefill of a request were recorded by the target's name, so the end of a request at the former process changed the new one's back-off, failure rate, pace and pending prefill; the running requests of the former process were carried over too. The test failed before (the new process got no request while its neighbour was full). Feedback now finds the incarnation that the request was assigned to, or none.

--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -13,8 +13,8 @@
 
 impl PoolTable {
     /// Records that a target sent something for a request.
-    pub fn record_activity(&mut self, pool: &str, target: &str, now: Duration) {
-        if let Some(target) = self.target_mut(pool, target) {
+    pub fn record_activity(&mut self, pool: &str, placed: &PlacedTarget, now: Duration) {
+        if let Some(target) = self.target_mut(pool, placed) {
             target.record_activity(now);
         }
     }
@@ -96,7 +96,7 @@
         };
         let fastest = shortest_mean_gap(&pool.targets);
         let mut targets = pool.targets.iter_mut();
-        let found = targets.find(|target| target.record.name == placed.name);
+        let found = targets.find(|target| target.is_assigned(placed));
         if let Some(target) = found {
             target.record_prefill_end(placed.prompt_tokens);
             let tokens = placed.tokens_ahead + placed.prompt_tokens;
@@ -112,7 +112,7 @@
         };
         let fastest = shortest_mean_gap(&pool.targets);
         let mut targets = pool.targets.iter();
-        let target = targets.find(|target| target.record.name == placed.name);
+        let target = targets.find(|target| target.is_assigned(placed));
         if let (Some(target), Some(tokens)) = (target, placed.output_tokens) {
             pool.output
                 .record(tokens, target.slowness(fastest), elapsed);
@@ -120,8 +120,14 @@
     }
 
     /// Records the gap between two events of a stream.
-    pub fn record_event_gap(&mut self, pool: &str, target: &str, gap: Duration, now: Duration) {
-        if let Some(target) = self.target_mut(pool, target) {
+    pub fn record_event_gap(
+        &mut self,
+        pool: &str,
+        placed: &PlacedTarget,
+        gap: Duration,
+        now: Duration,
+    ) {
+        if let Some(target) = self.target_mut(pool, placed) {
             target.gaps.record_gap(gap);
             target.record_activity(now);
         }
@@ -140,7 +146,7 @@
         {
             *running = running.saturating_sub(1);
         }
-        if let Some(target) = self.target_mut(pool, &placed.name) {
+        if let Some(target) = self.target_mut(pool, placed) {
             target.record_prefill_end(placed.prompt_tokens);
             target.record_outcome(end, now);
         }
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -255,9 +255,8 @@
         let Some(pool) = self.pools.get(pool) else {
             return false;
         };
-        let incarnation = placed.incarnation();
         let mut targets = pool.targets.iter();
-        targets.any(|target| target.is_incarnation(&incarnation) && target.is_available(now))
+        targets.any(|target| target.is_assigned(placed) && target.is_available(now))
     }
 
     /// Returns whether any target has a free slot for the request now.
@@ -488,8 +487,14 @@
         found.map(|(name, _)| name.clone())
     }
 
-    pub(super) fn target_mut(&mut self, pool: &str, target: &str) -> Option<&mut TargetRuntime> {
+    /// Returns the state of the incarnation that a request was assigned to. What happens to its
+    /// requests says nothing about a later one.
+    pub(super) fn target_mut(
+        &mut self,
+        pool: &str,
+        placed: &PlacedTarget,
+    ) -> Option<&mut TargetRuntime> {
         let targets = &mut self.pools.get_mut(pool)?.targets;
-        targets.iter_mut().find(|held| held.record.name == target)
+        targets.iter_mut().find(|held| held.is_assigned(placed))
     }
 }
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -53,14 +53,14 @@
         let mut table = self.queue.lock_table();
         match self.last_event_at {
             None => {
-                table.record_activity(&self.pool, &self.placed.name, now);
+                table.record_activity(&self.pool, &self.placed, now);
                 let elapsed = now.saturating_sub(self.started_at);
                 table.record_first_event(&self.pool, &self.placed, elapsed);
                 self.placed.prompt_tokens = 0;
             }
             Some(last) => {
                 let gap = now.saturating_sub(last);
-                table.record_event_gap(&self.pool, &self.placed.name, gap, now);
+                table.record_event_gap(&self.pool, &self.placed, gap, now);
             }
         }
         self.first_event_at.get_or_insert(now);
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -4,6 +4,7 @@
 
 use super::AttemptOutcome;
 use super::HostPosition;
+use super::PlacedTarget;
 use super::PoolMember;
 use super::SlotGrant;
 use super::cold_start::ColdStart;
@@ -86,15 +87,11 @@
     }
 
     /// Applies a new registration. After a restart of the target, the state learned of the
-    /// former process is discarded.
+    /// former process is discarded, and its requests no longer count.
     pub(super) fn update_registration(&mut self, member: PoolMember, now: Duration) {
         let record = &member.record;
-        if self.record.started_at_ms != record.started_at_ms
-            || self.record.address != record.address
-        {
-            let own_running = self.own_running;
+        if !self.is_incarnation(&record.incarnation()) {
             *self = Self::new(member, now);
-            self.own_running = own_running;
             return;
         }
         if self.evacuated && !member.evacuated {
@@ -112,6 +109,14 @@
         self.record = member.record;
     }
 
+    /// Returns whether this is the state of the incarnation that a request was assigned to.
+    pub(super) fn is_assigned(&self, placed: &PlacedTarget) -> bool {
+        let record = &self.record;
+        record.name == placed.name
+            && record.address == placed.address
+            && record.started_at_ms == placed.started_at_ms
+    }
+
     /// Returns whether this is the state of the given incarnation.
     pub(super) fn is_incarnation(&self, target: &TargetIncarnation) -> bool {
         let record = &self.record;
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -137,7 +137,7 @@
                 }
             }
             for (_, host, placed) in running.extract_if(.., |(end, _, _)| *end <= now) {
-                self.tables[host].record_activity(POOL, &placed.name, now);
+                self.tables[host].record_activity(POOL, &placed, now);
                 self.tables[host].record_outcome(POOL, &placed, AttemptOutcome::Succeeded, now);
             }
             now += TIME_STEP;
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -74,10 +74,24 @@
     std::iter::from_fn(|| table.place(&request, now, 0.5)).collect()
 }
 
+/// Returns a request that was assigned to a target.
+fn placed_at(target: &str) -> PlacedTarget {
+    let record = engine(target, 1).record;
+    PlacedTarget {
+        name: record.name,
+        address: record.address,
+        started_at_ms: record.started_at_ms,
+        priority: request_of(0, 0, start()).priority,
+        prompt_tokens: 0,
+        tokens_ahead: 0,
+        output_tokens: None,
+    }
+}
+
 /// Records that a target sends an event every `gap` milliseconds.
 fn record_gaps(table: &mut PoolTable, target: &str, gap: u64, now: Duration) {
     for _ in 0..30 {
-        table.record_event_gap(POOL, target, millis(gap), now);
+        table.record_event_gap(POOL, &placed_at(target), millis(gap), now);
     }
 }
 
@@ -198,7 +212,7 @@
         table.place(&request_of(0, 0, now), now, 0.0);
     }
     let later = now + millis(900);
-    table.record_activity(POOL, "live", later);
+    table.record_activity(POOL, &placed_at("live"), later);
 
     let chosen: Vec<PlacedTarget> = (0..8)
         .filter_map(|index| table.place(&request_of(0, 0, later), later, f64::from(index) / 8.0))
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -184,7 +184,7 @@
                 engine.running.push((now + SERVICE_TIME, work));
             }
             for (_, work) in &engine.running {
-                self.tables[work.host].record_activity(POOL, &work.placed.name, now);
+                self.tables[work.host].record_activity(POOL, &work.placed, now);
             }
         }
         for host in 0..HOSTS {
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -251,3 +251,24 @@
         (Duration::ZERO, Duration::from_secs(2))
     );
 }
+
+/// Guards against failures of a target's former process, known only after its restart, that
+/// keep requests from the new one.
+#[test]
+fn an_outcome_of_the_former_process_does_not_count_for_the_new_one() {
+    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    let placed: Vec<PlacedTarget> = std::iter::from_fn(|| place(&mut table, at_ms(0))).collect();
+    let (former, _) = placed
+        .into_iter()
+        .partition::<Vec<PlacedTarget>, _>(|placed| placed.name == LEAVING);
+    table.set_targets(vec![member(LEAVING, 2, 2), member(OTHER, 1, 1)], at_ms(10));
+
+    let first = place(&mut table, at_ms(20)).map(|placed| placed.name);
+    for placed in &former {
+        table.record_outcome(POOL, placed, AttemptOutcome::Unreachable, at_ms(30));
+    }
+    let names = place_many(&mut table, 5, at_ms(40));
+
+    assert_eq!(first, Some(LEAVING.into()));
+    assert_eq!(names, [LEAVING]);
+}
