Gossip: hosts tell each other which targets said that they leave

What runs when the target exits is cut.

Cause: the statement was known to the host that got the answer only. Each host now reports it once to its peers, and all that are still registered to a host that starts. The age of the registration travels along, so that hosts don't keep a target that is gone alive for each other. A pause is not reported: a target asks one host for it.

Tests: between two tables and a starting one, and by a message between two hosts.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) use dispatch_queue::DispatchQueue;
 pub(crate) use dispatch_queue::WaitOutcome;
 pub use limit_table::TargetLimit;
+pub use notice_table::LeavingTarget;
 pub use peer_loads::TargetLoad;
 pub use placement_request::AttemptOutcome;
 pub use placement_request::PlacedTarget;
--- a/src/dispatch/notice_table.rs
+++ b/src/dispatch/notice_table.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::sorted::SortedMap;
 use crate::view::TargetIncarnation;
 
@@ -9,14 +12,33 @@
 /// store outage a registration may expire and return while the target is still leaving.
 const LEAVING_TTL: Duration = Duration::from_secs(600);
 
+/// A leaving target, as sent to peers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingTarget {
+    /// The target.
+    pub target: TargetIncarnation,
+    /// Time since its registration was last seen, in milliseconds.
+    pub unseen_ms: u64,
+}
+
+/// What a host knows about a leaving target.
+#[derive(Clone, Copy, Debug)]
+struct LeavingEntry {
+    /// When this host learned that the target is leaving, on the boot clock.
+    learned_at: Duration,
+    /// When its registration was last seen, by this host or a peer.
+    seen_at: Duration,
+    /// Whether it was registered when this host last checked.
+    registered: bool,
+}
+
 /// The targets that stated that they are leaving, or asked for a pause.
 ///
 /// Statements belong to one incarnation of a target. They outlive its registration, which the
 /// store may lose and get back.
 #[derive(Debug, Default)]
 pub(super) struct NoticeTable {
-    /// Leaving targets, and when their registration was last seen.
-    leaving: SortedMap<TargetIncarnation, Duration>,
+    leaving: SortedMap<TargetIncarnation, LeavingEntry>,
     /// Targets that get no requests until the given time.
     pauses: SortedMap<TargetIncarnation, Duration>,
 }
@@ -24,7 +46,52 @@
 impl NoticeTable {
     /// Records that a target is leaving; returns whether this is new.
     pub(super) fn record_leaving(&mut self, target: TargetIncarnation, now: Duration) -> bool {
-        self.leaving.insert(target, now).is_none()
+        let entry = LeavingEntry {
+            learned_at: now,
+            seen_at: now,
+            registered: true,
+        };
+        let held = self.leaving.get(&target).is_some();
+        self.leaving.get_or_insert_with(target, || entry);
+        !held
+    }
+
+    /// Merges a leaving target received from a peer; returns whether it is new.
+    pub(super) fn merge_leaving(&mut self, leaving: &LeavingTarget, now: Duration) -> bool {
+        let seen_at = now.saturating_sub(Duration::from_millis(leaving.unseen_ms));
+        if let Some(held) = self.leaving.get_mut(&leaving.target) {
+            held.seen_at = held.seen_at.max(seen_at);
+            return false;
+        }
+        let entry = LeavingEntry {
+            learned_at: now,
+            seen_at,
+            registered: true,
+        };
+        self.leaving.insert(leaving.target.clone(), entry);
+        true
+    }
+
+    /// Returns the leaving targets that this host learned of since `since`, or all that are
+    /// still registered if `all` is set.
+    pub(super) fn leaving_changes(
+        &self,
+        all: bool,
+        since: Duration,
+        now: Duration,
+    ) -> Vec<LeavingTarget> {
+        let entries = self.leaving.iter();
+        let changed = entries.filter(|(_, entry)| match all {
+            true => entry.registered,
+            false => entry.learned_at >= since,
+        });
+        let unseen = |entry: &LeavingEntry| now.saturating_sub(entry.seen_at);
+        changed
+            .map(|(target, entry)| LeavingTarget {
+                target: target.clone(),
+                unseen_ms: unseen(entry).as_millis() as u64,
+            })
+            .collect()
     }
 
     /// Records that a target asked for no requests during `pause`; returns whether its current
@@ -60,11 +127,12 @@
         now: Duration,
     ) {
         self.pauses.retain(|_, until| *until > now);
-        self.leaving.retain(|target, seen_at| {
-            if is_registered(target) {
-                *seen_at = now;
+        self.leaving.retain(|target, entry| {
+            entry.registered = is_registered(target);
+            if entry.registered {
+                entry.seen_at = now;
             }
-            now.saturating_sub(*seen_at) < LEAVING_TTL
+            now.saturating_sub(entry.seen_at) < LEAVING_TTL
         });
     }
 }
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::AttemptOutcome;
+use super::LeavingTarget;
 use super::PlacedTarget;
 use super::PoolTable;
 use super::TargetLimit;
@@ -61,6 +62,30 @@
         self.notices.record_leaving(target, now)
     }
 
+    /// Merges the leaving targets received from a peer; returns those that are new.
+    pub fn merge_leaving(
+        &mut self,
+        leaving: Vec<LeavingTarget>,
+        now: Duration,
+    ) -> Vec<LeavingTarget> {
+        let mut new = Vec::new();
+        for received in leaving {
+            if self.notices.merge_leaving(&received, now) {
+                if let Some(runtime) = self.find_incarnation(&received.target) {
+                    runtime.set_leaving(true);
+                }
+                new.push(received);
+            }
+        }
+        new
+    }
+
+    /// Returns the leaving targets that this host learned of since `since`, for a peer; all that
+    /// are registered if it is new.
+    pub fn leaving_targets(&self, new: bool, since: Duration, now: Duration) -> Vec<LeavingTarget> {
+        self.notices.leaving_changes(new, since, now)
+    }
+
     /// Records that a target asked for no requests during `pause`; returns whether its current
     /// pause gets longer.
     pub fn record_pause(
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -116,6 +116,10 @@
             .unwrap_or(now.saturating_sub(DEFAULT_CHANGE_WINDOW));
         let (revision, catalog) = self.view.held_versions();
         let (usage, unresponsive) = self.usage_for(options, is_new, now);
+        let table = self.queue.lock_table();
+        let limits = table.changed_limits(is_new, since, now);
+        let leaving_targets = table.leaving_targets(is_new, since, now);
+        drop(table);
         let message = GossipMessage {
             own: self.own_record(),
             uptime_ms: uptime.as_millis() as u64,
@@ -143,7 +147,8 @@
             },
             usage,
             unresponsive,
-            limits: self.queue.lock_table().changed_limits(is_new, since, now),
+            limits,
+            leaving_targets,
             poison: self.poison.changed_entries(is_new, since),
         };
         (message, version)
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Merges what a peer knows about hosts, target limits and poison requests.
+/// Merges what a peer knows about hosts, target limits, leaving targets and poison requests.
 pub(super) fn merge_members(state: &EdgeState, message: &GossipMessage) {
     let now = boot_now();
     let mut members = state.members();
@@ -121,6 +121,7 @@
     state.update_host_count(&message.own.host, usize::from(message.hosts));
     state.poison.merge(&message.poison);
     merge_limits(state, message);
+    merge_leaving(state, message);
     state.update_fleet_size(usize::from(message.hosts), message.grouped, now);
 }
 
@@ -140,6 +141,23 @@
     }
 }
 
+/// Merges the leaving targets that a peer knows.
+fn merge_leaving(state: &EdgeState, message: &GossipMessage) {
+    if message.leaving_targets.is_empty() {
+        return;
+    }
+    let leaving = message.leaving_targets.clone();
+    let new = state.queue.lock_table().merge_leaving(leaving, boot_now());
+    for leaving in new {
+        state.log.write(&DecisionLine::TargetLeaving {
+            target: leaving.target.name,
+            request: None,
+            status: None,
+            peer: Some(message.own.host.clone()),
+        });
+    }
+}
+
 fn host_hashes(heartbeats: &[HeartbeatAge]) -> Vec<u32> {
     heartbeats.iter().map(|heartbeat| heartbeat.host).collect()
 }
--- a/src/edge/target_notices.rs
+++ b/src/edge/target_notices.rs
@@ -24,8 +24,9 @@
             count(&state.metrics.leaving_targets);
             state.log.write(&DecisionLine::TargetLeaving {
                 target: slot.target().name.clone(),
-                request: self.routed.id.clone(),
-                status: head.status,
+                request: Some(self.routed.id.clone()),
+                status: Some(head.status),
+                peer: None,
             });
         }
         if let Some(pause) = requested_pause(head)
--- a/src/edge/tests/gossip.rs
+++ b/src/edge/tests/gossip.rs
@@ -11,6 +11,7 @@
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
 use crate::edge::gossip_builder::MessageOptions;
+use crate::edge::gossip_merge::handle_gossip;
 use crate::peers::unpack_value;
 use crate::view::TargetPhase;
 use crate::view::TargetRecord;
@@ -135,3 +136,33 @@
     let bytes = bincode::serde::encode_to_vec(&update, standard()).unwrap();
     assert!(bytes.len() < NARROW_LINK_BYTES, "{} bytes", bytes.len());
 }
+
+/// Guards against hosts that learn only from answers to their own requests that a target is
+/// leaving.
+#[test]
+fn gossip_reports_a_leaving_target() {
+    let own = isolated_state(EdgeBounds::default());
+    let peer = isolated_state(EdgeBounds::default());
+    let update = targets_update(2, 1);
+    let target = update.targets[0].incarnation();
+    let now = boot_now();
+    for state in [&own, &peer] {
+        let change = state.view.apply_store_response(update.clone(), now, now);
+        state.apply_change(change, None);
+    }
+    own.queue.lock_table().record_leaving(target, boot_now());
+    let (message, _) = own.build_message(MessageOptions {
+        receiver: "peer",
+        scope: None,
+        with_loads: false,
+        is_new: false,
+        peer_hosts: 1,
+        since: None,
+    });
+
+    let before = peer.queue.lock_table().has_accepting_target("p");
+    handle_gossip(&peer, message);
+    let after = peer.queue.lock_table().has_accepting_target("p");
+
+    assert_eq!((before, after), (true, false));
+}
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -170,10 +170,12 @@
     TargetLeaving {
         /// The target.
         target: TargetName,
-        /// The request that it answered.
-        request: String,
-        /// The status of the answer.
-        status: u16,
+        /// The request that it answered; absent if a peer reported it.
+        request: Option<String>,
+        /// The status of the answer; absent if a peer reported it.
+        status: Option<u16>,
+        /// The peer that reported it; absent if it came with an answer of the target.
+        peer: Option<HostName>,
     },
     /// A target rejected a request and asked for no others for some time.
     #[display("{target} asks for a pause of {pause_ms} ms")]
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dispatch::LeavingTarget;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::SlotDemand;
 use crate::dispatch::TargetLimit;
@@ -102,6 +103,8 @@
     pub unresponsive: UnresponsiveHosts,
     /// Changed request limits announced by targets.
     pub limits: Vec<TargetLimit>,
+    /// Targets that stated in an answer that they are leaving.
+    pub leaving_targets: Vec<LeavingTarget>,
     /// Requests during which targets crashed.
     pub poison: Vec<PoisonEntry>,
 }
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -272,3 +272,50 @@
     assert_eq!(first, Some(LEAVING.into()));
     assert_eq!(names, [LEAVING]);
 }
+
+/// Guards against requests to a leaving target by hosts that have not sent to it since, or have
+/// just started.
+#[test]
+fn peers_learn_that_a_target_is_leaving() {
+    let mut own = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    let mut peer = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    let mut started = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
+    own.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(100));
+
+    let earlier = own.leaving_targets(false, at_ms(101), at_ms(200));
+    let changed = own.leaving_targets(false, at_ms(100), at_ms(200));
+    let new = peer.merge_leaving(changed.clone(), at_ms(210));
+    let again = peer.merge_leaving(changed, at_ms(220));
+    started.merge_leaving(
+        peer.leaving_targets(true, at_ms(9000), at_ms(9000)),
+        at_ms(9010),
+    );
+
+    assert_eq!((earlier.len(), new.len(), again.len()), (0, 1, 0));
+    assert_eq!(place_many(&mut peer, 10, at_ms(300)), [OTHER, OTHER]);
+    assert_eq!(place_many(&mut started, 10, at_ms(9100)), [OTHER, OTHER]);
+}
+
+/// Guards against a leaving target that hosts report to each other forever after it is gone.
+#[test]
+fn a_target_that_is_gone_is_forgotten() {
+    let mut own = table_of(vec![member(LEAVING, 1, 1)]);
+    let mut peer = table_of(vec![member(OTHER, 1, 1)]);
+    own.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+    own.set_targets(vec![member(OTHER, 1, 2)], at_ms(10));
+    peer.merge_leaving(
+        own.leaving_targets(false, at_ms(0), at_ms(300_000)),
+        at_ms(300_000),
+    );
+
+    let to_new_host = own.leaving_targets(true, at_ms(0), at_ms(300_000));
+    own.set_targets(vec![member(OTHER, 1, 3)], at_ms(700_000));
+    peer.set_targets(vec![member(OTHER, 1, 3)], at_ms(700_000));
+    let held = own.leaving_targets(false, at_ms(0), at_ms(700_000));
+    let held_by_peer = peer.leaving_targets(false, at_ms(0), at_ms(700_000));
+
+    assert_eq!(
+        (to_new_host.len(), held.len(), held_by_peer.len()),
+        (0, 0, 0)
+    );
+}
