Dispatch: a request limit ends with the process that stated it

Callers: a restarted target got requests at the limit of its former process, until a success without a limit came back.

Cause: limits were kept and gossiped by the target's name. Found in the search for what a new incarnation inherits. The test failed before: 1 request in the first second instead of 12. Limits are now kept by incarnation, as are the statements that a target leaves or pauses, and all three are refreshed in one place.

--- a/src/dispatch/limit_table.rs
+++ b/src/dispatch/limit_table.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::ids::TargetName;
 use crate::sorted::SortedMap;
+use crate::view::TargetIncarnation;
 
 /// The smallest relative change of a limit that is applied and gossiped.
 const MIN_RELATIVE_CHANGE: f64 = 0.1;
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetLimit {
     /// The target.
-    pub target: TargetName,
+    pub target: TargetIncarnation,
     /// Requests per second over all hosts; `None` once the limit has ended.
     pub per_second: Option<f64>,
     /// Time since the target first stated a limit, in milliseconds.
@@ -43,12 +43,12 @@
 /// each would learn of it by its own requests and use all of it.
 #[derive(Debug, Default)]
 pub(super) struct LimitTable {
-    entries: SortedMap<TargetName, LimitEntry>,
+    entries: SortedMap<TargetIncarnation, LimitEntry>,
 }
 
 impl LimitTable {
     /// Returns the last limit that a target stated.
-    pub(super) fn get(&self, target: &str) -> Option<&LimitEntry> {
+    pub(super) fn get(&self, target: &TargetIncarnation) -> Option<&LimitEntry> {
         self.entries.get(target)
     }
 
@@ -59,7 +59,7 @@
     /// to an earlier request may predate the limit.
     pub(super) fn record(
         &mut self,
-        target: &TargetName,
+        target: &TargetIncarnation,
         per_second: Option<f64>,
         sent: Duration,
         now: Duration,
@@ -100,14 +100,14 @@
             .collect()
     }
 
-    /// Removes targets that no longer exist.
-    pub(super) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.entries.retain(|target, _| is_known(target));
+    /// Removes targets that are no longer registered.
+    pub(super) fn retain(&mut self, is_registered: impl Fn(&TargetIncarnation) -> bool) {
+        self.entries.retain(|target, _| is_registered(target));
     }
 
     fn store(
         &mut self,
-        target: &TargetName,
+        target: &TargetIncarnation,
         per_second: Option<f64>,
         since: Duration,
         stated_at: Duration,
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -9,7 +9,6 @@
 use super::TargetLimit;
 use super::target_choice::shortest_mean_gap;
 use super::target_runtime::TargetRuntime;
-use crate::ids::TargetName;
 use crate::view::TargetIncarnation;
 
 impl PoolTable {
@@ -24,7 +23,7 @@
     /// request that was sent at `sent`; returns whether the limit changes.
     pub fn record_limit(
         &mut self,
-        target: &TargetName,
+        target: &TargetIncarnation,
         per_second: Option<f64>,
         sent: Duration,
         now: Duration,
@@ -102,15 +101,10 @@
         extends
     }
 
-    fn apply_limit(&mut self, name: &str) {
-        let entry = self.limits.get(name).copied();
-        let mut pools = self.pools.iter_mut().map(|(_, pool)| pool);
-        let found = pools.find_map(|pool| {
-            let mut targets = pool.targets.iter_mut();
-            targets.find(|target| target.record.name == name)
-        });
-        if let Some(target) = found {
-            target.set_limit(entry);
+    fn apply_limit(&mut self, target: &TargetIncarnation) {
+        let entry = self.limits.get(target).copied();
+        if let Some(runtime) = self.find_incarnation(target) {
+            runtime.set_limit(entry);
         }
     }
 
@@ -177,23 +171,6 @@
         }
     }
 
-    /// Removes the limits of targets that no longer exist, and applies the others.
-    pub(super) fn refresh_limits(&mut self) {
-        let targets = self.pools.values().flat_map(|pool| &pool.targets);
-        let mut names: Vec<&str> = targets.map(|target| target.record.name.as_str()).collect();
-        names.sort_unstable();
-        self.limits
-            .retain(|target| names.binary_search(&target).is_ok());
-        let limits = &self.limits;
-        let targets = self
-            .pools
-            .iter_mut()
-            .flat_map(|(_, pool)| &mut pool.targets);
-        for target in targets {
-            target.set_limit(limits.get(&target.record.name).copied());
-        }
-    }
-
     fn find_incarnation(&mut self, target: &TargetIncarnation) -> Option<&mut TargetRuntime> {
         let mut targets = self
             .pools
@@ -202,23 +179,24 @@
         targets.find(|held| held.is_incarnation(target))
     }
 
-    /// Removes statements of targets that are over, and applies the others.
-    pub(super) fn refresh_notices(&mut self, now: Duration) {
+    /// Removes the statements of targets that are over, and applies the others.
+    pub(super) fn refresh_statements(&mut self, now: Duration) {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
         let mut registered: Vec<TargetIncarnation> =
             targets.map(|target| target.record.incarnation()).collect();
         registered.sort_unstable();
         let is_registered = |target: &TargetIncarnation| registered.binary_search(target).is_ok();
+        self.limits.retain(is_registered);
         self.notices.expire(is_registered, now);
-        let notices = &self.notices;
         let targets = self
             .pools
             .iter_mut()
             .flat_map(|(_, pool)| &mut pool.targets);
         for target in targets {
             let incarnation = target.record.incarnation();
-            target.set_leaving(notices.is_leaving(&incarnation));
-            target.set_paused_until(notices.paused_until(&incarnation));
+            target.set_limit(self.limits.get(&incarnation).copied());
+            target.set_leaving(self.notices.is_leaving(&incarnation));
+            target.set_paused_until(self.notices.paused_until(&incarnation));
         }
     }
 }
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -108,8 +108,7 @@
         }
         self.pools
             .retain(|_, pool| !pool.targets.is_empty() || pool.queue.len() > 0);
-        self.refresh_limits();
-        self.refresh_notices(now);
+        self.refresh_statements(now);
         self.mark_shard();
     }
 
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -71,7 +71,8 @@
     /// returns whether the limit changes.
     pub(crate) fn record_limit(&self, per_second: Option<f64>) -> bool {
         let mut table = self.queue.lock_table();
-        table.record_limit(&self.placed.name, per_second, self.started_at, boot_now())
+        let target = self.placed.incarnation();
+        table.record_limit(&target, per_second, self.started_at, boot_now())
     }
 
     /// Records that the target is leaving, as stated in its answer; returns whether this is new.
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -134,7 +134,7 @@
     let changed = state.queue.lock_table().merge_limits(limits, boot_now());
     for limit in changed {
         state.log.write(&DecisionLine::TargetLimited {
-            target: limit.target,
+            target: limit.target.name,
             per_second: limit.per_second,
             peer: Some(message.own.host.clone()),
         });
--- a/tests/request_limits.rs
+++ b/tests/request_limits.rs
@@ -9,6 +9,7 @@
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::RequestPriority;
 use cardamomgw::dispatch::TargetLimit;
+use cardamomgw::view::TargetIncarnation;
 use cardamomgw::view::TargetPhase;
 use cardamomgw::view::TargetRecord;
 use rand::RngExt;
@@ -59,6 +60,10 @@
     }
 }
 
+fn target() -> TargetIncarnation {
+    member().record.incarnation()
+}
+
 fn request(now: Duration) -> PlacementRequest {
     PlacementRequest {
         pool: POOL.into(),
@@ -95,7 +100,7 @@
         for table in &mut self.tables {
             let age = MAX_DELAY.mul_f64(self.rng.random::<f64>());
             let limit = TargetLimit {
-                target: target_name(),
+                target: target(),
                 per_second,
                 lasted_ms: age.as_millis() as u64,
                 age_ms: age.as_millis() as u64,
@@ -187,9 +192,9 @@
     let table = &mut simulation.tables[0];
     let second = |seconds| start() + Duration::from_secs(seconds);
 
-    let stated = table.record_limit(&target_name(), Some(2.0), second(1), second(2));
-    let older = table.record_limit(&target_name(), None, second(1), second(3));
-    let ended = table.record_limit(&target_name(), None, second(4), second(5));
+    let stated = table.record_limit(&target(), Some(2.0), second(1), second(2));
+    let older = table.record_limit(&target(), None, second(1), second(3));
+    let ended = table.record_limit(&target(), None, second(4), second(5));
 
     assert!(stated && ended);
     assert!(!older, "the request was sent before the limit was stated");
@@ -206,11 +211,11 @@
         unreachable!("two hosts were created");
     };
 
-    first.record_limit(&target_name(), Some(2.0), second(1), second(2));
+    first.record_limit(&target(), Some(2.0), second(1), second(2));
     let stated = first.changed_limits(false, second(0), second(2));
     let merged = other.merge_limits(stated.clone(), second(2));
     let again = other.merge_limits(stated, second(3));
-    first.record_limit(&target_name(), None, second(3), second(4));
+    first.record_limit(&target(), None, second(3), second(4));
     let ended = first.changed_limits(false, second(3), second(4));
     other.merge_limits(ended, second(4));
 
@@ -218,3 +223,19 @@
     assert!(again.is_empty());
     assert!(other.changed_limits(true, second(0), second(5)).is_empty());
 }
+
+/// Guards against a restarted target that is limited because its former process was.
+#[test]
+fn a_new_incarnation_has_no_limit() {
+    let mut simulation = LimitSimulation::new(1);
+    let table = &mut simulation.tables[0];
+    table.record_limit(&target(), Some(0.5), start(), start());
+
+    let mut restarted = member();
+    restarted.record.started_at_ms = 1;
+    restarted.record.revision = 2;
+    table.set_targets(vec![restarted], start());
+
+    let sent = simulation.run(start(), Duration::from_secs(1));
+    assert!(sent.len() >= 12, "{}", sent.len());
+}
