Edge: two concurrent changes of the view can't leave older targets in the table

Callers: a leaving target could get requests until the next change of the view.

Cause: each change reads all targets from the view and then replaces those of the dispatch table, without order between the two steps: the store's watch, a peer's message and the expiry of registrations run concurrently, and one that had read the older view could come last. Found while looking for the cause of the hosts that are ready too early.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -53,6 +53,9 @@
     pub(crate) started: Duration,
     pub(crate) view: SharedView,
     pub(crate) queue: Arc<DispatchQueue>,
+    /// Held while the dispatch table is filled from the view: of two concurrent changes, the
+    /// one with the older targets could otherwise replace the newer ones.
+    table_refresh: Mutex<()>,
     pub(crate) connections: ConnectionPool,
     pub(crate) poison: PoisonGuard,
     pub(crate) log: DecisionLog,
@@ -103,6 +106,7 @@
         let hosts = others.count() + 1;
         Arc::new(Self {
             queue: DispatchQueue::new(settings.availability_zone.clone()),
+            table_refresh: Mutex::default(),
             members: Mutex::new(MemberTable::new(settings.host.clone())),
             gossip_schedule: Mutex::new(GossipSchedule::new(settings.host.clone())),
             role: ArcSwap::default(),
@@ -339,6 +343,7 @@
     }
 
     fn refresh_targets(&self) {
+        let refresh = lock(&self.table_refresh);
         let catalog = self.view.catalog();
         let evacuated = self.view.evacuated_zones();
         let members = self.view.targets().into_iter().map(|record| {
@@ -353,6 +358,7 @@
         });
         let members = members.collect();
         self.queue.lock_table().set_targets(members, boot_now());
+        drop(refresh);
         self.queue.assign_waiting();
     }
 }
--- a/src/edge/tests/store_access.rs
+++ b/src/edge/tests/store_access.rs
@@ -1,5 +1,7 @@
 //! How soon a host reads changes from the store.
 
+use std::sync::Barrier;
+use std::thread;
 use std::time::Duration;
 
 use super::super::fleet_role::StoreAccess;
@@ -7,6 +9,8 @@
 use super::edge_fixture::isolated_state;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
+use crate::view::TargetPhase;
+use crate::view::TargetRecord;
 use crate::view::ViewUpdate;
 
 /// Time limit of a read beyond its wait, plus the longest delay after a failed one.
@@ -45,3 +49,61 @@
     // By default a target that is leaving must stop receiving new work after 2 s.
     assert_eq!(host.store_access(), StoreAccess::Poll);
 }
+
+/// Returns the change of one target, the only one of its pool.
+fn target_update(pool: &str, phase: TargetPhase, revision: u64) -> ViewUpdate {
+    let target = TargetRecord {
+        name: format!("target of {pool}"),
+        pool: pool.into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        availability_zone: "za".into(),
+        slots: 4,
+        phase,
+        started_at_ms: 0,
+        cold_remaining: Duration::ZERO,
+        revision,
+    };
+    ViewUpdate {
+        revision,
+        targets: vec![target],
+        ..ViewUpdate::default()
+    }
+}
+
+/// Guards against a change of the view that replaces a later one in the dispatch table: a
+/// leaving target would get requests until the next change.
+#[test]
+fn concurrent_changes_of_the_view_all_reach_the_dispatch_table() {
+    let state = isolated_state(EdgeBounds::default());
+    let apply = |update: ViewUpdate| {
+        let change = state.view.apply_peer_view(update, boot_now());
+        state.apply_change(change, None);
+    };
+    let many = (0..200).flat_map(|index| {
+        let pool = format!("pool {index:03}");
+        target_update(&pool, TargetPhase::Ready, 1).targets
+    });
+    apply(ViewUpdate {
+        revision: 1,
+        targets: many.collect(),
+        ..ViewUpdate::default()
+    });
+    let mut stale = 0;
+    for round in 1..400 {
+        let revision = round * 3;
+        apply(target_update("p", TargetPhase::Ready, revision + 1));
+
+        let barrier = Barrier::new(2);
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                barrier.wait();
+                apply(target_update("q", TargetPhase::Ready, revision + 2));
+            });
+            barrier.wait();
+            apply(target_update("p", TargetPhase::Draining, revision + 3));
+        });
+
+        stale += usize::from(state.queue.lock_table().has_accepting_target("p"));
+    }
+    assert_eq!(stale, 0);
+}
