Edge: a host is ready once its dispatch table is filled

Cause: readiness was true once the view held a catalog, a moment before the change reached the dispatch table. The new test failed before ((true, true) instead of (false, true)).

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -56,6 +56,8 @@
     /// Held while the dispatch table is filled from the view: of two concurrent changes, the
     /// one with the older targets could otherwise replace the newer ones.
     table_refresh: Mutex<()>,
+    /// Whether the dispatch table was filled with the pools of a catalog.
+    is_table_filled: AtomicBool,
     pub(crate) connections: ConnectionPool,
     pub(crate) poison: PoisonGuard,
     pub(crate) log: DecisionLog,
@@ -107,6 +109,7 @@
         Arc::new(Self {
             queue: DispatchQueue::new(settings.availability_zone.clone()),
             table_refresh: Mutex::default(),
+            is_table_filled: AtomicBool::new(false),
             members: Mutex::new(MemberTable::new(settings.host.clone())),
             gossip_schedule: Mutex::new(GossipSchedule::new(settings.host.clone())),
             role: ArcSwap::default(),
@@ -256,9 +259,11 @@
         self.evidence_age().is_some_and(|age| age < bound * 2)
     }
 
-    /// Returns whether the load balancer should send new connections to this host.
+    /// Returns whether the load balancer should send new connections to this host. The dispatch
+    /// table is filled a moment after the view; a request in between would find no target.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.view.catalog().is_some() && self.has_fresh_keys()
+        let has_targets = self.is_table_filled.load(Ordering::Acquire);
+        !self.is_leaving() && has_targets && self.has_fresh_keys()
     }
 
     /// Starts the graceful shutdown.
@@ -358,6 +363,9 @@
         });
         let members = members.collect();
         self.queue.lock_table().set_targets(members, boot_now());
+        if catalog.is_some() {
+            self.is_table_filled.store(true, Ordering::Release);
+        }
         drop(refresh);
         self.queue.assign_waiting();
     }
--- a/src/edge/tests/store_access.rs
+++ b/src/edge/tests/store_access.rs
@@ -7,6 +7,7 @@
 use super::super::fleet_role::StoreAccess;
 use super::super::watch_controller::watch_wait;
 use super::edge_fixture::isolated_state;
+use super::edge_fixture::large_catalog;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
 use crate::view::TargetPhase;
@@ -50,6 +51,26 @@
     assert_eq!(host.store_access(), StoreAccess::Poll);
 }
 
+/// Guards against callers that are rejected because the load balancer uses the host before its
+/// dispatch table holds the targets.
+#[test]
+fn a_host_is_not_ready_before_its_dispatch_table_is_filled() {
+    let state = isolated_state(EdgeBounds::default());
+    let update = ViewUpdate {
+        revision: 1,
+        full: true,
+        catalog: Some(large_catalog(1, 0)),
+        ..ViewUpdate::default()
+    };
+    let now = boot_now();
+
+    let change = state.view.apply_store_response(update, now, now);
+    let before = state.is_ready();
+    state.apply_change(change, None);
+
+    assert_eq!((before, state.is_ready()), (false, true));
+}
+
 /// Returns the change of one target, the only one of its pool.
 fn target_update(pool: &str, phase: TargetPhase, revision: u64) -> ViewUpdate {
     let target = TargetRecord {
