Soak: targets say that they leave, also while the store is down, and ask for pauses

The soak's targets bore neither header, so no run could show that hosts pass over them. A leaving target now says so in each answer and serves on until the store is back; an overloaded one asks for 2 s. Checked by host: no request that a caller sent later than 2 s after such an answer had been passed on, and two at most from half a second after a rejection to the end of the pause; a signal to the host excuses it.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,6 +28,8 @@
 mod soak_routes;
 #[path = "soak/soak_run.rs"]
 mod soak_run;
+#[path = "soak/soak_statements.rs"]
+mod soak_statements;
 #[path = "soak/soak_target.rs"]
 mod soak_target;
 
@@ -40,6 +42,7 @@
 use soak_run::SoakSize;
 use soak_run::run_limit_soak;
 use soak_run::run_soak;
+use soak_run::run_statement_soak;
 
 /// Duration of fault injection by default, and in the short run.
 const DEFAULT_LENGTH: Duration = Duration::from_secs(14);
@@ -110,6 +113,18 @@
     assert!(report_result(13, &run_limit_soak(13, size, DEFAULT_LENGTH)));
 }
 
+/// Guards against requests to targets that said in their answers that they are leaving, while the
+/// store can't tell, or asked for a pause.
+#[test]
+fn all_hosts_respect_what_targets_state_in_their_answers() {
+    let size = SoakSize {
+        hosts: 5,
+        targets: 6,
+        callers: 16,
+    };
+    assert!(report_result(17, &run_statement_soak(17, size)));
+}
+
 /// Runs many seeds, several at a time.
 #[test]
 #[ignore = "takes minutes; run by hand"]
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -106,6 +106,14 @@
 
     /// Applies one step.
     pub(crate) fn apply(&mut self, step: SoakStep) {
+        if let SoakStep::PauseHost(index)
+        | SoakStep::ResumeHost(index)
+        | SoakStep::KillHost(index)
+        | SoakStep::TerminateHost(index)
+        | SoakStep::StartHost(index) = step
+        {
+            self.history.record_interruption(index);
+        }
         match step {
             SoakStep::PauseHost(index) => {
                 self.begin_host_disturbance(index);
@@ -200,7 +208,9 @@
     pub(crate) fn check_processes(&mut self) -> Vec<String> {
         for index in 0..self.targets.len() {
             let drain_end = self.targets[index].drain_end;
-            if drain_end.is_some_and(|drain_end| drain_end <= Instant::now()) {
+            // A target serves until the store has accepted that it is leaving.
+            let is_reported = self.store_disturbance.is_none();
+            if is_reported && drain_end.is_some_and(|drain_end| drain_end <= Instant::now()) {
                 self.targets[index].drain_end = None;
                 self.targets[index].link.set_mode(LinkMode::Cut);
                 self.remove_entry(index);
@@ -375,6 +385,7 @@
         }
         entry.spec.leaving = true;
         entry.drain_end = Some(Instant::now() + DRAIN_TIME);
+        entry.target.set_leaving();
         self.store
             .write(&entry.spec.key(), Some(&entry.spec.document()));
     }
--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -5,6 +5,9 @@
 use std::time::Instant;
 
 use super::soak_routes::SoakRoute;
+use super::soak_statements::HostInterruption;
+use super::soak_statements::StatementRecord;
+use super::soak_statements::TargetStatement;
 
 /// Time after a disturbance during which guarantees for undisturbed fleets do not apply.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -85,6 +88,8 @@
     /// When the revocable key was missing from the configuration.
     key_removals: Mutex<Vec<TimeSpan>>,
     limits: Mutex<Vec<AnnouncedLimit>>,
+    statements: Mutex<Vec<TargetStatement>>,
+    interruptions: Mutex<Vec<HostInterruption>>,
 }
 
 impl TimeSpan {
@@ -102,6 +107,20 @@
         self.requests.lock().unwrap().push(request);
     }
 
+    /// Records what a target states in an answer.
+    pub(crate) fn record_statement(&self, statement: TargetStatement) {
+        self.statements.lock().unwrap().push(statement);
+    }
+
+    /// Records a signal to a host, or its start.
+    pub(crate) fn record_interruption(&self, host: usize) {
+        let interruption = HostInterruption {
+            host,
+            at: Instant::now(),
+        };
+        self.interruptions.lock().unwrap().push(interruption);
+    }
+
     /// Records a violated guarantee.
     pub(crate) fn record_violation(&self, violation: String) {
         self.violations.lock().unwrap().push(violation);
@@ -168,7 +187,8 @@
     pub(crate) fn check(&self, hosts: usize, recovered_by: Instant, key: &str) -> Vec<String> {
         let mut arrivals = self.arrivals.lock().unwrap().clone();
         arrivals.sort_by(|left, right| left.request.cmp(&right.request));
-        let requests = self.requests.lock().unwrap().clone();
+        let mut requests = self.requests.lock().unwrap().clone();
+        requests.sort_by(|left, right| left.request.cmp(&right.request));
         let mut violations = std::mem::take(&mut *self.violations.lock().unwrap());
         for request in &requests {
             let runs = executions_of(&arrivals, &request.request);
@@ -179,6 +199,13 @@
         violations.extend(check_unknown_requests(&arrivals, &requests));
         violations.extend(check_account_quota(&arrivals));
         violations.extend(self.check_target_limits(&arrivals));
+        let statements = StatementRecord {
+            requests: &requests,
+            arrivals: &arrivals,
+            statements: &self.statements.lock().unwrap(),
+            interruptions: &self.interruptions.lock().unwrap(),
+        };
+        violations.extend(statements.check());
         violations.extend(check_retry_budget(&arrivals, &requests));
         violations.extend(check_recovery(&requests, hosts, recovered_by));
         violations
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -22,6 +22,7 @@
 use super::soak_plan::TimedStep;
 use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
+use super::soak_target::TargetMode;
 
 /// Time for the hosts to find each other before faults are injected.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
@@ -86,6 +87,26 @@
     run_plan(seed, ChaCha8Rng::seed_from_u64(seed), size, &plan)
 }
 
+/// Runs a soak in which two targets leave while the store is unavailable, and another one
+/// rejects all requests.
+pub(crate) fn run_statement_soak(seed: u64, size: SoakSize) -> SoakReport {
+    let steps = [
+        (1000, SoakStep::SetStoreDown(true)),
+        (1200, SoakStep::RetireTarget(0)),
+        (1400, SoakStep::RetireTarget(1)),
+        (1500, SoakStep::SetTargetMode(2, TargetMode::Overloaded)),
+        (7500, SoakStep::SetTargetMode(2, TargetMode::Healthy)),
+        (9000, SoakStep::SetStoreDown(false)),
+        (10_000, SoakStep::SetTargetMode(3, TargetMode::Overloaded)),
+        (14_000, SoakStep::SetTargetMode(3, TargetMode::Healthy)),
+    ];
+    let plan = steps.map(|(millis, step)| TimedStep {
+        at: Duration::from_millis(millis),
+        step,
+    });
+    run_plan(seed, ChaCha8Rng::seed_from_u64(seed), size, &plan)
+}
+
 fn run_plan(seed: u64, mut rng: ChaCha8Rng, size: SoakSize, plan: &[TimedStep]) -> SoakReport {
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -5,6 +5,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -17,6 +18,8 @@
 use super::soak_history::RequestArrival;
 use super::soak_history::SoakHistory;
 use super::soak_routes::SoakRoute;
+use super::soak_statements::StatementKind;
+use super::soak_statements::TargetStatement;
 
 /// Number of concurrent requests, and of further ones that are accepted before others are refused.
 pub(crate) const SLOTS: usize = 4;
@@ -33,6 +36,9 @@
 /// How long an unresponsive target holds a request before it closes the connection.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(5);
 
+/// How long an overloaded target asks for no requests.
+const PAUSE: Duration = Duration::from_secs(2);
+
 /// Behaviour of a target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum TargetMode {
@@ -67,6 +73,8 @@
     mode: Mutex<TargetMode>,
     /// The limit that it announces, in requests per second.
     limit: Mutex<Option<u32>>,
+    /// Whether it states that it is leaving.
+    leaving: AtomicBool,
     busy: AtomicUsize,
     history: Arc<SoakHistory>,
 }
@@ -91,6 +99,7 @@
                 identity: Mutex::new(identity),
                 mode: Mutex::default(),
                 limit: Mutex::default(),
+                leaving: AtomicBool::new(false),
                 busy: AtomicUsize::new(0),
                 history,
             }),
@@ -105,11 +114,17 @@
         target
     }
 
-    /// Changes the target's name and pool; the address stays the same.
+    /// Changes the target's name and pool, as a new process at the same address does.
     pub(crate) fn set_identity(&self, identity: TargetIdentity) {
+        self.shared.leaving.store(false, Ordering::Release);
         *self.shared.identity.lock().unwrap() = identity;
     }
 
+    /// Lets the target state in all its answers that it is leaving.
+    pub(crate) fn set_leaving(&self) {
+        self.shared.leaving.store(true, Ordering::Release);
+    }
+
     /// Sets the target's behaviour.
     pub(crate) fn set_mode(&self, mode: TargetMode) {
         *self.shared.mode.lock().unwrap() = mode;
@@ -165,8 +180,20 @@
     fn serve_request(&self, link: &mut RawLink, head: &RawHead) -> bool {
         let identity = self.identity.lock().unwrap().clone();
         let mode = *self.mode.lock().unwrap();
-        let limit = limit_line(*self.limit.lock().unwrap());
+        let mut limit = limit_line(*self.limit.lock().unwrap());
         let request = head.header(headers::REQUEST_ID).unwrap_or_default();
+        let state = |kind: StatementKind| {
+            self.history.record_statement(TargetStatement {
+                request: request.to_owned(),
+                target: identity.name.clone(),
+                kind,
+                at: Instant::now(),
+            });
+        };
+        if self.leaving.load(Ordering::Acquire) {
+            limit.push_str(&format!("{}: 1\r\n", headers::LEAVING));
+            state(StatementKind::Leaving);
+        }
         self.check_request(head, &identity);
         let intended = head.header(headers::TARGET);
         if intended.is_some_and(|intended| intended != identity.name) {
@@ -183,6 +210,8 @@
             ran: !overloaded,
         });
         if overloaded {
+            limit.push_str(&format!("Retry-After: {}\r\n", PAUSE.as_secs()));
+            state(StatementKind::Pause(PAUSE));
             return refuse(link, request, 503, &limit);
         }
         let slowdown = if mode == TargetMode::Slow {
