Trace: a request's timeline shows the last statements of targets

A rejected request could not be traced to a target that had said it leaves, asked for a pause or stated a limit: these events were not part of the state shown.

--- a/src/logs/request_timeline.rs
+++ b/src/logs/request_timeline.rs
@@ -6,7 +6,7 @@
 
 /// Events that change the host's state or its view of the fleet; the last one of each kind
 /// is the current state.
-const STATE_EVENTS: [&str; 12] = [
+const STATE_EVENTS: [&str; 15] = [
     "catalog-in-force",
     "leaving",
     "members-changed",
@@ -17,6 +17,9 @@
     "store-back",
     "store-lost",
     "target-crashed",
+    "target-leaving",
+    "target-limited",
+    "target-paused",
     "targets-changed",
     "targets-suspected",
 ];
--- a/tests/request_timeline.rs
+++ b/tests/request_timeline.rs
@@ -49,6 +49,25 @@
     );
 }
 
+/// Guards against a rejected request whose timeline does not show that its target had said it is
+/// leaving or asked for a pause.
+#[test]
+fn statements_of_targets_are_shown() {
+    let log = [
+        line(1, r#""event":"target-leaving","target":"t1","request":"a""#),
+        line(2, r#""event":"target-paused","target":"t2","request":"b""#),
+        line(
+            3,
+            r#""event":"request-refused","request":"id1","status":503"#,
+        ),
+    ];
+
+    let timeline = timeline_of("id1", &log);
+
+    assert_eq!(timeline.len(), 3);
+    assert!(timeline[0].contains("target-leaving") && timeline[1].contains("target-paused"));
+}
+
 #[test]
 fn anything_but_a_decision_line_is_ignored() {
     let log = [
