Edge: a request whose caller has left is not sent to a target

Callers saw nothing; targets ran work for callers that had given up.

Cause: a caller that leaves is noticed while a request waits or is sent, but the work is polled first. A host that reads a request late finds the end of the connection right behind it, and with a free slot and a kept connection sends it before it looks. The test writes the request and the end of the connection in one segment and failed before: all four kinds of requests reached the target. The connection is now checked once more right before a request goes out.

--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -7,6 +7,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::poll_once;
 
 use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
@@ -188,6 +189,12 @@
         pending().await
     }
 
+    /// Returns whether the caller has closed its side by now. A host that was not scheduled for a
+    /// while reads requests whose callers have given up.
+    pub(crate) async fn has_disconnected(&mut self) -> bool {
+        poll_once(self.disconnected()).await.is_some()
+    }
+
     /// Closes the connection gracefully, so that the last response is still delivered.
     pub(crate) async fn close(mut self) {
         if self.stream.shutdown(Shutdown::Write).is_err() {
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -130,10 +130,14 @@
                 }
                 continue;
             };
-            if !slot.may_send() {
+            let has_left = self.caller.has_disconnected().await;
+            if has_left || !slot.may_send() {
                 let target = slot.target().incarnation();
                 self.state.connections.put_unused(&target, connection);
-                continue;
+                match has_left {
+                    true => return ExecutionOutcome::Closed,
+                    false => continue,
+                }
             }
             if let Some(outcome) = self.send_once(slot, connection).await {
                 return outcome;
--- a/src/edge/tests/callers.rs
+++ b/src/edge/tests/callers.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::net::sockopt::set_tcp_cork;
+
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::request_for;
 use super::edge_fixture::status_of;
@@ -134,6 +136,33 @@
     assert!(after < Duration::from_millis(500), "{after:?}");
 }
 
+/// Guards against requests that a host reads late, after their callers have left, and still sends
+/// to a target.
+#[test]
+fn a_request_whose_caller_has_left_is_not_sent() {
+    let target = echo_target();
+    let host = EdgeFixture::open(std::slice::from_ref(&target));
+
+    for path in ["/once/x", "/again/x", "/stream/x", "/resume/x"] {
+        let mut stream = host.connect();
+        // The request and the end of the connection leave in one segment.
+        set_tcp_cork(&stream, true).unwrap();
+        stream
+            .write_all(request_for(path, "left").as_bytes())
+            .unwrap();
+        drop(stream);
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    host.call(&request_for("/again/x", "stays"));
+
+    let received = target.received();
+    let ids: Vec<Option<String>> = received
+        .iter()
+        .map(|held| held.header("X-Request"))
+        .collect();
+    assert_eq!(ids, [Some("stays".to_owned())]);
+}
+
 /// If no target is reachable, nothing was sent, so the caller may be told that nothing
 /// ran.
 #[test]
