--- a/src/dispatch/notice_table.rs
+++ b/src/dispatch/notice_table.rs
@@ -51,9 +51,9 @@
             seen_at: now,
             registered: true,
         };
-        let held = self.leaving.get(&target).is_some();
+        let is_new = !self.leaving.contains_key(&target);
         self.leaving.get_or_insert_with(target, || entry);
-        !held
+        is_new
     }
 
     /// Merges a leaving target received from a peer; returns whether it is new.
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -130,6 +130,7 @@
                 }
                 continue;
             };
+            // Both may have changed while the connection was opened.
             let has_left = self.caller.has_disconnected().await;
             if has_left || !slot.may_send() {
                 let target = slot.target().incarnation();
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -12,8 +12,10 @@
 use cardamomgw::view::TargetRecord;
 
 const POOL: &str = "engines";
-const LEAVING: &str = "t0";
+const FIRST: &str = "t0";
 const OTHER: &str = "t1";
+/// Length of the pause that a target asks for.
+const PAUSE: Duration = Duration::from_secs(3);
 
 const fn at_ms(millis: u64) -> Duration {
     Duration::from_millis(100_000 + millis)
@@ -75,8 +77,8 @@
 /// no other target has a free slot.
 #[test]
 fn a_leaving_target_gets_nothing_even_when_the_others_are_full() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    table.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(0));
 
     let names = place_many(&mut table, 10, at_ms(10));
 
@@ -86,7 +88,7 @@
 /// Guards against a queued request that is assigned to a target after it said it is leaving.
 #[test]
 fn a_queued_request_is_not_assigned_to_a_leaving_target() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
     let running: Vec<PlacedTarget> = std::iter::from_fn(|| place(&mut table, at_ms(0))).collect();
     table.enqueue(1, request(at_ms(0)), at_ms(0));
     table.record_leaving(running[0].incarnation(), at_ms(5));
@@ -102,7 +104,7 @@
 /// connection was opened.
 #[test]
 fn a_placed_request_is_not_sent_to_a_leaving_target() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
     let placed = place(&mut table, at_ms(0)).unwrap();
     let before = table.may_send(POOL, &placed, at_ms(10));
 
@@ -118,13 +120,13 @@
 /// and returns, and withdraws what the target said.
 #[test]
 fn a_registration_does_not_withdraw_that_the_target_is_leaving() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
-    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
+    table.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(0));
 
-    table.set_targets(vec![member(LEAVING, 1, 2)], at_ms(10));
+    table.set_targets(vec![member(FIRST, 1, 2)], at_ms(10));
     let rewritten = place(&mut table, at_ms(10));
     table.set_targets(Vec::new(), at_ms(20));
-    table.set_targets(vec![member(LEAVING, 1, 3)], at_ms(9000));
+    table.set_targets(vec![member(FIRST, 1, 3)], at_ms(9000));
     let returned = place(&mut table, at_ms(9000));
 
     assert_eq!((rewritten, returned), (None, None));
@@ -133,12 +135,12 @@
 /// Guards against a restarted target that gets nothing because its former process was leaving.
 #[test]
 fn a_new_incarnation_is_not_leaving() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
-    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
+    table.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(0));
 
-    table.set_targets(vec![member(LEAVING, 2, 2)], at_ms(10));
+    table.set_targets(vec![member(FIRST, 2, 2)], at_ms(10));
     // A late answer of the former process.
-    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(20));
+    table.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(20));
 
     assert!(place(&mut table, at_ms(30)).is_some());
 }
@@ -146,16 +148,14 @@
 /// Guards against a target that gets nothing because another one at its address was leaving.
 #[test]
 fn a_reused_address_is_not_leaving() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
-    table.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
+    table.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(0));
 
     table.set_targets(vec![member(OTHER, 1, 2)], at_ms(10));
 
     assert!(place(&mut table, at_ms(20)).is_some());
 }
 
-const PAUSE: Duration = Duration::from_secs(3);
-
 fn pause_target(table: &mut PoolTable, name: &str, now: Duration) {
     table.record_pause(member(name, 1, 1).record.incarnation(), PAUSE, now);
 }
@@ -163,22 +163,22 @@
 /// Guards against requests to a target that asked for a pause when no other one has room.
 #[test]
 fn a_paused_target_gets_nothing_even_when_the_others_are_full() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    pause_target(&mut table, LEAVING, at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    pause_target(&mut table, FIRST, at_ms(0));
 
     let names = place_many(&mut table, 10, at_ms(10));
     let before_end = place(&mut table, at_ms(2999));
     let after_end = place(&mut table, at_ms(3000)).map(|placed| placed.name);
 
     assert_eq!(names, [OTHER, OTHER]);
-    assert_eq!((before_end, after_end), (None, Some(LEAVING.into())));
+    assert_eq!((before_end, after_end), (None, Some(FIRST.into())));
 }
 
 /// Guards against a pause that is passed over because no other target is healthy.
 #[test]
 fn a_paused_target_does_not_replace_an_unhealthy_one() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    pause_target(&mut table, LEAVING, at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    pause_target(&mut table, FIRST, at_ms(0));
     let placed = place(&mut table, at_ms(10)).unwrap();
     table.record_outcome(POOL, &placed, AttemptOutcome::Unreachable, at_ms(20));
 
@@ -191,18 +191,18 @@
 /// pause, or by a registration that is rewritten or expires and returns.
 #[test]
 fn nothing_but_its_end_ends_a_pause() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
     let placed = place(&mut table, at_ms(0)).unwrap();
-    pause_target(&mut table, LEAVING, at_ms(10));
+    pause_target(&mut table, FIRST, at_ms(10));
 
     table.record_first_event(POOL, &placed, Duration::from_millis(50));
     table.record_outcome(POOL, &placed, AttemptOutcome::Succeeded, at_ms(50));
     table.record_pause(placed.incarnation(), Duration::from_millis(100), at_ms(60));
     let after_answer = place(&mut table, at_ms(500));
-    table.set_targets(vec![member(LEAVING, 1, 2)], at_ms(600));
+    table.set_targets(vec![member(FIRST, 1, 2)], at_ms(600));
     let rewritten = place(&mut table, at_ms(600));
     table.set_targets(Vec::new(), at_ms(700));
-    table.set_targets(vec![member(LEAVING, 1, 3)], at_ms(2900));
+    table.set_targets(vec![member(FIRST, 1, 3)], at_ms(2900));
     let returned = place(&mut table, at_ms(2900));
 
     assert_eq!((after_answer, rewritten, returned), (None, None, None));
@@ -212,10 +212,10 @@
 /// connection was opened.
 #[test]
 fn a_placed_request_is_not_sent_to_a_paused_target() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
     let placed = place(&mut table, at_ms(0)).unwrap();
 
-    pause_target(&mut table, LEAVING, at_ms(5));
+    pause_target(&mut table, FIRST, at_ms(5));
 
     assert!(!table.may_send(POOL, &placed, at_ms(10)));
 }
@@ -224,11 +224,11 @@
 /// the former process had asked for a pause.
 #[test]
 fn a_pause_is_not_inherited() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1)]);
-    pause_target(&mut table, LEAVING, at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1)]);
+    pause_target(&mut table, FIRST, at_ms(0));
 
-    table.set_targets(vec![member(LEAVING, 2, 2)], at_ms(10));
-    pause_target(&mut table, LEAVING, at_ms(20));
+    table.set_targets(vec![member(FIRST, 2, 2)], at_ms(10));
+    pause_target(&mut table, FIRST, at_ms(20));
     let restarted = place(&mut table, at_ms(30));
     table.set_targets(vec![member(OTHER, 1, 3)], at_ms(40));
     let replaced = place(&mut table, at_ms(50));
@@ -239,8 +239,8 @@
 /// Guards against requests that wait in vain while all targets of their pool want none.
 #[test]
 fn the_expected_wait_includes_the_shortest_pause() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    pause_target(&mut table, LEAVING, at_ms(0));
+    let mut table = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    pause_target(&mut table, FIRST, at_ms(0));
     let one_paused = table.expected_wait(&request(at_ms(10)), at_ms(10));
     pause_target(&mut table, OTHER, at_ms(1000));
 
@@ -256,12 +256,10 @@
 /// keep requests from the new one.
 #[test]
 fn an_outcome_of_the_former_process_does_not_count_for_the_new_one() {
-    let mut table = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    let placed: Vec<PlacedTarget> = std::iter::from_fn(|| place(&mut table, at_ms(0))).collect();
-    let (former, _) = placed
-        .into_iter()
-        .partition::<Vec<PlacedTarget>, _>(|placed| placed.name == LEAVING);
-    table.set_targets(vec![member(LEAVING, 2, 2), member(OTHER, 1, 1)], at_ms(10));
+    let mut table = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    let placed = std::iter::from_fn(|| place(&mut table, at_ms(0)));
+    let former: Vec<PlacedTarget> = placed.filter(|placed| placed.name == FIRST).collect();
+    table.set_targets(vec![member(FIRST, 2, 2), member(OTHER, 1, 1)], at_ms(10));
 
     let first = place(&mut table, at_ms(20)).map(|placed| placed.name);
     for placed in &former {
@@ -269,18 +267,18 @@
     }
     let names = place_many(&mut table, 5, at_ms(40));
 
-    assert_eq!(first, Some(LEAVING.into()));
-    assert_eq!(names, [LEAVING]);
+    assert_eq!(first, Some(FIRST.into()));
+    assert_eq!(names, [FIRST]);
 }
 
 /// Guards against requests to a leaving target by hosts that have not sent to it since, or have
 /// just started.
 #[test]
 fn peers_learn_that_a_target_is_leaving() {
-    let mut own = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    let mut peer = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    let mut started = table_of(vec![member(LEAVING, 1, 1), member(OTHER, 1, 1)]);
-    own.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(100));
+    let mut own = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    let mut peer = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    let mut started = table_of(vec![member(FIRST, 1, 1), member(OTHER, 1, 1)]);
+    own.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(100));
 
     let earlier = own.leaving_targets(false, at_ms(101), at_ms(200));
     let changed = own.leaving_targets(false, at_ms(100), at_ms(200));
@@ -299,9 +297,9 @@
 /// Guards against a leaving target that hosts report to each other forever after it is gone.
 #[test]
 fn a_target_that_is_gone_is_forgotten() {
-    let mut own = table_of(vec![member(LEAVING, 1, 1)]);
+    let mut own = table_of(vec![member(FIRST, 1, 1)]);
     let mut peer = table_of(vec![member(OTHER, 1, 1)]);
-    own.record_leaving(member(LEAVING, 1, 1).record.incarnation(), at_ms(0));
+    own.record_leaving(member(FIRST, 1, 1).record.incarnation(), at_ms(0));
     own.set_targets(vec![member(OTHER, 1, 2)], at_ms(10));
     peer.merge_leaving(
         own.leaving_targets(false, at_ms(0), at_ms(300_000)),
