Dispatch: targets are found by name, not by scans over all of them

Cause: work that grows with the square of the targets, or with targets times reported loads. A change of the view compared each target with all that were known; a leader scanned all 3,000 targets for each load in each message to another leader, some 70 times a second; a report of loads looked at each target; slots were prepared for a division also where there were enough for all.

Change: sorted lists are merged, locations by name are kept for reported loads, and slots are divided only where they are scarce.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -24,6 +24,7 @@
 mod slot_guard;
 mod slot_shares;
 mod target_choice;
+mod target_locations;
 mod target_runtime;
 
 pub(crate) use dispatch_queue::DispatchQueue;
--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -86,12 +86,22 @@
         self.remove_hosts(|_, report| now.saturating_sub(report.reported_at) > REPORT_TTL)
     }
 
-    /// Adds the loads of the hosts that report directly to this one.
-    pub(super) fn add_direct(&self, loads: &mut Vec<TargetLoad>) {
+    /// Returns `own` with the loads of the hosts that report directly to this one added.
+    pub(super) fn direct_loads(&self, own: Vec<TargetLoad>) -> Vec<TargetLoad> {
         let direct = |report: &&HostLoads| report.scope == UsageScope::Host;
-        for report in self.hosts.values().filter(direct) {
-            add_loads(loads, &report.loads);
+        let reports = self.hosts.values().filter(direct);
+        let mut sums: SortedMap<&TargetName, LoadSum> = SortedMap::new();
+        for load in own.iter().chain(reports.flat_map(|report| &report.loads)) {
+            let sum = sums.get_or_insert_with(&load.target, LoadSum::default);
+            sum.add(load);
         }
+        sums.iter()
+            .map(|(target, sum)| TargetLoad {
+                target: TargetName::clone(target),
+                running: sum.running,
+                pending_prefill_tokens: sum.pending_prefill_tokens,
+            })
+            .collect()
     }
 
     /// Returns the load of one host at a target.
@@ -146,27 +156,20 @@
     }
 }
 
-fn add_loads(loads: &mut Vec<TargetLoad>, more: &[TargetLoad]) {
-    for load in more {
-        match loads.iter_mut().find(|held| held.target == load.target) {
-            Some(held) => {
-                held.running += load.running;
-                held.pending_prefill_tokens += load.pending_prefill_tokens;
-            }
-            None => loads.push(load.clone()),
-        }
+impl LoadSum {
+    const fn add(&mut self, load: &TargetLoad) {
+        self.running += load.running;
+        self.pending_prefill_tokens += load.pending_prefill_tokens;
     }
 }
 
 fn add(sums: &mut SortedMap<TargetName, LoadSum>, load: &TargetLoad) {
-    if let Some(sum) = sums.get_mut(&load.target) {
-        sum.running += load.running;
-        sum.pending_prefill_tokens += load.pending_prefill_tokens;
-        return;
+    match sums.get_mut(&load.target) {
+        Some(sum) => sum.add(load),
+        None => {
+            let mut sum = LoadSum::default();
+            sum.add(load);
+            sums.insert(load.target.clone(), sum);
+        }
     }
-    let sum = LoadSum {
-        running: load.running,
-        pending_prefill_tokens: load.pending_prefill_tokens,
-    };
-    sums.insert(load.target.clone(), sum);
 }
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -26,6 +26,10 @@
 /// still meet their objective start at once.
 const LATE_RESERVE_FRACTION: f64 = 0.06;
 
+/// The fraction of a shard's targets that must be usable for its slots to be divided. If fewer
+/// are usable, hosts also use targets outside their shard.
+const MIN_USABLE_FRACTION: f64 = 0.5;
+
 /// The targets and waiting requests of one pool.
 #[derive(Debug, Default)]
 pub(super) struct PoolEntry {
@@ -62,15 +66,17 @@
 }
 
 impl PoolEntry {
-    /// Sorts the targets by zone and name, and marks those in the shard of this host's group.
-    pub(super) fn mark_shard(&mut self, shard: &ShardRange) {
-        self.targets.sort_by(|left, right| {
-            let key = |target: &TargetRuntime| {
-                let record = &target.record;
-                (record.availability_zone.clone(), record.name.clone())
-            };
-            key(left).cmp(&key(right))
+    /// Sorts the targets by zone and name.
+    pub(super) fn sort_targets(&mut self) {
+        self.targets.sort_unstable_by(|left, right| {
+            let (left, right) = (&left.record, &right.record);
+            let by_zone = left.availability_zone.cmp(&right.availability_zone);
+            by_zone.then_with(|| left.name.cmp(&right.name))
         });
+    }
+
+    /// Marks the targets in the shard of this host's group.
+    pub(super) fn mark_shard(&mut self, shard: &ShardRange) {
         // Shards are divided by registrations, which all hosts share. Answers reach the hosts at
         // different times.
         let targets = self.targets.iter();
@@ -85,6 +91,18 @@
         }
     }
 
+    /// Returns the targets of the shard whose slots may be divided; none if too few are usable.
+    pub(super) fn grantable_targets(&self, now: Duration) -> Vec<&TargetRuntime> {
+        let in_shard = || self.targets.iter().filter(|target| target.in_shard);
+        let usable: Vec<&TargetRuntime> = in_shard()
+            .filter(|target| target.is_grantable(now))
+            .collect();
+        match (usable.len() as f64) < in_shard().count() as f64 * MIN_USABLE_FRACTION {
+            true => Vec::new(),
+            false => usable,
+        }
+    }
+
     /// Returns the slots that this host may use; `None` if it may use all.
     pub(super) fn grants(&self, now: Duration) -> Option<&PoolGrants> {
         self.granted_now(now).map(|granted| &granted.pool_grants)
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -172,11 +172,8 @@
     }
 
     fn find_incarnation(&mut self, target: &TargetIncarnation) -> Option<&mut TargetRuntime> {
-        let mut targets = self
-            .pools
-            .iter_mut()
-            .flat_map(|(_, pool)| &mut pool.targets);
-        targets.find(|held| held.is_incarnation(target))
+        let held = self.locations.find_mut(&mut self.pools, &target.name)?;
+        held.is_incarnation(target).then_some(held)
     }
 
     /// Removes the statements of targets that are over, and applies the others.
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -19,6 +19,7 @@
 use super::pool_entry::HostView;
 use super::pool_entry::PoolEntry;
 use super::target_choice::shortest_first_event;
+use super::target_locations::TargetLocations;
 use super::target_runtime::TargetRuntime;
 use crate::catalog::ColdLimit;
 use crate::ids::HostName;
@@ -30,10 +31,6 @@
 use crate::sorted::SortedMap;
 use crate::view::TargetRecord;
 
-/// The fraction of a shard's targets that must be usable for its slots to be divided. If fewer
-/// are usable, hosts also use targets outside their shard.
-const MIN_USABLE_FRACTION: f64 = 0.5;
-
 /// How long granted slots may be used without renewal, as some reports may be lost.
 const GRANT_LIFETIME: Duration = Duration::from_millis(1000);
 
@@ -61,6 +58,8 @@
     own_zone: ZoneName,
     shard: ShardRange,
     pub(super) pools: SortedMap<PoolName, PoolEntry>,
+    /// Where each target is; rebuilt whenever targets are added or removed.
+    pub(super) locations: TargetLocations,
     peer_loads: PeerLoads,
     pub(super) limits: LimitTable,
     pub(super) notices: NoticeTable,
@@ -74,6 +73,7 @@
             own_zone,
             shard: ShardRange::default(),
             pools: SortedMap::new(),
+            locations: TargetLocations::default(),
             peer_loads: PeerLoads::default(),
             limits: LimitTable::default(),
             notices: NoticeTable::default(),
@@ -83,22 +83,25 @@
 
     /// Replaces the targets. The state of targets that remain is kept. Removed targets get no
     /// new work; their running requests continue.
-    pub fn set_targets(&mut self, members: Vec<PoolMember>, now: Duration) {
+    pub fn set_targets(&mut self, mut members: Vec<PoolMember>, now: Duration) {
         let mut known: Vec<TargetRuntime> = Vec::new();
         for (_, pool) in self.pools.iter_mut() {
             known.append(&mut pool.targets);
         }
+        // Both lists are sorted, so that one pass over them finds the targets that remain.
+        known.sort_unstable_by(|left, right| left.record.name.cmp(&right.record.name));
+        members.sort_unstable_by(|left, right| left.record.name.cmp(&right.record.name));
+        let mut known = known.into_iter().peekable();
         for member in members {
+            let name = &member.record.name;
+            while known.next_if(|held| held.record.name < *name).is_some() {}
+            let held = known.next_if(|held| held.record.name == *name);
             let pool = self
                 .pools
                 .get_or_insert_with(member.record.pool.clone(), PoolEntry::default);
             pool.engine = member.engine;
-            let held = known
-                .iter()
-                .position(|target| target.record.name == member.record.name);
             let target = match held {
-                Some(index) => {
-                    let mut target = known.swap_remove(index);
+                Some(mut target) => {
                     target.update_registration(member, now);
                     target
                 }
@@ -108,6 +111,10 @@
         }
         self.pools
             .retain(|_, pool| !pool.targets.is_empty() || pool.queue.len() > 0);
+        for (_, pool) in self.pools.iter_mut() {
+            pool.sort_targets();
+        }
+        self.locations = TargetLocations::of(&self.pools);
         self.refresh_statements(now);
         self.mark_shard();
     }
@@ -179,15 +186,16 @@
     }
 
     /// Returns the engines whose slots this host's group divides, as input for the grants of
-    /// `receiver`. `own` is this host; `members` are the hosts that hold grants.
+    /// `receiver`. `own` is this host; `members` are the hosts that hold grants. Pools for which
+    /// `is_scarce`, which gets the number of usable slots, returns false are left out.
     pub fn grant_targets(
         &self,
         receiver: &str,
         own: &str,
         members: &[HostName],
+        is_scarce: impl Fn(&str, u32) -> bool,
         now: Duration,
     ) -> Vec<(PoolName, Vec<GrantTarget>)> {
-        let engines = self.pools.iter().filter(|(_, pool)| pool.engine);
         let running_of = |host: &str, target: &TargetRuntime| match host == own {
             true => target.own_running,
             false => self.peer_loads.load_of(host, &target.record.name).running,
@@ -204,17 +212,17 @@
                 ungranted_running: all.saturating_sub(by_members + running),
             }
         };
-        let grantable = |pool: &PoolEntry| -> Vec<GrantTarget> {
-            let in_shard = || pool.targets.iter().filter(|target| target.in_shard);
-            let usable = in_shard().filter(|target| target.is_grantable(now));
-            let usable: Vec<GrantTarget> = usable.map(grant_target).collect();
-            match (usable.len() as f64) < in_shard().count() as f64 * MIN_USABLE_FRACTION {
-                true => Vec::new(),
-                false => usable,
-            }
-        };
-        engines
-            .map(|(name, pool)| (name.clone(), grantable(pool)))
+        let engines = self.pools.iter().filter(|(_, pool)| pool.engine);
+        let usable = engines.map(|(name, pool)| (name, pool.grantable_targets(now)));
+        usable
+            .filter(|(name, targets)| {
+                let slots = targets.iter().map(|target| target.record.slots).sum();
+                is_scarce(name, slots)
+            })
+            .map(|(name, targets)| {
+                let targets = targets.into_iter().map(grant_target);
+                (name.clone(), targets.collect())
+            })
             .collect()
     }
 
@@ -392,21 +400,16 @@
 
     /// Removes the loads of unresponsive peers, which are most likely dead.
     pub fn expire_peer_loads(&mut self, now: Duration) {
-        let mut changed = self.peer_loads.expire(now);
-        changed.sort();
+        let changed = self.peer_loads.expire(now);
         self.apply_peer_loads(&changed);
     }
 
-    /// Updates the peer load of the `changed` targets, which must be sorted.
+    /// Updates the peer load of the `changed` targets.
     fn apply_peer_loads(&mut self, changed: &[TargetName]) {
-        if changed.is_empty() {
-            return;
-        }
-        for (_, pool) in self.pools.iter_mut() {
-            for target in &mut pool.targets {
-                if changed.binary_search(&target.record.name).is_ok() {
-                    target.peer_load = self.peer_loads.sum(&target.record.name);
-                }
+        for name in changed {
+            let peer_load = self.peer_loads.sum(name);
+            if let Some(target) = self.locations.find_mut(&mut self.pools, name) {
+                target.peer_load = peer_load;
             }
         }
     }
@@ -436,9 +439,8 @@
 
     /// Returns the load of this host and of the hosts that report to it, at each engine.
     pub fn group_loads(&self) -> Vec<TargetLoad> {
-        let mut loads = self.own_loads();
-        self.peer_loads.add_direct(&mut loads);
-        loads.retain(|load| self.find_engine(&load.target).is_some());
+        let mut loads = self.peer_loads.direct_loads(self.own_loads());
+        loads.retain(|load| self.is_engine(&load.target));
         loads
     }
 
@@ -470,20 +472,15 @@
         names
     }
 
-    fn find_engine(&self, name: &str) -> Option<&TargetRuntime> {
-        let engines = self.pools.values().filter(|pool| pool.engine);
-        let mut targets = engines.flat_map(|pool| &pool.targets);
-        targets.find(|target| target.record.name == name)
+    fn is_engine(&self, target: &str) -> bool {
+        let pool = self.locations.pool_of(target);
+        let pool = pool.and_then(|pool| self.pools.get(pool));
+        pool.is_some_and(|pool| pool.engine)
     }
 
     /// Returns the pool of a target.
     pub fn pool_of(&self, target: &str) -> Option<PoolName> {
-        let holds = |pool: &PoolEntry| {
-            let mut targets = pool.targets.iter();
-            targets.any(|held| held.record.name == target)
-        };
-        let found = self.pools.iter().find(|(_, pool)| holds(pool));
-        found.map(|(name, _)| name.clone())
+        self.locations.pool_of(target).cloned()
     }
 
     /// Returns the state of the incarnation that a request was assigned to. What happens to its
@@ -493,7 +490,7 @@
         pool: &str,
         placed: &PlacedTarget,
     ) -> Option<&mut TargetRuntime> {
-        let targets = &mut self.pools.get_mut(pool)?.targets;
-        targets.iter_mut().find(|held| held.is_assigned(placed))
+        let held = self.locations.find_mut(&mut self.pools, &placed.name)?;
+        (held.record.pool == pool && held.is_assigned(placed)).then_some(held)
     }
 }
--- a/src/dispatch/slot_grants.rs
+++ b/src/dispatch/slot_grants.rs
@@ -85,6 +85,11 @@
         self.granted.iter().map(|(host, _)| host.clone()).collect()
     }
 
+    /// Returns whether the hosts want at least all of a pool's `slots`, so that they are divided.
+    pub fn is_scarce(&self, pool: &str, slots: u32) -> bool {
+        self.shares.is_scarce(pool, slots)
+    }
+
     /// Grants a host its share of each pool's slots, replacing its former grants. A pool with
     /// enough slots for all hosts is left out: each host may use all of it.
     pub fn grant(
--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -71,19 +71,24 @@
             .retain(|_, demand| now.saturating_sub(demand.reported_at) < DEMAND_TTL);
     }
 
+    /// Returns whether the hosts want at least all of a pool's `slots`.
+    pub fn is_scarce(&self, pool: &str, slots: u32) -> bool {
+        let demands = self.demands_in(pool);
+        let wanted: u32 = demands.map(|demand| demand.slots).sum();
+        slots > 0 && f64::from(wanted) >= f64::from(slots) * DIVISION_THRESHOLD
+    }
+
     /// Returns a host's share of a pool's `slots`; `None` while there are enough for all
     /// hosts.
     pub fn share_of(&self, host: &str, pool: &str, slots: u32) -> Option<SlotShare> {
-        let demands = || self.hosts.values().flat_map(|demand| demand.in_pool(pool));
-        let wanted: u32 = demands().map(|demand| demand.slots).sum();
-        if slots == 0 || f64::from(wanted) < f64::from(slots) * DIVISION_THRESHOLD {
+        if !self.is_scarce(pool, slots) {
             return None;
         }
         let mut left = f64::from(slots) * OVERCOMMIT_FACTOR;
         let mut share = 0.0;
         let mut late = 0.0;
         let reserve = f64::from(slots) * LATE_RESERVE_FRACTION;
-        for priority in priorities_of(demands()) {
+        for priority in priorities_of(self.demands_in(pool)) {
             let hosts = self.hosts.values();
             let all: f64 = hosts.map(|demand| demand.of(pool, priority)).sum();
             let allotted = match priority {
@@ -107,6 +112,11 @@
         })
     }
 
+    fn demands_in(&self, pool: &str) -> impl Iterator<Item = &SlotDemand> {
+        let hosts = self.hosts.values();
+        hosts.flat_map(move |demand| demand.in_pool(pool))
+    }
+
     /// Returns `fraction` of a host's demand for one priority. The hosts' slots form contiguous
     /// ranges with rounded bounds, so that rounding loses no slot.
     fn share_of_priority(
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -172,7 +172,8 @@
         let mut grants = self.slot_grants();
         let members = grants.hosts();
         let table = self.queue.lock_table();
-        let pools = table.grant_targets(host, &settings.host, &members, now);
+        let is_scarce = |pool: &str, slots| grants.is_scarce(pool, slots);
+        let pools = table.grant_targets(host, &settings.host, &members, is_scarce, now);
         drop(table);
         grants.grant(host, pools, now)
     }
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -226,7 +226,8 @@
             }
             if self.divides {
                 let members = self.granted.hosts();
-                let pools = self.tables[0].grant_targets(&name, "e0", &members, now);
+                let is_scarce = |pool: &str, slots| self.granted.is_scarce(pool, slots);
+                let pools = self.tables[0].grant_targets(&name, "e0", &members, is_scarce, now);
                 let grants = self.granted.grant(&name, pools, now);
                 self.tables[host].set_grants(grants, now);
             }
