Membership: live hosts no longer count as dead or unknown in a fleet of 585

Cause: what holds only while a fleet is small. A list for a joining host always began at the same host and ended at 512; a peer that knew between 0.8 and 0.9 of the fleet got no list but did not count as joined; changes were cut at the first 128 by name. A leader forgot the hosts that report to it at each tick, as it doesn't choose them as peers, so that each answer listed everything.

Change: a leader's answer carries a digest of all heartbeats, one entry for eight hosts, and single heartbeats only where a host of the entry is silent. Lists rotate for each receiver until it knows all. Hosts that called recently are remembered.

Test: members_table (one message refreshes 60, 585 and 1,200 hosts; a silent host dies alone), edge::tests::membership (a host that joins 585 to 2,400 learns all in under 20 exchanges; 660 restarts are passed on).

--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -21,8 +21,9 @@
 const REPORT_TTL: Duration = Duration::from_millis(1500);
 /// Time for which a reported fleet size is valid.
 const FLEET_SIZE_TTL: Duration = Duration::from_secs(3);
-/// Ratio of the reported fleet size that a host must know before it joins a group.
-const MIN_KNOWN_RATIO: f64 = 0.9;
+/// Ratio of the reported fleet size that a host must know before it joins a group. Below it,
+/// peers list all hosts to it.
+pub(super) const MIN_KNOWN_RATIO: f64 = 0.9;
 /// Longest time that a host waits to know that many hosts.
 const MAX_JOIN_TIME: Duration = Duration::from_secs(5);
 /// Age of the target view at which a host that doesn't watch the store polls it, as a
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use super::edge_state::EdgeState;
+use super::fleet_role::MIN_KNOWN_RATIO;
 use crate::clock::boot_now;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
 use crate::members::GossipMessage;
 use crate::members::HeartbeatAge;
+use crate::members::HeartbeatDigest;
 use crate::members::LoadVersion;
+use crate::members::MAX_CHANGED_RECORDS;
 use crate::members::MemberRecord;
 use crate::members::hash_host;
 use crate::quota::AccountUsage;
@@ -24,11 +27,14 @@
 /// Limit on target changes per message. A message must reach all hosts of a group in time
 /// over a narrow link.
 const MAX_CHANGES_PER_MESSAGE: usize = 128;
-/// Number of hosts listed in a message to a peer that knows few.
+/// Number of hosts listed in a message to a peer that is joining. A larger fleet is listed over
+/// several messages.
 const BOOTSTRAP_RECORDS: usize = 512;
-/// Ratio of the known hosts. A peer that knows fewer is sent up to [`BOOTSTRAP_RECORDS`]
-/// hosts, any other peer only the changed hosts and a few more in rotation.
-const MIN_KNOWN_RATIO: f64 = 0.8;
+/// Number of hosts listed in a message for each host that a peer does not know. The peer does
+/// not say which ones, so most of those listed are known to it.
+const RECORDS_PER_UNKNOWN: usize = 4;
+/// Largest such number.
+const MAX_UNKNOWN_RECORDS: usize = 64;
 /// Number of messages over which the heartbeats of the whole fleet are spread.
 const HEARTBEAT_ROUNDS: usize = 8;
 /// Age up to which a host counts as recently started.
@@ -36,6 +42,16 @@
 /// Maximum age of the changes that are sent to a peer without a successful exchange.
 const DEFAULT_CHANGE_WINDOW: Duration = Duration::from_secs(6);
 
+/// Returns how many hosts a message lists in rotation to a peer that knows `peer_hosts`, where
+/// this host knows `known`.
+pub(super) fn listed_hosts(peer_hosts: usize, known: usize) -> usize {
+    if (peer_hosts as f64) < known as f64 * MIN_KNOWN_RATIO {
+        return BOOTSTRAP_RECORDS;
+    }
+    let unknown = known.saturating_sub(peer_hosts);
+    RECORDS_PER_MESSAGE + (unknown * RECORDS_PER_UNKNOWN).min(MAX_UNKNOWN_RECORDS)
+}
+
 /// Returns whether a host of this age is still starting and knows few others.
 pub(super) fn is_starting_up(age: Duration) -> bool {
     age < STARTUP_AGE
@@ -64,9 +80,16 @@
 pub(crate) struct GossipCursors {
     loads: Vec<TargetLoad>,
     version: LoadVersion,
-    record_offset: usize,
-    /// Where the next list of heartbeats starts, for each peer.
-    heartbeat_offsets: SortedMap<HostName, usize>,
+    /// Where the next lists for each peer start.
+    offsets: SortedMap<HostName, ListOffsets>,
+}
+
+/// Positions in the rotating lists for one peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct ListOffsets {
+    records: usize,
+    changed: usize,
+    heartbeats: usize,
 }
 
 impl GossipCursors {
@@ -79,20 +102,29 @@
         self.version
     }
 
-    fn next_record_offset(&mut self, count: usize) -> usize {
-        let offset = self.record_offset;
-        self.record_offset = offset.wrapping_add(count);
-        offset
+    fn next_record_offset(&mut self, receiver: &str, count: usize) -> usize {
+        advance(&mut self.offsets_for(receiver).records, count)
+    }
+
+    fn next_changed_offset(&mut self, receiver: &str) -> usize {
+        advance(&mut self.offsets_for(receiver).changed, MAX_CHANGED_RECORDS)
     }
 
     fn next_heartbeat_offset(&mut self, receiver: &str, count: usize) -> usize {
-        let next = self
-            .heartbeat_offsets
-            .get_or_insert_with(receiver.to_owned(), || 0);
-        let offset = *next;
-        *next = offset.wrapping_add(count);
-        offset
+        advance(&mut self.offsets_for(receiver).heartbeats, count)
     }
+
+    fn offsets_for(&mut self, receiver: &str) -> &mut ListOffsets {
+        self.offsets
+            .get_or_insert_with(receiver.to_owned(), ListOffsets::default)
+    }
+}
+
+/// Advances the start of a list and returns the previous one.
+const fn advance(offset: &mut usize, count: usize) -> usize {
+    let start = *offset;
+    *offset = start.wrapping_add(count);
+    start
 }
 
 impl EdgeState {
@@ -120,13 +152,15 @@
         let limits = table.changed_limits(is_new, since, now);
         let leaving_targets = table.leaving_targets(is_new, since, now);
         drop(table);
+        let (heartbeats, digest) = self.select_heartbeats(options, now);
         let message = GossipMessage {
             own: self.own_record(),
             uptime_ms: uptime.as_millis() as u64,
             hosts: self.live_host_count() as u16,
             grouped: self.role().is_grouped_member(),
             members: self.select_records(options, since, now),
-            heartbeats: self.select_heartbeats(options, now),
+            heartbeats,
+            digest,
             revision,
             complete_revision: self.view.revision(),
             catalog,
@@ -215,7 +249,8 @@
         })
     }
 
-    /// Returns the hosts that changed since the last exchange, and a few others in rotation.
+    /// Returns the hosts that changed since the last exchange, and others in rotation: many if
+    /// the peer knows too few hosts, so that it soon knows all.
     fn select_records(
         &self,
         options: MessageOptions<'_>,
@@ -223,30 +258,37 @@
         now: Duration,
     ) -> Vec<MemberRecord> {
         let members = self.members();
-        let known = (members.live_count(now) + 1) as f64;
-        if (options.peer_hosts as f64) < known * MIN_KNOWN_RATIO {
-            return members.records_from(0, BOOTSTRAP_RECORDS, now);
+        let known = members.live_count(now) + 1;
+        let count = listed_hosts(options.peer_hosts, known);
+        let mut cursors = self.gossip_cursors();
+        let offset = cursors.next_record_offset(options.receiver, count);
+        let mut records = members.records_from(offset, count, now);
+        if count < BOOTSTRAP_RECORDS {
+            let changed_offset = cursors.next_changed_offset(options.receiver);
+            records.extend(members.changed_records(since, changed_offset, now));
         }
-        let offset = self
-            .gossip_cursors()
-            .next_record_offset(RECORDS_PER_MESSAGE);
-        let mut records = members.records_from(offset, RECORDS_PER_MESSAGE, now);
-        records.extend(members.changed_records(since, now));
         records
     }
 
-    /// Returns the heartbeats of the hosts that report to this one, or a part of all
-    /// heartbeats in rotation.
-    fn select_heartbeats(&self, options: MessageOptions<'_>, now: Duration) -> Vec<HeartbeatAge> {
+    /// Returns the heartbeats of the hosts that report to this one, or a digest of all
+    /// heartbeats, with a part of them in rotation for hosts that know others.
+    fn select_heartbeats(
+        &self,
+        options: MessageOptions<'_>,
+        now: Duration,
+    ) -> (Vec<HeartbeatAge>, Option<HeartbeatDigest>) {
         match options.scope {
-            None | Some(UsageScope::Host) => Vec::new(),
-            Some(UsageScope::Group) => self.reporter_heartbeats(now),
+            None | Some(UsageScope::Host) => (Vec::new(), None),
+            Some(UsageScope::Group) => (self.reporter_heartbeats(now), None),
             Some(UsageScope::Fleet) => {
                 let members = self.members();
                 let count = members.size().div_ceil(HEARTBEAT_ROUNDS);
                 let mut cursors = self.gossip_cursors();
                 let offset = cursors.next_heartbeat_offset(options.receiver, count);
-                members.heartbeats(offset, count, now)
+                let mut heartbeats = members.heartbeats(offset, count, now);
+                let (digest, listed) = members.heartbeat_digest(now);
+                heartbeats.extend(listed);
+                (heartbeats, Some(digest))
             }
         }
     }
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -170,9 +170,11 @@
         wanted.retain(|host| *host != settings.host);
         wanted.sort();
         wanted.dedup();
-        self.state
-            .gossip_schedule()
-            .retain(|host| wanted.iter().any(|name| name == host) || !role.layout.is_grouped());
+        let is_peer = |host: &str| {
+            let found = wanted.binary_search_by(|name| name.as_str().cmp(host));
+            found.is_ok() || !role.layout.is_grouped()
+        };
+        self.state.gossip_schedule().retain(is_peer, now);
         let needs_seeds = !role.layout.is_grouped() || role.is_joining || peers.is_empty();
         if wanted == *connected_to && self.mesh.keeps_seeds() == needs_seeds {
             return;
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -117,6 +117,9 @@
     for heartbeat in &message.heartbeats {
         members.apply_heartbeat(*heartbeat, now);
     }
+    if let Some(digest) = &message.digest {
+        members.apply_digest(digest, now);
+    }
     drop(members);
     state.update_host_count(&message.own.host, usize::from(message.hosts));
     state.poison.merge(&message.poison);
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -5,6 +5,7 @@
 mod edge_fixture;
 mod gossip;
 mod keys;
+mod membership;
 mod metrics;
 mod raw_target;
 mod request_limits;
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::HeartbeatDigest;
 use crate::dispatch::LeavingTarget;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::SlotDemand;
@@ -71,9 +72,11 @@
     pub grouped: bool,
     /// Some of the other hosts that it knows.
     pub members: Vec<MemberRecord>,
-    /// Heartbeat ages: between leaders those of the sender's group, otherwise some of all
-    /// other hosts.
+    /// Heartbeat ages: between leaders those of the sender's group, otherwise those that the
+    /// digest does not give, and some of all other hosts.
     pub heartbeats: Vec<HeartbeatAge>,
+    /// Heartbeats of all hosts; in a leader's answer.
+    pub digest: Option<HeartbeatDigest>,
     /// Revision of the last change in its view of the fleet.
     pub revision: StoreRevision,
     /// Revision up to which that view is complete.
--- a/src/members/gossip_schedule.rs
+++ b/src/members/gossip_schedule.rs
@@ -16,6 +16,9 @@
 /// How long the passive host waits for the first call of a new member before it connects to the
 /// member itself. It is longer than a new member needs to become known.
 const FIRST_CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a host that called is remembered without another call. Hosts report to their leader
+/// at least every 400 ms.
+const CALLER_TTL: Duration = Duration::from_millis(3000);
 /// How long it waits for a call of a member with which it has exchanged messages before.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -209,9 +212,15 @@
         }
     }
 
-    /// Removes hosts that are no longer peers.
-    pub fn retain(&mut self, is_peer: impl Fn(&str) -> bool) {
-        self.peers.retain(|host, _| is_peer(host));
+    /// Removes hosts that are no longer peers, except those that called recently: a leader does
+    /// not choose the hosts that report to it as peers. Each report would otherwise look like a
+    /// first one, whose answer lists everything.
+    pub fn retain(&mut self, is_peer: impl Fn(&str) -> bool, now: Duration) {
+        self.peers.retain(|host, state| {
+            let is_caller = !state.called_last && state.sent_version.is_some();
+            let elapsed = now.saturating_sub(state.started_at);
+            is_peer(host) || is_caller && elapsed < CALLER_TTL
+        });
     }
 
     fn peer_state(&mut self, host: &str, now: Duration) -> &mut PeerState {
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::HeartbeatAge;
+use super::HeartbeatDigest;
 use super::HostHash;
 use super::LayoutHost;
 use super::MemberRecord;
@@ -15,10 +16,16 @@
 use crate::sorted::SortedMap;
 
 /// Time without a heartbeat after which a host counts as dead. In a large fleet heartbeats
-/// are up to 3 s old, and a restart takes about a second.
+/// are up to 2 s old, and the failover of a group's leader takes about two more.
 const DEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Age of the oldest heartbeat of a bucket above which all of its heartbeats are sent one by one:
+/// one host that is gone would make the others look old.
+const MAX_DIGEST_AGE: Duration = Duration::from_millis(1500);
 /// Maximum number of joined or changed hosts in a message.
-const MAX_CHANGED_RECORDS: usize = 128;
+pub(crate) const MAX_CHANGED_RECORDS: usize = 128;
+/// Time for which joined and changed hosts are listed in rotation if a message can't list all of
+/// them, as after a restart of half of a large fleet.
+const CHANGE_PERIOD: Duration = Duration::from_secs(6);
 /// Maximum heartbeat age of a host that counts as recently seen; heartbeats are relayed over
 /// two hops.
 const SEEN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -39,6 +46,7 @@
 
 #[derive(Debug)]
 struct MemberEntry {
+    hash: HostHash,
     availability_zone: ZoneName,
     address: SocketAddr,
     capacity: u32,
@@ -90,6 +98,7 @@
             return;
         }
         let entry = MemberEntry {
+            hash: hash_host(&record.host),
             availability_zone: record.availability_zone.clone(),
             address: record.address,
             capacity: record.capacity,
@@ -98,9 +107,8 @@
             leaving: record.leaving,
             changed_at: now,
         };
+        self.by_hash.insert(entry.hash, record.host.clone());
         self.entries.insert(record.host.clone(), entry);
-        self.by_hash
-            .insert(hash_host(&record.host), record.host.clone());
         self.changed = true;
     }
 
@@ -123,12 +131,46 @@
     /// and leaving out dead ones.
     pub fn heartbeats(&self, skipped: usize, count: usize, now: Duration) -> Vec<HeartbeatAge> {
         let entries = self.live_entries(skipped, count, now);
-        entries
-            .map(|(host, entry)| HeartbeatAge {
-                host: hash_host(host),
-                age_ms: now.saturating_sub(entry.last_seen).as_millis() as u32,
-            })
-            .collect()
+        entries.map(|(_, entry)| entry.heartbeat(now)).collect()
+    }
+
+    /// Returns the heartbeats of this and all other live hosts, and one by one those in buckets
+    /// with an old one.
+    pub fn heartbeat_digest(&self, now: Duration) -> (HeartbeatDigest, Vec<HeartbeatAge>) {
+        let empty = HeartbeatDigest::with_capacity(self.size());
+        let digest = self.digest_into(empty, now);
+        let is_old = |entry: &&MemberEntry| {
+            let bucket = digest.bucket(entry.hash);
+            bucket.is_some_and(|bucket| bucket.age_ms > MAX_DIGEST_AGE.as_millis() as u32)
+        };
+        let live = self.entries.values().filter(|entry| !entry.is_dead(now));
+        let listed = live.filter(is_old).map(|entry| entry.heartbeat(now));
+        (digest.clone(), listed.collect())
+    }
+
+    /// Applies the heartbeats of a peer to the hosts of each bucket that contains the same live
+    /// hosts here.
+    pub fn apply_digest(&mut self, digest: &HeartbeatDigest, now: Duration) {
+        let own = self.digest_into(digest.cleared(), now);
+        for (_, entry) in self
+            .entries
+            .iter_mut()
+            .filter(|(_, entry)| !entry.is_dead(now))
+        {
+            if let Some(bucket) = digest.same_bucket(&own, entry.hash) {
+                let age = Duration::from_millis(u64::from(bucket.age_ms));
+                entry.last_seen = entry.last_seen.max(now.saturating_sub(age));
+            }
+        }
+    }
+
+    fn digest_into(&self, mut digest: HeartbeatDigest, now: Duration) -> HeartbeatDigest {
+        digest.add(hash_host(&self.own), 0);
+        for entry in self.entries.values().filter(|entry| !entry.is_dead(now)) {
+            let heartbeat = entry.heartbeat(now);
+            digest.add(heartbeat.host, heartbeat.age_ms);
+        }
+        digest
     }
 
     /// Returns the live hosts as input for the group layout.
@@ -226,14 +268,32 @@
             .filter(move |(_, entry)| now.saturating_sub(entry.last_seen) < DEAD_TIMEOUT)
     }
 
-    /// Returns the records of hosts that joined or changed since `since`.
-    pub fn changed_records(&self, since: Duration, now: Duration) -> Vec<MemberRecord> {
-        let entries = self.entries.iter();
-        entries
-            .filter(|(_, entry)| entry.changed_at >= since)
-            .filter(|(_, entry)| now.saturating_sub(entry.last_seen) < DEAD_TIMEOUT)
-            .take(MAX_CHANGED_RECORDS)
+    /// Returns the records of hosts that joined or changed since `since`. If more hosts changed
+    /// recently than fit into a message, it returns the next ones in rotation, starting at
+    /// index `skipped` of those that changed within [`CHANGE_PERIOD`].
+    pub fn changed_records(
+        &self,
+        since: Duration,
+        skipped: usize,
+        now: Duration,
+    ) -> Vec<MemberRecord> {
+        let changed_after = |at: Duration| {
+            let entries = self.entries.iter();
+            let changed = entries.filter(move |(_, entry)| entry.changed_at >= at);
+            changed.filter(|(_, entry)| now.saturating_sub(entry.last_seen) < DEAD_TIMEOUT)
+        };
+        let recent = changed_after(now.saturating_sub(CHANGE_PERIOD)).count();
+        let (at, skipped) = match recent <= MAX_CHANGED_RECORDS {
+            true => (since, 0),
+            false => (now.saturating_sub(CHANGE_PERIOD), skipped % recent),
+        };
+        let changed: Vec<MemberRecord> = changed_after(at)
             .map(|(host, entry)| entry.record(host, now))
+            .collect();
+        let wrapped = changed.iter().cycle().skip(skipped);
+        wrapped
+            .take(changed.len().min(MAX_CHANGED_RECORDS))
+            .cloned()
             .collect()
     }
 
@@ -304,11 +364,22 @@
         }
     }
 
+    fn heartbeat(&self, now: Duration) -> HeartbeatAge {
+        HeartbeatAge {
+            host: self.hash,
+            age_ms: now.saturating_sub(self.last_seen).as_millis() as u32,
+        }
+    }
+
+    fn is_dead(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last_seen) >= DEAD_TIMEOUT
+    }
+
     fn state(&self, now: Duration) -> MemberState {
-        match now.saturating_sub(self.last_seen) {
-            age if age >= DEAD_TIMEOUT => MemberState::Dead,
-            _ if self.leaving => MemberState::Leaving,
-            _ => MemberState::Live,
+        match self.is_dead(now) {
+            true => MemberState::Dead,
+            false if self.leaving => MemberState::Leaving,
+            false => MemberState::Live,
         }
     }
 }
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -8,6 +8,7 @@
 mod gossip_message;
 mod gossip_schedule;
 mod group_layout;
+mod heartbeat_digest;
 mod member_table;
 
 pub use gossip_message::GossipMessage;
@@ -24,5 +25,7 @@
 pub use group_layout::GroupShare;
 pub use group_layout::LayoutHost;
 pub use group_layout::is_grouped;
+pub use heartbeat_digest::HeartbeatDigest;
+pub(crate) use member_table::MAX_CHANGED_RECORDS;
 pub use member_table::MemberState;
 pub use member_table::MemberTable;
--- a/tests/members_table.rs
+++ b/tests/members_table.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cardamomgw::members::GossipSchedule;
 use cardamomgw::members::MemberRecord;
 use cardamomgw::members::MemberState;
 use cardamomgw::members::MemberTable;
@@ -91,3 +92,85 @@
     assert!(first);
     assert!(!table.take_changed());
 }
+
+/// A leader's table and that of a host that reports to it, each with the same other hosts. The
+/// host last heard of them `age_ms` ago, and the leader just now.
+fn leader_and_member(hosts: usize, age_ms: u32, now: Duration) -> (MemberTable, MemberTable) {
+    let mut leader = MemberTable::new("leader".into());
+    let mut member = MemberTable::new("member".into());
+    for index in 0..hosts {
+        let host = format!("edge-{index:04}");
+        leader.apply_record(&record(&host, 1, 300), now);
+        member.apply_record(&record(&host, 1, age_ms), now);
+    }
+    leader.apply_record(&record("member", 1, 0), now);
+    member.apply_record(&record("leader", 1, 0), now);
+    (leader, member)
+}
+
+/// Guards against live hosts that count as dead in a large fleet, because each message carries
+/// the heartbeats of a few hosts only.
+#[test]
+fn one_message_refreshes_the_heartbeats_of_the_whole_fleet() {
+    for hosts in [60, 585, 1200] {
+        let now = seconds(100);
+        let (leader, mut member) = leader_and_member(hosts, 4_500, now);
+
+        let (digest, listed) = leader.heartbeat_digest(now);
+        member.apply_digest(&digest, now);
+
+        assert!(listed.is_empty());
+        assert_eq!(member.live_count(now + seconds(4)), hosts + 1);
+    }
+}
+
+/// Guards against a dead host that lives on with the others of its bucket, and against those
+/// others dying with it.
+#[test]
+fn a_silent_host_dies_alone() {
+    let now = seconds(100);
+    let (mut leader, mut member) = leader_and_member(585, 0, now);
+    let later = now + seconds(4);
+    for index in (0..585).filter(|index| *index != 7) {
+        let host = format!("edge-{index:04}");
+        leader.apply_record(&record(&host, 1, 0), later);
+    }
+
+    let (digest, listed) = leader.heartbeat_digest(later);
+    member.apply_digest(&digest, later);
+    for heartbeat in listed {
+        member.apply_heartbeat(heartbeat, later);
+    }
+
+    let at = now + seconds(6);
+    assert_eq!(state_of(&member, "edge-0007", at), Some(MemberState::Dead));
+    assert_eq!(member.live_count(at), 584 + 1);
+}
+
+/// Guards against a digest that applies to a host that the sender does not know.
+#[test]
+fn a_host_unknown_to_the_sender_gets_no_heartbeat() {
+    let now = seconds(100);
+    let (leader, mut member) = leader_and_member(585, 4_000, now);
+    member.apply_record(&record("edge-9999", 1, 4_000), now);
+
+    let (digest, _) = leader.heartbeat_digest(now);
+    member.apply_digest(&digest, now);
+
+    let at = now + seconds(2);
+    assert_eq!(state_of(&member, "edge-9999", at), Some(MemberState::Dead));
+}
+
+/// Guards against a leader that answers each report like the first one, with everything it knows.
+#[test]
+fn a_reporting_host_stays_known_to_its_leader() {
+    let mut schedule = GossipSchedule::new("leader".into());
+    schedule.record_answered_call("member", 1, seconds(100));
+
+    schedule.retain(|_| false, seconds(101));
+    let is_new = schedule.is_new("member");
+    schedule.retain(|_| false, seconds(110));
+
+    assert!(!is_new);
+    assert!(schedule.is_new("member"), "a host that left is forgotten");
+}
