Store reads: a starting host waits for the view that a peer is sending

Cause: each host that had the catalog of a peer but not yet its targets read the whole store, 16 calls at 3,000 targets: calls grow with hosts times targets.

Change: a host does not read the store while a peer sends its view; one that has met a peer waits a random part of 2 s for it, so that of hosts that start together a few read.

Test: edge::tests::store_access.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -81,6 +81,8 @@
     slot_grants: Mutex<SlotGrants>,
     quota_limiter: Mutex<QuotaLimiter>,
     retry_budget: Mutex<RetryBudget>,
+    /// Number of views that are being fetched from peers.
+    view_fetches: AtomicUsize,
     /// Time of the stop signal in milliseconds on the boot clock; 0 before it.
     leaving_since: AtomicU64,
     /// Whether new requests are refused because the host is about to exit.
@@ -91,6 +93,9 @@
 /// Counts a request as active until it is dropped.
 pub(crate) struct RequestGuard(Arc<EdgeState>);
 
+/// Counts a fetch of a peer's view as in progress until it is dropped.
+pub(crate) struct ViewFetchGuard(Arc<EdgeState>);
+
 impl EdgeState {
     /// Creates the state of a host that knows no peers or targets yet.
     pub(crate) fn new(
@@ -132,6 +137,7 @@
             request_metrics,
             quota_limiter: Mutex::new(QuotaLimiter::new(tolerance, hosts, started)),
             retry_budget: Mutex::default(),
+            view_fetches: AtomicUsize::new(0),
             leaving_since: AtomicU64::new(0),
             is_rejecting: AtomicBool::new(false),
             active_requests: AtomicUsize::new(0),
@@ -182,6 +188,22 @@
         lock(&self.peer_host_count).insert(host.clone(), hosts);
     }
 
+    /// Returns whether any peer has sent gossip to this host.
+    pub(crate) fn has_met_peer(&self) -> bool {
+        !lock(&self.peer_host_count).is_empty()
+    }
+
+    /// Records that a view is being fetched from a peer, until the guard is dropped.
+    pub(crate) fn track_view_fetch(self: &Arc<Self>) -> ViewFetchGuard {
+        self.view_fetches.fetch_add(1, Ordering::AcqRel);
+        ViewFetchGuard(Arc::clone(self))
+    }
+
+    /// Returns whether a view is being fetched from a peer.
+    pub(crate) fn is_fetching_view(&self) -> bool {
+        self.view_fetches.load(Ordering::Acquire) > 0
+    }
+
     /// Skips a leader candidate until the given time.
     pub(crate) fn skip_leader(&self, host: &HostName, until: Duration) {
         lock(&self.skipped_leaders).insert(host.clone(), until);
@@ -377,6 +399,12 @@
     }
 }
 
+impl Drop for ViewFetchGuard {
+    fn drop(&mut self) {
+        self.0.view_fetches.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/edge/tests/store_access.rs
+++ b/src/edge/tests/store_access.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use super::super::fleet_role::StoreAccess;
+use super::super::watch_controller::first_read_delay;
 use super::super::watch_controller::watch_wait;
 use super::edge_fixture::isolated_state;
 use super::edge_fixture::large_catalog;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
+use crate::ids::IncarnationId;
 use crate::view::TargetPhase;
 use crate::view::TargetRecord;
 use crate::view::ViewUpdate;
@@ -128,3 +130,16 @@
     }
     assert_eq!(stale, 0);
 }
+
+/// Guards against hosts that start together and each read the whole store while their peers are
+/// about to send it.
+#[test]
+fn few_of_the_hosts_that_start_together_read_the_store_at_once() {
+    let hosts = 1200_u64;
+    let delays = (0..hosts).map(|host| first_read_delay(true, IncarnationId::MAX / hosts * host));
+
+    let soon = delays.filter(|delay| *delay < Duration::from_millis(200));
+
+    assert!((1..hosts / 10).contains(&(soon.count() as u64)));
+    assert!(first_read_delay(false, IncarnationId::MAX) < Duration::from_millis(100));
+}
--- a/src/edge/view_fetcher.rs
+++ b/src/edge/view_fetcher.rs
@@ -74,6 +74,7 @@
         if !is_behind || self.is_fetching.swap(true, Ordering::AcqRel) {
             return;
         }
+        let guard = self.state.track_view_fetch();
         let mut fetched = Ok(());
         if peer_view.catalog > catalog {
             fetched = self.fetch_catalog(peer).await;
@@ -81,6 +82,7 @@
         if fetched.is_ok() && peer_view.revision > self.state.view.held_versions().0 {
             fetched = self.fetch_targets(peer).await;
         }
+        drop(guard);
         self.is_fetching.store(false, Ordering::Release);
         if let Err(error) = fetched {
             self.state.log.write(&DecisionLine::ViewFetchFailed {
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -10,6 +10,7 @@
 use super::fleet_role::StoreAccess;
 use crate::backoff::RetryBackoff;
 use crate::clock::boot_now;
+use crate::ids::IncarnationId;
 use crate::logs::DecisionLine;
 use crate::view::FleetSource;
 use crate::view::SourceError;
@@ -55,6 +56,10 @@
 /// Time that a starting host waits for a peer's view before it reads the store. When
 /// hosts start one after another, or many together, a peer already has the view.
 const PEER_VIEW_TIMEOUT: Duration = Duration::from_millis(80);
+/// Additional time, of which each starting host that has met a peer waits a random part. If no
+/// host has a view yet, the first ones read the store and the others get the view from them. A
+/// view of 3,000 targets takes 16 calls of the store.
+const FIRST_READ_SPREAD: Duration = Duration::from_secs(2);
 /// Period at which a host that does not watch the store checks whether it should.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Period at which the age of the key data is checked.
@@ -175,9 +180,22 @@
 /// Returns whether this host may read the store. A starting host waits for a peer's view
 /// first.
 fn may_read_store(state: &EdgeState) -> bool {
-    let age = boot_now().saturating_sub(state.started);
+    let has_view = state.view.catalog().is_some() && state.view.revision() > 0;
     let has_seeds = !state.settings.load().seeds.is_empty();
-    !has_seeds || age >= PEER_VIEW_TIMEOUT || state.view.catalog().is_some()
+    if has_view || !has_seeds {
+        return true;
+    }
+    let age = boot_now().saturating_sub(state.started);
+    !state.is_fetching_view() && age >= first_read_delay(state.has_met_peer(), state.incarnation)
+}
+
+/// Returns how long a starting host without a view waits before it reads the store.
+pub(super) fn first_read_delay(has_met_peer: bool, incarnation: IncarnationId) -> Duration {
+    let spread = incarnation as f64 / IncarnationId::MAX as f64;
+    match has_met_peer {
+        true => PEER_VIEW_TIMEOUT + FIRST_READ_SPREAD.mul_f64(spread),
+        false => PEER_VIEW_TIMEOUT,
+    }
 }
 
 /// Returns the age of the key data at which this host reads the catalog again.
