Quota: reports list the accounts that changed

Cause: bytes and processor time of a leader grow with accounts times groups.

Change: a report lists the accounts that changed since the previous one, and the receiver decays the demand of the others itself. A host gets each change of the accounts that it serves, and of the others one report in two seconds.

Test: quota_groups (one of 200 accounts changed, one is listed). The harnesses of the quota tests pass the time of the previous report in place of a flag.

--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -147,7 +147,7 @@
             .since
             .unwrap_or(now.saturating_sub(DEFAULT_CHANGE_WINDOW));
         let (revision, catalog) = self.view.held_versions();
-        let (usage, unresponsive) = self.usage_for(options, is_new, now);
+        let (usage, unresponsive) = self.usage_for(options, (!is_new).then_some(since), now);
         let table = self.queue.lock_table();
         let limits = table.changed_limits(is_new, since, now);
         let leaving_targets = table.leaving_targets(is_new, since, now);
@@ -228,15 +228,18 @@
     fn usage_for(
         &self,
         options: MessageOptions<'_>,
-        all: bool,
+        since: Option<Duration>,
         now: Duration,
     ) -> (Vec<AccountUsage>, UnresponsiveHosts) {
         let mut limiter = self.quota_limiter();
         match options.scope {
             None => (Vec::new(), UnresponsiveHosts::default()),
-            Some(UsageScope::Host) => (limiter.own_usage(all, now), UnresponsiveHosts::default()),
-            Some(UsageScope::Group) => limiter.group_usage(all, now),
-            Some(UsageScope::Fleet) => limiter.fleet_usage(options.receiver, all, now),
+            Some(UsageScope::Host) => {
+                let usage = limiter.own_usage(since, now);
+                (usage, UnresponsiveHosts::default())
+            }
+            Some(UsageScope::Group) => limiter.group_usage(since, now),
+            Some(UsageScope::Fleet) => limiter.fleet_usage(options.receiver, since, now),
         }
     }
 
--- /dev/null
+++ b/src/quota/account_state.rs
@@ -0,0 +1,240 @@
+//! Usage and demand of one account, as known to one host.
+
+use std::time::Duration;
+
+use super::demand_tracker::DemandTracker;
+use super::peer_usage::AccountUsage;
+use super::peer_usage::PeerAccount;
+use super::peer_usage::UsageScope;
+use super::priority_split::ClassDemand;
+use super::priority_split::PriorityClass;
+use super::quota_tolerance::QuotaRate;
+use super::quota_tolerance::QuotaTransition;
+use super::usage_window::UsageWindow;
+
+/// Weight of a peer's newest report in its smoothed demand share, which covers several
+/// seconds of reports.
+const SHARE_SMOOTHING: f64 = 0.05;
+/// Time over which excess usage is compensated. It is short compared to a window, so that
+/// no window is exceeded, and long compared to the delay of peer reports, so that hosts do
+/// not oscillate together.
+const DEFICIT_TIME: Duration = Duration::from_secs(2);
+/// Time over which the amount above the reserve may be used. Otherwise each host of a large
+/// fleet would admit all of it before receiving reports from the others: with 60 hosts, an
+/// account above its quota got half a window every three seconds and nothing in between.
+const SURPLUS_TIME: Duration = Duration::from_secs(1);
+
+/// Period at which the usage of an account is reported to hosts that do not serve it. They need
+/// it once they get its first request, and from then on get each change.
+pub(super) const PUBLISH_PERIOD: Duration = Duration::from_secs(2);
+
+/// A request to be charged to an account's quota.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaRequest {
+    /// Its priority class.
+    pub priority_class: PriorityClass,
+    /// Amount to charge to the quota.
+    pub cost: f64,
+}
+
+/// Whether a request is within its account's quota.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaDecision {
+    /// It is within the quota and was charged.
+    Admitted,
+    /// It exceeds the quota.
+    Rejected,
+}
+
+/// Fraction of each priority class that is currently admitted.
+#[derive(Debug)]
+pub(super) struct AdmissionPlan {
+    pub(super) created_at: Duration,
+    /// Amount available when the plan was made, minus what this host has admitted since.
+    pub(super) available: f64,
+    pub(super) overdraft: f64,
+    pub(super) demands: Vec<ClassDemand>,
+    /// Admitted fractions, 0 to 1, in the order of `demands`.
+    pub(super) fractions: Vec<f64>,
+}
+
+#[derive(Debug)]
+pub(super) struct AccountState {
+    pub(super) window: UsageWindow,
+    pub(super) demand: DemandTracker,
+    pub(super) own_total: f64,
+    /// Counted usage of hosts that report here directly.
+    pub(super) direct_total: f64,
+    /// Counted usage of all other hosts, from aggregated reports.
+    pub(super) relayed_total: f64,
+    /// Sum of the demand that peers reported, in tokens per second.
+    peer_demand: f64,
+    /// Shares of the requests that reach unresponsive hosts, as last reported for the group and
+    /// for the fleet.
+    pub(super) group_unresponsive_share: f64,
+    pub(super) fleet_unresponsive_share: f64,
+    /// When this host last got a request of the account.
+    pub(super) own_changed_at: Option<Duration>,
+    /// When a host that reports here directly last reported a change.
+    pub(super) direct_changed_at: Option<Duration>,
+    /// When an aggregated report last reported a change.
+    pub(super) relayed_changed_at: Option<Duration>,
+    /// When the account was last reported to all hosts, including those that do not serve it.
+    pub(super) published_at: Option<Duration>,
+    /// `None` until this host gets a request of the account.
+    pub(super) quota: Option<QuotaTransition>,
+    pub(super) plan: Option<AdmissionPlan>,
+}
+
+impl AccountState {
+    pub(super) fn new(window: Duration, started_at: Duration) -> Self {
+        Self {
+            window: UsageWindow::new(window),
+            demand: DemandTracker::new(started_at),
+            own_total: 0.0,
+            direct_total: 0.0,
+            relayed_total: 0.0,
+            peer_demand: 0.0,
+            group_unresponsive_share: 0.0,
+            fleet_unresponsive_share: 0.0,
+            own_changed_at: None,
+            direct_changed_at: None,
+            relayed_changed_at: None,
+            published_at: None,
+            quota: None,
+            plan: None,
+        }
+    }
+
+    pub(super) fn try_consume(
+        &mut self,
+        request: QuotaRequest,
+        now: Duration,
+        random: f64,
+    ) -> QuotaDecision {
+        if let Some(plan) = &mut self.plan {
+            let has_quota = plan.available + plan.overdraft >= request.cost;
+            if !has_quota || random >= plan.fraction(request.priority_class) {
+                return QuotaDecision::Rejected;
+            }
+            plan.available -= request.cost;
+        }
+        self.window.add(request.cost, now);
+        self.own_total += request.cost;
+        QuotaDecision::Admitted
+    }
+
+    /// Adds a peer's usage since `since`, limited to the part after this host started.
+    pub(super) fn add_peer_usage(
+        &mut self,
+        used: f64,
+        since: Duration,
+        started_at: Duration,
+        now: Duration,
+    ) {
+        if since >= started_at {
+            return self.window.add_since(used, since, now);
+        }
+        let length = now.saturating_sub(since).as_secs_f64();
+        let uptime = now.saturating_sub(started_at).as_secs_f64();
+        self.window
+            .add_since(used * uptime / length.max(0.001), started_at, now);
+    }
+
+    /// Applies the demand that a peer reported; returns the peer's smoothed share of the
+    /// fleet's demand.
+    pub(super) fn update_demand(
+        &mut self,
+        previous: Option<&PeerAccount>,
+        usage: &AccountUsage,
+        now: Duration,
+    ) -> f64 {
+        if let Some(previous) = previous {
+            self.subtract_peer_demand(previous);
+        }
+        self.peer_demand += usage.demand();
+        let share = usage.demand() / self.known_demand(now).max(1.0);
+        match previous {
+            Some(previous) => smooth_share(previous.share, share),
+            None => share,
+        }
+    }
+
+    /// Updates the demand and the share of a peer whose report, `elapsed` after its previous one,
+    /// omits the account.
+    pub(super) fn decay_demand(
+        &mut self,
+        account: &mut PeerAccount,
+        elapsed: Duration,
+        now: Duration,
+    ) {
+        self.subtract_peer_demand(account);
+        account.decay(elapsed);
+        let demand = account.usage.demand();
+        self.peer_demand += demand;
+        let share = demand / self.known_demand(now).max(1.0);
+        account.share = smooth_share(account.share, share);
+    }
+
+    /// Subtracts the demand of a peer whose report is replaced.
+    pub(super) fn subtract_peer_demand(&mut self, account: &PeerAccount) {
+        self.peer_demand = (self.peer_demand - account.usage.demand()).max(0.0);
+    }
+
+    /// Returns whether this host recently got requests of the account.
+    pub(super) fn is_served(&mut self, now: Duration) -> bool {
+        !self.demand.demands(now).is_empty()
+    }
+
+    /// Returns the demand on all hosts as far as known, in tokens per second.
+    pub(super) fn known_demand(&mut self, now: Duration) -> f64 {
+        let own = self.demand.demands(now);
+        let own: f64 = own.iter().map(|demand| demand.per_second).sum();
+        own + self.peer_demand
+    }
+
+    /// Returns when the account last changed at the hosts of a scope.
+    pub(super) fn changed_at(&self, scope: UsageScope) -> Option<Duration> {
+        let direct = self.own_changed_at.max(self.direct_changed_at);
+        match scope {
+            UsageScope::Host => self.own_changed_at,
+            UsageScope::Group => direct,
+            UsageScope::Fleet => direct.max(self.relayed_changed_at),
+        }
+    }
+
+    /// Updates when the account was last published, given that a period has passed since.
+    pub(super) fn publish(&mut self, now: Duration) {
+        let is_changed = self.changed_at(UsageScope::Fleet) > self.published_at;
+        let is_due = |at: Duration| now.saturating_sub(at) >= PUBLISH_PERIOD;
+        if is_changed && self.published_at.is_none_or(is_due) {
+            self.published_at = Some(now);
+        }
+    }
+}
+
+impl AdmissionPlan {
+    /// Returns the admitted fraction of a priority class, 0 to 1.
+    fn fraction(&self, priority_class: PriorityClass) -> f64 {
+        let found = self
+            .demands
+            .binary_search_by_key(&priority_class, |demand| demand.priority_class);
+        // A class without recent demand does not cause the excess.
+        found.map_or(1.0, |index| self.fractions[index])
+    }
+}
+
+/// Returns the correction to the admission rate, in tokens per second: positive if quota is
+/// left above the reserve, negative otherwise.
+pub(super) fn rate_correction(available: f64, rate: QuotaRate) -> f64 {
+    let surplus = available - rate.reserved;
+    let time = match surplus > 0.0 {
+        true => SURPLUS_TIME,
+        false => DEFICIT_TIME,
+    };
+    surplus / time.as_secs_f64()
+}
+
+fn smooth_share(previous: f64, share: f64) -> f64 {
+    previous + SHARE_SMOOTHING * (share - previous)
+}
--- a/src/quota/demand_tracker.rs
+++ b/src/quota/demand_tracker.rs
@@ -12,7 +12,7 @@
 /// request alone would look like a surge.
 const MIN_UPTIME: Duration = Duration::from_millis(250);
 /// Rate below which a priority class has no demand, in tokens per second.
-const MIN_RATE: f64 = 0.5;
+pub(super) const MIN_RATE: f64 = 0.5;
 
 /// Demand on this host by priority class, in tokens per second.
 #[derive(Clone, Debug)]
@@ -64,8 +64,7 @@
     }
 
     fn decay(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        let factor = (-elapsed / DECAY_TIME.as_secs_f64()).exp();
+        let factor = decay_factor(now.saturating_sub(self.updated_at));
         for demand in &mut self.demands {
             demand.per_second *= factor;
         }
@@ -74,6 +73,11 @@
     }
 }
 
+/// Returns the factor by which a demand without new requests decays within `elapsed`.
+pub(super) fn decay_factor(elapsed: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
+}
+
 /// Adds to the demand of a priority class; `demands` stays sorted by priority class.
 pub(super) fn add_demand(demands: &mut Vec<ClassDemand>, added: ClassDemand) {
     match demands.binary_search_by_key(&added.priority_class, |demand| demand.priority_class) {
--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::demand_tracker::MIN_RATE;
+use super::demand_tracker::decay_factor;
 use super::priority_split::ClassDemand;
 use crate::ids::AccountName;
 use crate::ids::IncarnationId;
@@ -74,6 +76,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct PeerAccount {
     pub(super) usage: AccountUsage,
+    /// When a report last listed the account.
+    pub(super) listed_at: Duration,
     /// Smoothed share of the fleet's demand that arrives at this peer, 0 to 1.
     pub(super) share: f64,
     /// Usage of this peer that the local window already includes.
@@ -117,10 +121,9 @@
 }
 
 impl AccountUsage {
-    /// Returns whether a report includes the account: it has demand, or `all` used accounts
-    /// are included.
-    pub(super) fn is_reported(&self, all: bool) -> bool {
-        !self.demands.is_empty() || all && self.total > 0.0
+    /// Returns whether the account was ever used or has demand.
+    pub(super) fn is_used(&self) -> bool {
+        self.total > 0.0 || !self.demands.is_empty()
     }
 
     /// Returns the total demand over all priority classes, in tokens per second.
@@ -130,15 +133,15 @@
 }
 
 impl PeerAccount {
-    /// Returns the account without demand; its total remains.
-    pub(super) fn without_demand(&self) -> Self {
-        Self {
-            usage: AccountUsage {
-                demands: Vec::new(),
-                ..self.usage.clone()
-            },
-            ..*self
+    /// Decays the demand of an account without requests within `elapsed`, as reports leave out
+    /// the accounts that did not change.
+    pub(super) fn decay(&mut self, elapsed: Duration) {
+        let factor = decay_factor(elapsed);
+        for demand in &mut self.usage.demands {
+            demand.per_second *= factor;
         }
+        let demands = &mut self.usage.demands;
+        demands.retain(|demand| demand.per_second > MIN_RATE);
     }
 }
 
@@ -163,8 +166,8 @@
     }
 }
 
-/// Returns the accounts in a peer's previous report that are missing from the new one:
-/// they no longer have demand there.
+/// Returns the accounts in a peer's previous reports that are missing from the new one: they
+/// have not changed since.
 pub(super) fn omitted_accounts(
     previous: Option<&PeerUsage>,
     accounts: &[PeerAccount],
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -2,24 +2,25 @@
 
 use std::time::Duration;
 
-use super::demand_tracker::DemandTracker;
+use super::account_state::AccountState;
+use super::account_state::AdmissionPlan;
+use super::account_state::PUBLISH_PERIOD;
+use super::account_state::QuotaDecision;
+use super::account_state::QuotaRequest;
+use super::account_state::rate_correction;
 use super::demand_tracker::add_demand;
-use super::demand_tracker::subtract_demand;
 use super::peer_usage::AccountUsage;
 use super::peer_usage::PeerAccount;
 use super::peer_usage::PeerUsage;
 use super::peer_usage::REPORT_TIMEOUT;
-use super::peer_usage::UnresponsiveHosts;
 use super::peer_usage::UsageReport;
 use super::peer_usage::UsageScope;
 use super::peer_usage::omitted_accounts;
-use super::priority_split::ClassDemand;
-use super::priority_split::PriorityClass;
 use super::priority_split::share_by_priority;
 use super::quota_tolerance::QuotaRate;
 use super::quota_tolerance::QuotaTolerance;
 use super::quota_tolerance::QuotaTransition;
-use super::usage_window::UsageWindow;
+use super::usage_totals::UsageTotals;
 use crate::catalog::ClientAccount;
 use crate::ids::AccountName;
 use crate::ids::HostName;
@@ -29,73 +30,14 @@
 /// Fraction of an unresponsive peer's quota share that is an equal split among hosts; the rest
 /// follows the demand it reported before. Callers may move to another host when theirs is cut
 /// off.
-const EVEN_FRACTION: f64 = 0.25;
-/// Weight of a peer's newest report in its smoothed demand share, which covers several
-/// seconds of reports.
-const SHARE_SMOOTHING: f64 = 0.05;
-/// Time over which excess usage is compensated. It is short compared to a window, so that
-/// no window is exceeded, and long compared to the delay of peer reports, so that hosts do
-/// not oscillate together.
-const DEFICIT_TIME: Duration = Duration::from_secs(2);
-/// Time over which the amount above the reserve may be used. Otherwise each host of a large
-/// fleet would admit all of it before receiving reports from the others: with 60 hosts, an
-/// account above its quota got half a window every three seconds and nothing in between.
-const SURPLUS_TIME: Duration = Duration::from_secs(1);
+pub(super) const EVEN_FRACTION: f64 = 0.25;
 /// How long the admission plan of an account is used before it is recomputed.
 const PLAN_TTL: Duration = Duration::from_millis(25);
 
-/// A request to be charged to an account's quota.
-#[derive(Clone, Copy, Debug)]
-pub struct QuotaRequest {
-    /// Its priority class.
-    pub priority_class: PriorityClass,
-    /// Amount to charge to the quota.
-    pub cost: f64,
-}
-
-/// Whether a request is within its account's quota.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum QuotaDecision {
-    /// It is within the quota and was charged.
-    Admitted,
-    /// It exceeds the quota.
-    Rejected,
-}
-
-/// How long totals over peers are reused for reports.
-const TOTALS_TTL: Duration = Duration::from_millis(50);
 /// Age of a host's last heartbeat above which the host counts as unresponsive. Heartbeat
 /// ages are relayed over two hops, a few per message.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(3000);
 
-/// Fraction of each priority class that is currently admitted.
-#[derive(Debug)]
-struct AdmissionPlan {
-    created_at: Duration,
-    /// Amount available when the plan was made, minus what this host has admitted since.
-    available: f64,
-    overdraft: f64,
-    demands: Vec<ClassDemand>,
-    /// Admitted fractions, 0 to 1, in the order of `demands`.
-    fractions: Vec<f64>,
-}
-
-#[derive(Debug)]
-struct AccountState {
-    window: UsageWindow,
-    demand: DemandTracker,
-    own_total: f64,
-    /// Counted usage of hosts that report here directly.
-    direct_total: f64,
-    /// Counted usage of all other hosts, from aggregated reports.
-    relayed_total: f64,
-    /// Sum of the demand that peers reported, in tokens per second.
-    peer_demand: f64,
-    /// `None` until this host gets a request of the account.
-    quota: Option<QuotaTransition>,
-    plan: Option<AdmissionPlan>,
-}
-
 /// Fleet-wide quotas of accounts.
 ///
 /// Each host knows its own usage and demand and those that its peers reported. While enough
@@ -107,25 +49,17 @@
 pub struct QuotaLimiter {
     tolerance: QuotaTolerance,
     /// When this host started.
-    started_at: Duration,
+    pub(super) started_at: Duration,
     /// Largest possible number of hosts, including this one.
-    hosts: usize,
-    accounts: SortedMap<AccountName, AccountState>,
-    peers: SortedMap<HostName, PeerUsage>,
+    pub(super) hosts: usize,
+    pub(super) accounts: SortedMap<AccountName, AccountState>,
+    pub(super) peers: SortedMap<HostName, PeerUsage>,
     /// Whether hosts report through group leaders.
     grouped: bool,
     /// When `grouped` last changed.
     regrouped_at: Option<Duration>,
-    group_totals: Option<UsageTotals>,
-    fleet_totals: Option<UsageTotals>,
-}
-
-/// Totals over several hosts, for aggregated reports.
-#[derive(Clone, Debug)]
-struct UsageTotals {
-    computed_at: Duration,
-    accounts: Vec<AccountUsage>,
-    unresponsive: UnresponsiveHosts,
+    pub(super) group_totals: Option<UsageTotals>,
+    pub(super) fleet_totals: Option<UsageTotals>,
 }
 
 impl QuotaLimiter {
@@ -182,12 +116,13 @@
         let state = self.accounts.get_or_insert_with(account.name.clone(), || {
             AccountState::new(window, self.started_at)
         });
-        state
-            .demand
-            .record(request.priority_class, request.cost, now);
         let transition = state.quota.get_or_insert(QuotaTransition::new(quota));
         let quota = transition.effective(quota, window, now);
         let rate = self.tolerance.quota_rate(quota);
+        state
+            .demand
+            .record(request.priority_class, request.cost, now);
+        state.own_changed_at = Some(now);
         let created_at = state.plan.as_ref().map(|plan| plan.created_at);
         if created_at.is_none_or(|created_at| now.saturating_sub(created_at) >= PLAN_TTL) {
             self.refresh_plan(&account.name, rate, now);
@@ -198,56 +133,6 @@
         }
     }
 
-    /// Returns this host's usage for a report: accounts with recent demand, or `all`. A peer
-    /// that received all accounts once keeps the totals of those that are left out later.
-    pub fn own_usage(&mut self, all: bool, now: Duration) -> Vec<AccountUsage> {
-        let accounts = self.accounts.iter_mut();
-        accounts
-            .map(|(account, state)| AccountUsage {
-                account: account.clone(),
-                total: state.own_total,
-                demands: state.demand.demands(now),
-                unresponsive_share: 0.0,
-            })
-            .filter(|usage| usage.is_reported(all))
-            .collect()
-    }
-
-    /// Returns the usage of this host and its reporting hosts, for other leaders.
-    pub fn group_usage(
-        &mut self,
-        all: bool,
-        now: Duration,
-    ) -> (Vec<AccountUsage>, UnresponsiveHosts) {
-        let totals = self.totals(UsageScope::Group, now);
-        let reported = totals.accounts.into_iter();
-        let accounts = reported.filter(|usage| usage.is_reported(all));
-        (accounts.collect(), totals.unresponsive)
-    }
-
-    /// Returns the usage of all hosts except the receiver, for a host that reports here.
-    pub fn fleet_usage(
-        &mut self,
-        receiver: &str,
-        all: bool,
-        now: Duration,
-    ) -> (Vec<AccountUsage>, UnresponsiveHosts) {
-        let mut totals = self.totals(UsageScope::Fleet, now);
-        let receiver = self.peers.get(receiver);
-        for usage in &mut totals.accounts {
-            let Some(account) = receiver.and_then(|peer| peer.account(&usage.account)) else {
-                continue;
-            };
-            usage.total = (usage.total - account.counted).max(0.0);
-            for demand in &account.usage.demands {
-                subtract_demand(&mut usage.demands, *demand);
-            }
-        }
-        let reported = totals.accounts.into_iter();
-        let accounts = reported.filter(|usage| usage.is_reported(all));
-        (accounts.collect(), totals.unresponsive)
-    }
-
     /// Updates the fraction of each unresponsive peer's hosts that no host has seen recently.
     /// The others may report to another leader. `time_since_seen` returns the age of a
     /// host's last heartbeat, and `unseen_share` is the fraction of all hosts without a recent
@@ -307,19 +192,25 @@
         for usage in report.accounts {
             let previous = known.as_ref().and_then(|peer| peer.account(&usage.account));
             let counted = same_incarnation.and(previous);
-            // Usage between two reports is counted at the time of the later one. If it were
-            // spread evenly, part of a surge would leave the window too early. After a gap,
-            // or in a host's first report, the usage cannot all be recent, so it is spread.
-            let since = match same_incarnation {
-                Some(peer) if peer.is_unresponsive(now) => peer.received_at,
-                None if uptime > REPORT_TIMEOUT => now.saturating_sub(uptime),
-                _ => now,
-            };
             let window = self.tolerance.window;
             let start = self.started_at;
             let state = self
                 .accounts
                 .get_or_insert_with(usage.account.clone(), || AccountState::new(window, start));
+            // Usage between two reports is counted at the time of the later one. If it were
+            // spread evenly, part of a surge would leave the window too early. After a gap,
+            // or in a host's first report, the usage cannot all be recent, so it is spread, as
+            // is the usage of accounts that this host does not serve, which is reported less
+            // often.
+            let is_periodic = report.scope == UsageScope::Fleet && !state.is_served(now);
+            let since = match (same_incarnation, counted) {
+                (Some(peer), _) if peer.is_unresponsive(now) => peer.received_at,
+                (Some(_), Some(previous)) if is_periodic => {
+                    previous.listed_at.max(now.saturating_sub(PUBLISH_PERIOD))
+                }
+                (None, _) if uptime > REPORT_TIMEOUT => now.saturating_sub(uptime),
+                _ => now,
+            };
             let used = usage.total - counted.map_or(0.0, |previous| previous.usage.total);
             let used = match is_already_counted {
                 true => 0.0,
@@ -327,27 +218,46 @@
             };
             state.add_peer_usage(used, since, start, now);
             match is_direct {
-                true => state.direct_total += used,
-                false => state.relayed_total += used,
+                true => {
+                    state.direct_total += used;
+                    state.direct_changed_at = Some(now);
+                }
+                false => {
+                    state.relayed_total += used;
+                    state.relayed_changed_at = Some(now);
+                }
             }
             let share = state.update_demand(previous, &usage, now);
             let counted = previous.map_or(0.0, |previous| previous.counted) + used;
             accounts.push(PeerAccount {
                 usage,
+                listed_at: now,
                 share,
                 counted,
             });
         }
-        let omitted = omitted_accounts(known.as_ref(), &accounts);
-        for account in &omitted {
-            if let Some(state) = self.accounts.get_mut(&account.usage.account) {
-                state.peer_demand = (state.peer_demand - account.usage.demand()).max(0.0);
+        for mut account in omitted_accounts(known.as_ref(), &accounts) {
+            let Some(state) = self.accounts.get_mut(&account.usage.account) else {
+                continue;
+            };
+            match same_incarnation {
+                Some(peer) => {
+                    // The fleet's usage of accounts that this host does not serve is reported
+                    // less often.
+                    let is_due = is_direct
+                        || report.scope == UsageScope::Group
+                        || state.is_served(now)
+                        || now.saturating_sub(account.listed_at) > PUBLISH_PERIOD;
+                    if is_due {
+                        let elapsed = now.saturating_sub(peer.received_at);
+                        state.decay_demand(&mut account, elapsed, now);
+                    }
+                    accounts.push(account);
+                }
+                None => state.subtract_peer_demand(&account),
             }
         }
-        if same_incarnation.is_some() {
-            accounts.extend(omitted.iter().map(PeerAccount::without_demand));
-            accounts.sort_by(|left, right| left.usage.account.cmp(&right.usage.account));
-        }
+        accounts.sort_by(|left, right| left.usage.account.cmp(&right.usage.account));
         let peer = PeerUsage {
             incarnation,
             scope: report.scope,
@@ -373,7 +283,7 @@
         let removed = self.peers.values().filter(|peer| is_removed(peer));
         for account in removed.flat_map(|peer| &peer.accounts) {
             if let Some(state) = self.accounts.get_mut(&account.usage.account) {
-                state.peer_demand = (state.peer_demand - account.usage.demand()).max(0.0);
+                state.subtract_peer_demand(account);
             }
         }
         self.peers.retain(|_, peer| !is_removed(peer));
@@ -451,7 +361,7 @@
     }
 
     /// Returns the same for the hosts covered by reports of a scope, in a fleet of `hosts`.
-    fn unresponsive_peer_shares(
+    pub(super) fn unresponsive_peer_shares(
         &self,
         name: &str,
         hosts: f64,
@@ -480,165 +390,8 @@
     }
 
     /// Returns the peers whose usage is included in a report of this scope.
-    fn peers_of(&self, scope: UsageScope) -> impl Iterator<Item = &PeerUsage> {
+    pub(super) fn peers_of(&self, scope: UsageScope) -> impl Iterator<Item = &PeerUsage> {
         let peers = self.peers.values();
         peers.filter(move |peer| scope != UsageScope::Group || peer.scope == UsageScope::Host)
     }
-
-    /// Returns the totals of this host and the peers of a scope.
-    fn totals(&mut self, scope: UsageScope, now: Duration) -> UsageTotals {
-        let cached = match scope {
-            UsageScope::Group => &self.group_totals,
-            UsageScope::Host | UsageScope::Fleet => &self.fleet_totals,
-        };
-        if let Some(cached) = cached
-            && now.saturating_sub(cached.computed_at) < TOTALS_TTL
-        {
-            return cached.clone();
-        }
-        let totals = self.compute_totals(scope, now);
-        match scope {
-            UsageScope::Group => self.group_totals = Some(totals.clone()),
-            UsageScope::Host | UsageScope::Fleet => self.fleet_totals = Some(totals.clone()),
-        }
-        totals
-    }
-
-    fn compute_totals(&mut self, scope: UsageScope, now: Duration) -> UsageTotals {
-        let mut accounts: Vec<AccountUsage> = self
-            .accounts
-            .iter_mut()
-            .map(|(account, state)| AccountUsage {
-                account: account.clone(),
-                total: state.own_total
-                    + state.direct_total
-                    + match scope {
-                        UsageScope::Group => 0.0,
-                        UsageScope::Host | UsageScope::Fleet => state.relayed_total,
-                    },
-                demands: state.demand.demands(now),
-                unresponsive_share: 0.0,
-            })
-            .collect();
-        let hosts = self.hosts.max(1) as f64;
-        let mut unresponsive = UnresponsiveHosts::default();
-        for peer in self.peers_of(scope).filter(|peer| peer.may_consume(now)) {
-            if peer.is_unresponsive(now) {
-                let age = now.saturating_sub(peer.received_at).as_millis() as u32;
-                unresponsive.hosts += (peer.hosts as f64 * peer.unseen).round() as u16;
-                unresponsive.age_ms = unresponsive.age_ms.max(age);
-            } else {
-                unresponsive.hosts += peer.unresponsive.hosts;
-                unresponsive.age_ms = unresponsive.age_ms.max(peer.unresponsive.age_ms);
-            }
-        }
-        for total in &mut accounts {
-            for peer in self
-                .peers_of(scope)
-                .filter(|peer| !peer.is_unresponsive(now))
-            {
-                let reported = peer.account(&total.account);
-                for demand in reported
-                    .into_iter()
-                    .flat_map(|account| &account.usage.demands)
-                {
-                    add_demand(&mut total.demands, *demand);
-                }
-            }
-            let shares = self.unresponsive_peer_shares(&total.account, hosts, scope, now);
-            let even = EVEN_FRACTION * f64::from(unresponsive.hosts) / hosts;
-            let all: f64 = shares.iter().map(|(share, _)| share).sum();
-            total.unresponsive_share = (all - even).max(0.0);
-        }
-        UsageTotals {
-            computed_at: now,
-            accounts,
-            unresponsive,
-        }
-    }
-}
-
-impl AccountState {
-    fn new(window: Duration, started_at: Duration) -> Self {
-        Self {
-            window: UsageWindow::new(window),
-            demand: DemandTracker::new(started_at),
-            own_total: 0.0,
-            direct_total: 0.0,
-            relayed_total: 0.0,
-            peer_demand: 0.0,
-            quota: None,
-            plan: None,
-        }
-    }
-
-    fn try_consume(&mut self, request: QuotaRequest, now: Duration, random: f64) -> QuotaDecision {
-        if let Some(plan) = &mut self.plan {
-            let has_quota = plan.available + plan.overdraft >= request.cost;
-            if !has_quota || random >= plan.fraction(request.priority_class) {
-                return QuotaDecision::Rejected;
-            }
-            plan.available -= request.cost;
-        }
-        self.window.add(request.cost, now);
-        self.own_total += request.cost;
-        QuotaDecision::Admitted
-    }
-
-    /// Adds a peer's usage since `since`, limited to the part after this host started.
-    fn add_peer_usage(&mut self, used: f64, since: Duration, started_at: Duration, now: Duration) {
-        if since >= started_at {
-            return self.window.add_since(used, since, now);
-        }
-        let length = now.saturating_sub(since).as_secs_f64();
-        let uptime = now.saturating_sub(started_at).as_secs_f64();
-        self.window
-            .add_since(used * uptime / length.max(0.001), started_at, now);
-    }
-
-    /// Applies the demand that a peer reported; returns the peer's smoothed share of the
-    /// fleet's demand.
-    fn update_demand(
-        &mut self,
-        previous: Option<&PeerAccount>,
-        usage: &AccountUsage,
-        now: Duration,
-    ) -> f64 {
-        let demand = usage.demand();
-        let previous_demand = previous.map_or(0.0, |previous| previous.usage.demand());
-        self.peer_demand = (self.peer_demand + demand - previous_demand).max(0.0);
-        let own: f64 = self
-            .demand
-            .demands(now)
-            .iter()
-            .map(|demand| demand.per_second)
-            .sum();
-        let share = demand / (self.peer_demand + own).max(1.0);
-        match previous {
-            Some(previous) => previous.share + SHARE_SMOOTHING * (share - previous.share),
-            None => share,
-        }
-    }
-}
-
-impl AdmissionPlan {
-    /// Returns the admitted fraction of a priority class, 0 to 1.
-    fn fraction(&self, priority_class: PriorityClass) -> f64 {
-        let found = self
-            .demands
-            .binary_search_by_key(&priority_class, |demand| demand.priority_class);
-        // A class without recent demand does not cause the excess.
-        found.map_or(1.0, |index| self.fractions[index])
-    }
-}
-
-/// Returns the correction to the admission rate, in tokens per second: positive if quota is
-/// left above the reserve, negative otherwise.
-fn rate_correction(available: f64, rate: QuotaRate) -> f64 {
-    let surplus = available - rate.reserved;
-    let time = match surplus > 0.0 {
-        true => SURPLUS_TIME,
-        false => DEFICIT_TIME,
-    };
-    surplus / time.as_secs_f64()
 }
--- a/tests/quota_groups.rs
+++ b/tests/quota_groups.rs
@@ -1,5 +1,6 @@
 //! Quotas in a large fleet whose hosts report through group leaders, in simulated time.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cardamomgw::catalog::ClientAccount;
@@ -70,6 +71,8 @@
     rng: ChaCha8Rng,
     admitted: Vec<(Duration, f64)>,
     rejected: usize,
+    /// When each host last reported to each other, and the time before.
+    reported_at: BTreeMap<(usize, usize), [Option<Duration>; 2]>,
 }
 
 fn account(quota: TokenRate) -> ClientAccount {
@@ -107,6 +110,7 @@
             rng: ChaCha8Rng::seed_from_u64(11),
             admitted: Vec::new(),
             rejected: 0,
+            reported_at: BTreeMap::new(),
         }
     }
 
@@ -120,39 +124,56 @@
     /// Sends requests of `per_second` tokens per second in total to random hosts, and exchanges
     /// reports, until `end`.
     fn run(&mut self, start: Duration, from: Duration, end: Duration, per_second: f64) {
-        let mut now = from;
-        while now < end {
-            self.send_requests(per_second, now);
-            self.exchange_reports(start, now);
-            now += STEP;
-        }
+        self.run_with(start, from, end, |fleet, now| {
+            fleet.send_requests(per_second, now);
+        });
     }
 
     fn send_requests(&mut self, per_second: f64, now: Duration) {
         let cost = self.settings.cost;
-        let account = account(self.settings.quota);
         let mut expected = per_second * STEP.as_secs_f64() / cost;
         while self.rng.random::<f64>() < expected {
             expected -= 1.0;
             let host = self.rng.random_range(0..self.settings.hosts);
-            if self.dead.contains(&host) {
-                continue;
-            }
-            let request = QuotaRequest {
-                priority_class: PriorityClass {
-                    tier: 0,
-                    metered: true,
-                },
-                cost,
-            };
-            let spread = self.rng.random::<f64>();
-            match self.limiters[host].try_consume(&account, request, now, spread) {
-                QuotaDecision::Admitted => self.admitted.push((now, cost)),
-                QuotaDecision::Rejected => self.rejected += 1,
+            if !self.dead.contains(&host) {
+                self.send_request(host, cost, now);
             }
         }
     }
 
+    /// Sends one request to a host.
+    fn send_request(&mut self, host: usize, cost: f64, now: Duration) {
+        let account = account(self.settings.quota);
+        let request = QuotaRequest {
+            priority_class: PriorityClass {
+                tier: 0,
+                metered: true,
+            },
+            cost,
+        };
+        let spread = self.rng.random::<f64>();
+        match self.limiters[host].try_consume(&account, request, now, spread) {
+            QuotaDecision::Admitted => self.admitted.push((now, cost)),
+            QuotaDecision::Rejected => self.rejected += 1,
+        }
+    }
+
+    /// Exchanges reports until `end`, after `send` has sent the requests of each step.
+    fn run_with(
+        &mut self,
+        start: Duration,
+        from: Duration,
+        end: Duration,
+        send: impl Fn(&mut Self, Duration),
+    ) {
+        let mut now = from;
+        while now < end {
+            send(self, now);
+            self.exchange_reports(start, now);
+            now += STEP;
+        }
+    }
+
     /// Lets the members and leaders whose turn it is report.
     fn exchange_reports(&mut self, start: Duration, now: Duration) {
         let tick = (now.as_millis() / STEP.as_millis()) as usize;
@@ -203,11 +224,14 @@
         now: Duration,
     ) {
         let receiver = name_of(to);
+        // As in the protocol, a report repeats what the previous one listed, which may be lost.
+        let reports = self.reported_at.entry((from, to)).or_default();
+        let since = std::mem::replace(reports, [Some(now), reports[0]])[1];
         let limiter = &mut self.limiters[from];
         let (accounts, unresponsive) = match scope {
-            UsageScope::Host => (limiter.own_usage(false, now), Default::default()),
-            UsageScope::Group => limiter.group_usage(false, now),
-            UsageScope::Fleet => limiter.fleet_usage(&receiver, false, now),
+            UsageScope::Host => (limiter.own_usage(since, now), Default::default()),
+            UsageScope::Group => limiter.group_usage(since, now),
+            UsageScope::Fleet => limiter.fleet_usage(&receiver, since, now),
         };
         let group = from / GROUP_HOSTS * GROUP_HOSTS..(from / GROUP_HOSTS + 1) * GROUP_HOSTS;
         let members = group.filter(|host| !self.dead.contains(host));
@@ -329,3 +353,37 @@
     let limit = window_limit(BUSY_FLEET);
     assert!(largest <= limit, "{largest} of {limit}");
 }
+
+/// Guards against reports that list all accounts each time: the accounts that did not change
+/// fill the links between leaders.
+#[test]
+fn reports_list_the_accounts_that_changed() {
+    let tolerance = QuotaTolerance {
+        window: WINDOW,
+        overage: OVERAGE,
+        slack: 140_000.0,
+    };
+    let mut limiter = QuotaLimiter::new(tolerance, 585, seconds(100));
+    let account_of = |index: usize| ClientAccount {
+        name: format!("account-{index:03}"),
+        ..account(LARGE_FLEET.quota)
+    };
+    let request = QuotaRequest {
+        priority_class: PriorityClass {
+            tier: 0,
+            metered: true,
+        },
+        cost: 1000.0,
+    };
+    for index in 0..200 {
+        limiter.try_consume(&account_of(index), request, seconds(110), 0.5);
+    }
+    limiter.try_consume(&account_of(7), request, seconds(111), 0.5);
+
+    let all = limiter.group_usage(None, seconds(111)).0;
+    let changed = limiter.group_usage(Some(seconds(111)), seconds(111)).0;
+
+    assert_eq!(all.len(), 200);
+    assert_eq!(changed.len(), 1);
+    assert_eq!(changed[0].account, "account-007");
+}
--- a/tests/quota_limiter.rs
+++ b/tests/quota_limiter.rs
@@ -1,5 +1,6 @@
 //! Account quotas over several hosts, in simulated time.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cardamomgw::catalog::ClientAccount;
@@ -77,6 +78,8 @@
     rng: ChaCha8Rng,
     /// Admitted requests: time, host and cost.
     admitted: Vec<(Duration, usize, f64)>,
+    /// When each host last reported to each other.
+    reported_at: BTreeMap<(usize, usize), Duration>,
 }
 
 impl SimulatedHosts {
@@ -85,6 +88,7 @@
             limiters: (0..hosts).map(|_| limiter_among(hosts, start)).collect(),
             rng: ChaCha8Rng::seed_from_u64(7),
             admitted: Vec::new(),
+            reported_at: BTreeMap::new(),
         }
     }
 
@@ -122,24 +126,18 @@
         }
     }
 
-    /// Sends a host's report to another host.
+    /// Sends a host's report to another host: the accounts that changed since its previous one.
     fn report(&mut self, from: usize, to: usize, uptime: Duration, now: Duration) {
-        let usage = self.limiters[from].own_usage(false, now);
+        let since = self.reported_at.insert((from, to), now);
+        let usage = self.limiters[from].own_usage(since, now);
         self.limiters[to].apply_host_usage(format!("e{from}"), 1, uptime, usage, now);
     }
 
     /// Sends the report of each host in a group to all others in it.
     fn report_all(&mut self, group: &[usize], uptime: Duration, now: Duration) {
         for from in group {
-            let usage: Vec<AccountUsage> = self.limiters[*from].own_usage(false, now);
             for to in group.iter().filter(|to| *to != from) {
-                self.limiters[*to].apply_host_usage(
-                    format!("e{from}"),
-                    1,
-                    uptime,
-                    usage.clone(),
-                    now,
-                );
+                self.report(*from, *to, uptime, now);
             }
         }
     }
