Quota: a surge of an idle account is bounded before reports arrive

Cause: an idle account surged to 13 times its quota; each host took its own demand for that of all and admitted all of it until reports came over two hops: 197 requests within a window of 185, at 60 hosts with reports a second apart.

Change: until reports of all responsive hosts have arrived, a host keeps to its even share of a window for an account that was idle, and admits at least one request between two reports.

--- a/src/quota/account_state.rs
+++ b/src/quota/account_state.rs
@@ -10,6 +10,7 @@
 use super::priority_split::PriorityClass;
 use super::quota_tolerance::QuotaRate;
 use super::quota_tolerance::QuotaTransition;
+use super::surge_guard::SurgeGuard;
 use super::usage_window::UsageWindow;
 
 /// Weight of a peer's newest report in its smoothed demand share, which covers several
@@ -53,6 +54,8 @@
     /// Amount available when the plan was made, minus what this host has admitted since.
     pub(super) available: f64,
     pub(super) overdraft: f64,
+    /// This host's even share of the quota in a window.
+    pub(super) even_share: f64,
     pub(super) demands: Vec<ClassDemand>,
     /// Admitted fractions, 0 to 1, in the order of `demands`.
     pub(super) fractions: Vec<f64>,
@@ -84,6 +87,7 @@
     /// `None` until this host gets a request of the account.
     pub(super) quota: Option<QuotaTransition>,
     pub(super) plan: Option<AdmissionPlan>,
+    pub(super) surge_guard: SurgeGuard,
 }
 
 impl AccountState {
@@ -103,6 +107,7 @@
             published_at: None,
             quota: None,
             plan: None,
+            surge_guard: SurgeGuard::default(),
         }
     }
 
@@ -113,12 +118,14 @@
         random: f64,
     ) -> QuotaDecision {
         if let Some(plan) = &mut self.plan {
-            let has_quota = plan.available + plan.overdraft >= request.cost;
+            let has_quota = plan.available + plan.overdraft >= request.cost
+                && self.surge_guard.allows(request.cost, plan.even_share, now);
             if !has_quota || random >= plan.fraction(request.priority_class) {
                 return QuotaDecision::Rejected;
             }
             plan.available -= request.cost;
         }
+        self.surge_guard.record_admission(request.cost);
         self.window.add(request.cost, now);
         self.own_total += request.cost;
         QuotaDecision::Admitted
@@ -176,6 +183,16 @@
         account.share = smooth_share(account.share, share);
     }
 
+    /// Records that one of `peers` reported, whether or not its report lists the account.
+    pub(super) fn record_report(&mut self, peers: usize, now: Duration) {
+        let elsewhere = self.peer_demand;
+        self.surge_guard.record_peer_demand(elsewhere, now);
+        if !self.surge_guard.is_settled(now) {
+            let own = self.known_demand(now) - elsewhere;
+            self.surge_guard.compare_demand(own, elsewhere, peers);
+        }
+    }
+
     /// Subtracts the demand of a peer whose report is replaced.
     pub(super) fn subtract_peer_demand(&mut self, account: &PeerAccount) {
         self.peer_demand = (self.peer_demand - account.usage.demand()).max(0.0);
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -10,6 +10,7 @@
 mod quota_limiter;
 mod quota_tolerance;
 mod retry_budget;
+mod surge_guard;
 mod usage_totals;
 mod usage_window;
 
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -119,6 +119,8 @@
         let transition = state.quota.get_or_insert(QuotaTransition::new(quota));
         let quota = transition.effective(quota, window, now);
         let rate = self.tolerance.quota_rate(quota);
+        let known = state.known_demand(now);
+        state.surge_guard.record_demand(known, rate.per_second, now);
         state
             .demand
             .record(request.priority_class, request.cost, now);
@@ -270,6 +272,10 @@
             accounts,
         };
         self.peers.insert(host, peer);
+        let peers = self.peers.len();
+        for (_, state) in self.accounts.iter_mut() {
+            state.record_report(peers, now);
+        }
     }
 
     /// Removes the reports that a report of this scope supersedes. A leader's report on the
@@ -333,10 +339,12 @@
         let unresponsive: f64 = unresponsive.iter().map(|(share, _)| share).sum();
         let responsive = (1.0 - unresponsive).max(0.0);
         let per_second = rate.per_second * responsive + rate_correction(available, rate);
+        let window = self.tolerance.window.as_secs_f64();
         state.plan = Some(AdmissionPlan {
             created_at: now,
             available,
             overdraft: rate.overdraft,
+            even_share: (rate.burst + rate.per_second * window) / self.hosts.max(1) as f64,
             fractions: share_by_priority(per_second, &demands),
             demands,
         });
--- a/tests/quota_groups.rs
+++ b/tests/quota_groups.rs
@@ -354,6 +354,48 @@
     assert!(largest <= limit, "{largest} of {limit}");
 }
 
+/// Guards against a surge of an idle account that large fleets admit before reports arrive.
+#[test]
+fn a_surge_of_an_idle_account_is_limited_at_any_size() {
+    for hosts in [30, 300, 600, 1200] {
+        let settings = FleetSettings {
+            hosts,
+            ..LARGE_FLEET
+        };
+        let start = seconds(100);
+        let mut fleet = GroupFleet::new(settings, start);
+
+        fleet.run(start, start, seconds(102), 0.0);
+        fleet.run(start, seconds(102), seconds(112), RATE * 8.0);
+
+        let largest = fleet.largest_window(start);
+        let limit = window_limit(settings);
+        assert!(largest <= limit, "{hosts} hosts: {largest} of {limit}");
+    }
+}
+
+/// Guards against an account whose callers all use one host being limited to the even share of
+/// that host.
+#[test]
+fn an_account_that_uses_one_host_is_served() {
+    let settings = FleetSettings {
+        hosts: 60,
+        ..LARGE_FLEET
+    };
+    let start = seconds(100);
+    let mut fleet = GroupFleet::new(settings, start);
+
+    fleet.run_with(start, seconds(104), seconds(120), |fleet, now| {
+        let expected = RATE * 0.9 * STEP.as_secs_f64() / settings.cost;
+        if fleet.rng.random::<f64>() < expected {
+            fleet.send_request(7, settings.cost, now);
+        }
+    });
+
+    let total = fleet.admitted.len() + fleet.rejected;
+    assert!(fleet.rejected * 20 < total, "{} of {total}", fleet.rejected);
+}
+
 /// Guards against reports that list all accounts each time: the accounts that did not change
 /// fill the links between leaders.
 #[test]
