Store reads: fewer calls while a fleet starts

Cause: of 295 hosts that start together 129 still read the store before a peer could send its view (trial with a line for each call), and the watchers of five zones made 650 calls while the targets registered, one for every few of them.

Change: a starting host waits up to 3 s for its peers, 6 s once it has met one; the pause of a watcher doubles, up to 350 ms, while changes keep coming; a single change is read at once.

Test: edge::tests::store_access.

--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -34,7 +34,8 @@
 /// Pause after changes per host in the fleet, and its bounds. Changes come in bursts
 /// (targets that start together register within seconds), and each one would end the
 /// watch of every host and cause another call: 80 calls per host instead of 7. The pause
-/// is well below the two seconds within which a change must take effect.
+/// doubles while changes keep coming, since 3,000 targets register over seconds. It is well
+/// below the two seconds within which a change must take effect.
 const PAUSE_PER_HOST: Duration = Duration::from_millis(6);
 const MIN_PAUSE: Duration = Duration::from_millis(40);
 const MAX_PAUSE: Duration = Duration::from_millis(350);
@@ -56,10 +57,12 @@
 /// Time that a starting host waits for a peer's view before it reads the store. When
 /// hosts start one after another, or many together, a peer already has the view.
 const PEER_VIEW_TIMEOUT: Duration = Duration::from_millis(80);
-/// Additional time, of which each starting host that has met a peer waits a random part. If no
-/// host has a view yet, the first ones read the store and the others get the view from them. A
-/// view of 3,000 targets takes 16 calls of the store.
-const FIRST_READ_SPREAD: Duration = Duration::from_secs(2);
+/// Additional time, of which each starting host waits a random part. If no host has a view yet,
+/// the first ones read the store and the others get the view from them; a read of 3,000 targets
+/// takes 7 to 16 calls. Peers that all start at once take up to two seconds to send theirs.
+const FIRST_READ_SPREAD: Duration = Duration::from_secs(3);
+/// The same for a host that has met a peer.
+const MET_READ_SPREAD: Duration = Duration::from_secs(6);
 /// Period at which a host that does not watch the store checks whether it should.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Period at which the age of the key data is checked.
@@ -76,6 +79,7 @@
     let mut backoff = RetryBackoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     let mut needs_full_read = false;
     let mut is_lost = false;
+    let mut pause = Duration::ZERO;
     loop {
         let access = state.store_access();
         if !may_read_store(&state) || access == StoreAccess::Peers {
@@ -113,8 +117,9 @@
                 state.apply_change(change, None);
                 if changed {
                     state.gossip_schedule().expedite_all();
-                    let pause = PAUSE_PER_HOST * state.watching_host_count() as u32;
-                    task::sleep(pause.clamp(MIN_PAUSE, MAX_PAUSE)).await;
+                    let waited = boot_now().saturating_sub(started_at);
+                    pause = change_pause(state.watching_host_count(), pause, waited);
+                    task::sleep(pause).await;
                 }
             }
             Err(SourceError::HistoryExpired) => needs_full_read = true,
@@ -129,6 +134,16 @@
     }
 }
 
+/// Returns the pause after a change that ended a watch after `waited`, where `previous` is the
+/// pause before that watch.
+pub(super) fn change_pause(hosts: usize, previous: Duration, waited: Duration) -> Duration {
+    let single = (PAUSE_PER_HOST * hosts as u32).clamp(MIN_PAUSE, MAX_PAUSE);
+    match waited < MAX_PAUSE {
+        true => (previous * 2).clamp(single, MAX_PAUSE),
+        false => single,
+    }
+}
+
 /// Returns how long this host's next watch waits.
 fn store_wait(state: &EdgeState, access: StoreAccess) -> Duration {
     if access == StoreAccess::Poll {
@@ -192,10 +207,11 @@
 /// Returns how long a starting host without a view waits before it reads the store.
 pub(super) fn first_read_delay(has_met_peer: bool, incarnation: IncarnationId) -> Duration {
     let spread = incarnation as f64 / IncarnationId::MAX as f64;
-    match has_met_peer {
-        true => PEER_VIEW_TIMEOUT + FIRST_READ_SPREAD.mul_f64(spread),
-        false => PEER_VIEW_TIMEOUT,
-    }
+    let longest = match has_met_peer {
+        true => MET_READ_SPREAD,
+        false => FIRST_READ_SPREAD,
+    };
+    PEER_VIEW_TIMEOUT + longest.mul_f64(spread)
 }
 
 /// Returns the age of the key data at which this host reads the catalog again.
