--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -29,6 +29,8 @@
 
 pub(crate) use dispatch_queue::DispatchQueue;
 pub(crate) use dispatch_queue::WaitOutcome;
+pub use gap_tracker::PaceSource;
+pub use gap_tracker::TargetPace;
 pub use limit_table::TargetLimit;
 pub use notice_table::LeavingTarget;
 pub use peer_loads::TargetLoad;
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -4,9 +4,11 @@
 
 use super::AttemptOutcome;
 use super::LeavingTarget;
+use super::PaceSource;
 use super::PlacedTarget;
 use super::PoolTable;
 use super::TargetLimit;
+use super::TargetPace;
 use super::target_choice::shortest_mean_gap;
 use super::target_runtime::TargetRuntime;
 use crate::view::TargetIncarnation;
@@ -147,11 +149,45 @@
         now: Duration,
     ) {
         if let Some(target) = self.target_mut(pool, placed) {
-            target.gaps.record_gap(gap);
+            target.gaps.record_gap(gap, now);
             target.record_activity(now);
         }
     }
 
+    /// Returns the paces of the engines in this host's shard that changed since `since`, for a
+    /// peer; all of them if it is new.
+    pub fn changed_paces(
+        &self,
+        source: PaceSource,
+        new: bool,
+        since: Duration,
+        now: Duration,
+    ) -> Vec<TargetPace> {
+        let engines = self.pools.values().filter(|pool| pool.engine);
+        let targets = engines.flat_map(|pool| &pool.targets);
+        let in_shard = targets.filter(|target| target.in_shard);
+        let since = (!new).then_some(since);
+        let paces = in_shard.filter_map(|target| {
+            let (gap_ms, age) = target.gaps.change(source, since, now)?;
+            Some(TargetPace {
+                target: target.record.incarnation(),
+                gap_ms: gap_ms as f32,
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        paces.collect()
+    }
+
+    /// Merges the paces received from a peer.
+    pub fn merge_paces(&mut self, paces: &[TargetPace], now: Duration) {
+        for pace in paces {
+            if let Some(runtime) = self.find_incarnation(&pace.target) {
+                let age = Duration::from_millis(u64::from(pace.age_ms));
+                runtime.gaps.merge(f64::from(pace.gap_ms), age, now);
+            }
+        }
+    }
+
     /// Records the outcome of a request at a target.
     pub fn record_outcome(
         &mut self,
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -5,6 +5,7 @@
 use super::edge_state::EdgeState;
 use super::fleet_role::MIN_KNOWN_RATIO;
 use crate::clock::boot_now;
+use crate::dispatch::PaceSource;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
@@ -151,6 +152,12 @@
         let table = self.queue.lock_table();
         let limits = table.changed_limits(is_new, since, now);
         let leaving_targets = table.leaving_targets(is_new, since, now);
+        // Other groups use other engines.
+        let paces = match options.scope {
+            Some(UsageScope::Host) => table.changed_paces(PaceSource::Own, is_new, since, now),
+            Some(UsageScope::Fleet) => table.changed_paces(PaceSource::All, is_new, since, now),
+            None | Some(UsageScope::Group) => Vec::new(),
+        };
         drop(table);
         let (heartbeats, digest) = self.select_heartbeats(options, now);
         let message = GossipMessage {
@@ -182,6 +189,7 @@
             usage,
             unresponsive,
             limits,
+            paces,
             leaving_targets,
             poison: self.poison.changed_entries(is_new, since),
         };
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -124,6 +124,10 @@
     state.update_host_count(&message.own.host, usize::from(message.hosts));
     state.poison.merge(&message.poison);
     merge_limits(state, message);
+    if !message.paces.is_empty() {
+        let mut table = state.queue.lock_table();
+        table.merge_paces(&message.paces, now);
+    }
     merge_leaving(state, message);
     state.update_fleet_size(usize::from(message.hosts), message.grouped, now);
 }
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::SlotDemand;
 use crate::dispatch::TargetLimit;
 use crate::dispatch::TargetLoad;
+use crate::dispatch::TargetPace;
 use crate::ids::CatalogVersion;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
@@ -106,6 +107,8 @@
     pub unresponsive: UnresponsiveHosts,
     /// Changed request limits announced by targets.
     pub limits: Vec<TargetLimit>,
+    /// Changed paces of engines that the receiver uses.
+    pub paces: Vec<TargetPace>,
     /// Targets that stated in an answer that they are leaving.
     pub leaving_targets: Vec<LeavingTarget>,
     /// Requests during which targets crashed.
