Store reads: a small fleet reads the store soon after all of its hosts were killed

Change: the wait is 10 ms per host of the fleet as peers report its size, 1.5 s at most before the first report.

Test: a_small_fleet_reads_the_store_soon_after_its_start.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -188,9 +188,9 @@
         lock(&self.peer_host_count).insert(host.clone(), hosts);
     }
 
-    /// Returns whether any peer has sent gossip to this host.
-    pub(crate) fn has_met_peer(&self) -> bool {
-        !lock(&self.peer_host_count).is_empty()
+    /// Returns the number of hosts by recent reports of peers; 0 if there are none.
+    pub(crate) fn reported_fleet_size(&self) -> usize {
+        self.peer_fleet_size().get(boot_now()).0
     }
 
     /// Records that a view is being fetched from a peer, until the guard is dropped.
--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    fn get(self, now: Duration) -> (usize, bool) {
+    /// Returns the reported size, 0 if none is recent, and whether a peer has joined a group.
+    pub(super) fn get(self, now: Duration) -> (usize, bool) {
         match now.saturating_sub(self.reported_at) < FLEET_SIZE_TTL {
             true => (self.hosts, self.grouped),
             false => (0, false),
--- a/src/edge/tests/store_access.rs
+++ b/src/edge/tests/store_access.rs
@@ -136,10 +136,10 @@
 /// about to send it.
 #[test]
 fn few_of_the_hosts_that_start_together_read_the_store_at_once() {
-    for has_met_peer in [false, true] {
+    for fleet_size in [0, 300, 1200] {
         let hosts = 1200_u64;
         let incarnations = (0..hosts).map(|host| IncarnationId::MAX / hosts * host);
-        let delays = incarnations.map(|incarnation| first_read_delay(has_met_peer, incarnation));
+        let delays = incarnations.map(|incarnation| first_read_delay(fleet_size, incarnation));
 
         let soon = delays.filter(|delay| *delay < Duration::from_millis(200));
 
@@ -147,6 +147,16 @@
     }
 }
 
+/// Guards against seconds without service after all hosts of a small fleet were killed.
+#[test]
+fn a_small_fleet_reads_the_store_soon_after_its_start() {
+    for fleet_size in [2, 8] {
+        let longest = first_read_delay(fleet_size, IncarnationId::MAX);
+
+        assert!(longest <= Duration::from_millis(200), "{longest:?}");
+    }
+}
+
 /// Guards against a call for every few targets of the thousands that register within seconds.
 #[test]
 fn a_burst_of_changes_takes_few_calls_and_a_single_change_no_pause() {
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -57,12 +57,13 @@
 /// Time that a starting host waits for a peer's view before it reads the store. When
 /// hosts start one after another, or many together, a peer already has the view.
 const PEER_VIEW_TIMEOUT: Duration = Duration::from_millis(80);
-/// Additional time, of which each starting host waits a random part. If no host has a view yet,
-/// the first ones read the store and the others get the view from them; a read of 3,000 targets
-/// takes 7 to 16 calls. Peers that all start at once take up to two seconds to send theirs.
-const FIRST_READ_SPREAD: Duration = Duration::from_secs(3);
-/// The same for a host that has met a peer.
-const MET_READ_SPREAD: Duration = Duration::from_secs(6);
+/// Additional time, of which each starting host waits a random part before it has met a peer.
+/// Peers that all start at once take up to a second to answer.
+const FIRST_READ_SPREAD: Duration = Duration::from_millis(1500);
+/// The same per host of the fleet once it has met a peer. If no host has a view yet, the first
+/// ones read the store and the others get the view from them; a read of 3,000 targets takes 7 to
+/// 16 calls.
+const READ_SPACING: Duration = Duration::from_millis(10);
 /// Period at which a host that does not watch the store checks whether it should.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Period at which the age of the key data is checked.
@@ -201,16 +202,18 @@
         return true;
     }
     let age = boot_now().saturating_sub(state.started);
-    !state.is_fetching_view() && age >= first_read_delay(state.has_met_peer(), state.incarnation)
+    !state.is_fetching_view()
+        && age >= first_read_delay(state.reported_fleet_size(), state.incarnation)
 }
 
-/// Returns how long a starting host without a view waits before it reads the store.
-pub(super) fn first_read_delay(has_met_peer: bool, incarnation: IncarnationId) -> Duration {
-    let spread = incarnation as f64 / IncarnationId::MAX as f64;
-    let longest = match has_met_peer {
-        true => MET_READ_SPREAD,
-        false => FIRST_READ_SPREAD,
+/// Returns how long a starting host without a view waits before it reads the store, where
+/// `fleet_size` is the number of hosts by its peers' reports, 0 before the first.
+pub(super) fn first_read_delay(fleet_size: usize, incarnation: IncarnationId) -> Duration {
+    let longest = match fleet_size {
+        0 => FIRST_READ_SPREAD,
+        hosts => READ_SPACING * hosts as u32,
     };
+    let spread = incarnation as f64 / IncarnationId::MAX as f64;
     PEER_VIEW_TIMEOUT + longest.mul_f64(spread)
 }
 
--- a/tests/target_paces.rs
+++ b/tests/target_paces.rs
@@ -90,17 +90,17 @@
     let start = Duration::from_secs(100);
     for step in 0..1500_u32 {
         let now = start + STEP * step;
-        for host in 0..HOSTS {
+        for (host, table) in tables.iter_mut().enumerate() {
             if rng.random::<f64>() < REQUEST_RATE * STEP.as_secs_f64() {
-                let placed = tables[host].place(&request(now), now, rng.random());
+                let placed = table.place(&request(now), now, rng.random());
                 let placed = placed.expect("engines have room");
                 let index: usize = placed.name[1..].parse().expect("a number");
                 let gap = gap_of(index);
                 for _ in 0..EVENTS {
-                    tables[host].record_event_gap(POOL, &placed, gap, now);
+                    table.record_event_gap(POOL, &placed, gap, now);
                 }
                 if step >= 250 {
-                    counts[usize::from(index % 3 == 0)] += 1;
+                    counts[usize::from(index.is_multiple_of(3))] += 1;
                 }
                 running.push((now + gap * EVENTS, host, placed));
             }
@@ -110,7 +110,8 @@
         for (_, host, placed) in ended {
             tables[host].record_outcome(POOL, &placed, AttemptOutcome::Succeeded, now);
         }
-        let is_due = (STEP * step).as_millis() % REPORT_PERIOD.as_millis() == 0;
+        let elapsed = (STEP * step).as_millis();
+        let is_due = elapsed.is_multiple_of(REPORT_PERIOD.as_millis());
         if shares_paces && is_due {
             exchange_paces(&mut tables, now);
         }
