Store reads: a host that has met no peer reads the store at once again

Change: only a host that has met a peer waits, by the square of the fleet's size, since both the hosts and the calls for a whole view grow with it: 60 ms among 87 hosts, 2.8 s among 585.

--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -57,13 +57,13 @@
 /// Time that a starting host waits for a peer's view before it reads the store. When
 /// hosts start one after another, or many together, a peer already has the view.
 const PEER_VIEW_TIMEOUT: Duration = Duration::from_millis(80);
-/// Additional time, of which each starting host waits a random part before it has met a peer.
-/// Peers that all start at once take up to a second to answer.
-const FIRST_READ_SPREAD: Duration = Duration::from_millis(1500);
-/// The same per host of the fleet once it has met a peer. If no host has a view yet, the first
-/// ones read the store and the others get the view from them; a read of 3,000 targets takes 7 to
-/// 16 calls.
-const READ_SPACING: Duration = Duration::from_millis(10);
+/// Additional time, of which each starting host that has met a peer waits a random part, for each
+/// pair of hosts of the fleet: both the hosts and the calls that each takes for a whole view, 7 to
+/// 16 before 3,000 targets, grow with the fleet. The first hosts read the store and the others get
+/// the view from them. A host that has met none reads at once: a second of waiting would be a
+/// second without service after all hosts were killed.
+const READ_SPACING: Duration = Duration::from_micros(8);
+const MAX_READ_SPREAD: Duration = Duration::from_secs(6);
 /// Period at which a host that does not watch the store checks whether it should.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Period at which the age of the key data is checked.
@@ -209,10 +209,8 @@
 /// Returns how long a starting host without a view waits before it reads the store, where
 /// `fleet_size` is the number of hosts by its peers' reports, 0 before the first.
 pub(super) fn first_read_delay(fleet_size: usize, incarnation: IncarnationId) -> Duration {
-    let longest = match fleet_size {
-        0 => FIRST_READ_SPREAD,
-        hosts => READ_SPACING * hosts as u32,
-    };
+    let hosts = fleet_size as u32;
+    let longest = (READ_SPACING * hosts * hosts).min(MAX_READ_SPREAD);
     let spread = incarnation as f64 / IncarnationId::MAX as f64;
     PEER_VIEW_TIMEOUT + longest.mul_f64(spread)
 }
