Quota: a restarted leader does not count the usage of its group again

Cause: the first report of a leader that has just started was counted as if its own uptime were that of the hosts it reports: the totals of hosts that had run for long counted once more, at once, at all other leaders and their members.

Change: the first report of an aggregate counts as already counted, whatever the reporter's uptime, unless the receiver has just started as well; what a former leader reported is not passed on again.

--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -183,11 +183,14 @@
         let same_incarnation = known
             .as_ref()
             .filter(|peer| peer.incarnation == incarnation && peer.scope == report.scope);
-        // The usage is already counted from another peer's report.
-        let is_already_counted = (self.grouped || self.has_just_regrouped(now))
-            && same_incarnation.is_none()
-            && uptime > REPORT_TIMEOUT
-            && now.saturating_sub(self.started_at) > REPORT_TIMEOUT;
+        let is_first = (self.grouped || self.has_just_regrouped(now)) && same_incarnation.is_none();
+        let is_new_host = report.scope == UsageScope::Host && uptime <= REPORT_TIMEOUT;
+        // The usage is already counted from another peer's report: a leader that has just started
+        // reports that of hosts that have not.
+        let is_already_counted =
+            is_first && !is_new_host && now.saturating_sub(self.started_at) > REPORT_TIMEOUT;
+        // Other leaders counted this usage from the report of a former leader.
+        let is_already_reported = is_first && uptime > REPORT_TIMEOUT;
         let is_direct = report.scope == UsageScope::Host;
         self.remove_covered(report.scope);
         let mut accounts: Vec<PeerAccount> = Vec::with_capacity(report.accounts.len());
@@ -219,6 +222,10 @@
                 false => used.max(0.0),
             };
             state.add_peer_usage(used, since, start, now);
+            let used = match is_already_reported {
+                true => 0.0,
+                false => used,
+            };
             match is_direct {
                 true => {
                     state.direct_total += used;
--- a/tests/quota_groups.rs
+++ b/tests/quota_groups.rs
@@ -68,6 +68,8 @@
     settings: FleetSettings,
     limiters: Vec<QuotaLimiter>,
     dead: Vec<usize>,
+    /// Restarted hosts and the time of their last start.
+    restarted: BTreeMap<usize, Duration>,
     rng: ChaCha8Rng,
     admitted: Vec<(Duration, f64)>,
     rejected: usize,
@@ -86,6 +88,14 @@
     }
 }
 
+fn tolerance_of(settings: FleetSettings) -> QuotaTolerance {
+    QuotaTolerance {
+        window: WINDOW,
+        overage: OVERAGE,
+        slack: settings.slack,
+    }
+}
+
 fn name_of(host: usize) -> String {
     format!("e{host:03}")
 }
@@ -93,13 +103,8 @@
 impl GroupFleet {
     /// Starts all hosts at `start`, each with the full number of hosts.
     fn new(settings: FleetSettings, start: Duration) -> Self {
-        let tolerance = QuotaTolerance {
-            window: WINDOW,
-            overage: OVERAGE,
-            slack: settings.slack,
-        };
         let limiter = || {
-            let mut limiter = QuotaLimiter::new(tolerance, settings.hosts, start);
+            let mut limiter = QuotaLimiter::new(tolerance_of(settings), settings.hosts, start);
             limiter.set_grouped(true, start);
             limiter
         };
@@ -107,6 +112,7 @@
             settings,
             limiters: (0..settings.hosts).map(|_| limiter()).collect(),
             dead: Vec::new(),
+            restarted: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(11),
             admitted: Vec::new(),
             rejected: 0,
@@ -114,6 +120,17 @@
         }
     }
 
+    /// Replaces the process of a host, which then knows nothing and is known to nobody.
+    fn restart(&mut self, host: usize, now: Duration) {
+        let settings = self.settings;
+        let mut limiter = QuotaLimiter::new(tolerance_of(settings), settings.hosts, now);
+        limiter.set_grouped(true, now);
+        self.limiters[host] = limiter;
+        self.restarted.insert(host, now);
+        self.reported_at
+            .retain(|(from, to), _| *from != host && *to != host);
+    }
+
     fn leader_of(&self, group: usize) -> usize {
         let mut hosts = group * GROUP_HOSTS..(group + 1) * GROUP_HOSTS;
         hosts
@@ -240,9 +257,10 @@
             UsageScope::Group => members.map(|host| hash_host(&name_of(host))).collect(),
             UsageScope::Fleet => Vec::new(),
         };
+        let restarted_at = self.restarted.get(&from);
         let report = UsageReport {
-            incarnation: 1,
-            uptime: now.saturating_sub(start),
+            incarnation: 1 + u64::from(restarted_at.is_some()),
+            uptime: now.saturating_sub(*restarted_at.unwrap_or(&start)),
             scope,
             hosts: match scope {
                 UsageScope::Fleet => self.settings.hosts - 1 - self.dead.len(),
@@ -339,6 +357,28 @@
     assert!(largest <= limit, "{largest} of {limit}");
 }
 
+/// Guards against the usage of a whole group counting once more when its leader restarts.
+#[test]
+fn restarted_leaders_do_not_count_usage_again() {
+    let start = seconds(100);
+    let mut fleet = GroupFleet::new(LARGE_FLEET, start);
+    fleet.run(start, start, seconds(130), RATE * 0.6);
+    fleet.rejected = 0;
+    fleet.admitted.clear();
+
+    for group in (0..LARGE_FLEET.hosts / GROUP_HOSTS).step_by(2) {
+        fleet.restart(group * GROUP_HOSTS, seconds(130));
+    }
+    fleet.run(start, seconds(130), seconds(140), RATE * 0.6);
+
+    let total = fleet.admitted.len() + fleet.rejected;
+    assert!(
+        fleet.rejected * 100 < total,
+        "{} of {total}",
+        fleet.rejected
+    );
+}
+
 /// Guards against each host admitting all that an idle account suddenly sends, before it receives
 /// reports of the others.
 #[test]
@@ -400,12 +440,7 @@
 /// fill the links between leaders.
 #[test]
 fn reports_list_the_accounts_that_changed() {
-    let tolerance = QuotaTolerance {
-        window: WINDOW,
-        overage: OVERAGE,
-        slack: 140_000.0,
-    };
-    let mut limiter = QuotaLimiter::new(tolerance, 585, seconds(100));
+    let mut limiter = QuotaLimiter::new(tolerance_of(LARGE_FLEET), 585, seconds(100));
     let account_of = |index: usize| ClientAccount {
         name: format!("account-{index:03}"),
         ..account(LARGE_FLEET.quota)
