--- a/src/edge/crash_check.rs
+++ b/src/edge/crash_check.rs
@@ -31,10 +31,16 @@
 ) {
     task::sleep(PROBE_DELAY).await;
     count(&state.metrics.connects);
+    let fingerprint_text = format!("{fingerprint:016x}");
     if let Ok(connection) = TargetConnection::open(target.address).await {
         state
             .connections
             .put_unused(&target.incarnation(), connection);
+        state.log.write(&DecisionLine::TargetAlive {
+            target: target.name,
+            request,
+            fingerprint: fingerprint_text,
+        });
         return;
     }
     let name = target.name;
@@ -42,6 +48,6 @@
     state.log.write(&DecisionLine::TargetCrashed {
         target: name,
         request,
-        fingerprint: format!("{fingerprint:016x}"),
+        fingerprint: fingerprint_text,
     });
 }
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -72,6 +72,8 @@
     pub(super) routed: &'a RoutedRequest,
     pub(super) progress: StreamProgress,
     pub(super) attempts: u32,
+    /// Whether the head of a response to the last attempt was received.
+    pub(super) head_received: bool,
     tried: Vec<TargetName>,
     /// Whether a target may have run the request.
     may_have_run: bool,
@@ -92,6 +94,7 @@
             routed,
             progress: StreamProgress::new(routed.request.arrived, Arc::clone(&routed.series)),
             attempts: 0,
+            head_received: false,
             tried: Vec::new(),
             may_have_run: false,
             failure: None,
@@ -229,6 +232,7 @@
     ) -> Option<ExecutionOutcome> {
         let target = slot.target().name.clone();
         self.attempts += 1;
+        self.head_received = false;
         self.report_sent(&target);
         let outcome = self.send(slot, connection).await;
         self.tried.push(target.clone());
--- a/src/edge/request_reporting.rs
+++ b/src/edge/request_reporting.rs
@@ -46,6 +46,7 @@
             target: target.clone(),
             attempt: self.attempts,
             cause: cause.to_owned(),
+            head_received: self.head_received,
             again,
         });
     }
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -117,6 +117,7 @@
             ));
         }
         if let Ok(call) = &sent {
+            self.head_received = true;
             self.record_limit(&call.head, slot);
             self.record_notices(&call.head, slot);
             if !routed.kind.is_stream() {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -228,6 +228,8 @@
         attempt: u32,
         /// The cause.
         cause: String,
+        /// Whether the head of a response was received.
+        head_received: bool,
         /// Whether the request is sent again.
         again: bool,
     },
@@ -285,6 +287,16 @@
         /// From its arrival, in milliseconds.
         total_ms: u64,
     },
+    /// A target closed the connection of a request that it ran, and accepts connections.
+    #[display("{target} closed the connection of a request and is alive")]
+    TargetAlive {
+        /// The target.
+        target: TargetName,
+        /// The request that ran there.
+        request: String,
+        /// The request's fingerprint.
+        fingerprint: String,
+    },
     /// A target crashed while running a request.
     #[display("{target} crashed while running a request")]
     TargetCrashed {
