--- /dev/null
+++ b/src/edge/tests/crashing_requests.rs
@@ -0,0 +1,169 @@
+//! Requests that crash each target that runs them, and callers that send them again.
+
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use super::edge_fixture::EdgeFixture;
+use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
+use super::raw_target::RawRequest;
+use super::raw_target::RawTarget;
+use super::raw_target::event_chunk;
+
+/// Number of targets that one request may crash.
+const MAX_CRASHED: usize = 2;
+const TARGETS: usize = 8;
+/// Pause after which the caller sends the request again, under a new id.
+const RESEND_PAUSE: Duration = Duration::from_millis(150);
+
+/// The point of a response at which a target crashes.
+#[derive(Clone, Copy, Debug)]
+enum CrashPoint {
+    BeforeHead,
+    InHead,
+    AfterHead,
+    InSizedBody,
+    InChunkedBody,
+    BetweenEvents,
+    InEvent,
+}
+
+/// A target that crashes when it has sent a part of its first response: from then on, its
+/// address refuses connections.
+fn crashing_target(point: CrashPoint) -> RawTarget {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = RawTarget::at(listener.local_addr().unwrap());
+    let crashed = Arc::new(AtomicBool::new(false));
+    let open = Arc::new(Mutex::new(Vec::new()));
+    let accepting = target.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(stream) = stream else { return };
+            if crashed.load(Ordering::Acquire) {
+                return;
+            }
+            open.lock().unwrap().push(stream.try_clone().unwrap());
+            let (target, crashed) = (accepting.clone(), Arc::clone(&crashed));
+            let open = Arc::clone(&open);
+            thread::spawn(move || {
+                let crash = |request: &RawRequest, stream: &mut TcpStream| {
+                    stream
+                        .write_all(response_until(point, request).as_bytes())
+                        .ok();
+                    thread::sleep(Duration::from_millis(20));
+                    crashed.store(true, Ordering::Release);
+                    TcpStream::connect(target.address).ok();
+                    for stream in open.lock().unwrap().drain(..) {
+                        stream.shutdown(Shutdown::Both).ok();
+                    }
+                    false
+                };
+                target.serve(stream, &crash);
+            });
+        }
+    });
+    target
+}
+
+/// Returns the part of the response that a target sends before it crashes.
+fn response_until(point: CrashPoint, request: &RawRequest) -> String {
+    let whole = request.answer("200 OK", "some bytes");
+    let head_length = whole.find("\r\n\r\n").unwrap() + 4;
+    let stream_head = request.stream_head();
+    match point {
+        CrashPoint::BeforeHead => String::new(),
+        CrashPoint::InHead => whole[..head_length - 6].to_owned(),
+        CrashPoint::AfterHead => stream_head,
+        CrashPoint::InSizedBody => whole[..head_length + 4].to_owned(),
+        CrashPoint::InChunkedBody => format!("{stream_head}a\r\nsome"),
+        CrashPoint::BetweenEvents => format!("{stream_head}{}", event_chunk(1)),
+        CrashPoint::InEvent => format!("{stream_head}{}14\r\nid: 2\nda", event_chunk(1)),
+    }
+}
+
+/// Returns how many targets crash while a caller sends a request again and again.
+fn crashed_targets(path: &str, point: CrashPoint) -> usize {
+    let targets: Vec<RawTarget> = (0..TARGETS).map(|_| crashing_target(point)).collect();
+    let host = EdgeFixture::open(&targets);
+
+    for number in 0..TARGETS {
+        let answer = host.call(&request_for(path, &format!("id{number}")));
+        let is_whole = status_of(&answer) == 200 && answer.ends_with("0\r\n\r\n");
+        assert!(!is_whole, "{answer}");
+        thread::sleep(RESEND_PAUSE);
+    }
+
+    let crashed = |target: &&RawTarget| !target.received().is_empty();
+    targets.iter().filter(crashed).count()
+}
+
+/// Asserts that a request on `path` crashes few targets, whenever it does so.
+fn assert_few_crash(path: &'static str, points: &[CrashPoint]) {
+    let running: Vec<_> = points
+        .iter()
+        .map(|point| {
+            (
+                *point,
+                thread::spawn({
+                    let point = *point;
+                    move || crashed_targets(path, point)
+                }),
+            )
+        })
+        .collect();
+    let counts: Vec<_> = running
+        .into_iter()
+        .map(|(point, thread)| (point, thread.join().unwrap()))
+        .collect();
+
+    let is_few = |(_, count): &(CrashPoint, usize)| (1..=MAX_CRASHED).contains(count);
+    assert!(counts.iter().all(is_few), "{path}: {counts:?}");
+}
+
+const CALL_POINTS: [CrashPoint; 5] = [
+    CrashPoint::BeforeHead,
+    CrashPoint::InHead,
+    CrashPoint::AfterHead,
+    CrashPoint::InSizedBody,
+    CrashPoint::InChunkedBody,
+];
+const STREAM_POINTS: [CrashPoint; 6] = [
+    CrashPoint::BeforeHead,
+    CrashPoint::InHead,
+    CrashPoint::AfterHead,
+    CrashPoint::InSizedBody,
+    CrashPoint::BetweenEvents,
+    CrashPoint::InEvent,
+];
+
+/// Guards against a request whose targets crash in the body of the response, again and again.
+#[test]
+fn a_crashing_call_takes_down_two_targets_at_most() {
+    assert_few_crash("/once/x", &CALL_POINTS);
+}
+
+/// Guards against retries that take a crashing request to further targets.
+#[test]
+fn a_crashing_call_that_is_retried_takes_down_two_targets_at_most() {
+    assert_few_crash("/again/x", &CALL_POINTS);
+}
+
+/// Guards against a request whose targets crash in the middle of their streams.
+#[test]
+fn a_crashing_stream_takes_down_two_targets_at_most() {
+    assert_few_crash("/stream/x", &STREAM_POINTS);
+}
+
+/// Guards against resumptions that take a crashing stream to further targets.
+#[test]
+fn a_crashing_stream_that_is_resumed_takes_down_two_targets_at_most() {
+    assert_few_crash("/resume/x", &STREAM_POINTS);
+}
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -1,6 +1,7 @@
 //! A host between raw callers and raw targets, with a store that the test controls.
 
 mod callers;
+mod crashing_requests;
 mod deadlines;
 mod edge_fixture;
 mod gossip;
--- a/src/edge/tests/raw_target.rs
+++ b/src/edge/tests/raw_target.rs
@@ -82,6 +82,23 @@
         target
     }
 
+    /// Returns a target whose connections the test accepts itself.
+    pub(super) fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            received: Arc::default(),
+        }
+    }
+
+    /// Serves an accepted connection until `serve` returns false.
+    pub(super) fn serve(
+        &self,
+        stream: TcpStream,
+        serve: &impl Fn(&RawRequest, &mut TcpStream) -> bool,
+    ) {
+        serve_connection(stream, &self.received, serve);
+    }
+
     /// Returns the requests that were received.
     pub(super) fn received(&self) -> Vec<RawRequest> {
         self.received.lock().unwrap().clone()
