Edge: a target that crashes behind the head of its response leaves a mark on the request

Cause: the probe for a crash was started by the code that waits for the head of a response. Engines send the head when they begin to run a request, so a crash in the body or in a stream was only a closed connection.

The check now starts where every attempt ends, for any response that was cut off, whatever part of it came before and whatever kind of call it is. A request that crashed a target before is not retried within the same call while the outcome of the next check is unknown, and a request that became refused while it waited for a target is not sent.

--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -4,20 +4,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::task;
 use futures_lite::future::or;
 
 use super::caller_connection::CallerConnection;
 use super::connection_pool::TargetConnection;
+use super::crash_check::check_crash;
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
 use super::response_relay::StreamProgress;
 use super::response_relay::write_buffered;
 use super::route_filter::RoutedRequest;
+use super::send_outcome::LossCause;
 use super::send_outcome::SendOutcome;
 use crate::catalog::CallKind;
 use crate::clock::boot_now;
 use crate::dispatch::AttemptOutcome;
+use crate::dispatch::PlacedTarget;
 use crate::dispatch::PlacementRequest;
 use crate::dispatch::SlotGuard;
 use crate::dispatch::WaitOutcome;
@@ -143,6 +147,11 @@
                     false => continue,
                 }
             }
+            if self.is_refused() {
+                let target = slot.target().incarnation();
+                self.state.connections.put_unused(&target, connection);
+                return self.fail(ErrorKind::SuspectRequest).await;
+            }
             if let Some(outcome) = self.send_once(slot, connection).await {
                 return outcome;
             }
@@ -230,7 +239,8 @@
         slot: SlotGuard,
         connection: TargetConnection,
     ) -> Option<ExecutionOutcome> {
-        let target = slot.target().name.clone();
+        let placed = slot.target().clone();
+        let target = placed.name.clone();
         self.attempts += 1;
         self.head_received = false;
         self.report_sent(&target);
@@ -246,7 +256,10 @@
             SendOutcome::DeadlineExceeded => return Some(self.fail(ErrorKind::TargetSilent).await),
             SendOutcome::NotRun(cause) => (cause, true, ErrorKind::Overloaded),
             SendOutcome::Lost(cause) => {
-                let is_retryable = self.routed.kind.is_retryable();
+                let is_retryable = self.routed.kind.is_retryable() && !self.may_crash_more(cause);
+                if cause.may_be_crash() {
+                    self.spawn_crash_check(placed);
+                }
                 (cause.to_string(), is_retryable, ErrorKind::TargetLost)
             }
             SendOutcome::TargetFailure { head, body } => {
@@ -264,6 +277,28 @@
         }
     }
 
+    /// Looks for a crash of the target. A crash may come at any point of a response: an engine
+    /// sends the head before it starts to run the request.
+    fn spawn_crash_check(&self, target: PlacedTarget) {
+        let routed = self.routed;
+        let state = Arc::clone(self.state);
+        let check = check_crash(state, target, routed.fingerprint, routed.id.clone());
+        task::spawn(check);
+    }
+
+    /// Returns whether the request is rejected because it crashes targets.
+    fn is_refused(&self) -> bool {
+        let table = self.state.poison.table();
+        table.is_refused(self.routed.fingerprint)
+    }
+
+    /// Returns whether a retry may crash another target: the request has crashed one before,
+    /// and the outcome of the check of this one is not known yet.
+    fn may_crash_more(&self, cause: LossCause) -> bool {
+        let table = self.state.poison.table();
+        cause.may_be_crash() && table.is_suspect(self.routed.fingerprint)
+    }
+
     /// Returns whether the request may be retried, and charges the retry budget if so.
     fn reserve_retry(&self) -> bool {
         let is_resumable = !self.progress.has_started || self.progress.last_id().is_some();
--- a/src/edge/send_outcome.rs
+++ b/src/edge/send_outcome.rs
@@ -27,6 +27,13 @@
     NotResumed(u16),
 }
 
+impl LossCause {
+    /// Returns whether the target may have crashed while it ran the request.
+    pub(crate) const fn may_be_crash(self) -> bool {
+        matches!(self, Self::ConnectionClosed | Self::InvalidResponse)
+    }
+}
+
 /// Outcome of one attempt.
 #[derive(Debug)]
 pub(crate) enum SendOutcome {
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -1,15 +1,12 @@
 //! One attempt to send a request to a target and forward its response to the caller.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::task;
 use futures_lite::future::or;
 
 use super::caller_connection::CallerConnection;
 use super::connection_pool::TargetConnection;
-use super::crash_check::check_crash;
 use super::request_execution::MIN_TIME_LEFT;
 use super::request_execution::RequestExecution;
 use super::response_relay::RelayLimits;
@@ -105,17 +102,6 @@
             }
         };
         let sent = cancel_on_disconnect(self.caller, routed.kind, exchange).await;
-        if let Err(SendOutcome::Lost(cause)) = &sent
-            && *cause != LossCause::Unresponsive
-        {
-            let state = Arc::clone(self.state);
-            task::spawn(check_crash(
-                state,
-                slot.target().clone(),
-                routed.fingerprint,
-                routed.id.clone(),
-            ));
-        }
         if let Ok(call) = &sent {
             self.head_received = true;
             self.record_limit(&call.head, slot);
