Poison requests: marks outlast the crashes of other targets

Each crash makes suspects of all requests that ran on the target, and the table kept the 64 newest: after five crashes of other targets a rejected request was forgotten and ran again, and a request with one loss never got its second. At 64 entries in a message, the ones that peers must reject could be left out.

The table keeps 4,096 suspects (eighty crashes within 8 s make a thousand) and drops those with the fewest losses first; messages still carry 64, those with the most losses first.

tests/poison_table.rs: the three new tests failed before (rejected request forgotten, second loss not counted, rejected request not sent).

--- a/src/poison/poison_guard.rs
+++ b/src/poison/poison_guard.rs
@@ -107,12 +107,10 @@
         if !changed_at.values().any(|at| *at >= since) {
             return Vec::new();
         }
-        let mut entries = table.entries();
-        entries.retain(|entry| {
-            let at = changed_at.get(&entry.fingerprint);
+        table.select_entries(|fingerprint| {
+            let at = changed_at.get(&fingerprint);
             at.is_some_and(|at| *at >= since)
-        });
-        entries
+        })
     }
 
     fn mark_changed(&self, fingerprint: RequestFingerprint) {
--- a/src/poison/poison_table.rs
+++ b/src/poison/poison_table.rs
@@ -4,6 +4,8 @@
 //! sends again. Without it, each resend would crash another target until none is left, and all
 //! requests that ran on the same targets would be lost as well.
 
+use std::cmp::Reverse;
+
 use super::PoisonEntry;
 use super::RequestFingerprint;
 use super::TargetLoss;
@@ -21,8 +23,11 @@
 /// Losses of one target within this time count as one, in milliseconds. Several copies of the
 /// request may have run there for different hosts.
 const SAME_LOSS_MS: u64 = 2_000;
-/// Maximum number of suspects; a single message may carry all of them.
-const MAX_SUSPECTS: usize = 64;
+/// Maximum number of suspects. Each crash makes suspects of all requests that ran on the target,
+/// a dozen or more; the losses of a request must outlast the crashes between two of its runs.
+const MAX_SUSPECTS: usize = 4096;
+/// Maximum number of suspects in a message.
+const MAX_SENT: usize = 64;
 
 /// Requests suspected of crashing targets.
 ///
@@ -68,9 +73,19 @@
             .merge(entry)
     }
 
-    /// Returns all entries for peers.
+    /// Returns the most important entries for peers.
     pub fn entries(&self) -> Vec<PoisonEntry> {
-        self.entries.values().cloned().collect()
+        self.select_entries(|_| true)
+    }
+
+    /// Returns the most important of the entries whose fingerprint is `wanted`, for peers.
+    pub fn select_entries(&self, wanted: impl Fn(RequestFingerprint) -> bool) -> Vec<PoisonEntry> {
+        let entries = self.entries.values();
+        let mut entries: Vec<&PoisonEntry> =
+            entries.filter(|entry| wanted(entry.fingerprint)).collect();
+        entries.sort_by_cached_key(|entry| Reverse(importance(entry)));
+        entries.truncate(MAX_SENT);
+        entries.into_iter().cloned().collect()
     }
 
     /// Returns whether a target was lost while it ran the request. Such a request must not run
@@ -94,7 +109,8 @@
             })
     }
 
-    /// Removes entries past the retention period, and the oldest ones above the maximum number.
+    /// Removes entries past the retention period, and the least important ones above the maximum
+    /// number.
     pub fn evict_expired(&mut self, now: UnixMillis) {
         let cutoff = now.saturating_sub(RETENTION_MS);
         self.entries.retain(|_, entry| {
@@ -102,33 +118,36 @@
             !entry.losses.is_empty() || entry.cleared_at >= cutoff
         });
         while self.entries.len() > MAX_SUSPECTS {
-            let Some(oldest) = self.oldest_entry() else {
+            let least = self.entries.values().min_by_key(|entry| importance(entry));
+            let Some(least) = least.map(|entry| entry.fingerprint) else {
                 return;
             };
-            self.entries.remove(&oldest);
+            self.entries.remove(&least);
         }
     }
 
-    fn oldest_entry(&self) -> Option<RequestFingerprint> {
-        self.entries
-            .iter()
-            .min_by_key(|(_, entry)| entry.losses.last().map_or(entry.cleared_at, |loss| loss.at))
-            .map(|(fingerprint, _)| *fingerprint)
-    }
-
     fn count_losses(&self, fingerprint: RequestFingerprint) -> usize {
-        let Some(entry) = self.entries.get(&fingerprint) else {
-            return 0;
-        };
-        let losses = &entry.losses;
-        let is_duplicate = |index: usize| {
-            let loss = &losses[index];
-            losses[..index]
-                .iter()
-                .any(|earlier| earlier.target == loss.target && loss.at - earlier.at < SAME_LOSS_MS)
-        };
-        (0..losses.len())
-            .filter(|index| !is_duplicate(*index))
-            .count()
+        self.entries.get(&fingerprint).map_or(0, count_losses)
     }
 }
+
+/// Returns the order in which entries are kept and sent: by their losses, since an entry with
+/// more of them protects more targets, then by time.
+fn importance(entry: &PoisonEntry) -> (usize, UnixMillis) {
+    let changed_at = entry.losses.last().map_or(entry.cleared_at, |loss| loss.at);
+    (count_losses(entry), changed_at)
+}
+
+/// Returns the number of losses of an entry, without those that belong to one crash.
+fn count_losses(entry: &PoisonEntry) -> usize {
+    let losses = &entry.losses;
+    let is_duplicate = |index: usize| {
+        let loss = &losses[index];
+        losses[..index]
+            .iter()
+            .any(|earlier| earlier.target == loss.target && loss.at - earlier.at < SAME_LOSS_MS)
+    };
+    (0..losses.len())
+        .filter(|index| !is_duplicate(*index))
+        .count()
+}
--- a/tests/poison_table.rs
+++ b/tests/poison_table.rs
@@ -83,3 +83,68 @@
 
     assert!(!table.is_suspect(poison()));
 }
+
+/// Records that `target` was lost while it ran the request and `others` harmless ones.
+fn record_crash(
+    table: &mut PoisonTable,
+    request: Option<RequestFingerprint>,
+    crash: u32,
+    others: u32,
+    now: u64,
+) {
+    for other in 0..others {
+        let body = (crash * 1000 + other).to_le_bytes();
+        let other = fingerprint_request("harbour", "digest", &body);
+        table.record_loss(other, &target(crash), now);
+    }
+    if let Some(request) = request {
+        table.record_loss(request, &target(crash), now);
+    }
+}
+
+/// Guards against a rejected request that is forgotten while other targets crash.
+#[test]
+fn a_rejected_request_is_remembered_while_many_others_become_suspects() {
+    let mut table = PoisonTable::default();
+    record_crash(&mut table, Some(poison()), 1, 12, MINUTE_MS);
+    record_crash(&mut table, Some(poison()), 2, 12, MINUTE_MS + 1_000);
+
+    for crash in 3..=200 {
+        let now = MINUTE_MS + u64::from(crash) * 1_000;
+        record_crash(&mut table, None, crash, 12, now);
+    }
+
+    assert!(table.is_refused(poison()));
+}
+
+/// Guards against a request that never becomes rejected, since each of its losses is forgotten
+/// before the next one while other targets crash.
+#[test]
+fn losses_of_a_request_are_counted_across_many_crashes_of_other_targets() {
+    let mut table = PoisonTable::default();
+    record_crash(&mut table, Some(poison()), 1, 12, MINUTE_MS);
+
+    // One target of 3,000 crashes each 100 ms for 8 s.
+    for crash in 2..=81 {
+        let now = MINUTE_MS + u64::from(crash) * 100;
+        record_crash(&mut table, None, crash, 12, now);
+    }
+    record_crash(&mut table, Some(poison()), 82, 12, MINUTE_MS + 8_200);
+
+    assert!(table.is_refused(poison()));
+}
+
+/// Guards against messages that grow with the number of suspects, and leave out the requests
+/// that peers must reject.
+#[test]
+fn a_message_lists_the_rejected_requests_first() {
+    let (mut left, mut right) = (PoisonTable::default(), PoisonTable::default());
+    record_crash(&mut left, Some(poison()), 1, 12, MINUTE_MS);
+    record_crash(&mut left, Some(poison()), 2, 12, MINUTE_MS + 1_000);
+    record_crash(&mut left, None, 3, 500, MINUTE_MS + 2_000);
+
+    exchange(&mut left, &mut right);
+
+    assert!(left.entries().len() <= 64);
+    assert!(right.is_refused(poison()));
+}
