Crash tests: engines that crash in the middle of a stream, before serve

serve records a loss wherever its exchange with a target ends without a whole answer, so the fault of edge does not stand there: the test passes on the code before the fix too. The stand-in engine can crash after a number of tokens.

--- a/standins/src/engine/engine_handler.rs
+++ b/standins/src/engine/engine_handler.rs
@@ -93,15 +93,20 @@
         return Ok(status_reply(StatusCode::BadRequest));
     };
     let id = shared.executions.record(&request);
-    if faults
-        .crash_on
-        .as_ref()
-        .is_some_and(|trigger| text.contains(trigger))
-    {
+    let trigger = faults.crash_on.as_ref();
+    let crashes = trigger.is_some_and(|trigger| text.contains(trigger));
+    if crashes && faults.crash_after == 0 {
         shared.crash();
         return Err(http_types::format_err!("the engine crashed"));
     }
     let stream = Arc::new(TokenStream::new(id, body.max_tokens));
+    if crashes {
+        task::spawn(crash_after(
+            Arc::clone(shared),
+            Arc::clone(&stream),
+            faults.crash_after,
+        ));
+    }
     shared.streams().add(Arc::clone(&stream));
     spawn_generation(shared, body.prompt, Arc::clone(&stream));
     if body.stream {
@@ -111,6 +116,12 @@
     }
 }
 
+/// Crashes the engine once it has generated this many tokens of the stream.
+async fn crash_after(shared: Arc<EngineShared>, stream: Arc<TokenStream>, tokens: u32) {
+    stream.wait_for_token(tokens).await;
+    shared.crash();
+}
+
 fn resume(shared: &EngineShared, id: &str, from: u32) -> Response {
     let Some(stream) = shared.streams().find(id) else {
         return status_reply(StatusCode::NotFound);
--- a/standins/src/engine/engine_settings.rs
+++ b/standins/src/engine/engine_settings.rs
@@ -49,6 +49,9 @@
     pub slow: f64,
     /// Crashes when a request body contains this text, after recording the execution.
     pub crash_on: Option<String>,
+    /// Number of tokens that are generated before such a crash; 0 crashes before the head of
+    /// the answer.
+    pub crash_after: u32,
     /// Answers with the id and text of another request.
     pub wrong_id: bool,
     /// Closes the connection after this many tokens.
@@ -68,6 +71,7 @@
         Self {
             slow: 1.0,
             crash_on: None,
+            crash_after: 0,
             wrong_id: false,
             cut_after: None,
             silent_after: None,
--- a/tests/process_crash.rs
+++ b/tests/process_crash.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use standins::CallerAnswer;
+use standins::CallerError;
 use standins::CallerRequest;
 use standins::EngineFaults;
 use standins::new_request_id;
@@ -14,12 +16,15 @@
 use support::spawn_call;
 use support::wait_for;
 
+type CallResult = Result<CallerAnswer, CallerError>;
+
 /// A prompt that crashes the engines.
 const CRASHING_PROMPT: &str = "boom";
 /// The maximum number of targets that one crashing request may take down.
 const MAX_LOST_ENGINES: usize = 2;
 
-async fn start_fleet() -> TestFleet {
+/// Starts a fleet whose engines crash after they have generated `tokens` of the crashing prompt.
+async fn start_fleet(tokens: u32) -> TestFleet {
     let fleet = TestFleet::start(FleetPlan {
         engines: 4,
         services: 0,
@@ -30,6 +35,7 @@
     for number in 0..4 {
         fleet.engine(number).set_faults(EngineFaults {
             crash_on: Some(CRASHING_PROMPT.to_owned()),
+            crash_after: tokens,
             ..EngineFaults::default()
         });
     }
@@ -37,19 +43,18 @@
 }
 
 fn crashing_request(id: &str) -> CallerRequest {
-    CallerRequest::generate(CRASHING_PROMPT, 4, true)
+    CallerRequest::generate(CRASHING_PROMPT, 40, true)
         .with_token(TOKEN)
         .with_id(id)
         .with_class("briefing")
 }
 
-/// A caller repeatedly sends a request that crashes every engine that runs it, with the same
-/// id and with new ones, through each host in turn.
-#[async_std::test]
-async fn a_crashing_request_takes_down_two_targets_at_most() {
-    let fleet = start_fleet().await;
+/// Repeatedly sends a request that crashes every engine that runs it, with the same id and with
+/// new ones, through each host in turn. Returns the answers and the number of crashed engines.
+async fn send_crashing_requests(fleet: &TestFleet) -> (Vec<CallResult>, usize) {
     let hosts = fleet.caller_addresses();
     let id = new_request_id();
+    let mut answers = Vec::new();
 
     for round in 0..9 {
         let host = hosts[round % hosts.len()];
@@ -57,15 +62,39 @@
             0 => id.clone(),
             _ => new_request_id(),
         };
-        let answer = call(host, &crashing_request(&resent)).await.unwrap();
-        assert_ne!(answer.status, 200);
+        answers.push(call(host, &crashing_request(&resent)).await);
     }
 
     // Every execution crashes one engine.
-    let runs: usize = (0..4)
-        .map(|number| fleet.engine(number).executions().len())
-        .sum();
-    assert!(runs <= MAX_LOST_ENGINES, "{runs} engines were lost");
+    let crashed = (0..4).map(|number| fleet.engine(number).executions().len());
+    (answers, crashed.sum())
+}
+
+#[async_std::test]
+async fn a_crashing_request_takes_down_two_targets_at_most() {
+    let fleet = start_fleet(0).await;
+
+    let (answers, crashed) = send_crashing_requests(&fleet).await;
+
+    for answer in answers {
+        assert_ne!(answer.unwrap().status, 200);
+    }
+    assert!(crashed <= MAX_LOST_ENGINES, "{crashed} engines were lost");
+}
+
+/// Guards against a request whose engines crash in the middle of their streams.
+#[async_std::test]
+async fn a_request_that_crashes_engines_in_a_stream_takes_down_two_targets_at_most() {
+    let fleet = start_fleet(2).await;
+
+    let (answers, crashed) = send_crashing_requests(&fleet).await;
+
+    for answer in answers {
+        let answer = answer.unwrap();
+        assert!(answer.status != 200 || !answer.is_complete);
+    }
+    let few = 1..=MAX_LOST_ENGINES;
+    assert!(few.contains(&crashed), "{crashed} engines were lost");
 }
 
 /// Returns a harmless request; repeated calls differ only in the request id.
@@ -80,7 +109,7 @@
 /// answered `unknown`, but each must be served when it is sent again.
 #[async_std::test]
 async fn requests_beside_a_crashing_request_are_served() {
-    let fleet = start_fleet().await;
+    let fleet = start_fleet(0).await;
     let hosts = fleet.caller_addresses();
     for round in 0..2 {
         let running: Vec<_> = (0..8)
