--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -104,6 +104,13 @@
                     let revision = update.revision;
                     state.log.write(&DecisionLine::StoreBack { revision });
                 }
+                if update.full {
+                    state.log.write(&DecisionLine::StoreRead {
+                        held: after,
+                        revision: update.revision,
+                        targets: update.targets.len(),
+                    });
+                }
                 needs_full_read = false;
                 backoff.reset();
                 let change = match update.full || access == StoreAccess::Watch {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -71,6 +71,17 @@
         /// The store's revision.
         revision: StoreRevision,
     },
+    /// The whole view was read from the store: at the start, after expired history, or because
+    /// the store does not have the revision that this host holds.
+    #[display("whole view read from the store")]
+    StoreRead {
+        /// Up to which revision the view was complete before.
+        held: StoreRevision,
+        /// The store's revision.
+        revision: StoreRevision,
+        /// Number of targets in the store.
+        targets: usize,
+    },
     /// A catalog came into force.
     #[display("catalog {catalog} in force")]
     CatalogInForce {
