Edge and adapter tests: a store that comes back from an older copy (failing)

A target that leaves after the store went back gets 14 requests in half a second two seconds later; the adapter reads nothing of the store's era. The third test passes already: it guards against a fix that forgets what a host knew.

--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -82,6 +82,31 @@
         *self.state.lock().unwrap() = Some(update);
     }
 
+    /// Lets the store continue from an older copy of itself, in which all targets are ready.
+    pub(super) fn go_back(&self, revision: u64) {
+        self.change(revision, |update| {
+            for target in &mut update.targets {
+                target.phase = TargetPhase::Ready;
+                target.revision = revision;
+            }
+        });
+    }
+
+    /// Writes the phase of one target.
+    pub(super) fn set_phase(&self, revision: u64, index: usize, phase: TargetPhase) {
+        self.change(revision, |update| {
+            update.targets[index].phase = phase;
+            update.targets[index].revision = revision;
+        });
+    }
+
+    fn change(&self, revision: u64, change: impl FnOnce(&mut ViewUpdate)) {
+        let mut state = self.state.lock().unwrap();
+        let update = state.as_mut().unwrap();
+        update.revision = revision;
+        change(update);
+    }
+
     fn read(&self) -> Result<ViewUpdate, SourceError> {
         let state = self.state.lock().unwrap();
         state.clone().ok_or(SourceError::TimedOut)
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -13,4 +13,5 @@
 mod responses;
 mod shutdown;
 mod store_access;
+mod store_eras;
 mod target_notices;
