View: a store that goes back to an older copy starts an era

Callers saw requests at targets that had announced their leaving more than 3 s before (DRAIN), after the store had come back from a copy some seconds old.

Cause: hosts order everything by the revision's number, as if the store had one history. When it goes back, numbers are given out again. A record with a number below that of the record held was dropped; a watch from the number held was refused until the store had passed it, and then brought only what came later; and peers did not exchange views of the same highest number.

A host takes over the view of the later era from the store or a peer, whatever it holds; parts of another era and answers of a past one are dropped. It keeps the newest configuration (versions are the operator's), reports leaving targets to its peers and keeps them out of use for good, keeps removed targets out of use until their registrations would have expired, keeps targets that the copy lacks for the same 1.5 s as after an outage, and keeps evacuations for 5 s.

--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -97,7 +97,9 @@
         if self.evacuated && !member.evacuated {
             self.cold_start = Some(ColdStart::returned(now));
         }
-        let has_changed = self.record.revision != record.revision;
+        // In another era of the store, an unchanged registration keeps its number.
+        let has_changed = self.record.revision.number != record.revision.number
+            || self.record.cold_remaining != record.cold_remaining;
         if has_changed && !record.cold_remaining.is_zero() {
             let cold_start = self.cold_start.filter(|held| !held.is_over(now));
             let mut cold_start = cold_start.unwrap_or(ColdStart::lost(now));
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::SlotGrants;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
+use crate::ids::TargetName;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
 use crate::members::GossipSchedule;
@@ -36,12 +37,18 @@
 use crate::quota::RetryBudget;
 use crate::sorted::SortedMap;
 use crate::view::SharedView;
+use crate::view::TargetIncarnation;
 use crate::view::ViewChange;
 
 /// Safety margin on the maximum age of key data. It covers the time a request was in
 /// transit and the difference between the clock readings of two hosts.
 const EVIDENCE_MARGIN: Duration = Duration::from_millis(500);
 
+/// How long a target gets no requests that was removed before the store went back, and that its
+/// copy may contain. If the target is gone, its registration expires within that time: targets
+/// renew theirs every 1.2 s and lose it after three missed renewals.
+const RETURN_PAUSE: Duration = Duration::from_secs(6);
+
 /// State shared by all requests and controllers of a host.
 ///
 /// A guard returned by an accessor must not be held across an await.
@@ -352,6 +359,15 @@
                 peer: peer.cloned(),
             });
         }
+        if let Some(rewind) = change.rewind {
+            self.log.write(&DecisionLine::StoreRewound {
+                from: rewind.from,
+                to: rewind.to,
+                leaving: target_names(&change.leaving),
+                returning: target_names(&change.returning),
+            });
+            self.keep_departed(change.leaving, change.returning);
+        }
         self.refresh_targets();
         for evacuation in change.evacuations {
             self.log.write(&DecisionLine::ZoneEvacuation {
@@ -369,6 +385,20 @@
         }
     }
 
+    /// Keeps targets out of use that were leaving or removed before the store went back to a copy
+    /// in which they may be ready. Peers learn of the leaving ones, since those that start now
+    /// know only the copy.
+    fn keep_departed(&self, leaving: Vec<TargetIncarnation>, returning: Vec<TargetIncarnation>) {
+        let now = boot_now();
+        let mut table = self.queue.lock_table();
+        for target in leaving {
+            table.record_leaving(target, now);
+        }
+        for target in returning {
+            table.record_pause(target, RETURN_PAUSE, now);
+        }
+    }
+
     fn refresh_targets(&self) {
         let refresh = lock(&self.table_refresh);
         let catalog = self.view.catalog();
@@ -405,6 +435,10 @@
     }
 }
 
+fn target_names(targets: &[TargetIncarnation]) -> Vec<TargetName> {
+    targets.iter().map(|target| target.name.clone()).collect()
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -58,7 +58,8 @@
     let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
     let mut text = state.metrics.render(&[
         ("catalog_version", catalog),
-        ("store_revision", revision),
+        ("store_era", revision.era),
+        ("store_revision", revision.number),
         ("evidence_age_ms", age),
         ("view_age_ms", state.view_age_ms().unwrap_or(0)),
         ("members_live", state.live_host_count() as u64),
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -28,6 +28,7 @@
 use crate::edge::SettingsLoader;
 use crate::edge::edge_host::EdgeDependencies;
 use crate::edge::edge_state::EdgeState;
+use crate::ids::StoreRevision;
 use crate::json::DocumentFault;
 use crate::logs::DecisionLog;
 use crate::logs::LineQueue;
@@ -68,13 +69,13 @@
     /// Writes routes to all `targets` and an account with `keys`.
     pub(super) fn write(&self, version: u64, targets: &[RawTarget], keys: &[&str]) {
         let update = ViewUpdate {
-            revision: version,
+            revision: version.into(),
             full: true,
             catalog: Some(catalog_of(version, keys)),
             targets: targets
                 .iter()
                 .enumerate()
-                .map(|(index, target)| record_of(index, target, version))
+                .map(|(index, target)| record_of(index, target, version.into()))
                 .collect(),
             removals: Vec::new(),
             evacuations: Vec::new(),
@@ -85,9 +86,10 @@
     /// Lets the store continue from an older copy of itself, in which all targets are ready.
     pub(super) fn go_back(&self, revision: u64) {
         self.change(revision, |update| {
+            update.revision.era += 1;
             for target in &mut update.targets {
                 target.phase = TargetPhase::Ready;
-                target.revision = revision;
+                target.revision = update.revision;
             }
         });
     }
@@ -96,14 +98,14 @@
     pub(super) fn set_phase(&self, revision: u64, index: usize, phase: TargetPhase) {
         self.change(revision, |update| {
             update.targets[index].phase = phase;
-            update.targets[index].revision = revision;
+            update.targets[index].revision = update.revision;
         });
     }
 
     fn change(&self, revision: u64, change: impl FnOnce(&mut ViewUpdate)) {
         let mut state = self.state.lock().unwrap();
         let update = state.as_mut().unwrap();
-        update.revision = revision;
+        update.revision.number = revision;
         change(update);
     }
 
@@ -128,7 +130,7 @@
         })
     }
 
-    fn watch(&self, after: u64, wait: Duration) -> SourceFuture<'_> {
+    fn watch(&self, after: StoreRevision, wait: Duration) -> SourceFuture<'_> {
         Box::pin(async move {
             let started_at = Instant::now();
             loop {
@@ -377,7 +379,7 @@
     }
 }
 
-fn record_of(index: usize, target: &RawTarget, revision: u64) -> TargetRecord {
+fn record_of(index: usize, target: &RawTarget, revision: StoreRevision) -> TargetRecord {
     TargetRecord {
         name: format!("t{index}"),
         pool: "p".into(),
--- a/src/edge/tests/gossip.rs
+++ b/src/edge/tests/gossip.rs
@@ -24,7 +24,7 @@
 
 fn catalog_update(version: u64, routes: usize) -> ViewUpdate {
     ViewUpdate {
-        revision: version,
+        revision: version.into(),
         catalog: Some(large_catalog(version, routes)),
         ..ViewUpdate::default()
     }
@@ -40,10 +40,10 @@
         phase: TargetPhase::Ready,
         started_at_ms: 1_796_000_000_123,
         cold_remaining: Duration::ZERO,
-        revision,
+        revision: revision.into(),
     };
     ViewUpdate {
-        revision,
+        revision: revision.into(),
         targets: (0..count).map(target).collect(),
         ..ViewUpdate::default()
     }
@@ -52,10 +52,10 @@
 fn removal_update(revision: u64) -> ViewUpdate {
     let removal = TargetRemoval {
         name: "t0".into(),
-        revision,
+        revision: revision.into(),
     };
     ViewUpdate {
-        revision,
+        revision: revision.into(),
         removals: vec![removal],
         ..ViewUpdate::default()
     }
--- a/src/edge/tests/store_access.rs
+++ b/src/edge/tests/store_access.rs
@@ -43,7 +43,7 @@
     let host = isolated_state(EdgeBounds::default());
     let now = boot_now();
     let update = ViewUpdate {
-        revision: 1,
+        revision: 1.into(),
         ..ViewUpdate::default()
     };
 
@@ -60,7 +60,7 @@
 fn a_host_is_not_ready_before_its_dispatch_table_is_filled() {
     let state = isolated_state(EdgeBounds::default());
     let update = ViewUpdate {
-        revision: 1,
+        revision: 1.into(),
         full: true,
         catalog: Some(large_catalog(1, 0)),
         ..ViewUpdate::default()
@@ -85,10 +85,10 @@
         phase,
         started_at_ms: 0,
         cold_remaining: Duration::ZERO,
-        revision,
+        revision: revision.into(),
     };
     ViewUpdate {
-        revision,
+        revision: revision.into(),
         targets: vec![target],
         ..ViewUpdate::default()
     }
@@ -108,7 +108,7 @@
         target_update(&pool, TargetPhase::Ready, 1).targets
     });
     apply(ViewUpdate {
-        revision: 1,
+        revision: 1.into(),
         targets: many.collect(),
         ..ViewUpdate::default()
     });
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -94,7 +94,7 @@
             _ => state.view.revision(),
         };
         count(&state.metrics.store_calls);
-        let read = match needs_full_read || after == 0 {
+        let read = match needs_full_read || !after.is_known() {
             true => source.read_all().await,
             false => source.watch(after, store_wait(&state, access)).await,
         };
@@ -203,7 +203,7 @@
 /// Returns whether this host may read the store. A starting host waits for a peer's view
 /// first.
 fn may_read_store(state: &EdgeState) -> bool {
-    let has_view = state.view.catalog().is_some() && state.view.revision() > 0;
+    let has_view = state.view.catalog().is_some() && state.view.revision().is_known();
     let has_seeds = !state.settings.load().seeds.is_empty();
     if has_view || !has_seeds {
         return true;
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -1,9 +1,12 @@
 //! Identifiers: type aliases for names and versions, and the request id.
 
 mod request_id;
+mod store_revision;
 
 pub use request_id::RequestId;
 pub use request_id::RequestIdError;
+pub use store_revision::StoreEra;
+pub use store_revision::StoreRevision;
 
 /// The name of an entry host, unique in the fleet.
 pub type HostName = String;
@@ -33,5 +36,3 @@
 pub type PoolName = String;
 /// The version of a route catalog; never decreases.
 pub type CatalogVersion = u64;
-/// A revision of the configuration store; never decreases.
-pub type StoreRevision = u64;
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -71,6 +71,18 @@
         /// The store's revision.
         revision: StoreRevision,
     },
+    /// The store continues from an older copy of itself.
+    #[display("store went back from {from} to {to}")]
+    StoreRewound {
+        /// Up to which revision the view was complete before.
+        from: StoreRevision,
+        /// The revision of the first view of the new era.
+        to: StoreRevision,
+        /// Targets that were leaving, which get no requests.
+        leaving: Vec<TargetName>,
+        /// Targets that were removed, which get no requests for some seconds.
+        returning: Vec<TargetName>,
+    },
     /// The whole view was read from the store: at the start, after expired history, or because
     /// the store does not have the revision that this host holds.
     #[display("whole view read from the store")]
--- a/src/view/lease_grace.rs
+++ b/src/view/lease_grace.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Records that the store went back to an older copy of itself. Targets that registered since
+    /// the copy was made are missing from it, and are registered again like after an outage.
+    pub fn record_rewind(&mut self, now: Duration) {
+        self.ends_at = Some(now + RETURN_GRACE);
+    }
+
     /// Returns until when a target removed now may still serve, because its registration may
     /// have expired only due to the outage.
     pub fn removal_deadline(&self, now: Duration) -> Option<Duration> {
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -20,6 +20,7 @@
 pub use target_record::TargetIncarnation;
 pub use target_record::TargetPhase;
 pub use target_record::TargetRecord;
+pub use view_update::StoreRewind;
 pub use view_update::TargetRemoval;
 pub use view_update::ViewChange;
 pub use view_update::ViewUpdate;
--- a/src/view/platform_view.rs
+++ b/src/view/platform_view.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use super::LeaseGrace;
+use super::StoreRewind;
+use super::TargetIncarnation;
+use super::TargetPhase;
 use super::TargetRecord;
 use super::TargetRemoval;
 use super::ViewChange;
@@ -21,17 +24,35 @@
 /// target back; peers exchange messages many times per second.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
 
+/// How long an evacuation is kept that a store which went back does not have. What it lost is
+/// written again within about two seconds; a shorter time could lift an evacuation in force.
+const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Tombstone of a removed target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RemovalTombstone {
     revision: StoreRevision,
     recorded_at: Duration,
+    /// The registration that was removed, if it was known.
+    target: Option<RemovedTarget>,
+}
+
+/// A registration that was removed.
+#[derive(Clone, Debug)]
+struct RemovedTarget {
+    incarnation: TargetIncarnation,
+    phase: TargetPhase,
 }
 
 /// The host's view of routes and targets.
 ///
 /// Each record carries the revision at which it was written, and the higher revision wins, so
 /// updates from several sources may arrive in any order and more than once.
+///
+/// A store that continues from an older copy of itself starts an era. Its view replaces that of
+/// the era before, whatever the numbers of the revisions; only the catalog, whose versions the
+/// operator counts, is kept. What was known of leaving targets is reported as a change, since
+/// the copy may show them as ready.
 #[derive(Debug, Default)]
 pub struct PlatformView {
     revision: StoreRevision,
@@ -47,6 +68,8 @@
     /// Targets whose registrations expired during a store outage, and until when they may
     /// still serve.
     expired: SortedMap<TargetName, Duration>,
+    /// When the first update of this era was applied.
+    era_started_at: Duration,
     /// Latest evacuation setting of each availability zone that has ever had one.
     evacuations: SortedMap<ZoneName, ZoneEvacuation>,
 }
@@ -118,7 +141,7 @@
     /// may be too large for a message that must arrive within the time limit for leaving
     /// targets.
     pub fn update_since(&self, complete: StoreRevision) -> Option<ViewUpdate> {
-        if complete < self.dropped_revision {
+        if complete.era != self.revision.era || complete < self.dropped_revision {
             return Some(self.full_update());
         }
         let targets = self.registered_targets();
@@ -149,13 +172,32 @@
     }
 
     /// Applies an update.
-    pub fn apply(&mut self, update: ViewUpdate, grace: &LeaseGrace, now: Duration) -> ViewChange {
+    pub fn apply(
+        &mut self,
+        mut update: ViewUpdate,
+        grace: &LeaseGrace,
+        now: Duration,
+    ) -> ViewChange {
         let mut change = ViewChange::default();
-        if let Some(parts) = update.catalog {
+        if let Some(parts) = update.catalog.take() {
             change.catalog = self.replace_catalog(parts);
         }
+        if self.is_of_past_era(&update) {
+            return change;
+        }
+        let is_rewind = self.is_rewind(&update);
+        if update.revision.era > self.revision.era {
+            // A part of a view can't be applied to another era.
+            if is_rewind && !update.full {
+                return change;
+            }
+            self.start_era(update.revision, now, &mut change);
+        }
         if update.full {
-            self.end_absent_evacuations(&update.evacuations, update.revision, &mut change);
+            // Evacuations that the store lost are written again.
+            if !is_rewind {
+                self.end_absent_evacuations(&update.evacuations, update.revision, &mut change);
+            }
             self.remove_absent(&update.targets, update.revision, grace, now, &mut change);
         }
         for record in update.targets {
@@ -179,6 +221,49 @@
         change
     }
 
+    /// Returns whether the update shows that the store continues from an older copy of itself.
+    pub fn is_rewind(&self, update: &ViewUpdate) -> bool {
+        let is_known = self.revision.is_known() && update.revision.is_known();
+        is_known && update.revision.era > self.revision.era
+    }
+
+    /// Returns whether the update is of an era before that of this view.
+    pub fn is_of_past_era(&self, update: &ViewUpdate) -> bool {
+        update.revision.is_known() && update.revision.era < self.revision.era
+    }
+
+    /// Starts an era. The changes that the store lost may concern targets: those that were
+    /// leaving still do, and those that were removed may be registered in its copy although
+    /// they are gone.
+    fn start_era(&mut self, revision: StoreRevision, now: Duration, change: &mut ViewChange) {
+        if self.revision.is_known() {
+            change.rewind = Some(StoreRewind {
+                from: self.revision,
+                to: revision,
+            });
+        }
+        let draining = self.targets.values();
+        let draining = draining.filter(|target| target.phase == TargetPhase::Draining);
+        change
+            .leaving
+            .extend(draining.map(TargetRecord::incarnation));
+        for (name, tombstone) in self.removals.iter() {
+            let Some(removed) = &tombstone.target else {
+                continue;
+            };
+            if self.targets.contains_key(name) {
+                continue;
+            }
+            let known = match removed.phase {
+                TargetPhase::Draining => &mut change.leaving,
+                TargetPhase::Ready => &mut change.returning,
+            };
+            known.push(removed.incarnation.clone());
+        }
+        self.removals.retain(|_, _| false);
+        self.era_started_at = now;
+    }
+
     fn registered_targets(&self) -> impl Iterator<Item = &TargetRecord> {
         let targets = self.targets.values();
         targets.filter(|target| !self.expired.contains_key(&target.name))
@@ -198,9 +283,29 @@
             self.targets.remove(&name);
             change.removed.push(name);
         }
+        self.end_lost_evacuations(now, &mut change);
         change
     }
 
+    /// Ends the evacuations of past eras that were not written again.
+    fn end_lost_evacuations(&mut self, now: Duration, change: &mut ViewChange) {
+        if now < self.era_started_at + REWRITE_TIME {
+            return;
+        }
+        let revision = self.revision;
+        let evacuations = self.evacuations.values();
+        let lost = evacuations.filter(|held| held.active && held.revision.era < revision.era);
+        let lost: Vec<ZoneEvacuation> = lost.cloned().collect();
+        for evacuation in lost {
+            let ended = ZoneEvacuation {
+                revision,
+                active: false,
+                ..evacuation
+            };
+            self.apply_evacuation(ended, change);
+        }
+    }
+
     /// Replaces the catalog with a newer one. Older catalogs are ignored, so that a slow source
     /// cannot undo a replacement.
     fn replace_catalog(&mut self, parts: CatalogParts) -> Option<CatalogVersion> {
@@ -288,7 +393,10 @@
             }
         }
         self.changed_at = self.changed_at.max(record.revision);
-        change.changed.push(record.name.clone());
+        let held = self.targets.get(&record.name);
+        if !held.is_some_and(|held| held.differs_only_in_era(&record)) {
+            change.changed.push(record.name.clone());
+        }
         self.targets.insert(record.name.clone(), record);
     }
 
@@ -300,31 +408,42 @@
         change: &mut ViewChange,
     ) {
         let Some(held) = self.targets.get(&removal.name) else {
-            self.record_removal(removal, now);
+            self.record_removal(removal, None, now);
             return;
         };
         if held.revision > removal.revision || self.expired.contains_key(&removal.name) {
             return;
         }
-        let ready = held.phase == super::TargetPhase::Ready;
+        let removed = RemovedTarget {
+            incarnation: held.incarnation(),
+            phase: held.phase,
+        };
+        let ready = held.phase == TargetPhase::Ready;
         if ready && let Some(until) = grace.removal_deadline(now) {
             self.expired.insert(removal.name.clone(), until);
         } else {
             self.targets.remove(&removal.name);
             change.removed.push(removal.name.clone());
         }
-        self.record_removal(removal, now);
+        self.record_removal(removal, Some(removed), now);
     }
 
-    fn record_removal(&mut self, removal: TargetRemoval, now: Duration) {
+    fn record_removal(
+        &mut self,
+        removal: TargetRemoval,
+        target: Option<RemovedTarget>,
+        now: Duration,
+    ) {
         self.changed_at = self.changed_at.max(removal.revision);
         let tombstone = RemovalTombstone {
             revision: removal.revision,
             recorded_at: now,
+            target,
         };
-        let held = self.removals.get_or_insert_with(removal.name, || tombstone);
-        if held.revision < tombstone.revision {
-            *held = tombstone;
+        match self.removals.get_mut(&removal.name) {
+            Some(held) if held.revision >= tombstone.revision => {}
+            Some(held) => *held = tombstone,
+            None => _ = self.removals.insert(removal.name, tombstone),
         }
     }
 }
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -49,10 +49,13 @@
         now: Duration,
     ) -> ViewChange {
         let mut state = self.lock();
+        if state.view.is_of_past_era(&update) {
+            return ViewChange::default();
+        }
         self.record_contact(&mut state, called_at, now);
         // A read of only the catalog has no revision.
         let revision = update.revision;
-        let is_full = revision > 0;
+        let is_full = revision.is_known();
         let change = self.apply(&mut state, update, now);
         let version = state.view.catalog_version();
         state.view.update_catalog_revision(version, revision);
@@ -73,6 +76,9 @@
         now: Duration,
     ) -> ViewChange {
         let mut state = self.lock();
+        if state.view.is_of_past_era(&update) {
+            return ViewChange::default();
+        }
         let change = self.apply(&mut state, update, now);
         drop(state);
         raise(&self.view_ms, called_at);
@@ -107,7 +113,7 @@
     /// Records a peer's confirmation that its view, whose last change is `revision`, matched
     /// the store at `confirmed_at`. It is ignored unless this host holds that change.
     pub fn confirm_view(&self, revision: StoreRevision, confirmed_at: Duration) {
-        if revision > 0 && self.held_versions().0 >= revision {
+        if revision.is_known() && self.held_versions().0 >= revision {
             raise(&self.view_ms, confirmed_at);
         }
     }
@@ -179,6 +185,9 @@
     }
 
     fn apply(&self, state: &mut ViewState, update: ViewUpdate, now: Duration) -> ViewChange {
+        if state.view.is_rewind(&update) {
+            state.grace.record_rewind(now);
+        }
         let grace = state.grace;
         let change = state.view.apply(update, &grace, now);
         if change.catalog.is_some() {
--- a/src/view/target_record.rs
+++ b/src/view/target_record.rs
@@ -57,6 +57,13 @@
 }
 
 impl TargetRecord {
+    /// Returns whether the other record is the same registration in another era of the store.
+    pub fn differs_only_in_era(&self, other: &Self) -> bool {
+        let mut moved = self.clone();
+        moved.revision.era = other.revision.era;
+        moved == *other
+    }
+
     /// Returns the incarnation that was registered.
     pub fn incarnation(&self) -> TargetIncarnation {
         TargetIncarnation {
--- a/src/view/view_update.rs
+++ b/src/view/view_update.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::TargetIncarnation;
 use super::TargetRecord;
 use super::ZoneEvacuation;
 use crate::catalog::CatalogParts;
@@ -47,6 +48,21 @@
     pub removed: Vec<TargetName>,
     /// Availability zones whose evacuation started or ended.
     pub evacuations: Vec<ZoneEvacuation>,
+    /// Set if the store went back to an older copy of itself.
+    pub rewind: Option<StoreRewind>,
+    /// Targets that were leaving when the store went back.
+    pub leaving: Vec<TargetIncarnation>,
+    /// Targets that were removed before the store went back, and that its copy may contain.
+    pub returning: Vec<TargetIncarnation>,
+}
+
+/// Continuation of the store from an older copy of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreRewind {
+    /// The revision up to which the view was complete.
+    pub from: StoreRevision,
+    /// The revision of the first view of the new era.
+    pub to: StoreRevision,
 }
 
 impl ViewChange {
@@ -56,5 +72,6 @@
             && self.changed.is_empty()
             && self.removed.is_empty()
             && self.evacuations.is_empty()
+            && self.rewind.is_none()
     }
 }
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -54,7 +54,7 @@
             phase: TargetPhase::Ready,
             started_at_ms: 0,
             cold_remaining,
-            revision,
+            revision: revision.into(),
         },
         engine: true,
         cold_limit: Some(LIMIT),
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -36,7 +36,7 @@
             phase: TargetPhase::Ready,
             started_at_ms: 0,
             cold_remaining: Duration::ZERO,
-            revision: 1,
+            revision: 1.into(),
         },
         engine: true,
         cold_limit: None,
--- a/tests/large_pools.rs
+++ b/tests/large_pools.rs
@@ -25,7 +25,7 @@
             phase: TargetPhase::Ready,
             started_at_ms: 1,
             cold_remaining: Duration::ZERO,
-            revision: 1,
+            revision: 1.into(),
         },
         engine: !plain,
         cold_limit: None,
--- a/tests/platform_view.rs
+++ b/tests/platform_view.rs
@@ -25,7 +25,7 @@
         phase: TargetPhase::Ready,
         started_at_ms: 0,
         cold_remaining: Duration::ZERO,
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -41,7 +41,7 @@
 
 fn full_update(revision: u64, targets: &[TargetRecord]) -> ViewUpdate {
     ViewUpdate {
-        revision,
+        revision: revision.into(),
         full: true,
         targets: targets.to_vec(),
         ..ViewUpdate::default()
@@ -50,10 +50,10 @@
 
 fn removal(name: &str, revision: u64) -> ViewUpdate {
     ViewUpdate {
-        revision,
+        revision: revision.into(),
         removals: vec![TargetRemoval {
             name: name.into(),
-            revision,
+            revision: revision.into(),
         }],
         ..ViewUpdate::default()
     }
@@ -103,7 +103,7 @@
     view.apply_store_response(full_update(8, &[]), seconds(105), seconds(105));
     let during = view.targets().len();
     let registered = ViewUpdate {
-        revision: 9,
+        revision: 9.into(),
         targets: vec![target("back", 9)],
         ..ViewUpdate::default()
     };
@@ -220,10 +220,10 @@
 
 fn evacuation(zone: &str, revision: u64, active: bool) -> ViewUpdate {
     ViewUpdate {
-        revision,
+        revision: revision.into(),
         evacuations: vec![ZoneEvacuation {
             availability_zone: zone.into(),
-            revision,
+            revision: revision.into(),
             active,
         }],
         ..ViewUpdate::default()
@@ -276,7 +276,9 @@
     late.apply_peer_view(full_update(3, &[target("a", 3)]), now);
 
     started.apply_peer_view(view.full_update(), now);
-    let lacking = view.update_since(3).expect("it lacks the evacuation");
+    let lacking = view
+        .update_since(3.into())
+        .expect("it lacks the evacuation");
     late.apply_peer_view(lacking, now);
 
     assert_eq!(started.evacuated_zones(), ["za"]);
@@ -295,11 +297,11 @@
     view.apply_store_response(first, now, now);
 
     view.apply_peer_view(removal("a", 9), now);
-    view.update_catalog_revision(8, 9);
+    view.update_catalog_revision(8, 9.into());
     let behind = view.complete_revision();
     view.apply_peer_view(with_catalog(8), now);
-    view.update_catalog_revision(8, 9);
+    view.update_catalog_revision(8, 9.into());
 
-    assert_eq!(behind, 5);
-    assert_eq!(view.complete_revision(), 9);
+    assert_eq!(behind, 5.into());
+    assert_eq!(view.complete_revision(), 9.into());
 }
--- a/tests/request_limits.rs
+++ b/tests/request_limits.rs
@@ -52,7 +52,7 @@
             phase: TargetPhase::Ready,
             started_at_ms: 0,
             cold_remaining: Duration::ZERO,
-            revision: 1,
+            revision: 1.into(),
         },
         engine: true,
         cold_limit: None,
@@ -233,7 +233,7 @@
 
     let mut restarted = member();
     restarted.record.started_at_ms = 1;
-    restarted.record.revision = 2;
+    restarted.record.revision = 2.into();
     table.set_targets(vec![restarted], start());
 
     let sent = simulation.run(start(), Duration::from_secs(1));
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -32,7 +32,7 @@
             phase: TargetPhase::Ready,
             started_at_ms,
             cold_remaining: Duration::ZERO,
-            revision,
+            revision: revision.into(),
         },
         engine: true,
         cold_limit: None,
--- a/tests/target_paces.rs
+++ b/tests/target_paces.rs
@@ -49,7 +49,7 @@
             phase: TargetPhase::Ready,
             started_at_ms: 1,
             cold_remaining: Duration::ZERO,
-            revision: 1,
+            revision: 1.into(),
         },
         engine: true,
         cold_limit: None,
