Soak: a store that goes back an era, and targets that crash at each point of a response

The stand-in of the store can lose its last changes and starts an era then; the fleet writes them again. Targets announce their leaving to the store only, hosts are killed around it, a key is removed. Two callers send requests that crash the targets that run them, before the head, in it, behind it, in the body and in an event.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -22,8 +22,12 @@
 mod soak_history;
 #[path = "soak/soak_host.rs"]
 mod soak_host;
+#[path = "soak/soak_leaving.rs"]
+mod soak_leaving;
 #[path = "soak/soak_plan.rs"]
 mod soak_plan;
+#[path = "soak/soak_poison.rs"]
+mod soak_poison;
 #[path = "soak/soak_routes.rs"]
 mod soak_routes;
 #[path = "soak/soak_run.rs"]
@@ -41,6 +45,7 @@
 use soak_run::SoakReport;
 use soak_run::SoakSize;
 use soak_run::run_limit_soak;
+use soak_run::run_rewind_soak;
 use soak_run::run_soak;
 use soak_run::run_statement_soak;
 
@@ -109,6 +114,7 @@
         hosts: 5,
         targets: 4,
         callers: 16,
+        poison_callers: 0,
     };
     assert!(report_result(13, &run_limit_soak(13, size, DEFAULT_LENGTH)));
 }
@@ -121,14 +127,34 @@
         hosts: 5,
         targets: 6,
         callers: 16,
+        poison_callers: 0,
     };
     assert!(report_result(17, &run_statement_soak(17, size)));
 }
 
+/// Guards against leaving targets that get requests and removed keys that are accepted because the
+/// store went back, and against requests that crash one target after another.
+#[test]
+fn hosts_keep_what_they_know_when_the_store_goes_back() {
+    assert!(report_result(19, &run_rewind_soak(19)));
+}
+
 /// Runs many seeds, several at a time.
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn soak_of_many_seeds() {
+    run_seeds(|seed| run_seed(seed, None, DEFAULT_LENGTH));
+}
+
+/// The same with a store that goes back, and requests that crash targets.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn rewind_soak_of_many_seeds() {
+    run_seeds(|seed| report_result(seed, &run_rewind_soak(seed)));
+}
+
+/// Runs the seeds of the environment, several at a time.
+fn run_seeds(run: impl Fn(u64) -> bool + Sync) {
     let seeds = Mutex::new(seeds_from_env());
     let broken = Mutex::new(Vec::new());
     thread::scope(|scope| {
@@ -139,7 +165,7 @@
                     let Some(seed) = seed else {
                         return;
                     };
-                    if !run_seed(seed, None, DEFAULT_LENGTH) {
+                    if !run(seed) {
                         broken.lock().unwrap().push(seed);
                     }
                 }
@@ -158,6 +184,7 @@
         hosts: 60,
         targets: 40,
         callers: 80,
+        poison_callers: 0,
     };
     assert!(run_seed(11, Some(size), DEFAULT_LENGTH));
 }
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -31,6 +31,9 @@
 /// How long a target keeps serving after it is marked as leaving.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
+/// The same for a target that announces it to the store only.
+const QUIET_DRAIN_TIME: Duration = Duration::from_secs(9);
+
 /// A target with its registration and its link.
 struct FleetTarget {
     target: SoakTarget,
@@ -62,6 +65,12 @@
     history: Arc<SoakHistory>,
     store_disturbance: Option<usize>,
     key_removal: Option<usize>,
+    /// Keys of the changes that the store has lost and that were not written again, and the
+    /// disturbance until then.
+    lost_keys: Vec<String>,
+    rewind_disturbance: Option<usize>,
+    /// Whether hosts reach the targets without links.
+    direct_targets: bool,
 }
 
 impl SoakFleet {
@@ -69,6 +78,7 @@
     pub(crate) fn start(
         run: u8,
         sizes: (usize, usize),
+        direct_targets: bool,
         directory: &std::path::Path,
         history: Arc<SoakHistory>,
     ) -> Self {
@@ -85,6 +95,9 @@
             targets: Vec::new(),
             store_disturbance: None,
             key_removal: None,
+            lost_keys: Vec::new(),
+            rewind_disturbance: None,
+            direct_targets,
             store,
             history,
         };
@@ -165,6 +178,9 @@
                 self.restart_target(index);
             }
             SoakStep::RetireTarget(index) => self.retire_target(index),
+            SoakStep::LeaveQuietly(index) => self.leave_quietly(index),
+            SoakStep::RewindStore(lost) => self.rewind_store(Duration::from_millis(lost)),
+            SoakStep::RewriteStore => self.rewrite_store(),
             SoakStep::RestartTarget(index) => self.restart_target(index),
             SoakStep::SetTargetMode(index, mode) => {
                 let entry = &mut self.targets[index];
@@ -187,6 +203,7 @@
     /// Ends all injected faults and restarts what has stopped.
     pub(crate) fn clear_faults(&mut self) {
         self.apply(SoakStep::SetStoreDown(false));
+        self.rewrite_store();
         self.restore_key();
         for index in 0..self.targets.len() {
             self.restart_target(index);
@@ -343,7 +360,10 @@
         let spec = TargetSpec {
             name: identity.name,
             pool: identity.pool,
-            address: link.address(),
+            address: match self.direct_targets {
+                true => target.address,
+                false => link.address(),
+            },
             leaving: false,
             slots: SLOTS as u32,
             born_ms: 1,
@@ -390,6 +410,37 @@
             .write(&entry.spec.key(), Some(&entry.spec.document()));
     }
 
+    fn leave_quietly(&mut self, index: usize) {
+        let entry = &mut self.targets[index];
+        entry.spec.leaving = true;
+        entry.drain_end = Some(Instant::now() + QUIET_DRAIN_TIME);
+        self.store
+            .write(&entry.spec.key(), Some(&entry.spec.document()));
+        self.history.record_leaving(&entry.spec.name);
+    }
+
+    fn rewind_store(&mut self, lost: Duration) {
+        set_disturbed(&self.history, &mut self.rewind_disturbance, true);
+        self.lost_keys.extend(self.store.rewind(lost));
+    }
+
+    /// Writes the present state of what the store lost.
+    fn rewrite_store(&mut self) {
+        for key in std::mem::take(&mut self.lost_keys) {
+            if key == ConfigSpec::KEY {
+                self.store.write(&key, Some(&self.config.document()));
+                continue;
+            }
+            let mut targets = self.targets.iter();
+            let registered = targets.find(|entry| entry.spec.key() == key);
+            let document = registered
+                .filter(|entry| !entry.spec.leaving || entry.drain_end.is_some())
+                .map(|entry| entry.spec.document());
+            self.store.write(&key, document.as_ref());
+        }
+        set_disturbed(&self.history, &mut self.rewind_disturbance, false);
+    }
+
     fn remove_entry(&mut self, index: usize) {
         self.store.write(&self.targets[index].spec.key(), None);
     }
--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -4,6 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::soak_leaving::AnnouncedLeaving;
+use super::soak_leaving::check_leaving;
+use super::soak_poison::TargetCrash;
+use super::soak_poison::check_crashes;
 use super::soak_routes::SoakRoute;
 use super::soak_statements::HostInterruption;
 use super::soak_statements::StatementRecord;
@@ -90,6 +94,8 @@
     limits: Mutex<Vec<AnnouncedLimit>>,
     statements: Mutex<Vec<TargetStatement>>,
     interruptions: Mutex<Vec<HostInterruption>>,
+    crashes: Mutex<Vec<TargetCrash>>,
+    leaving: Mutex<Vec<AnnouncedLeaving>>,
 }
 
 impl TimeSpan {
@@ -121,6 +127,19 @@
         self.interruptions.lock().unwrap().push(interruption);
     }
 
+    /// Records that a request crashes a target.
+    pub(crate) fn record_crash(&self, crash: TargetCrash) {
+        self.crashes.lock().unwrap().push(crash);
+    }
+
+    /// Records that the store acknowledged that a target is leaving.
+    pub(crate) fn record_leaving(&self, target: &str) {
+        self.leaving.lock().unwrap().push(AnnouncedLeaving {
+            target: target.to_owned(),
+            at: Instant::now(),
+        });
+    }
+
     /// Records a violated guarantee.
     pub(crate) fn record_violation(&self, violation: String) {
         self.violations.lock().unwrap().push(violation);
@@ -206,6 +225,13 @@
             interruptions: &self.interruptions.lock().unwrap(),
         };
         violations.extend(statements.check());
+        violations.extend(check_crashes(&self.crashes.lock().unwrap()));
+        violations.extend(check_leaving(
+            &self.leaving.lock().unwrap(),
+            &requests,
+            &arrivals,
+            statements.interruptions,
+        ));
         violations.extend(check_retry_budget(&arrivals, &requests));
         violations.extend(check_recovery(&requests, hosts, recovered_by));
         violations
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -50,6 +50,12 @@
     /// The target's registration is removed, and another target starts at its address.
     ReplaceTarget(usize),
     RetireTarget(usize),
+    /// The target announces its leaving to the store only, and serves on.
+    LeaveQuietly(usize),
+    /// The store continues from a copy without the changes of so many milliseconds.
+    RewindStore(u64),
+    /// What the store lost is written again.
+    RewriteStore,
     RestartTarget(usize),
     SetTargetMode(usize, TargetMode),
     /// The target announces a limit in requests per second, or none any more.
@@ -105,6 +111,40 @@
     steps
 }
 
+/// Draws times at which the store goes back to an older copy of itself, with targets that leave
+/// before and after, a key that is removed, and hosts that are killed meanwhile.
+pub(crate) fn draw_rewinds(rng: &mut ChaCha8Rng, hosts: usize) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    let mut add = |at: u64, step: SoakStep| {
+        let at = Duration::from_millis(at);
+        steps.push(TimedStep { at, step });
+    };
+    let killed = rng.random_range(0..hosts);
+    let left = rng.random_range(500..1500);
+    let down = left + rng.random_range(700..1500);
+    let up = down + rng.random_range(100..1500);
+    let lost = rng.random_range(300..up - left + 500);
+    add(left, SoakStep::LeaveQuietly(0));
+    add(left + 300, SoakStep::RemoveKey);
+    add(down, SoakStep::SetStoreDown(true));
+    add(up, SoakStep::RewindStore(lost));
+    add(up, SoakStep::SetStoreDown(false));
+    let rewritten = up + rng.random_range(100..1500);
+    add(rewritten, SoakStep::RewriteStore);
+    let killed_at = up - rng.random_range(0..600);
+    add(killed_at, SoakStep::KillHost(killed));
+    let started_at = killed_at + rng.random_range(200..800);
+    add(started_at, SoakStep::StartHost(killed));
+    let second = rewritten + rng.random_range(0..1500);
+    add(second, SoakStep::LeaveQuietly(1));
+    add(second + rng.random_range(500..2500), SoakStep::RestoreKey);
+    let again = second + rng.random_range(2500..4000);
+    add(again, SoakStep::RewindStore(rng.random_range(300..3000)));
+    add(again + rng.random_range(100..1500), SoakStep::RewriteStore);
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Draws one fault and its end.
 fn draw_fault(
     rng: &mut ChaCha8Rng,
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -22,6 +22,8 @@
 use super::soak_plan::TimedStep;
 use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
+use super::soak_plan::draw_rewinds;
+use super::soak_poison::PoisonCaller;
 use super::soak_target::TargetMode;
 
 /// Time for the hosts to find each other before faults are injected.
@@ -43,6 +45,8 @@
     pub(crate) hosts: usize,
     pub(crate) targets: usize,
     pub(crate) callers: usize,
+    /// Callers whose requests crash the targets that run them.
+    pub(crate) poison_callers: usize,
 }
 
 /// Result of a soak.
@@ -62,6 +66,7 @@
             hosts: rng.random_range(3..=5),
             targets: rng.random_range(4..=7),
             callers: 16,
+            poison_callers: 0,
         }
     }
 }
@@ -107,18 +112,33 @@
     run_plan(seed, ChaCha8Rng::seed_from_u64(seed), size, &plan)
 }
 
+/// Runs a soak in which the store goes back to older copies of itself, while requests crash the
+/// targets that run them.
+pub(crate) fn run_rewind_soak(seed: u64) -> SoakReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = SoakSize {
+        targets: 8,
+        poison_callers: 2,
+        ..SoakSize::draw(&mut rng)
+    };
+    let plan = draw_rewinds(&mut rng, size.hosts);
+    run_plan(seed, rng, size, &plan)
+}
+
 fn run_plan(seed: u64, mut rng: ChaCha8Rng, size: SoakSize, plan: &[TimedStep]) -> SoakReport {
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
     let history = Arc::new(SoakHistory::default());
     let sizes = (size.hosts, size.targets);
-    let mut fleet = SoakFleet::start(run, sizes, &directory, Arc::clone(&history));
+    // A link accepts connections for a target that has crashed.
+    let direct_targets = size.poison_callers > 0;
+    let mut fleet = SoakFleet::start(run, sizes, direct_targets, &directory, Arc::clone(&history));
     // Guarantees for undisturbed fleets do not apply while hosts start.
     let starting = history.begin_disturbance();
     thread::sleep(STARTUP_TIME);
     history.end_disturbance(starting);
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..size.callers)
+    let mut callers: Vec<_> = (0..size.callers)
         .map(|number| {
             let caller = SoakCaller {
                 name: format!("{seed}-{number}"),
@@ -130,6 +150,16 @@
             thread::spawn(move || caller.run())
         })
         .collect();
+    callers.extend((0..size.poison_callers).map(|number| {
+        let caller = PoisonCaller {
+            name: format!("{seed}-{number}"),
+            hosts: fleet.caller_addresses(),
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+            history: Arc::clone(&history),
+            stop: Arc::clone(&stop),
+        };
+        thread::spawn(move || caller.run())
+    }));
     let trace = apply_steps(plan, &mut fleet, &history);
     fleet.clear_faults();
     let recovered_by = watch(&mut fleet, &history, RECOVERY_TIME);
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -1,5 +1,6 @@
 //! A target with signed answers and configurable misbehaviour.
 
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -17,6 +18,8 @@
 use super::raw_link::RawLink;
 use super::soak_history::RequestArrival;
 use super::soak_history::SoakHistory;
+use super::soak_poison::CrashPoint;
+use super::soak_poison::TargetCrash;
 use super::soak_routes::SoakRoute;
 use super::soak_statements::StatementKind;
 use super::soak_statements::TargetStatement;
@@ -36,6 +39,10 @@
 /// How long an unresponsive target holds a request before it closes the connection.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(5);
 
+/// Time until a target restarts after a crash, and the pause between attempts to bind its address.
+const RESTART_TIME: Duration = Duration::from_millis(2500);
+const REBIND_PAUSE: Duration = Duration::from_millis(50);
+
 /// How long an overloaded target asks for no requests.
 const PAUSE: Duration = Duration::from_secs(2);
 
@@ -76,6 +83,11 @@
     /// Whether it states that it is leaving.
     leaving: AtomicBool,
     busy: AtomicUsize,
+    /// Whether it has crashed and not restarted yet.
+    crashed: AtomicBool,
+    /// Its connections, which a crash closes.
+    connections: Mutex<Vec<TcpStream>>,
+    address: SocketAddr,
     history: Arc<SoakHistory>,
 }
 
@@ -93,24 +105,23 @@
     /// Starts a target.
     pub(crate) fn spawn(identity: TargetIdentity, history: Arc<SoakHistory>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
         let target = Self {
-            address: listener.local_addr().unwrap(),
+            address,
             shared: Arc::new(TargetShared {
                 identity: Mutex::new(identity),
                 mode: Mutex::default(),
                 limit: Mutex::default(),
                 leaving: AtomicBool::new(false),
                 busy: AtomicUsize::new(0),
+                crashed: AtomicBool::new(false),
+                connections: Mutex::default(),
+                address,
                 history,
             }),
         };
         let shared = Arc::clone(&target.shared);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || shared.serve(stream));
-            }
-        });
+        thread::spawn(move || shared.accept(listener));
         target
     }
 
@@ -163,6 +174,50 @@
 }
 
 impl TargetShared {
+    /// Serves connections, through crashes and restarts.
+    fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            let open = listener.take().unwrap_or_else(|| self.restart());
+            for stream in open.incoming().flatten() {
+                if self.crashed.load(Ordering::Acquire) {
+                    break;
+                }
+                let shared = Arc::clone(&self);
+                self.connections
+                    .lock()
+                    .unwrap()
+                    .extend(stream.try_clone().ok());
+                thread::spawn(move || shared.serve(stream));
+            }
+        }
+    }
+
+    /// Refuses connections and closes the open ones, as the end of the process does.
+    fn crash(&self) {
+        self.crashed.store(true, Ordering::Release);
+        // Ends the wait for the next connection, and with it the listener.
+        TcpStream::connect(self.address).ok();
+        for connection in self.connections.lock().unwrap().drain(..) {
+            connection.shutdown(Shutdown::Both).ok();
+        }
+    }
+
+    /// Waits until the target restarts at its address after a crash.
+    fn restart(&self) -> TcpListener {
+        let disturbance = self.history.begin_disturbance();
+        thread::sleep(RESTART_TIME);
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => break listener,
+                Err(_) => thread::sleep(REBIND_PAUSE),
+            }
+        };
+        self.crashed.store(false, Ordering::Release);
+        self.history.end_disturbance(disturbance);
+        listener
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut link = RawLink::new(stream, IDLE_TIMEOUT);
         loop {
@@ -170,14 +225,21 @@
             let Ok(Some(head)) = link.read_head() else {
                 return;
             };
-            if !link.read_body(&head).complete || !self.serve_request(&mut link, &head) {
+            let body = link.read_body(&head);
+            let crash_point = CrashPoint::from_body(&body.bytes);
+            if !body.complete || !self.serve_request(&mut link, &head, crash_point) {
                 return;
             }
         }
     }
 
     /// Serves one request; returns whether the connection stays open.
-    fn serve_request(&self, link: &mut RawLink, head: &RawHead) -> bool {
+    fn serve_request(
+        &self,
+        link: &mut RawLink,
+        head: &RawHead,
+        crash_point: Option<CrashPoint>,
+    ) -> bool {
         let identity = self.identity.lock().unwrap().clone();
         let mode = *self.mode.lock().unwrap();
         let mut limit = limit_line(*self.limit.lock().unwrap());
@@ -214,6 +276,19 @@
             state(StatementKind::Pause(PAUSE));
             return refuse(link, request, 503, &limit);
         }
+        if let Some(point) = crash_point {
+            thread::sleep(EXECUTION_TIME);
+            self.history.record_crash(TargetCrash {
+                request: request.to_owned(),
+                target: identity.name.clone(),
+            });
+            let opening = stream_head(&identity.name, request, &limit);
+            let partial = point.partial_response(&opening, &stream_event(request, 1));
+            link.write(&partial).ok();
+            thread::sleep(EXECUTION_TIME);
+            self.crash();
+            return false;
+        }
         let slowdown = if mode == TargetMode::Slow {
             SLOWDOWN
         } else {
@@ -280,13 +355,7 @@
         let request = head.header(headers::REQUEST_ID).unwrap_or_default();
         let after = head.header(headers::LAST_EVENT_ID);
         let first = after.and_then(|id| id.parse().ok()).unwrap_or(0) + 1;
-        let opening = format!(
-            "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {}\r\n{limit}\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            headers::REQUEST_ID,
-            headers::SIGNATURE,
-            signature(target, request, b""),
-        );
+        let opening = stream_head(target, request, limit);
         if link.write(&opening).is_err() {
             return false;
         }
@@ -308,6 +377,17 @@
     }
 }
 
+/// Returns the head of a streamed answer.
+fn stream_head(target: &str, request: &str, limit: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {}\r\n{limit}\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        headers::REQUEST_ID,
+        headers::SIGNATURE,
+        signature(target, request, b""),
+    )
+}
+
 fn serve_plain(
     link: &mut RawLink,
     request: &str,
