Notices: peers learn which removed targets the copy of a store brings back

A host that started after the store went back knew only its copy: targets that were removed before were in use there, while the other hosts kept them out of use for 6 s. Hosts now report them, with the time that is left.

edge::tests::gossip: a starting host reads the copy and gets a message of a peer; the removed target is paused there and the leaving one is out of use. The soak's plan for stores that go back writes so much at once that the revision held before is passed.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -33,6 +33,7 @@
 pub use gap_tracker::TargetPace;
 pub use limit_table::TargetLimit;
 pub use notice_table::LeavingTarget;
+pub use notice_table::ReturningTarget;
 pub use peer_loads::TargetLoad;
 pub use placement_request::AttemptOutcome;
 pub use placement_request::PlacedTarget;
--- a/src/dispatch/notice_table.rs
+++ b/src/dispatch/notice_table.rs
@@ -21,6 +21,25 @@
     pub unseen_ms: u64,
 }
 
+/// A target that a store which went back shows as registered although it was removed, as sent
+/// to peers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReturningTarget {
+    /// The target.
+    pub target: TargetIncarnation,
+    /// Time for which it gets no more requests, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// What a host knows about a returning target.
+#[derive(Clone, Copy, Debug)]
+struct ReturningEntry {
+    /// When this host learned of it, on the boot clock.
+    learned_at: Duration,
+    /// Until when it gets no requests.
+    until: Duration,
+}
+
 /// What a host knows about a leaving target.
 #[derive(Clone, Copy, Debug)]
 struct LeavingEntry {
@@ -41,6 +60,8 @@
     leaving: SortedMap<TargetIncarnation, LeavingEntry>,
     /// Targets that get no requests until the given time.
     pauses: SortedMap<TargetIncarnation, Duration>,
+    /// Targets whose pause peers are told of.
+    returning: SortedMap<TargetIncarnation, ReturningEntry>,
 }
 
 impl NoticeTable {
@@ -109,6 +130,44 @@
         extends
     }
 
+    /// Records that a returning target gets no requests during `pause`; returns whether this is
+    /// new.
+    pub(super) fn record_returning(
+        &mut self,
+        target: TargetIncarnation,
+        pause: Duration,
+        now: Duration,
+    ) -> bool {
+        if self.returning.contains_key(&target) {
+            return false;
+        }
+        let entry = ReturningEntry {
+            learned_at: now,
+            until: now + pause,
+        };
+        self.returning.insert(target.clone(), entry);
+        self.record_pause(target, pause, now);
+        true
+    }
+
+    /// Returns the returning targets that this host learned of since `since`, or `all`.
+    pub(super) fn returning_changes(
+        &self,
+        all: bool,
+        since: Duration,
+        now: Duration,
+    ) -> Vec<ReturningTarget> {
+        let entries = self.returning.iter();
+        let changed = entries.filter(|(_, entry)| all || entry.learned_at >= since);
+        let changed = changed.filter(|(_, entry)| entry.until > now);
+        changed
+            .map(|(target, entry)| ReturningTarget {
+                target: target.clone(),
+                left_ms: entry.until.saturating_sub(now).as_millis() as u64,
+            })
+            .collect()
+    }
+
     /// Returns whether a target stated that it is leaving.
     pub(super) fn is_leaving(&self, target: &TargetIncarnation) -> bool {
         self.leaving.contains_key(target)
@@ -127,6 +186,7 @@
         now: Duration,
     ) {
         self.pauses.retain(|_, until| *until > now);
+        self.returning.retain(|_, entry| entry.until > now);
         self.leaving.retain(|target, entry| {
             entry.registered = is_registered(target);
             if entry.registered {
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -7,6 +7,7 @@
 use super::PaceSource;
 use super::PlacedTarget;
 use super::PoolTable;
+use super::ReturningTarget;
 use super::TargetLimit;
 use super::TargetPace;
 use super::target_choice::shortest_mean_gap;
@@ -87,6 +88,32 @@
         self.notices.leaving_changes(new, since, now)
     }
 
+    /// Keeps a target out of use for a while that was removed before the store went back.
+    pub fn record_returning(&mut self, target: TargetIncarnation, pause: Duration, now: Duration) {
+        if self.notices.record_returning(target.clone(), pause, now) {
+            self.apply_pause(&target);
+        }
+    }
+
+    /// Merges the returning targets received from a peer.
+    pub fn merge_returning(&mut self, returning: &[ReturningTarget], now: Duration) {
+        for received in returning {
+            let pause = Duration::from_millis(received.left_ms);
+            self.record_returning(received.target.clone(), pause, now);
+        }
+    }
+
+    /// Returns the returning targets that this host learned of since `since`, for a peer; all of
+    /// them if it is new.
+    pub fn returning_targets(
+        &self,
+        new: bool,
+        since: Duration,
+        now: Duration,
+    ) -> Vec<ReturningTarget> {
+        self.notices.returning_changes(new, since, now)
+    }
+
     /// Records that a target asked for no requests during `pause`; returns whether its current
     /// pause gets longer.
     pub fn record_pause(
@@ -96,11 +123,15 @@
         now: Duration,
     ) -> bool {
         let extends = self.notices.record_pause(target.clone(), pause, now);
-        let until = self.notices.paused_until(&target);
-        if let Some(runtime) = self.find_incarnation(&target) {
+        self.apply_pause(&target);
+        extends
+    }
+
+    fn apply_pause(&mut self, target: &TargetIncarnation) {
+        let until = self.notices.paused_until(target);
+        if let Some(runtime) = self.find_incarnation(target) {
             runtime.set_paused_until(until);
         }
-        extends
     }
 
     fn apply_limit(&mut self, target: &TargetIncarnation) {
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -386,8 +386,8 @@
     }
 
     /// Keeps targets out of use that were leaving or removed before the store went back to a copy
-    /// in which they may be ready. Peers learn of the leaving ones, since those that start now
-    /// know only the copy.
+    /// in which they may be ready. Peers learn of them, since those that start now know only the
+    /// copy.
     fn keep_departed(&self, leaving: Vec<TargetIncarnation>, returning: Vec<TargetIncarnation>) {
         let now = boot_now();
         let mut table = self.queue.lock_table();
@@ -395,7 +395,7 @@
             table.record_leaving(target, now);
         }
         for target in returning {
-            table.record_pause(target, RETURN_PAUSE, now);
+            table.record_returning(target, RETURN_PAUSE, now);
         }
     }
 
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -152,6 +152,7 @@
         let table = self.queue.lock_table();
         let limits = table.changed_limits(is_new, since, now);
         let leaving_targets = table.leaving_targets(is_new, since, now);
+        let returning_targets = table.returning_targets(is_new, since, now);
         // Other groups use other engines.
         let paces = match options.scope {
             Some(UsageScope::Host) => table.changed_paces(PaceSource::Own, is_new, since, now),
@@ -191,6 +192,7 @@
             limits,
             paces,
             leaving_targets,
+            returning_targets,
             poison: self.poison.changed_entries(is_new, since),
         };
         (message, version)
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -129,6 +129,10 @@
         table.merge_paces(&message.paces, now);
     }
     merge_leaving(state, message);
+    if !message.returning_targets.is_empty() {
+        let mut table = state.queue.lock_table();
+        table.merge_returning(&message.returning_targets, now);
+    }
     state.update_fleet_size(usize::from(message.hosts), message.grouped, now);
 }
 
--- a/src/edge/tests/gossip.rs
+++ b/src/edge/tests/gossip.rs
@@ -10,6 +10,7 @@
 use crate::catalog::RouteCatalog;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
+use crate::edge::edge_state::EdgeState;
 use crate::edge::gossip_builder::MessageOptions;
 use crate::edge::gossip_merge::handle_gossip;
 use crate::peers::unpack_value;
@@ -166,3 +167,50 @@
 
     assert_eq!((before, after), (true, false));
 }
+
+/// Guards against a host that starts after the store went back, and takes its copy for true: it
+/// shows targets as ready that were leaving or removed before.
+#[test]
+fn gossip_reports_what_the_copy_of_a_store_that_went_back_lacks() {
+    let own = isolated_state(EdgeBounds::default());
+    let starting = isolated_state(EdgeBounds::default());
+    let now = boot_now();
+    let read = |state: &EdgeState, update: ViewUpdate| {
+        let change = state.view.apply_store_response(update, now, now);
+        state.apply_change(change, None);
+    };
+    let mut copy = targets_update(1, 2);
+    copy.full = true;
+    let mut leaving = targets_update(2, 2);
+    leaving.targets.remove(0);
+    leaving.targets[0].phase = TargetPhase::Draining;
+    leaving.removals.push(TargetRemoval {
+        name: "target-00000".into(),
+        revision: 2.into(),
+    });
+    read(&own, copy.clone());
+    read(&own, leaving);
+    copy.revision.era = 1;
+    for target in &mut copy.targets {
+        target.revision.era = 1;
+    }
+    read(&own, copy.clone());
+    read(&starting, copy);
+    let (message, _) = own.build_message(MessageOptions {
+        receiver: "starting",
+        scope: None,
+        with_loads: false,
+        is_new: true,
+        peer_hosts: 1,
+        since: None,
+    });
+    let returning = message.returning_targets.len();
+
+    let before = starting.queue.lock_table().has_accepting_target("p");
+    handle_gossip(&starting, message);
+
+    let table = starting.queue.lock_table();
+    let pause = table.pause_left("p", boot_now());
+    assert!(before && returning == 1);
+    assert!(pause > Duration::from_secs(5), "{pause:?}");
+}
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -9,6 +9,7 @@
 use super::HeartbeatDigest;
 use crate::dispatch::LeavingTarget;
 use crate::dispatch::PoolGrants;
+use crate::dispatch::ReturningTarget;
 use crate::dispatch::SlotDemand;
 use crate::dispatch::TargetLimit;
 use crate::dispatch::TargetLoad;
@@ -111,6 +112,8 @@
     pub paces: Vec<TargetPace>,
     /// Targets that stated in an answer that they are leaving.
     pub leaving_targets: Vec<LeavingTarget>,
+    /// Removed targets that a store which went back shows as registered.
+    pub returning_targets: Vec<ReturningTarget>,
     /// Requests during which targets crashed.
     pub poison: Vec<PoisonEntry>,
 }
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -121,24 +121,35 @@
     };
     let killed = rng.random_range(0..hosts);
     let left = rng.random_range(500..1500);
-    let down = left + rng.random_range(700..1500);
-    let up = down + rng.random_range(100..1500);
-    let lost = rng.random_range(300..up - left + 500);
     add(left, SoakStep::LeaveQuietly(0));
     add(left + 300, SoakStep::RemoveKey);
+    add(left + 350, SoakStep::PublishVersion);
+    add(left + 400, SoakStep::PublishVersion);
+    let down = left + rng.random_range(700..1500);
     add(down, SoakStep::SetStoreDown(true));
-    add(up, SoakStep::RewindStore(lost));
+    let up = down + rng.random_range(100..1500);
+    add(
+        up,
+        SoakStep::RewindStore(rng.random_range(300..up - left + 500)),
+    );
     add(up, SoakStep::SetStoreDown(false));
-    let rewritten = up + rng.random_range(100..1500);
-    add(rewritten, SoakStep::RewriteStore);
     let killed_at = up - rng.random_range(0..600);
     add(killed_at, SoakStep::KillHost(killed));
     let started_at = killed_at + rng.random_range(200..800);
     add(started_at, SoakStep::StartHost(killed));
-    let second = rewritten + rng.random_range(0..1500);
+    // Writes that pass the revision of the time before at once.
+    let second = up + rng.random_range(100..800);
     add(second, SoakStep::LeaveQuietly(1));
-    add(second + rng.random_range(500..2500), SoakStep::RestoreKey);
-    let again = second + rng.random_range(2500..4000);
+    for _ in 0..5 {
+        add(second, SoakStep::PublishVersion);
+    }
+    let rewritten = second + rng.random_range(100..1000);
+    add(rewritten, SoakStep::RewriteStore);
+    add(
+        rewritten + rng.random_range(500..2500),
+        SoakStep::RestoreKey,
+    );
+    let again = rewritten + rng.random_range(2500..4000);
     add(again, SoakStep::RewindStore(rng.random_range(300..3000)));
     add(again + rng.random_range(100..1500), SoakStep::RewriteStore);
     steps.sort_by_key(|step| step.at);
