--- a/src/dispatch/notice_table.rs
+++ b/src/dispatch/notice_table.rs
@@ -138,7 +138,8 @@
         pause: Duration,
         now: Duration,
     ) -> bool {
-        if self.returning.contains_key(&target) {
+        let held = self.returning.get(&target);
+        if held.is_some_and(|held| held.until > now) {
             return false;
         }
         let entry = ReturningEntry {
--- a/src/ids/store_revision.rs
+++ b/src/ids/store_revision.rs
@@ -7,8 +7,8 @@
 /// The era of the store; rises when the store continues from an older copy of itself.
 pub type StoreEra = u64;
 
-/// A revision of the store. Revisions rise within an era; after the store went back, numbers
-/// are given out again, so a later era comes first in the order.
+/// A revision of the store. The era is compared before the number, because a store that went
+/// back gives out numbers again.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
 )]
@@ -32,7 +32,7 @@
     }
 }
 
-/// A revision of the first era.
+/// A revision of a store that states no era.
 impl From<u64> for StoreRevision {
     fn from(number: u64) -> Self {
         Self::new(0, number)
