--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -137,7 +137,7 @@
     add(killed_at, SoakStep::KillHost(killed));
     let started_at = killed_at + rng.random_range(200..800);
     add(started_at, SoakStep::StartHost(killed));
-    // Writes that pass the revision of the time before at once.
+    // A burst of writes that exceeds the revision which hosts hold of the era before.
     let second = up + rng.random_range(100..800);
     add(second, SoakStep::LeaveQuietly(1));
     for _ in 0..5 {
