Logs: how a target declared the end of its response

Without it, a response that a target ended by closing the connection can't be told from one whose last chunk or length it sent, which are two of the hypotheses about truncated responses that callers got as complete.

--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -28,6 +28,7 @@
 use crate::errors::ErrorKind;
 use crate::errors::RequestOutcome;
 use crate::ids::TargetName;
+use crate::wire::BodyFraming;
 use crate::wire::ResponseMessage;
 
 /// Number of unreachable targets after which a request fails.
@@ -76,8 +77,8 @@
     pub(super) routed: &'a RoutedRequest,
     pub(super) progress: StreamProgress,
     pub(super) attempts: u32,
-    /// Whether the head of a response to the last attempt was received.
-    pub(super) head_received: bool,
+    /// Framing of the response to the last attempt; `None` if its head was not received.
+    pub(super) framing: Option<BodyFraming>,
     tried: Vec<TargetName>,
     /// Whether a target may have run the request.
     may_have_run: bool,
@@ -98,7 +99,7 @@
             routed,
             progress: StreamProgress::new(routed.request.arrived, Arc::clone(&routed.series)),
             attempts: 0,
-            head_received: false,
+            framing: None,
             tried: Vec::new(),
             may_have_run: false,
             failure: None,
@@ -242,7 +243,7 @@
         let placed = slot.target().clone();
         let target = placed.name.clone();
         self.attempts += 1;
-        self.head_received = false;
+        self.framing = None;
         self.report_sent(&target);
         let outcome = self.send(slot, connection).await;
         self.tried.push(target.clone());
--- a/src/edge/request_reporting.rs
+++ b/src/edge/request_reporting.rs
@@ -5,6 +5,7 @@
 use crate::errors::RequestOutcome;
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
+use crate::wire::BodyFraming;
 
 impl RequestExecution<'_> {
     /// Counts and logs an attempt.
@@ -46,7 +47,8 @@
             target: target.clone(),
             attempt: self.attempts,
             cause: cause.to_owned(),
-            head_received: self.head_received,
+            head_received: self.framing.is_some(),
+            framing: self.framing.map(BodyFraming::name),
             again,
         });
     }
@@ -82,6 +84,7 @@
             first_ms: first.as_millis() as u64,
             total_ms: total.as_millis() as u64,
             longest_pause_ms: self.progress.longest_pause().as_millis() as u64,
+            framing: self.framing.map(BodyFraming::name),
         });
     }
 }
--- a/src/edge/target_call.rs
+++ b/src/edge/target_call.rs
@@ -40,6 +40,8 @@
 pub(crate) struct TargetCall {
     connection: TargetConnection,
     pub(crate) head: ResponseMessage,
+    /// How the target declares the end of the body.
+    pub(crate) framing: BodyFraming,
     decoder: BodyDecoder,
     /// Whether the connection may be reused after the response is complete.
     keep_alive: bool,
@@ -75,6 +77,7 @@
             connection,
             decoder: BodyDecoder::new(framing),
             keep_alive,
+            framing,
             head,
         })
     }
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -103,7 +103,7 @@
         };
         let sent = cancel_on_disconnect(self.caller, routed.kind, exchange).await;
         if let Ok(call) = &sent {
-            self.head_received = true;
+            self.framing = Some(call.framing);
             self.record_limit(&call.head, slot);
             self.record_notices(&call.head, slot);
             if !routed.kind.is_stream() {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -253,6 +253,9 @@
         cause: String,
         /// Whether the head of a response was received.
         head_received: bool,
+        /// How the target declared the end of the response: `length`, `chunked` or `close`;
+        /// absent if no head was received.
+        framing: Option<&'static str>,
         /// Whether the request is sent again.
         again: bool,
     },
@@ -273,6 +276,8 @@
         total_ms: u64,
         /// The longest pause between two events of a stream, in milliseconds.
         longest_pause_ms: u64,
+        /// How the target declared the end of the response: `length`, `chunked` or `close`.
+        framing: Option<&'static str>,
     },
     /// The host refused a request with an answer of its own, or aborted it.
     #[display("refused: {kind}")]
--- a/src/wire/body_framing.rs
+++ b/src/wire/body_framing.rs
@@ -15,6 +15,15 @@
 }
 
 impl BodyFraming {
+    /// Returns the name of the framing in log lines.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "close",
+        }
+    }
+
     /// Returns the framing of a request.
     ///
     /// # Errors
