--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -49,6 +49,14 @@
     state: StoreState,
 }
 
+/// What a caller received on a connection.
+#[derive(Debug, Default)]
+pub(super) struct CallerAnswer {
+    pub(super) text: String,
+    /// Whether the connection was closed and not reset.
+    closed: bool,
+}
+
 /// A host, its store and its addresses.
 pub(super) struct EdgeFixture {
     pub(super) store: ManualStore,
@@ -60,6 +68,25 @@
     _host: EdgeHost,
 }
 
+impl CallerAnswer {
+    /// Returns whether this is a response with the given status that looks complete.
+    pub(super) fn is_complete(&self, status: u16) -> bool {
+        let Some((head, body)) = self.text.split_once("\r\n\r\n") else {
+            return false;
+        };
+        let head = head.to_ascii_lowercase();
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let is_whole = match length {
+            Some(length) => length.parse() == Ok(body.len()),
+            None if head.contains("transfer-encoding: chunked") => body.ends_with("0\r\n\r\n"),
+            None => self.closed,
+        };
+        status_of(&self.text) == status && is_whole
+    }
+}
+
 impl ManualStore {
     /// Makes the store unavailable.
     pub(super) fn set_unavailable(&self) {
@@ -220,6 +247,11 @@
         exchange(self.address, request)
     }
 
+    /// Sends a request on its own connection and returns the response and how it ended.
+    pub(super) fn call_to_end(&self, request: &str) -> CallerAnswer {
+        exchange_to_end(self.address, request)
+    }
+
     /// Returns the metrics that an operator would scrape.
     pub(super) fn metrics(&self) -> String {
         let request = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -252,17 +284,24 @@
 
 /// Writes `request` and returns everything up to the end of the connection.
 fn exchange(address: SocketAddr, request: &str) -> String {
+    exchange_to_end(address, request).text
+}
+
+fn exchange_to_end(address: SocketAddr, request: &str) -> CallerAnswer {
     let Ok(mut stream) = TcpStream::connect(address) else {
-        return String::new();
+        return CallerAnswer::default();
     };
     stream
         .set_read_timeout(Some(Duration::from_secs(10)))
         .unwrap();
     stream.write_all(request.as_bytes()).ok();
     let mut answer = Vec::new();
-    stream.read_to_end(&mut answer).ok();
+    let closed = stream.read_to_end(&mut answer).is_ok();
     stream.shutdown(Shutdown::Both).ok();
-    String::from_utf8_lossy(&answer).into_owned()
+    CallerAnswer {
+        text: String::from_utf8_lossy(&answer).into_owned(),
+        closed,
+    }
 }
 
 /// Returns an address with port 0, for which the system assigns a port at bind time. A
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod raw_target;
 mod request_limits;
+mod response_ends;
 mod responses;
 mod shutdown;
 mod store_access;
