Edge: a stream that ends inside an event is broken off, however its end is declared

The relay took the close of such a stream for its end and forwarded what was left in the splitter. A partial event is now a lost target: the stream is resumed where that is allowed, else cut or answered 502. The same for a stream without a length that is closed before its first event. Blank lines and comments behind the last event are no event. Events may end with LF, CR or both: with the new rule, a stream with CR alone would else never be complete.

--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -21,6 +21,7 @@
 use crate::clock::boot_now;
 use crate::dispatch::SlotGuard;
 use crate::metrics::RequestSeries;
+use crate::wire::BodyFraming;
 use crate::wire::RequestMessage;
 use crate::wire::ResponseMessage;
 
@@ -120,7 +121,7 @@
         let left = limits.deadline.saturating_sub(boot_now());
         let mut deadline_timer = Box::pin(task::sleep(left));
         // The next target sends the buffered partial event again from its start.
-        self.splitter.take_rest();
+        self.splitter.discard_partial();
         loop {
             received.clear();
             let event = {
@@ -157,14 +158,19 @@
                 RelayEvent::TargetUnresponsive => continue,
             };
             let mut events = self.splitter.take_events(&mut received);
-            if is_complete {
-                events.append(&mut self.splitter.take_rest());
-            }
-            if events.is_empty() && !is_complete {
-                continue;
+            let loss = match is_complete {
+                true => self.finish_events(&mut events, call).err(),
+                false => None,
+            };
+            let ends = is_complete && loss.is_none();
+            if events.is_empty() && !ends {
+                match loss {
+                    Some(cause) => return RelayOutcome::TargetLost(cause),
+                    None => continue,
+                }
             }
             slot.record_event();
-            let output = self.frame(request, &call.head, caller.reusable, &events, is_complete);
+            let output = self.frame(request, &call.head, caller.reusable, &events, ends);
             let written = timeout(
                 limits.deadline.saturating_sub(boot_now()),
                 write_bytes(&caller.stream, &output),
@@ -177,12 +183,30 @@
                 Ok(Err(_)) => return RelayOutcome::CallerDisconnected,
                 Err(_) => return RelayOutcome::DeadlineExceeded,
             }
-            if is_complete {
+            if let Some(cause) = loss {
+                return RelayOutcome::TargetLost(cause);
+            }
+            if ends {
                 return RelayOutcome::Complete;
             }
         }
     }
 
+    /// Appends what follows the last event of a stream whose end was received.
+    ///
+    /// # Errors
+    ///
+    /// The stream was broken off: it ended inside an event, or was closed before any.
+    fn finish_events(&mut self, events: &mut Vec<u8>, call: &TargetCall) -> Result<(), LossCause> {
+        let is_empty = !self.has_started && events.is_empty();
+        if is_empty && call.framing == BodyFraming::UntilClose {
+            self.splitter.discard_partial();
+            return Err(LossCause::EmptyStream);
+        }
+        events.append(&mut self.splitter.finish()?);
+        Ok(())
+    }
+
     /// Records the time of a write of events.
     fn record_events(&mut self) {
         let now = boot_now();
--- a/src/edge/send_outcome.rs
+++ b/src/edge/send_outcome.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 
+use super::event_splitter::IncompleteEvent;
 use super::target_call::CallError;
 use crate::dispatch::AttemptOutcome;
 use crate::wire::ResponseMessage;
@@ -15,6 +16,12 @@
     /// The response is malformed or belongs to another request.
     #[display("invalid response")]
     InvalidResponse,
+    /// The stream ended inside an event, however the target declared its end.
+    #[display("stream ended inside an event")]
+    IncompleteEvent,
+    /// The stream was closed before its first event.
+    #[display("stream closed before its first event")]
+    EmptyStream,
     /// The target sent nothing for too long.
     #[display("silent")]
     Unresponsive,
@@ -30,7 +37,13 @@
 impl LossCause {
     /// Returns whether the target may have crashed while it ran the request.
     pub(crate) const fn may_be_crash(self) -> bool {
-        matches!(self, Self::ConnectionClosed | Self::InvalidResponse)
+        matches!(
+            self,
+            Self::ConnectionClosed
+                | Self::InvalidResponse
+                | Self::IncompleteEvent
+                | Self::EmptyStream
+        )
     }
 }
 
@@ -69,6 +82,12 @@
     }
 }
 
+impl From<IncompleteEvent> for LossCause {
+    fn from(_: IncompleteEvent) -> Self {
+        Self::IncompleteEvent
+    }
+}
+
 impl From<CallError> for LossCause {
     fn from(error: CallError) -> Self {
         match error {
--- /dev/null
+++ b/src/edge/tests/event_splitting.rs
@@ -0,0 +1,53 @@
+//! Splitting of event streams.
+
+use super::super::event_splitter::EventSplitter;
+use super::super::event_splitter::IncompleteEvent;
+
+#[test]
+fn only_complete_events_are_forwarded_and_the_last_id_is_known() {
+    let mut splitter = EventSplitter::default();
+
+    let first = splitter.take_events(&mut b"id: 1\ndata: a\n\nid: 2\nda".to_vec());
+    let second = splitter.take_events(&mut b"ta: b\n\nid: 3".to_vec());
+
+    assert_eq!(first, b"id: 1\ndata: a\n\n");
+    assert_eq!(second, b"id: 2\ndata: b\n\n");
+    assert_eq!(splitter.last_id(), Some("2"));
+    assert_eq!(splitter.finish(), Err(IncompleteEvent));
+}
+
+/// Guards against an event that is held back because its lines don't end with LF.
+#[test]
+fn events_are_complete_with_each_line_end() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let mut splitter = EventSplitter::default();
+        let event = format!("id: 1{line_end}data: a{line_end}{line_end}");
+
+        let mut events = splitter.take_events(&mut event.clone().into_bytes());
+        events.extend(splitter.take_events(&mut b"id: 2".to_vec()));
+
+        assert_eq!(events, event.as_bytes(), "{line_end:?}");
+        assert_eq!(splitter.last_id(), Some("1"));
+    }
+}
+
+/// Guards against a stream that is cut off although only comments follow its last event.
+#[test]
+fn only_blank_lines_and_comments_may_follow_the_last_event() {
+    let cases = [
+        ("", true),
+        ("\n", true),
+        (": kept alive\n", true),
+        (": kept al", false),
+        ("data: b\r\r", true),
+        ("data: b\r", false),
+        ("data: b\n", false),
+        (": kept alive\nid: 2\n", false),
+    ];
+    for (rest, is_whole) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.take_events(&mut format!("id: 1\ndata: a\n\n{rest}").into_bytes());
+
+        assert_eq!(splitter.finish().is_ok(), is_whole, "{rest:?}");
+    }
+}
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -4,6 +4,7 @@
 mod crashing_requests;
 mod deadlines;
 mod edge_fixture;
+mod event_splitting;
 mod gossip;
 mod keys;
 mod membership;
--- a/src/edge/tests/shutdown.rs
+++ b/src/edge/tests/shutdown.rs
@@ -1,8 +1,7 @@
-//! Graceful shutdown, and complete events.
+//! Graceful shutdown.
 
 use std::time::Duration;
 
-use super::super::event_splitter::EventSplitter;
 use super::super::shutdown_controller::ShutdownPhase;
 
 const GRACE_LIMIT: Duration = Duration::from_millis(7600);
@@ -52,16 +51,3 @@
     assert!(end(&idle).is_some_and(|end| end >= 2900));
     assert!(end(&refusing).is_some_and(|end| end >= 3050));
 }
-
-#[test]
-fn only_complete_events_are_forwarded_and_the_last_id_is_known() {
-    let mut splitter = EventSplitter::default();
-
-    let first = splitter.take_events(&mut b"id: 1\ndata: a\n\nid: 2\nda".to_vec());
-    let second = splitter.take_events(&mut b"ta: b\n\nid: 3".to_vec());
-
-    assert_eq!(first, b"id: 1\ndata: a\n\n");
-    assert_eq!(second, b"id: 2\ndata: b\n\n");
-    assert_eq!(splitter.last_id(), Some("2"));
-    assert_eq!(splitter.take_rest(), b"id: 3");
-}
