Edge: the host does not declare an end that the target left open

A response without a length went to the caller with chunks or a length of the host's own, so that whatever had come when the target closed was declared complete. Such a response now ends with the caller's connection too. Until its end, a close of that connection is a reset (the end of the process included), since nothing else shows there that a response is truncated; callers of HTTP/1.0 had that fault with every stream.

--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -8,6 +8,7 @@
 use async_std::net::TcpStream;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::poll_once;
+use rustix::net::sockopt::set_socket_linger;
 
 use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
@@ -177,6 +178,14 @@
         }
     }
 
+    /// Prepares for a response that ends with the connection: until [`Self::close`], any end of
+    /// it, the end of this process included, is a reset. A plain close would make a truncated
+    /// response look complete.
+    pub(crate) fn end_by_close(&mut self) {
+        self.reusable = false;
+        set_socket_linger(&self.stream, Some(Duration::ZERO)).ok();
+    }
+
     /// Waits until the caller closes its side; never returns otherwise. Data that arrives
     /// meanwhile is buffered for the next request.
     pub(crate) async fn disconnected(&mut self) {
@@ -197,6 +206,7 @@
 
     /// Closes the connection gracefully, so that the last response is still delivered.
     pub(crate) async fn close(mut self) {
+        set_socket_linger(&self.stream, None).ok();
         if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -13,6 +13,7 @@
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
+use super::response_relay::BufferedResponse;
 use super::response_relay::StreamProgress;
 use super::response_relay::write_buffered;
 use super::route_filter::RoutedRequest;
@@ -29,7 +30,6 @@
 use crate::errors::RequestOutcome;
 use crate::ids::TargetName;
 use crate::wire::BodyFraming;
-use crate::wire::ResponseMessage;
 
 /// Number of unreachable targets after which a request fails.
 const MAX_UNREACHABLE: usize = 4;
@@ -83,7 +83,7 @@
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// The last error response of a target, forwarded if no other target does better.
-    failure: Option<(ResponseMessage, Vec<u8>)>,
+    failure: Option<BufferedResponse>,
 }
 
 impl<'a> RequestExecution<'a> {
@@ -263,9 +263,9 @@
                 }
                 (cause.to_string(), is_retryable, ErrorKind::TargetLost)
             }
-            SendOutcome::TargetFailure { head, body } => {
-                let cause = format!("status {}", head.status);
-                self.failure = Some((head, body));
+            SendOutcome::TargetFailure(response) => {
+                let cause = format!("status {}", response.head.status);
+                self.failure = Some(response);
                 let is_retryable = self.routed.kind == CallKind::Idempotent;
                 (cause, is_retryable, ErrorKind::TargetFault)
             }
@@ -309,17 +309,13 @@
             && self.state.try_retry(&self.routed.pool)
     }
 
-    pub(super) async fn write_response(
-        &mut self,
-        head: &ResponseMessage,
-        body: &[u8],
-    ) -> SendOutcome {
+    pub(super) async fn write_response(&mut self, response: &BufferedResponse) -> SendOutcome {
         // A complete response is still delivered after the deadline.
         let left = self.routed.deadline.saturating_sub(boot_now());
         let limit = left.max(Duration::from_secs(1));
-        match write_buffered(self.caller, head, body, limit).await {
+        match write_buffered(self.caller, response, limit).await {
             true => SendOutcome::Delivered {
-                status: head.status,
+                status: response.head.status,
             },
             false => SendOutcome::CallerDisconnected,
         }
@@ -332,8 +328,8 @@
             // is incomplete.
             return ExecutionOutcome::Closed;
         }
-        if let Some((head, body)) = self.failure.take() {
-            return match self.write_response(&head, &body).await {
+        if let Some(response) = self.failure.take() {
+            return match self.write_response(&response).await {
                 SendOutcome::Delivered { status } => {
                     let target = self.tried.last().cloned().unwrap_or_default();
                     self.report_answered(&target, status, RequestOutcome::Unknown);
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -29,6 +29,15 @@
 /// bytes. A larger one would take the memory of all other requests.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
+/// A response whose body was received.
+#[derive(Debug)]
+pub(crate) struct BufferedResponse {
+    pub(crate) head: ResponseMessage,
+    pub(crate) body: Vec<u8>,
+    /// How the target declared the end of the body.
+    pub(crate) declared: BodyFraming,
+}
+
 /// Result of relaying a stream.
 #[derive(Debug)]
 pub(crate) enum RelayOutcome {
@@ -170,7 +179,7 @@
                 }
             }
             slot.record_event();
-            let output = self.frame(request, &call.head, caller.reusable, &events, ends);
+            let output = self.frame(request, call, caller, &events, ends);
             let written = timeout(
                 limits.deadline.saturating_sub(boot_now()),
                 write_bytes(&caller.stream, &output),
@@ -228,8 +237,8 @@
     fn frame(
         &mut self,
         request: &RequestMessage,
-        head: &ResponseMessage,
-        reusable: bool,
+        call: &TargetCall,
+        caller: &mut CallerConnection,
         events: &[u8],
         is_complete: bool,
     ) -> Vec<u8> {
@@ -237,8 +246,11 @@
         let framing = match self.framing {
             Some(framing) => framing,
             None => {
-                let framing = stream_framing(request);
-                output = forwarded_head(head, framing, !reusable);
+                let framing = stream_framing(request, call.framing);
+                if framing == ResponseFraming::UntilClose {
+                    caller.end_by_close();
+                }
+                output = forwarded_head(&call.head, framing, !caller.reusable);
                 self.framing = Some(framing);
                 framing
             }
@@ -274,14 +286,21 @@
 
 /// Writes a buffered response to the caller; returns whether it was written completely.
 pub(crate) async fn write_buffered(
-    caller: &CallerConnection,
-    head: &ResponseMessage,
-    body: &[u8],
+    caller: &mut CallerConnection,
+    response: &BufferedResponse,
     limit: Duration,
 ) -> bool {
-    let framing = ResponseFraming::Length(body.len());
-    let mut output = forwarded_head(head, framing, !caller.reusable);
-    output.extend_from_slice(body);
+    let framing = match response.declared {
+        BodyFraming::UntilClose => ResponseFraming::UntilClose,
+        BodyFraming::Length(_) | BodyFraming::Chunked => {
+            ResponseFraming::Length(response.body.len())
+        }
+    };
+    if framing == ResponseFraming::UntilClose {
+        caller.end_by_close();
+    }
+    let mut output = forwarded_head(&response.head, framing, !caller.reusable);
+    output.extend_from_slice(&response.body);
     let written = timeout(limit, write_bytes(&caller.stream, &output));
     matches!(written.await, Ok(Ok(())))
 }
--- a/src/edge/response_writer.rs
+++ b/src/edge/response_writer.rs
@@ -7,6 +7,7 @@
 use futures_lite::AsyncWriteExt;
 
 use super::edge_refusal::EdgeRefusal;
+use crate::wire::BodyFraming;
 use crate::wire::MessageHeaders;
 use crate::wire::RequestMessage;
 use crate::wire::ResponseMessage;
@@ -18,7 +19,8 @@
     Length(usize),
     /// By chunked transfer coding.
     Chunked,
-    /// By closing the connection, for HTTP/1.0.
+    /// By closing the connection: the caller speaks HTTP/1.0, or the target leaves the end of its
+    /// response open, which the host can't declare for it.
     UntilClose,
 }
 
@@ -88,11 +90,15 @@
     }
 }
 
-/// Returns the framing of a streamed response to `request`.
-pub(crate) const fn stream_framing(request: &RequestMessage) -> ResponseFraming {
-    match request.is_http10 {
-        true => ResponseFraming::UntilClose,
-        false => ResponseFraming::Chunked,
+/// Returns the framing of a streamed response to `request`, of which the target declares the end
+/// by `declared`.
+pub(crate) const fn stream_framing(
+    request: &RequestMessage,
+    declared: BodyFraming,
+) -> ResponseFraming {
+    match (request.is_http10, declared) {
+        (true, _) | (false, BodyFraming::UntilClose) => ResponseFraming::UntilClose,
+        (false, BodyFraming::Length(_) | BodyFraming::Chunked) => ResponseFraming::Chunked,
     }
 }
 
--- a/src/edge/send_outcome.rs
+++ b/src/edge/send_outcome.rs
@@ -3,9 +3,9 @@
 use derive_more::Display;
 
 use super::event_splitter::IncompleteEvent;
+use super::response_relay::BufferedResponse;
 use super::target_call::CallError;
 use crate::dispatch::AttemptOutcome;
-use crate::wire::ResponseMessage;
 
 /// Why an attempt got no complete response although the target may have run the request.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -62,10 +62,7 @@
     /// No complete response was received; the target may have run the request.
     Lost(LossCause),
     /// A complete error response of the target; another target may succeed.
-    TargetFailure {
-        head: ResponseMessage,
-        body: Vec<u8>,
-    },
+    TargetFailure(BufferedResponse),
 }
 
 impl SendOutcome {
@@ -77,7 +74,7 @@
             Self::CallerDisconnected | Self::DeadlineExceeded => AttemptOutcome::Cancelled,
             Self::NotRun(_) => AttemptOutcome::Rejected,
             Self::Lost(LossCause::Unresponsive) => AttemptOutcome::Unresponsive,
-            Self::Lost(_) | Self::TargetFailure { .. } => AttemptOutcome::Failed,
+            Self::Lost(_) | Self::TargetFailure(_) => AttemptOutcome::Failed,
         }
     }
 }
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -9,6 +9,7 @@
 use super::connection_pool::TargetConnection;
 use super::request_execution::MIN_TIME_LEFT;
 use super::request_execution::RequestExecution;
+use super::response_relay::BufferedResponse;
 use super::response_relay::RelayLimits;
 use super::response_relay::RelayOutcome;
 use super::response_relay::collect_body;
@@ -60,7 +61,12 @@
             false => match self.collect(call, &mut slot).await {
                 Ok((complete, body)) => {
                     call = complete;
-                    self.deliver_buffered(&call.head, body).await
+                    let response = BufferedResponse {
+                        head: call.head.clone(),
+                        body,
+                        declared: call.framing,
+                    };
+                    self.deliver_buffered(response).await
                 }
                 Err(outcome) => {
                     slot.finish(outcome.attempt_outcome());
@@ -194,23 +200,21 @@
 
     /// Forwards a buffered response, or keeps an error response because another target
     /// may succeed.
-    async fn deliver_buffered(&mut self, head: &ResponseMessage, body: Vec<u8>) -> SendOutcome {
+    async fn deliver_buffered(&mut self, response: BufferedResponse) -> SendOutcome {
+        let status = response.head.status;
         // Statuses 429, 503, 408 and 421 tell the caller that nothing ran. Without the
         // target's confirmation it may have run the request.
-        if matches!(head.status, 408 | 421 | 429 | 503) {
-            return SendOutcome::Lost(LossCause::UnconfirmedStatus(head.status));
+        if matches!(status, 408 | 421 | 429 | 503) {
+            return SendOutcome::Lost(LossCause::UnconfirmedStatus(status));
         }
         if self.progress.has_started {
             // A stream can't be continued with an error response.
-            return SendOutcome::Lost(LossCause::NotResumed(head.status));
+            return SendOutcome::Lost(LossCause::NotResumed(status));
         }
-        if head.status >= 500 {
-            return SendOutcome::TargetFailure {
-                head: head.clone(),
-                body,
-            };
+        match status {
+            500.. => SendOutcome::TargetFailure(response),
+            _ => self.write_response(&response).await,
         }
-        self.write_response(head, &body).await
     }
 
     /// Returns whether the target confirms that it did not run the request.
