Edge: a resumed stream is forwarded without the events that it repeats

A target that repeats the last event where another's stream is continued made the caller get it twice. Events up to the one after which the stream was resumed are removed, by number where ids are numbers.

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -12,6 +12,8 @@
 pub(crate) struct EventSplitter {
     pending: Vec<u8>,
     last_id: Option<String>,
+    /// The last event of the former target, while the current one may repeat it or earlier ones.
+    resumed_after: Option<String>,
 }
 
 impl EventSplitter {
@@ -22,20 +24,47 @@
             return Vec::new();
         };
         let rest = self.pending.split_off(end);
-        let events = std::mem::replace(&mut self.pending, rest);
+        let mut events = std::mem::replace(&mut self.pending, rest);
+        self.remove_repeated(&mut events);
         if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
         }
         events
     }
 
-    /// Discards a partial event: the next target sends it again from its start.
-    pub(crate) fn discard_partial(&mut self) {
+    /// Prepares for the rest of the stream from another target, which sends a partial event again
+    /// from its start.
+    pub(crate) fn resume(&mut self) {
         self.pending.clear();
+        self.resumed_after.clone_from(&self.last_id);
     }
 
-    /// Ends the stream and returns the rest of it: blank lines, comments, or an event whose line
-    /// ends are those of the end of the stream.
+    /// Removes the events up to the one after which the stream was resumed. Without this the
+    /// caller gets events twice from a target that repeats them.
+    fn remove_repeated(&mut self, events: &mut Vec<u8>) {
+        let Some(held) = self.resumed_after.take() else {
+            return;
+        };
+        let mut kept = Vec::with_capacity(events.len());
+        let mut start = 0;
+        let mut is_past = false;
+        for end in event_ends(events) {
+            let event = &events[start..end];
+            let id = last_event_id(event);
+            let repeats = id.as_ref().is_some_and(|id| is_repeated(id, &held));
+            // Ids increase, so no repeated event follows another one.
+            is_past |= id.is_some() && !repeats;
+            if !repeats {
+                kept.extend_from_slice(event);
+            }
+            start = end;
+        }
+        *events = kept;
+        self.resumed_after = (!is_past).then_some(held);
+    }
+
+    /// Ends the stream and returns the rest of it: an event of which the end of the stream shows
+    /// that it is complete, blank lines or comments.
     ///
     /// # Errors
     ///
@@ -61,29 +90,38 @@
     }
 }
 
-/// Returns the offset after the last empty line. A line ends with LF, CR or both.
+/// Returns whether an event with `id` is the event `held` or one before it.
+fn is_repeated(id: &str, held: &str) -> bool {
+    match (id.parse::<u64>(), held.parse::<u64>()) {
+        (Ok(id), Ok(held)) => id <= held,
+        _ => id == held,
+    }
+}
+
+/// Returns the offset after the last event.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut last_end = None;
+    event_ends(bytes).last()
+}
+
+/// Returns the offset after each empty line. A line ends with LF, CR or both.
+fn event_ends(bytes: &[u8]) -> impl Iterator<Item = usize> {
     let mut line_start = 0;
-    let mut index = 0;
-    while index < bytes.len() {
-        let end = match &bytes[index..] {
-            [b'\r', b'\n', ..] => index + 2,
-            // The LF of this line end may not have arrived yet.
-            [b'\r'] => break,
-            [b'\r' | b'\n', ..] => index + 1,
-            _ => {
-                index += 1;
-                continue;
+    std::iter::from_fn(move || {
+        loop {
+            let rest = &bytes[line_start..];
+            let length = rest.iter().position(|byte| is_line_end(*byte))?;
+            let line_end = match &rest[length..] {
+                // The LF of this line end may not have arrived yet.
+                [b'\r'] => return None,
+                [b'\r', b'\n', ..] => length + 2,
+                _ => length + 1,
+            };
+            line_start += line_end;
+            if length == 0 {
+                return Some(line_start);
             }
-        };
-        if index == line_start {
-            last_end = Some(end);
         }
-        line_start = end;
-        index = end;
-    }
-    last_end
+    })
 }
 
 fn last_event_id(events: &[u8]) -> Option<String> {
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -132,8 +132,7 @@
         let mut received = Vec::new();
         let left = limits.deadline.saturating_sub(boot_now());
         let mut deadline_timer = Box::pin(task::sleep(left));
-        // The next target sends the buffered partial event again from its start.
-        self.splitter.discard_partial();
+        self.splitter.resume();
         loop {
             received.clear();
             let event = {
@@ -227,7 +226,6 @@
     fn finish_events(&mut self, events: &mut Vec<u8>, call: &TargetCall) -> Result<(), LossCause> {
         let is_empty = !self.has_started && events.is_empty();
         if is_empty && call.framing == BodyFraming::UntilClose {
-            self.splitter.discard_partial();
             return Err(LossCause::EmptyStream);
         }
         events.append(&mut self.splitter.finish()?);
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -51,3 +51,30 @@
         assert_eq!(splitter.finish().is_ok(), is_whole, "{rest:?}");
     }
 }
+
+/// Guards against events that come twice where another target repeats what was forwarded.
+#[test]
+fn repeated_events_are_removed_behind_a_resumption_only() {
+    let event = |id: &str| format!("id: {id}\ndata: {id}\n\n");
+    let cases = [
+        (["1", "2"], ["1", "2"], ""),
+        (["1", "9"], ["9", "10"], "10"),
+        (["a", "b"], ["b", "c"], "c"),
+        (["1", "2"], ["3", "3"], "33"),
+    ];
+    for (first, rest, forwarded) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.resume();
+        splitter.take_events(&mut first.map(event).concat().into_bytes());
+        splitter.resume();
+
+        let events = splitter.take_events(&mut rest.map(event).concat().into_bytes());
+
+        let wanted = match forwarded {
+            "33" => event("3").repeat(2),
+            "" => String::new(),
+            id => event(id),
+        };
+        assert_eq!(events, wanted.as_bytes(), "{first:?} {rest:?}");
+    }
+}
