Soak: answers without a length that end by close, reset and inside an event

Targets answer without a length and break such answers off while hosts are killed, paused and stopped; requests crash targets within such answers.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -45,6 +45,7 @@
 use soak_run::SoakReport;
 use soak_run::SoakSize;
 use soak_run::run_limit_soak;
+use soak_run::run_response_soak;
 use soak_run::run_rewind_soak;
 use soak_run::run_soak;
 use soak_run::run_statement_soak;
@@ -115,6 +116,7 @@
         targets: 4,
         callers: 16,
         poison_callers: 0,
+        unframed_crashes: false,
     };
     assert!(report_result(13, &run_limit_soak(13, size, DEFAULT_LENGTH)));
 }
@@ -128,6 +130,7 @@
         targets: 6,
         callers: 16,
         poison_callers: 0,
+        unframed_crashes: false,
     };
     assert!(report_result(17, &run_statement_soak(17, size)));
 }
@@ -139,6 +142,12 @@
     assert!(report_result(19, &run_rewind_soak(19)));
 }
 
+/// Guards against answers that targets break off and that callers get as complete.
+#[test]
+fn answers_that_are_broken_off_do_not_look_complete() {
+    assert!(report_result(23, &run_response_soak(23)));
+}
+
 /// Runs many seeds, several at a time.
 #[test]
 #[ignore = "takes minutes; run by hand"]
@@ -153,6 +162,13 @@
     run_seeds(|seed| report_result(seed, &run_rewind_soak(seed)));
 }
 
+/// The same with answers that have no length and are broken off.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn response_soak_of_many_seeds() {
+    run_seeds(|seed| report_result(seed, &run_response_soak(seed)));
+}
+
 /// Runs the seeds of the environment, several at a time.
 fn run_seeds(run: impl Fn(u64) -> bool + Sync) {
     let seeds = Mutex::new(seeds_from_env());
@@ -185,6 +201,7 @@
         targets: 40,
         callers: 80,
         poison_callers: 0,
+        unframed_crashes: false,
     };
     assert!(run_seed(11, Some(size), DEFAULT_LENGTH));
 }
--- a/tests/soak/raw_link.rs
+++ b/tests/soak/raw_link.rs
@@ -8,6 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::net::sockopt::set_socket_linger;
+
+/// Pause before a connection is reset.
+const RESET_DELAY: Duration = Duration::from_millis(10);
+
 /// The head of a request or an answer.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RawHead {
@@ -73,6 +78,13 @@
         self.stream.write_all(text.as_bytes())
     }
 
+    /// Lets the end of the connection be a reset, behind what was written.
+    pub(crate) fn reset(&self) {
+        // What was written must arrive before the reset.
+        std::thread::sleep(RESET_DELAY);
+        set_socket_linger(&self.stream, Some(Duration::ZERO)).unwrap();
+    }
+
     /// Returns whether unread bytes are buffered.
     pub(crate) fn has_pending(&self) -> bool {
         !self.pending.is_empty()
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -27,6 +27,9 @@
 const LONG_PAUSE_MS: std::ops::Range<u64> = 5500..7500;
 const KEY_REMOVED_TIME: Duration = Duration::from_millis(9000);
 
+/// How long targets answer without a length, in milliseconds.
+const UNFRAMED_MS: u64 = 12_000;
+
 /// Mask that derives the seed of the limit generator from the soak's seed.
 const LIMIT_SEED_MASK: u64 = 0x6c69_6d69_7473;
 
@@ -156,6 +159,47 @@
     steps
 }
 
+/// Draws targets that answer without a length, most of which break answers off, and hosts that
+/// are killed, paused or stopped meanwhile.
+pub(crate) fn draw_responses(rng: &mut ChaCha8Rng, hosts: usize, targets: usize) -> Vec<TimedStep> {
+    let modes = [
+        TargetMode::Unframed,
+        TargetMode::UnframedTorn,
+        TargetMode::UnframedReset,
+    ];
+    let mut steps = Vec::new();
+    let mut add = |at: u64, step: SoakStep| {
+        let at = Duration::from_millis(at);
+        steps.push(TimedStep { at, step });
+    };
+    for target in 0..targets {
+        let mut at = rng.random_range(0..2000);
+        while at < UNFRAMED_MS {
+            let mode = modes[rng.random_range(0..modes.len())];
+            add(at, SoakStep::SetTargetMode(target, mode));
+            at += rng.random_range(500..4000);
+            add(at, SoakStep::SetTargetMode(target, TargetMode::Healthy));
+            at += rng.random_range(0..2000);
+        }
+    }
+    for host in 0..hosts {
+        let at = rng.random_range(1000..UNFRAMED_MS / 2);
+        let (begin, end) = match rng.random_range(0..3) {
+            0 => (SoakStep::KillHost(host), SoakStep::StartHost(host)),
+            1 => (SoakStep::PauseHost(host), SoakStep::ResumeHost(host)),
+            _ => (SoakStep::TerminateHost(host), SoakStep::StartHost(host)),
+        };
+        add(at, begin);
+        let down = match begin {
+            SoakStep::TerminateHost(_) => RESTART_AFTER.as_millis() as u64,
+            _ => rng.random_range(200..3000),
+        };
+        add(at + down, end);
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Draws one fault and its end.
 fn draw_fault(
     rng: &mut ChaCha8Rng,
--- a/tests/soak/soak_poison.rs
+++ b/tests/soak/soak_poison.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -17,6 +18,7 @@
 use super::soak_history::SentRequest;
 use super::soak_history::SoakHistory;
 use super::soak_routes::SoakRoute;
+use super::soak_target::without_framing;
 
 /// Deadline of each request, and how long its caller waits.
 const DEADLINE: Duration = Duration::from_millis(1500);
@@ -35,17 +37,25 @@
     AfterHead,
     InBody,
     InEvent,
+    BetweenUnframedEvents,
+    InUnframedEvent,
 }
 
 impl CrashPoint {
-    pub(crate) const ALL: [Self; 5] = [
+    pub(crate) const ALL: [Self; 7] = [
         Self::BeforeHead,
         Self::InHead,
         Self::AfterHead,
         Self::InBody,
         Self::InEvent,
+        Self::BetweenUnframedEvents,
+        Self::InUnframedEvent,
     ];
 
+    /// Positions in [`CrashPoint::ALL`] of the points in responses with and without a length.
+    pub(crate) const FRAMED: Range<usize> = 0..5;
+    pub(crate) const UNFRAMED: Range<usize> = 5..7;
+
     /// Returns the point that the body of a request names; `None` for other requests.
     pub(crate) fn from_body(body: &[u8]) -> Option<Self> {
         let text = std::str::from_utf8(body).ok()?.strip_prefix(PREFIX)?;
@@ -62,6 +72,14 @@
             Self::AfterHead => head.to_owned(),
             Self::InBody => format!("{head}{chunk}"),
             Self::InEvent => format!("{head}{chunk}{}", &chunk[..chunk.len() / 2]),
+            Self::BetweenUnframedEvents => format!("{}{event}", without_framing(head)),
+            Self::InUnframedEvent => {
+                format!(
+                    "{}{event}{}",
+                    without_framing(head),
+                    &event[..event.len() / 2]
+                )
+            }
         }
     }
 }
@@ -80,13 +98,16 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) history: Arc<SoakHistory>,
     pub(crate) stop: Arc<AtomicBool>,
+    /// The crash points, as positions in [`CrashPoint::ALL`], of which it draws one.
+    pub(crate) points: Range<usize>,
 }
 
 impl PoisonCaller {
     /// Sends the request until stopped.
     pub(crate) fn run(mut self) {
         let route = SoakRoute::ALL[self.rng.random_range(0..SoakRoute::ALL.len())];
-        let point = self.rng.random_range(0..CrashPoint::ALL.len());
+        let point = self.rng.random_range(0..self.points.len());
+        let point = self.points.start + point;
         let body = format!("{PREFIX} {} {point}", self.name);
         let mut count = 0;
         while !self.stop.load(Ordering::Acquire) {
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -22,7 +22,9 @@
 use super::soak_plan::TimedStep;
 use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
+use super::soak_plan::draw_responses;
 use super::soak_plan::draw_rewinds;
+use super::soak_poison::CrashPoint;
 use super::soak_poison::PoisonCaller;
 use super::soak_target::TargetMode;
 
@@ -47,6 +49,8 @@
     pub(crate) callers: usize,
     /// Callers whose requests crash the targets that run them.
     pub(crate) poison_callers: usize,
+    /// Whether targets crash within responses without a length, rather than others.
+    pub(crate) unframed_crashes: bool,
 }
 
 /// Result of a soak.
@@ -67,6 +71,7 @@
             targets: rng.random_range(4..=7),
             callers: 16,
             poison_callers: 0,
+            unframed_crashes: false,
         }
     }
 }
@@ -125,6 +130,20 @@
     run_plan(seed, rng, size, &plan)
 }
 
+/// Runs a soak in which targets answer without a length and break such answers off, while hosts
+/// are killed, paused and stopped, and requests crash the targets that run them.
+pub(crate) fn run_response_soak(seed: u64) -> SoakReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = SoakSize {
+        targets: 8,
+        poison_callers: 2,
+        unframed_crashes: true,
+        ..SoakSize::draw(&mut rng)
+    };
+    let plan = draw_responses(&mut rng, size.hosts, size.targets);
+    run_plan(seed, rng, size, &plan)
+}
+
 fn run_plan(seed: u64, mut rng: ChaCha8Rng, size: SoakSize, plan: &[TimedStep]) -> SoakReport {
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
@@ -157,6 +176,10 @@
             rng: ChaCha8Rng::seed_from_u64(rng.random()),
             history: Arc::clone(&history),
             stop: Arc::clone(&stop),
+            points: match size.unframed_crashes {
+                true => CrashPoint::UNFRAMED,
+                false => CrashPoint::FRAMED,
+            },
         };
         thread::spawn(move || caller.run())
     }));
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -66,6 +66,22 @@
     Duplicating,
     /// Executes requests and answers 500.
     Failing,
+    /// Answers correctly, without a length: the end of the connection ends the answer.
+    Unframed,
+    /// The same, and breaks answers off: streams by a close inside an event, others by a reset.
+    UnframedTorn,
+    /// The same, and breaks answers off by a reset, streams between two events.
+    UnframedReset,
+}
+
+impl TargetMode {
+    /// Returns whether answers have no length and end with the connection.
+    const fn is_unframed(self) -> bool {
+        matches!(
+            self,
+            Self::Unframed | Self::UnframedTorn | Self::UnframedReset
+        )
+    }
 }
 
 /// Current name and pool of a target.
@@ -356,12 +372,32 @@
         let after = head.header(headers::LAST_EVENT_ID);
         let first = after.and_then(|id| id.parse().ok()).unwrap_or(0) + 1;
         let opening = stream_head(target, request, limit);
+        let opening = match mode.is_unframed() {
+            true => without_framing(&opening),
+            false => opening,
+        };
         if link.write(&opening).is_err() {
             return false;
         }
         for number in first..=EVENTS {
             thread::sleep(pause);
             let event = stream_event(request, number);
+            if mode.is_unframed() {
+                let is_broken_off = mode != TargetMode::Unframed && number > EVENTS / 2;
+                if is_broken_off && mode == TargetMode::UnframedReset {
+                    link.reset();
+                    return false;
+                }
+                let sent = if is_broken_off {
+                    event.len() / 2
+                } else {
+                    event.len()
+                };
+                if link.write(&event[..sent]).is_err() || is_broken_off {
+                    return false;
+                }
+                continue;
+            }
             if mode == TargetMode::Truncating && number > EVENTS / 2 {
                 // Sends half an event and no terminating chunk.
                 let half = &event[..event.len() / 2];
@@ -373,10 +409,19 @@
                 return false;
             }
         }
-        link.write("0\r\n\r\n").is_ok()
+        !mode.is_unframed() && link.write("0\r\n\r\n").is_ok()
     }
 }
 
+/// Returns the head of an answer without the fields that declare its end.
+pub(crate) fn without_framing(head: &str) -> String {
+    head.split_inclusive("\r\n")
+        .filter(|line| {
+            !line.starts_with("Transfer-Encoding") && !line.starts_with("Content-Length")
+        })
+        .collect()
+}
+
 /// Returns the head of a streamed answer.
 fn stream_head(target: &str, request: &str, limit: &str) -> String {
     format!(
@@ -402,6 +447,16 @@
             false
         }
         TargetMode::Duplicating => link.write(&answer.repeat(2)).is_ok(),
+        TargetMode::Unframed => {
+            link.write(&without_framing(&answer)).ok();
+            false
+        }
+        TargetMode::UnframedTorn | TargetMode::UnframedReset => {
+            let answer = without_framing(&answer);
+            link.write(&answer[..answer.len() - 40]).ok();
+            link.reset();
+            false
+        }
         _ => link.write(&answer).is_ok(),
     }
 }
