--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -8,10 +8,14 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::task;
+use standins::PathLink;
+use standins::PathMode;
 
 use super::raw_target::RawTarget;
 use crate::catalog::CallKind;
@@ -40,6 +44,11 @@
 use crate::view::TargetRecord;
 use crate::view::ViewUpdate;
 
+/// Port at which the hosts of a fleet listen for each other, each at an address of its own.
+const PEER_PORT: u16 = 7600;
+/// Number of the next fleet of this process.
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
+
 /// Content of the store; `None` while it is unavailable.
 type StoreState = Arc<Mutex<Option<ViewUpdate>>>;
 
@@ -68,6 +77,79 @@
     _host: EdgeHost,
 }
 
+/// Hosts that are each other's peers, and their paths to the targets.
+pub(super) struct FleetFixture {
+    pub(super) hosts: Vec<EdgeFixture>,
+    /// The paths of each host, in the order of the targets.
+    paths: Vec<Vec<PathLink>>,
+}
+
+impl FleetFixture {
+    /// Starts hosts in the given availability zones, and waits until they have found each other.
+    pub(super) fn open(targets: &[RawTarget], zones: &[&str]) -> Self {
+        let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id() % 250;
+        let addresses: Vec<SocketAddr> = (0..zones.len())
+            .map(|index| {
+                (
+                    [127, 200 + fleet, process as u8, index as u8 + 1],
+                    PEER_PORT,
+                )
+                    .into()
+            })
+            .collect();
+        let open_path = |target: &RawTarget| PathLink::open(target.address).unwrap();
+        let mut fixture = Self {
+            hosts: Vec::new(),
+            paths: Vec::new(),
+        };
+        for (index, zone) in zones.iter().enumerate() {
+            let paths: Vec<PathLink> = targets.iter().map(open_path).collect();
+            let reached: Vec<RawTarget> = paths
+                .iter()
+                .map(|path| RawTarget::at(path.address()))
+                .collect();
+            let store = ManualStore::default();
+            store.write(1, &reached, &["k1"]);
+            let settings = EdgeSettings {
+                host: format!("e{}", index + 1),
+                availability_zone: (*zone).into(),
+                peer_address: addresses[index],
+                seeds: addresses.clone(),
+                ..settings_with(EdgeBounds::default())
+            };
+            fixture.hosts.push(EdgeFixture::open_as(store, settings));
+            fixture.paths.push(paths);
+        }
+        fixture.wait_connected();
+        fixture
+    }
+
+    /// Changes the paths of a host to all targets.
+    pub(super) fn set_paths(&self, host: usize, mode: PathMode) {
+        for path in &self.paths[host] {
+            path.set_mode(mode).unwrap();
+        }
+    }
+
+    /// Returns the number of connections that a host has opened to targets.
+    pub(super) fn opened_connections(&self, host: usize) -> usize {
+        self.paths[host].iter().map(PathLink::accepted).sum()
+    }
+
+    fn wait_connected(&self) {
+        let wanted = format!("cardamomgw_members_live {}\n", self.hosts.len());
+        let started_at = Instant::now();
+        for host in &self.hosts {
+            host.wait_ready(true);
+            while !host.metrics().contains(&wanted) {
+                assert!(started_at.elapsed() < Duration::from_secs(20), "no members");
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+}
+
 impl CallerAnswer {
     /// Returns whether this is a response with the given status that looks complete.
     pub(super) fn is_complete(&self, status: u16) -> bool {
@@ -205,7 +287,10 @@
     }
 
     fn open_on(store: ManualStore, bounds: EdgeBounds) -> Self {
-        let settings = settings_with(bounds);
+        Self::open_as(store, settings_with(bounds))
+    }
+
+    fn open_as(store: ManualStore, settings: EdgeSettings) -> Self {
         let dependencies = EdgeDependencies {
             header_names: header_names(),
             source: Arc::new(store.clone()),
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod membership;
 mod metrics;
+mod partitions;
 mod raw_target;
 mod request_limits;
 mod response_ends;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -33,6 +33,8 @@
 pub use link::LinkControl;
 pub use link::LinkMode;
 pub use link::LinkServer;
+pub use link::PathLink;
+pub use link::PathMode;
 pub use load::LoadPlan;
 pub use load::LoadReport;
 pub use load::LoadRun;
