--- a/src/dispatch/dispatch_queue.rs
+++ b/src/dispatch/dispatch_queue.rs
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Ends the wait of all requests of a pool, as if it had timed out.
+    pub(crate) fn release_waiting(&self, pool: &str) {
+        let tickets = self.lock_table().queued_tickets(pool);
+        let mut waiters = self.lock_waiters();
+        for ticket in tickets {
+            // Dropping the sender ends the request's wait.
+            waiters.remove(&ticket);
+        }
+    }
+
     /// Assigns free slots to waiting requests.
     pub(crate) fn assign_waiting(self: &Arc<Self>) {
         let now = boot_now();
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -12,6 +12,7 @@
 use super::output_estimate::OutputEstimate;
 use super::prefill_estimate::PrefillEstimate;
 use super::rate_meter::RateMeter;
+use super::reach_tracker::ReachTracker;
 use super::request_queue::RequestQueue;
 use super::shard_range::TargetPosition;
 use super::target_choice::ChoiceContext;
@@ -46,6 +47,8 @@
     pub(super) running: SortedMap<RequestPriority, u32>,
     /// The slots granted to this host, if the pool's slots are divided among hosts.
     pub(super) granted: Option<GrantedSlots>,
+    /// This host's path to the targets.
+    pub(super) reach: ReachTracker,
 }
 
 /// The host's state that a placement depends on.
@@ -203,6 +206,13 @@
         now + shortest_first_event(&self.targets, request, self.prefill) > request.objective_at
     }
 
+    /// Discards what failed connections and silence on a lost path say about the targets.
+    pub(super) fn forget_losses(&mut self) {
+        for target in &mut self.targets {
+            target.forget_losses();
+        }
+    }
+
     /// Returns how long all targets that accept new work still want no requests.
     pub(super) fn pause_left(&self, now: Duration) -> Duration {
         let accepting = self.targets.iter().filter(|target| target.is_accepting());
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -17,6 +17,9 @@
 impl PoolTable {
     /// Records that a target sent something for a request.
     pub fn record_activity(&mut self, pool: &str, placed: &PlacedTarget, now: Duration) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.reach.record_response(now);
+        }
         if let Some(target) = self.target_mut(pool, placed) {
             target.record_activity(now);
         }
--- /dev/null
+++ b/src/dispatch/pool_reach.rs
@@ -0,0 +1,271 @@
+//! Paths to the targets of each pool: this host's own, and those that peers report.
+
+use std::time::Duration;
+
+use super::PathChange;
+use super::PlacedTarget;
+use super::PoolReach;
+use super::PoolTable;
+use super::target_runtime::TargetRuntime;
+use crate::ids::HostName;
+use crate::ids::PoolName;
+use crate::ids::TargetName;
+use crate::sorted::SortedMap;
+use crate::view::TargetIncarnation;
+
+/// How long a peer's report of its paths counts. Peers report several times a second.
+const REPORT_TTL: Duration = Duration::from_millis(1500);
+/// Time within which a target that sent something needs no probe.
+const ACTIVITY_TTL: Duration = Duration::from_millis(300);
+/// Number of targets whose reachability tells a crash of another one from a lost path.
+const CONTROL_TARGETS: usize = 2;
+
+/// A target to be probed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PathProbe {
+    /// The pool.
+    pub pool: PoolName,
+    /// The target.
+    pub target: TargetIncarnation,
+}
+
+/// A peer as a receiver of forwarded requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReachingPeer {
+    /// The peer.
+    pub host: HostName,
+    /// Whether it reported recently that it reaches targets of the pool.
+    pub is_certain: bool,
+    /// Requests of the pool that run or wait there.
+    pub load: u32,
+}
+
+/// The paths that peers reported, and when.
+#[derive(Debug, Default)]
+pub(super) struct PeerReaches {
+    hosts: SortedMap<HostName, (Duration, Vec<PoolReach>)>,
+}
+
+impl PeerReaches {
+    /// Returns the recent reports.
+    fn recent(&self, now: Duration) -> impl Iterator<Item = (&HostName, &Vec<PoolReach>)> {
+        let hosts = self.hosts.iter();
+        let recent = hosts.filter(move |(_, (at, _))| now.saturating_sub(*at) < REPORT_TTL);
+        recent.map(|(host, (_, reaches))| (host, reaches))
+    }
+
+    /// Returns whether no peer tells this host's paths from those of all: none reports, or all
+    /// that tried fail at the pool's targets too.
+    fn all_fail(&self, pool: &str, now: Duration) -> bool {
+        self.recent(now).next().is_none() || self.report_failure(pool, now)
+    }
+
+    /// Returns whether peers report that they fail at the pool's targets, and none reaches them.
+    fn report_failure(&self, pool: &str, now: Duration) -> bool {
+        let reaches = self.recent(now).flat_map(|(_, reaches)| reaches);
+        let of_pool = reaches.filter(|reach| reach.pool == pool);
+        let mut results = of_pool.filter_map(|reach| reach.reaches).peekable();
+        results.peek().is_some() && !results.any(|reaches| reaches)
+    }
+}
+
+impl PoolTable {
+    /// Records that a connection to a target of the pool was established.
+    pub fn record_connect(&mut self, pool: &str, now: Duration) -> Option<PathChange> {
+        let pool = self.pools.get_mut(pool)?;
+        if !pool.reach.record_connect(now) {
+            return None;
+        }
+        pool.forget_losses();
+        Some(PathChange::Back)
+    }
+
+    /// Records that no connection to a target could be established.
+    pub fn record_connect_failure(
+        &mut self,
+        pool_name: &str,
+        target: &TargetName,
+        now: Duration,
+    ) -> Option<PathChange> {
+        let peers_fail = self.peer_reaches.all_fail(pool_name, now);
+        let pool = self.pools.get_mut(pool_name)?;
+        let accepting = pool.targets.iter().filter(|target| target.is_accepting());
+        let accepting = accepting.count();
+        let is_lost = pool
+            .reach
+            .record_failure(target, accepting, peers_fail, now);
+        is_lost.then_some(PathChange::Lost)
+    }
+
+    /// Returns whether this host has lost its path to the targets of a pool.
+    pub fn is_path_lost(&self, pool: &str) -> bool {
+        let pool = self.pools.get(pool);
+        pool.is_some_and(|pool| pool.reach.is_lost())
+    }
+
+    /// Returns whether requests of any pool are forwarded to peers, or may soon be.
+    pub fn needs_peers(&self, now: Duration) -> bool {
+        let mut pools = self.pools.values();
+        pools.any(|pool| pool.reach.own_share(now) < 1.0 || pool.reach.is_failing(now))
+    }
+
+    /// Returns the share of a pool's requests that use this host's own path.
+    pub fn own_path_share(&self, pool: &str, now: Duration) -> f64 {
+        let pool = self.pools.get(pool);
+        pool.map_or(1.0, |pool| pool.reach.own_share(now))
+    }
+
+    /// Returns what this host reports of its paths.
+    pub fn own_reach(&self, now: Duration) -> Vec<PoolReach> {
+        let pools = self.pools.iter();
+        let reaches = pools.map(|(name, pool)| {
+            let running: u32 = pool.targets.iter().map(|target| target.own_running).sum();
+            PoolReach {
+                pool: name.clone(),
+                reaches: pool.reach.reaches(now),
+                load: running + pool.queue.len() as u32,
+            }
+        });
+        reaches.collect()
+    }
+
+    /// Replaces what a peer reported of its paths. Returns the pools whose path no longer counts
+    /// as lost, as all peers fail there.
+    pub fn update_peer_reach(
+        &mut self,
+        host: HostName,
+        reaches: Vec<PoolReach>,
+        now: Duration,
+    ) -> Vec<PoolName> {
+        self.peer_reaches.hosts.insert(host, (now, reaches));
+        self.peer_reaches
+            .hosts
+            .retain(|_, (at, _)| now.saturating_sub(*at) < REPORT_TTL);
+        let mut common = Vec::new();
+        for (name, pool) in self.pools.iter_mut() {
+            if pool.reach.is_lost()
+                && self.peer_reaches.all_fail(name, now)
+                && pool.reach.record_common_loss()
+            {
+                common.push(name.clone());
+            }
+        }
+        common
+    }
+
+    /// Returns the peers to which a request of the pool may be forwarded: those of `connected`
+    /// that did not report that they fail at its targets.
+    pub fn reaching_peers(
+        &self,
+        pool: &str,
+        connected: &[HostName],
+        now: Duration,
+    ) -> Vec<ReachingPeer> {
+        let reach_of = |host: &HostName| {
+            let mut recent = self.peer_reaches.recent(now);
+            let (_, reaches) = recent.find(|(held, _)| *held == host)?;
+            reaches.iter().find(|reach| reach.pool == pool)
+        };
+        let peers = connected.iter().filter_map(|host| {
+            let reach = reach_of(host);
+            let reaches = reach.and_then(|reach| reach.reaches);
+            (reaches != Some(false)).then(|| ReachingPeer {
+                host: host.clone(),
+                is_certain: reaches.is_some(),
+                load: reach.map_or(0, |reach| reach.load),
+            })
+        });
+        peers.collect()
+    }
+
+    /// Returns the targets to probe now: of lost paths, of paths whose connections fail, and
+    /// targets that run requests and send nothing.
+    pub fn take_probes(&mut self, now: Duration) -> Vec<PathProbe> {
+        let mut probes = Vec::new();
+        for (name, pool) in self.pools.iter_mut() {
+            let mut add = |target: &TargetRuntime| {
+                probes.push(PathProbe {
+                    pool: name.clone(),
+                    target: target.record.incarnation(),
+                });
+            };
+            if !pool.reach.is_lost() {
+                for target in &mut pool.targets {
+                    if target.take_silence_probe(now) {
+                        add(target);
+                    }
+                }
+            }
+            let Some((first, count)) = pool.reach.take_probes(now) else {
+                continue;
+            };
+            let is_lost = pool.reach.is_lost();
+            let reach = &pool.reach;
+            let open = pool.targets.iter().filter(|target| {
+                target.is_accepting() && (is_lost || !reach.has_failed(&target.record.name))
+            });
+            let open: Vec<&TargetRuntime> = open.collect();
+            // The targets are sorted by zone, so that probes at a distance reach several zones.
+            let count = count.min(open.len());
+            for probe in 0..count {
+                add(open[(first + probe * open.len() / count) % open.len()]);
+            }
+        }
+        probes
+    }
+
+    /// Returns targets whose reachability shows whether another one crashed: those that sent
+    /// something last, of other pools and zones first.
+    pub fn control_targets(&self, lost: &PlacedTarget, now: Duration) -> Vec<PathProbe> {
+        let lost_pool = self.locations.pool_of(&lost.name);
+        let zone_of = |name: &str| {
+            let targets = self.pools.values().flat_map(|pool| &pool.targets);
+            let mut found = targets.filter(|target| target.record.name == name);
+            found
+                .next()
+                .map(|target| target.record.availability_zone.clone())
+        };
+        let lost_zone = zone_of(&lost.name);
+        let mut controls: Vec<_> = Vec::new();
+        for (name, pool) in self.pools.iter() {
+            let targets = pool.targets.iter().filter(|target| {
+                target.is_accepting()
+                    && target.record.name != lost.name
+                    && !pool.reach.has_failed(&target.record.name)
+            });
+            controls.extend(targets.map(|target| {
+                let is_near = Some(name) == lost_pool;
+                let same_zone = Some(&target.record.availability_zone) == lost_zone.as_ref();
+                let is_silent = !target.is_healthy(now);
+                let probe = PathProbe {
+                    pool: name.clone(),
+                    target: target.record.incarnation(),
+                };
+                ((is_silent, is_near, same_zone), probe)
+            }));
+        }
+        controls.sort_by_key(|(preference, _)| *preference);
+        let controls = controls.into_iter().take(CONTROL_TARGETS);
+        controls.map(|(_, probe)| probe).collect()
+    }
+
+    /// Returns whether all peers that tried recently fail at the pool's targets too, or no peer
+    /// reports.
+    pub fn is_loss_common(&self, pool: &str, now: Duration) -> bool {
+        self.peer_reaches.all_fail(pool, now)
+    }
+
+    /// Returns whether peers report that they fail at the pool's targets too.
+    pub fn is_loss_reported(&self, pool: &str, now: Duration) -> bool {
+        self.peer_reaches.report_failure(pool, now)
+    }
+
+    /// Returns whether a target sent something just now, for any request of this host.
+    pub fn is_active(&self, placed: &PlacedTarget, now: Duration) -> bool {
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let mut found = targets.filter(|target| target.is_assigned(placed));
+        found
+            .next()
+            .is_some_and(|target| target.was_active_since(now.saturating_sub(ACTIVITY_TTL)))
+    }
+}
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -18,6 +18,7 @@
 use super::pool_entry::GrantedSlots;
 use super::pool_entry::HostView;
 use super::pool_entry::PoolEntry;
+use super::pool_reach::PeerReaches;
 use super::target_choice::shortest_first_event;
 use super::target_locations::TargetLocations;
 use super::target_runtime::TargetRuntime;
@@ -63,6 +64,7 @@
     peer_loads: PeerLoads,
     pub(super) limits: LimitTable,
     pub(super) notices: NoticeTable,
+    pub(super) peer_reaches: PeerReaches,
     host_position: Option<HostPosition>,
 }
 
@@ -77,6 +79,7 @@
             peer_loads: PeerLoads::default(),
             limits: LimitTable::default(),
             notices: NoticeTable::default(),
+            peer_reaches: PeerReaches::default(),
             host_position: None,
         }
     }
@@ -233,6 +236,13 @@
             .is_some_and(|pool| pool.targets.iter().any(TargetRuntime::is_accepting))
     }
 
+    /// Returns whether any target of the pool that accepts new work is not in `tried`.
+    pub fn has_untried_target(&self, pool: &str, tried: &[TargetName]) -> bool {
+        let targets = self.pools.get(pool).map(|pool| &pool.targets);
+        let mut targets = targets.into_iter().flatten();
+        targets.any(|target| target.is_accepting() && !tried.contains(&target.record.name))
+    }
+
     /// Assigns a target to a request if one has a free slot.
     pub fn place(
         &mut self,
@@ -359,6 +369,13 @@
         self.pools.get(pool).map_or(0, |pool| pool.queue.len())
     }
 
+    /// Returns the requests that wait for the pool.
+    pub fn queued_tickets(&self, pool: &str) -> Vec<QueueTicket> {
+        let queue = self.pools.get(pool).map(|pool| &pool.queue);
+        let queued = queue.into_iter().flat_map(|queue| queue.iter());
+        queued.map(|(ticket, _, _)| ticket).collect()
+    }
+
     /// Removes a request from the queue; returns whether it was queued.
     pub fn dequeue(&mut self, pool: &str, ticket: QueueTicket) -> bool {
         self.pools
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -23,6 +23,8 @@
 /// without this limit each request sent to it would be lost until its registration expires
 /// after seconds.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Interval of the probes of a target that sends nothing.
+const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The initial and maximum back-off after a target could not be reached.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -59,6 +61,16 @@
     last_activity_at: Option<Duration>,
     backoff_until: Duration,
     next_backoff: Duration,
+    /// What was known of the target before the first loss since its last success.
+    before_losses: Option<TargetMarks>,
+    next_silence_probe: Duration,
+}
+
+/// What losses change.
+#[derive(Clone, Copy, Debug)]
+struct TargetMarks {
+    error_rate: f64,
+    cold_start: Option<ColdStart>,
 }
 
 impl TargetRuntime {
@@ -83,6 +95,8 @@
             last_activity_at: None,
             backoff_until: Duration::ZERO,
             next_backoff: INITIAL_BACKOFF,
+            before_losses: None,
+            next_silence_probe: Duration::ZERO,
         }
     }
 
@@ -289,8 +303,19 @@
         if self.own_running == 0 {
             self.last_activity_at = None;
         }
+        let is_loss = matches!(
+            end,
+            AttemptOutcome::Failed | AttemptOutcome::Unreachable | AttemptOutcome::Unresponsive
+        );
+        if is_loss {
+            self.before_losses.get_or_insert(TargetMarks {
+                error_rate: self.error_rate,
+                cold_start: self.cold_start,
+            });
+        }
         match end {
             AttemptOutcome::Succeeded => {
+                self.before_losses = None;
                 self.error_rate -= OUTCOME_WEIGHT * self.error_rate;
                 self.next_backoff = INITIAL_BACKOFF;
                 self.backoff_until = Duration::ZERO;
@@ -306,6 +331,31 @@
         }
     }
 
+    /// Discards what losses since the last success say about the target.
+    pub(super) fn forget_losses(&mut self) {
+        let Some(marks) = self.before_losses.take() else {
+            return;
+        };
+        self.error_rate = marks.error_rate;
+        self.cold_start = marks.cold_start;
+        self.backoff_until = Duration::ZERO;
+        self.next_backoff = INITIAL_BACKOFF;
+    }
+
+    /// Returns whether the target sent something since then.
+    pub(super) fn was_active_since(&self, since: Duration) -> bool {
+        self.last_activity_at.is_some_and(|at| at >= since)
+    }
+
+    /// Returns whether the target sends nothing, and is to be probed for that now.
+    pub(super) fn take_silence_probe(&mut self, now: Duration) -> bool {
+        let is_due = self.is_unresponsive(now) && now >= self.next_silence_probe;
+        if is_due {
+            self.next_silence_probe = now + SILENCE_PROBE_INTERVAL;
+        }
+        is_due
+    }
+
     fn back_off(&mut self, now: Duration, delay: Duration) {
         self.backoff_until = self.backoff_until.max(now + delay);
     }
--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -7,7 +7,6 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::AsyncWriteExt;
-use futures_lite::future::poll_once;
 use rustix::net::sockopt::set_socket_linger;
 
 use crate::catalog::CallerLimits;
@@ -198,12 +197,6 @@
         pending().await
     }
 
-    /// Returns whether the caller has closed its side by now. A host that was not scheduled for a
-    /// while reads requests whose callers have given up.
-    pub(crate) async fn has_disconnected(&mut self) -> bool {
-        poll_once(self.disconnected()).await.is_some()
-    }
-
     /// Closes the connection gracefully, so that the last response is still delivered.
     pub(crate) async fn close(mut self) {
         set_socket_linger(&self.stream, None).ok();
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -13,8 +13,10 @@
 use super::quota_filter::consume_quota;
 use super::request_execution::ExecutionOutcome;
 use super::request_execution::RequestExecution;
+use super::response_sink::ResponseSink;
 use super::response_writer::refusal_bytes;
 use super::response_writer::write_bytes;
+use super::route_filter::RequestOrigin;
 use super::route_filter::RoutedRequest;
 use super::route_filter::UnroutedRequest;
 use super::route_filter::route_request;
@@ -78,7 +80,8 @@
         }
     };
     state.record_request(&routed.pool);
-    let mut execution = RequestExecution::new(state, caller, &routed);
+    let sink = ResponseSink::for_caller(caller);
+    let mut execution = RequestExecution::new(state, sink, &routed);
     let outcome = execution.serve().await;
     let attempts = execution.attempts();
     if !matches!(outcome, ExecutionOutcome::Answered) {
@@ -139,7 +142,7 @@
         let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_RETRY_DELAY);
         return Err(refuse(request.message, refusal, None, None));
     }
-    let routed = route_request(state, request).map_err(|unrouted| {
+    let routed = route_request(state, request, RequestOrigin::Caller).map_err(|unrouted| {
         let UnroutedRequest { request, refusal } = *unrouted;
         refuse(request.message, refusal, None, None)
     })?;
--- a/src/edge/crash_check.rs
+++ b/src/edge/crash_check.rs
@@ -9,6 +9,7 @@
 use super::edge_metrics::count;
 use super::edge_state::EdgeState;
 use crate::dispatch::PlacedTarget;
+use crate::ids::PoolName;
 use crate::logs::DecisionLine;
 use crate::poison::RequestFingerprint;
 
@@ -29,33 +30,43 @@
     true
 }
 
+/// A request whose target closed its connection.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRequest {
+    pub(crate) pool: PoolName,
+    pub(crate) target: PlacedTarget,
+    pub(crate) fingerprint: RequestFingerprint,
+    /// The request's id.
+    pub(crate) request: String,
+}
+
 /// Probes a target that closed the connection while it ran a request, and records the
 /// request as suspect if the target no longer accepts connections.
 ///
 /// Without this, a request that crashes every target that runs it takes down one target
 /// after another, with all of their work, as its caller retries it under new ids. A
 /// single closed connection is no proof of a crash, because targets close connections for
-/// other reasons too.
-pub(crate) async fn check_crash(
-    state: Arc<EdgeState>,
-    target: PlacedTarget,
-    fingerprint: RequestFingerprint,
-    request: String,
-) {
-    let fingerprint_text = format!("{fingerprint:016x}");
-    if is_alive(&state, &target).await {
+/// other reasons too; nor is a failed probe where this host has lost its path.
+pub(crate) async fn check_crash(state: Arc<EdgeState>, lost: LostRequest) {
+    let fingerprint_text = format!("{:016x}", lost.fingerprint);
+    let established = is_alive(&state, &lost.target).await;
+    state.record_connect(&lost.pool, &lost.target.name, established);
+    if established {
         state.log.write(&DecisionLine::TargetAlive {
-            target: target.name,
-            request,
+            target: lost.target.name,
+            request: lost.request,
             fingerprint: fingerprint_text,
         });
         return;
     }
-    let name = target.name;
-    state.poison.record_loss(fingerprint, &name);
+    if !state.confirms_crash(&lost.pool, &lost.target).await {
+        return;
+    }
+    let name = lost.target.name;
+    state.poison.record_loss(lost.fingerprint, &name);
     state.log.write(&DecisionLine::TargetCrashed {
         target: name,
-        request,
+        request: lost.request,
         fingerprint: fingerprint_text,
     });
 }
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -126,6 +126,7 @@
         let seeds = settings.seeds.iter().copied();
         let seeds = seeds.filter(|seed| *seed != settings.peer_address);
         let mesh = PeerMesh::spawn(identity, seeds.collect());
+        state.set_mesh(Arc::clone(&mesh));
         let max_callers = (settings.max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize;
         let addresses = EdgeAddresses {
             caller: listen(&state, settings.caller_address, max_callers, serve_caller).await?,
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -22,6 +22,12 @@
     pub(crate) leaving_targets: AtomicU64,
     /// Pauses that targets asked for, and their extensions.
     pub(crate) target_pauses: AtomicU64,
+    /// Losses of this host's path to the targets of a pool.
+    pub(crate) lost_paths: AtomicU64,
+    /// Requests forwarded to peers.
+    pub(crate) forwarded: AtomicU64,
+    /// Requests that peers forwarded.
+    pub(crate) served_for_peers: AtomicU64,
 }
 
 pub(crate) fn count(counter: &AtomicU64) {
@@ -41,6 +47,9 @@
             ("store_calls_total", &self.store_calls),
             ("targets_leaving_total", &self.leaving_targets),
             ("target_pauses_total", &self.target_pauses),
+            ("paths_lost_total", &self.lost_paths),
+            ("requests_forwarded_total", &self.forwarded),
+            ("requests_for_peers_total", &self.served_for_peers),
         ];
         for (name, counter) in counters {
             line(&mut text, name, counter.load(Ordering::Relaxed));
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -18,6 +19,7 @@
 use super::edge_settings::EdgeSettings;
 use super::fleet_role::FleetRole;
 use super::fleet_role::PeerFleetSize;
+use super::forward_table::ForwardTable;
 use super::gossip_builder::GossipCursors;
 use super::header_names::HeaderNames;
 use crate::clock::boot_now;
@@ -32,6 +34,7 @@
 use crate::members::GossipSchedule;
 use crate::members::MemberTable;
 use crate::metrics::RequestMetrics;
+use crate::peers::PeerMesh;
 use crate::poison::PoisonGuard;
 use crate::quota::QuotaLimiter;
 use crate::quota::RetryBudget;
@@ -95,6 +98,12 @@
     /// Whether new requests are refused because the host is about to exit.
     is_rejecting: AtomicBool,
     active_requests: AtomicUsize,
+    /// The links to peers; absent until they are opened.
+    mesh: OnceLock<Arc<PeerMesh>>,
+    /// Requests that this host forwards to peers.
+    pub(crate) forwards: Arc<ForwardTable>,
+    /// Requests that peers forward to this host.
+    pub(crate) forwarded: Arc<ForwardTable>,
 }
 
 /// Counts a request as active until it is dropped.
@@ -148,9 +157,27 @@
             leaving_since: AtomicU64::new(0),
             is_rejecting: AtomicBool::new(false),
             active_requests: AtomicUsize::new(0),
+            mesh: OnceLock::new(),
+            forwards: ForwardTable::new(),
+            forwarded: ForwardTable::new(),
         })
     }
 
+    /// Sets the links to peers; they are set once.
+    pub(crate) fn set_mesh(&self, mesh: Arc<PeerMesh>) {
+        self.mesh.set(mesh).ok();
+    }
+
+    pub(crate) fn mesh(&self) -> Option<&Arc<PeerMesh>> {
+        self.mesh.get()
+    }
+
+    /// Returns the connected peers, sorted.
+    pub(crate) fn connected_peers(&self) -> Vec<HostName> {
+        self.mesh()
+            .map_or_else(Vec::new, |mesh| mesh.connected_peers())
+    }
+
     pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
         lock(&self.members)
     }
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -193,6 +193,7 @@
             paces,
             leaving_targets,
             returning_targets,
+            reach: self.queue.lock_table().own_reach(now),
             poison: self.poison.changed_entries(is_new, since),
         };
         (message, version)
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -29,6 +29,7 @@
 use crate::members::DuePeer;
 use crate::members::GossipPeer;
 use crate::members::GroupLayout;
+use crate::members::hash_host;
 use crate::peers::PeerCall;
 use crate::peers::PeerMesh;
 use crate::peers::PeerReply;
@@ -57,6 +58,10 @@
 /// Without probes, hosts would not notice that a network partition has healed.
 const DEAD_HOST_PROBES: usize = 4;
 const DEAD_PROBE_PERIOD: Duration = Duration::from_secs(2);
+/// Number of hosts in the own zone, and in all others, to which a host without a path to targets
+/// connects.
+const FORWARD_PEERS_PER_ZONE: usize = 8;
+const FORWARD_PEERS_ELSEWHERE: usize = 8;
 /// Time for which a candidate that did not respond as a leader is skipped.
 const LEADER_SKIP_TIME: Duration = Duration::from_secs(2);
 
@@ -89,6 +94,7 @@
         })
         .await;
         let role = sender.state.refresh_role();
+        sender.state.probe_paths();
         let connected = sender.mesh.connected_peers();
         logger.log_changes(&sender.state, &connected);
         let peers = sender.choose_peers(&role, &connected);
@@ -163,6 +169,7 @@
             false if role.is_joining => Vec::new(),
             false => self.mesh_connections(now),
         };
+        wanted.extend(self.forward_connections(now));
         let members = self.state.members();
         let offset = (now.as_millis() / DEAD_PROBE_PERIOD.as_millis()) as usize * DEAD_HOST_PROBES;
         wanted.extend(members.dead_names(offset, DEAD_HOST_PROBES, now));
@@ -194,6 +201,25 @@
         schedule.wanted_connections(live.iter(), now)
     }
 
+    /// Returns the hosts to which requests may be forwarded while a path to targets fails: all of
+    /// a small fleet, some of the own zone and of the others in a large one, which differ from
+    /// host to host.
+    fn forward_connections(&self, now: Duration) -> Vec<HostName> {
+        if !self.state.queue.lock_table().needs_peers(now) {
+            return Vec::new();
+        }
+        let settings = self.state.settings.load();
+        let members = self.state.members();
+        let mut live = members.live_names(now);
+        let rank = |host: &HostName| hash_host(&format!("{host} {}", settings.host));
+        live.sort_by_cached_key(rank);
+        let is_near = |host: &HostName| members.zone_of(host) == Some(&settings.availability_zone);
+        let (near, far): (Vec<_>, Vec<_>) = live.into_iter().partition(is_near);
+        let near = near.into_iter().take(FORWARD_PEERS_PER_ZONE);
+        near.chain(far.into_iter().take(FORWARD_PEERS_ELSEWHERE))
+            .collect()
+    }
+
     fn group_connections(&self, role: &FleetRole) -> Vec<HostName> {
         let layout = &role.layout;
         let groups = match self.state.acts_as_leader(role) {
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -129,6 +129,10 @@
         table.merge_paces(&message.paces, now);
     }
     merge_leaving(state, message);
+    let mut table = state.queue.lock_table();
+    let common = table.update_peer_reach(message.own.host.clone(), message.reach.clone(), now);
+    drop(table);
+    state.record_common_loss(common);
     if !message.returning_targets.is_empty() {
         let mut table = state.queue.lock_table();
         table.merge_returning(&message.returning_targets, now);
--- a/src/edge/gossip_service.rs
+++ b/src/edge/gossip_service.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use super::edge_state::EdgeState;
+use super::forward_service::serve_forwarded;
 use super::gossip_merge::handle_gossip;
 use crate::errors::ErrorKind;
 use crate::ids::CatalogVersion;
@@ -83,7 +84,13 @@
 }
 
 impl CallHandler for GossipService {
-    fn handle(&self, _: HostName, call: PeerCall, replies: ReplySender) -> HandleFuture<'_> {
+    fn handle(&self, from: HostName, call: PeerCall, replies: ReplySender) -> HandleFuture<'_> {
+        let call = match call {
+            PeerCall::Forward(request) => {
+                return Box::pin(serve_forwarded(&self.state, from, *request, replies));
+            }
+            call => call,
+        };
         let package = match call {
             PeerCall::Catalog { known } => Some(self.catalog_package(known)),
             PeerCall::FleetView => Some(self.view_package()),
--- /dev/null
+++ b/src/edge/path_monitor.rs
@@ -0,0 +1,112 @@
+//! Observes this host's paths to targets, and probes those that fail.
+
+use std::sync::Arc;
+
+use async_std::task;
+
+use super::connection_pool::TargetConnection;
+use super::edge_metrics::count;
+use super::edge_state::EdgeState;
+use crate::clock::boot_now;
+use crate::dispatch::PathChange;
+use crate::dispatch::PathProbe;
+use crate::dispatch::PlacedTarget;
+use crate::ids::PoolName;
+use crate::ids::TargetName;
+use crate::logs::DecisionLine;
+
+impl EdgeState {
+    /// Records whether a connection to a target was established.
+    pub(crate) fn record_connect(
+        self: &Arc<Self>,
+        pool: &PoolName,
+        target: &TargetName,
+        established: bool,
+    ) {
+        let now = boot_now();
+        let mut table = self.queue.lock_table();
+        let change = match established {
+            true => table.record_connect(pool, now),
+            false => table.record_connect_failure(pool, target, now),
+        };
+        drop(table);
+        match change {
+            Some(PathChange::Lost) => {
+                count(&self.metrics.lost_paths);
+                self.log.write(&DecisionLine::PathLost {
+                    pool: pool.clone(),
+                    target: target.clone(),
+                });
+                // What waits for a slot here would wait for one at a target out of reach.
+                self.queue.release_waiting(pool);
+            }
+            Some(PathChange::Back) => {
+                self.log.write(&DecisionLine::PathBack {
+                    pool: pool.clone(),
+                    target: Some(target.clone()),
+                });
+                self.queue.assign_waiting();
+            }
+            None if !established => self.probe_paths(),
+            None => {}
+        }
+    }
+
+    /// Records that peers fail at the targets of pools whose path counted as lost.
+    pub(crate) fn record_common_loss(&self, pools: Vec<PoolName>) {
+        for pool in pools {
+            self.log
+                .write(&DecisionLine::PathBack { pool, target: None });
+        }
+    }
+
+    /// Starts the probes that are due.
+    pub(crate) fn probe_paths(self: &Arc<Self>) {
+        let probes = self.queue.lock_table().take_probes(boot_now());
+        for probe in probes {
+            task::spawn(probe_target(Arc::clone(self), probe));
+        }
+    }
+
+    /// Returns whether a target that accepts no connections has crashed, rather than this host
+    /// lost its path to it: another target can be reached, or peers fail at the pool too.
+    pub(crate) async fn confirms_crash(
+        self: &Arc<Self>,
+        pool: &PoolName,
+        target: &PlacedTarget,
+    ) -> bool {
+        let controls = {
+            let table = self.queue.lock_table();
+            if table.is_path_lost(pool) {
+                return false;
+            }
+            table.control_targets(target, boot_now())
+        };
+        if controls.is_empty() {
+            return true;
+        }
+        let probes: Vec<_> = controls
+            .into_iter()
+            .map(|probe| task::spawn(probe_target(Arc::clone(self), probe)))
+            .collect();
+        for probe in probes {
+            if probe.await {
+                return true;
+            }
+        }
+        let table = self.queue.lock_table();
+        !table.is_path_lost(pool) && table.is_loss_common(pool, boot_now())
+    }
+}
+
+/// Opens a connection to a target; returns whether it was established.
+async fn probe_target(state: Arc<EdgeState>, probe: PathProbe) -> bool {
+    count(&state.metrics.connects);
+    let opened = TargetConnection::open(probe.target.address).await;
+    let established = opened.is_ok();
+    if let Ok(connection) = opened {
+        state.connections.put_unused(&probe.target, connection);
+    }
+    state.record_connect(&probe.pool, &probe.target.name, established);
+    established
+}
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -4,18 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 use futures_lite::future::or;
 
-use super::caller_connection::CallerConnection;
 use super::connection_pool::TargetConnection;
+use super::crash_check::LostRequest;
 use super::crash_check::check_crash;
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
+use super::forward_table::ForwardPermit;
+use super::request_forwarding::ForwardDecision;
 use super::response_relay::BufferedResponse;
 use super::response_relay::StreamProgress;
-use super::response_relay::write_buffered;
+use super::response_sink::ResponseSink;
 use super::route_filter::RoutedRequest;
 use super::send_outcome::LossCause;
 use super::send_outcome::SendOutcome;
@@ -28,7 +31,9 @@
 use crate::dispatch::WaitOutcome;
 use crate::errors::ErrorKind;
 use crate::errors::RequestOutcome;
+use crate::ids::HostName;
 use crate::ids::TargetName;
+use crate::peers::ReplySender;
 use crate::wire::BodyFraming;
 
 /// Number of unreachable targets after which a request fails.
@@ -70,18 +75,30 @@
     Closed,
 }
 
+/// Why a request got no slot at a target.
+enum WaitEnd {
+    CallerLeft,
+    Failed(ErrorKind),
+}
+
 /// A request in progress.
 pub(crate) struct RequestExecution<'a> {
     pub(super) state: &'a Arc<EdgeState>,
-    pub(super) caller: &'a mut CallerConnection,
+    pub(super) caller: ResponseSink<'a>,
     pub(super) routed: &'a RoutedRequest,
     pub(super) progress: StreamProgress,
     pub(super) attempts: u32,
     /// Framing of the response to the last attempt; `None` if its head was not received.
     pub(super) framing: Option<BodyFraming>,
-    tried: Vec<TargetName>,
+    pub(super) tried: Vec<TargetName>,
+    /// Peers to which the request was forwarded.
+    pub(super) tried_peers: Vec<HostName>,
+    /// Held while the request is forwarded.
+    pub(super) forward_permit: Option<ForwardPermit>,
+    /// The target that responded to a peer.
+    pub(super) responder: TargetName,
     /// Whether a target may have run the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// The last error response of a target, forwarded if no other target does better.
     failure: Option<BufferedResponse>,
 }
@@ -90,7 +107,7 @@
     /// Creates the execution of a request that was not sent yet.
     pub(crate) fn new(
         state: &'a Arc<EdgeState>,
-        caller: &'a mut CallerConnection,
+        caller: ResponseSink<'a>,
         routed: &'a RoutedRequest,
     ) -> Self {
         Self {
@@ -101,11 +118,36 @@
             attempts: 0,
             framing: None,
             tried: Vec::new(),
+            tried_peers: Vec::new(),
+            forward_permit: None,
+            responder: String::new(),
             may_have_run: false,
             failure: None,
         }
     }
 
+    /// Creates the execution of a request that a peer has sent `attempts` times, to the targets
+    /// `tried`.
+    pub(crate) fn resume(
+        state: &'a Arc<EdgeState>,
+        caller: ResponseSink<'a>,
+        routed: &'a RoutedRequest,
+        attempts: u32,
+        tried: Vec<TargetName>,
+    ) -> Self {
+        Self {
+            attempts,
+            tried,
+            ..Self::new(state, caller, routed)
+        }
+    }
+
+    /// Returns the sender of replies to the peer that forwarded the request, unless the response
+    /// has ended.
+    pub(crate) fn into_replies(self) -> Option<ReplySender> {
+        self.caller.into_replies()
+    }
+
     /// Returns how often the request was sent.
     pub(crate) const fn attempts(&self) -> u32 {
         self.attempts
@@ -123,17 +165,30 @@
     pub(crate) async fn serve(&mut self) -> ExecutionOutcome {
         let mut unreachable = 0;
         loop {
+            match self.decide_forward().await {
+                ForwardDecision::Own => {}
+                ForwardDecision::Nowhere => return self.fail(ErrorKind::TargetUnreachable).await,
+                ForwardDecision::Peer(host) => match self.forward(host).await {
+                    Some(outcome) => return outcome,
+                    None => continue,
+                },
+            }
             let slot = match self.wait_for_slot().await {
                 Ok(slot) => slot,
-                Err(outcome) => return outcome,
+                Err(WaitEnd::CallerLeft) => return ExecutionOutcome::Closed,
+                // The path was lost while the request waited.
+                Err(WaitEnd::Failed(_)) if self.may_forward() => continue,
+                Err(WaitEnd::Failed(kind)) => return self.fail(kind).await,
             };
             let Some(connection) = self.connect(&slot).await else {
                 let target = slot.target().name.clone();
                 self.report_failure(&target, "unreachable", true);
-                self.tried.push(target);
+                self.tried.push(target.clone());
                 slot.finish(AttemptOutcome::Unreachable);
+                self.state.record_connect(&self.routed.pool, &target, false);
                 unreachable += 1;
-                if unreachable >= MAX_UNREACHABLE {
+                let is_hopeless = unreachable >= MAX_UNREACHABLE || self.has_tried_all();
+                if is_hopeless && !self.may_forward() {
                     return self.fail(ErrorKind::TargetUnreachable).await;
                 }
                 continue;
@@ -159,29 +214,30 @@
         }
     }
 
-    /// Waits for a free slot at a target, or returns how the request ends.
-    async fn wait_for_slot(&mut self) -> Result<SlotGuard, ExecutionOutcome> {
+    /// Waits for a free slot at a target, or returns why there is none.
+    async fn wait_for_slot(&mut self) -> Result<SlotGuard, WaitEnd> {
         let routed = self.routed;
         let now = boot_now();
         let left = routed.deadline.saturating_sub(now);
         if left <= MIN_TIME_LEFT {
-            return Err(self.fail(ErrorKind::DeadlinePassed).await);
+            return Err(WaitEnd::Failed(ErrorKind::DeadlinePassed));
         }
         let placement = self.placement();
         let max_wait = self.max_queue_wait(left);
         let queue = &self.state.queue;
-        let caller = &mut *self.caller;
+        let caller = &mut self.caller;
         let placed = async { Some(queue.wait_for_target(placement, max_wait).await) };
         let disconnected = async {
             caller.disconnected().await;
             None
         };
         match or(placed, disconnected).await {
-            None => Err(ExecutionOutcome::Closed),
+            None => Err(WaitEnd::CallerLeft),
             Some(WaitOutcome::Placed(slot)) => Ok(slot),
-            Some(WaitOutcome::Overloaded) => Err(self.fail(ErrorKind::Overloaded).await),
-            Some(WaitOutcome::NoTarget) => Err(self.fail(ErrorKind::NoTarget).await),
-            Some(WaitOutcome::TimedOut) => Err(self.fail(ErrorKind::Overloaded).await),
+            Some(WaitOutcome::NoTarget) => Err(WaitEnd::Failed(ErrorKind::NoTarget)),
+            Some(WaitOutcome::Overloaded | WaitOutcome::TimedOut) => {
+                Err(WaitEnd::Failed(ErrorKind::Overloaded))
+            }
         }
     }
 
@@ -231,7 +287,30 @@
             return Some(connection);
         }
         count(&self.state.metrics.connects);
-        TargetConnection::open(target.address).await.ok()
+        let connection = TargetConnection::open(target.address).await.ok()?;
+        let pool = &self.routed.pool;
+        self.state.record_connect(pool, &target.name, true);
+        Some(connection)
+    }
+
+    /// Returns whether the request was tried at all targets of its pool, and peers fail at them
+    /// too. The rest of a stream waits for one of them, as its caller can't ask for it.
+    fn has_tried_all(&self) -> bool {
+        let pool = &self.routed.pool;
+        let table = self.state.queue.lock_table();
+        !self.progress.has_started
+            && !table.has_untried_target(pool, &self.tried)
+            && table.is_loss_reported(pool, boot_now())
+    }
+
+    /// Returns whether the request goes on at a peer, as the path of this host is lost.
+    fn may_forward(&self) -> bool {
+        let is_lost = self
+            .state
+            .queue
+            .lock_table()
+            .is_path_lost(&self.routed.pool);
+        is_lost && !self.routed.is_forwarded && boot_now() + MIN_TIME_LEFT < self.routed.deadline
     }
 
     /// Sends the request once. Returns `None` if it should be sent to another target.
@@ -283,8 +362,13 @@
     fn spawn_crash_check(&self, target: PlacedTarget) {
         let routed = self.routed;
         let state = Arc::clone(self.state);
-        let check = check_crash(state, target, routed.fingerprint, routed.id.clone());
-        task::spawn(check);
+        let lost = LostRequest {
+            pool: routed.pool.clone(),
+            target,
+            fingerprint: routed.fingerprint,
+            request: routed.id.clone(),
+        };
+        task::spawn(check_crash(state, lost));
     }
 
     /// Returns whether the request is rejected because it crashes targets.
@@ -301,7 +385,7 @@
     }
 
     /// Returns whether the request may be retried, and charges the retry budget if so.
-    fn reserve_retry(&self) -> bool {
+    pub(super) fn reserve_retry(&self) -> bool {
         let is_resumable = !self.progress.has_started || self.progress.last_id().is_some();
         is_resumable
             && self.attempts < self.routed.max_attempts
@@ -313,16 +397,17 @@
         // A complete response is still delivered after the deadline.
         let left = self.routed.deadline.saturating_sub(boot_now());
         let limit = left.max(Duration::from_secs(1));
-        match write_buffered(self.caller, response, limit).await {
-            true => SendOutcome::Delivered {
+        let written = timeout(limit, self.caller.write_response(response));
+        match written.await {
+            Ok(Ok(())) => SendOutcome::Delivered {
                 status: response.head.status,
             },
-            false => SendOutcome::CallerDisconnected,
+            Ok(Err(_)) | Err(_) => SendOutcome::CallerDisconnected,
         }
     }
 
     /// Ends the request with an error, or with the last error response of a target.
-    async fn fail(&mut self, kind: ErrorKind) -> ExecutionOutcome {
+    pub(super) async fn fail(&mut self, kind: ErrorKind) -> ExecutionOutcome {
         if self.progress.has_started {
             // Part of the response was written; only closing the connection shows that it
             // is incomplete.
--- /dev/null
+++ b/src/edge/request_forwarding.rs
@@ -0,0 +1,362 @@
+//! Forwards a request to a peer that reaches targets.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use bytes::Bytes;
+
+use super::edge_metrics::count;
+use super::edge_refusal::EdgeRefusal;
+use super::forward_table::ForwardPermit;
+use super::request_execution::ExecutionOutcome;
+use super::request_execution::RequestExecution;
+use super::response_relay::BufferedResponse;
+use super::response_relay::RelayLimits;
+use super::response_relay::RelayOutcome;
+use super::response_relay::collect_body;
+use super::response_source::ForwardError;
+use super::response_source::PeerResponse;
+use super::response_source::ResponseSource;
+use super::send_outcome::LossCause;
+use super::send_outcome::SendOutcome;
+use super::target_send::cancel_on_disconnect;
+use crate::clock::boot_now;
+use crate::dispatch::PeerCandidate;
+use crate::dispatch::choose_peer;
+use crate::errors::ErrorKind;
+use crate::ids::HostName;
+use crate::logs::DecisionLine;
+use crate::peers::ForwardedRequest;
+use crate::peers::PeerCall;
+use crate::peers::PeerError;
+use crate::peers::PeerStream;
+
+/// Number of peers to which a request is offered. Where one can't serve it, another one may.
+const MAX_PEERS: usize = 3;
+/// How long a request waits for the first link to a peer. Links to all peers are opened as soon
+/// as connections to targets fail.
+const LINK_TIMEOUT: Duration = Duration::from_millis(400);
+const LINK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How a request proceeds with regard to its peers.
+pub(super) enum ForwardDecision {
+    /// This host sends it to a target itself.
+    Own,
+    /// It is forwarded to this peer.
+    Peer(HostName),
+    /// No peer can serve it, and this host reaches no target.
+    Nowhere,
+}
+
+/// An attempt to forward a request.
+enum ForwardAttempt {
+    Opened(PeerStream),
+    /// Nothing was sent.
+    NotSent,
+    Failed(ForwardError),
+}
+
+impl RequestExecution<'_> {
+    /// Decides whether the request is forwarded. One that a peer forwarded stays here.
+    pub(super) async fn decide_forward(&self) -> ForwardDecision {
+        let pool = &self.routed.pool;
+        let share = self
+            .state
+            .queue
+            .lock_table()
+            .own_path_share(pool, boot_now());
+        if self.routed.is_forwarded {
+            return match share > 0.0 {
+                true => ForwardDecision::Own,
+                false => ForwardDecision::Nowhere,
+            };
+        }
+        if share >= 1.0 || rand::random::<f64>() < share {
+            return ForwardDecision::Own;
+        }
+        let started_at = boot_now();
+        loop {
+            if let Some(host) = self.choose_peer() {
+                return ForwardDecision::Peer(host);
+            }
+            if share > 0.0 {
+                return ForwardDecision::Own;
+            }
+            let has_waited = boot_now().saturating_sub(started_at) >= LINK_TIMEOUT;
+            if has_waited || self.tried_peers.len() >= MAX_PEERS || !self.awaits_links() {
+                return ForwardDecision::Nowhere;
+            }
+            task::sleep(LINK_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether links to peers that were not tried may still be opened.
+    fn awaits_links(&self) -> bool {
+        let live = self.state.members().live_names(boot_now());
+        let connected = self.state.connected_peers();
+        let is_open = |host: &HostName| {
+            connected.binary_search(host).is_err() && !self.tried_peers.contains(host)
+        };
+        live.iter().any(is_open) && connected.is_empty()
+    }
+
+    fn choose_peer(&self) -> Option<HostName> {
+        if self.tried_peers.len() >= MAX_PEERS {
+            return None;
+        }
+        let state = self.state;
+        let now = boot_now();
+        let mut connected = state.connected_peers();
+        let own_zone = state.settings.load().availability_zone.clone();
+        let members = state.members();
+        connected.retain(|host| members.is_live(host, now) && !self.tried_peers.contains(host));
+        let table = state.queue.lock_table();
+        let peers = table.reaching_peers(&self.routed.pool, &connected, now);
+        drop(table);
+        let candidates = peers.into_iter().map(|mut peer| {
+            peer.load += state.forwards.count(&peer.host);
+            PeerCandidate {
+                same_zone: members.zone_of(&peer.host) == Some(&own_zone),
+                peer,
+            }
+        });
+        let mut candidates: Vec<PeerCandidate> = candidates.collect();
+        drop(members);
+        let index = choose_peer(&candidates, [rand::random(), rand::random()])?;
+        Some(candidates.swap_remove(index).peer.host)
+    }
+
+    /// Forwards the request to a peer. Returns `None` if another host or target may serve it.
+    pub(super) async fn forward(&mut self, peer: HostName) -> Option<ExecutionOutcome> {
+        self.tried_peers.push(peer.clone());
+        let state = self.state;
+        let size = self.routed.request.body.len();
+        let permit = state.forwards.take(&peer, size)?;
+        count(&state.metrics.forwarded);
+        state.log.write(&DecisionLine::RequestForwarded {
+            request: self.routed.id.clone(),
+            peer: peer.clone(),
+            pool: self.routed.pool.clone(),
+            waited_ms: self.routed.age().as_millis() as u64,
+            attempts: self.attempts,
+        });
+        let outcome = match self.open_forward(&peer, permit).await {
+            ForwardAttempt::NotSent => {
+                self.report_forward_failure(&peer, "not sent", true);
+                return None;
+            }
+            ForwardAttempt::Opened(stream) => self.receive(&peer, stream).await,
+            ForwardAttempt::Failed(error) => Err(error),
+        };
+        match outcome {
+            Ok(outcome) => self.finish_forward(&peer, outcome).await,
+            Err(ForwardError::Refused {
+                kind,
+                retry_after_ms,
+            }) => self.handle_refusal(&peer, kind, retry_after_ms).await,
+            Err(ForwardError::Lost) => {
+                let outcome = SendOutcome::Lost(LossCause::ConnectionClosed);
+                self.finish_forward(&peer, outcome).await
+            }
+        }
+    }
+
+    async fn open_forward(&mut self, peer: &HostName, permit: ForwardPermit) -> ForwardAttempt {
+        let call = PeerCall::Forward(Box::new(self.forwarded_request()));
+        let left = self.routed.deadline.saturating_sub(boot_now());
+        let Some(mesh) = self.state.mesh() else {
+            return ForwardAttempt::NotSent;
+        };
+        let opened = timeout(left, mesh.open_call(peer, call)).await;
+        self.forward_permit = Some(permit);
+        match opened {
+            Ok(Ok(stream)) => ForwardAttempt::Opened(stream),
+            Ok(Err(
+                PeerError::UnknownHost { .. }
+                | PeerError::NotConnected
+                | PeerError::TooManyCalls
+                | PeerError::MessageTooLarge,
+            )) => ForwardAttempt::NotSent,
+            // The peer may have received the request.
+            Ok(Err(_)) | Err(_) => ForwardAttempt::Failed(ForwardError::Lost),
+        }
+    }
+
+    /// Receives the peer's response and delivers it.
+    async fn receive(
+        &mut self,
+        peer: &HostName,
+        stream: PeerStream,
+    ) -> Result<SendOutcome, ForwardError> {
+        // The peer retries where a target is silent; a silent peer ends the link.
+        let left = self.routed.deadline.saturating_sub(boot_now());
+        let head = async {
+            let head = timeout(left, PeerResponse::read_head(stream)).await;
+            head.map_err(|_| SendOutcome::DeadlineExceeded)
+        };
+        let head = cancel_on_disconnect(&mut self.caller, self.routed.kind, head).await;
+        let response = match head {
+            Ok(head) => head?,
+            Err(outcome) => return Ok(outcome),
+        };
+        self.framing = Some(response.declared());
+        self.responder.clone_from(&response.responder);
+        let status = response.status();
+        let mut source = ResponseSource::Peer(response);
+        Ok(match self.routed.kind.is_stream() && status == 200 {
+            true => self.relay_forwarded(peer, &mut source).await,
+            false => self.deliver_forwarded(&mut source).await,
+        })
+    }
+
+    async fn relay_forwarded(
+        &mut self,
+        peer: &HostName,
+        source: &mut ResponseSource,
+    ) -> SendOutcome {
+        let limits = RelayLimits {
+            deadline: self.routed.deadline,
+            // The peer resumes a stream whose target is lost, and a lost peer ends the link.
+            max_pause: None,
+        };
+        let request = &self.routed.request.message;
+        let relayed = self
+            .progress
+            .relay(&mut self.caller, request, source, None, limits, || false);
+        match relayed.await {
+            RelayOutcome::Complete | RelayOutcome::Closed => SendOutcome::Delivered { status: 200 },
+            RelayOutcome::CallerDisconnected => SendOutcome::CallerDisconnected,
+            RelayOutcome::DeadlineExceeded => SendOutcome::DeadlineExceeded,
+            RelayOutcome::TargetLost(cause) => {
+                self.report_forward_failure(peer, &cause.to_string(), true);
+                SendOutcome::Lost(cause)
+            }
+        }
+    }
+
+    async fn deliver_forwarded(&mut self, source: &mut ResponseSource) -> SendOutcome {
+        let left = self.routed.deadline.saturating_sub(boot_now());
+        let collected = async {
+            match timeout(left, collect_body(source)).await {
+                Ok(Ok(body)) => Ok(body),
+                Ok(Err(error)) => Err(SendOutcome::Lost(error.into())),
+                Err(_) => Err(SendOutcome::DeadlineExceeded),
+            }
+        };
+        let body = cancel_on_disconnect(&mut self.caller, self.routed.kind, collected).await;
+        match body {
+            Ok(body) => {
+                let response = BufferedResponse {
+                    head: source.head().clone(),
+                    body,
+                    declared: source.declared(),
+                };
+                match self.progress.has_started {
+                    true => SendOutcome::Lost(LossCause::NotResumed(response.head.status)),
+                    false => self.write_response(&response).await,
+                }
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Ends the attempt. Returns `None` if another host or target may serve the request.
+    async fn finish_forward(
+        &mut self,
+        peer: &HostName,
+        outcome: SendOutcome,
+    ) -> Option<ExecutionOutcome> {
+        self.forward_permit = None;
+        self.may_have_run = true;
+        let cause = match outcome {
+            SendOutcome::Delivered { status } => {
+                let responder = self.responder.clone();
+                self.report_served(&responder, status);
+                return Some(ExecutionOutcome::Answered);
+            }
+            SendOutcome::CallerDisconnected => return Some(ExecutionOutcome::Closed),
+            SendOutcome::DeadlineExceeded => return Some(self.fail(ErrorKind::TargetSilent).await),
+            SendOutcome::Lost(cause) => cause,
+            SendOutcome::NotRun(_) | SendOutcome::TargetFailure(_) => LossCause::InvalidResponse,
+        };
+        // The peer may have sent the request to a target.
+        self.attempts += 1;
+        let retry = self.routed.kind.is_retryable() && self.reserve_retry();
+        self.report_forward_failure(peer, &cause.to_string(), retry);
+        match retry {
+            true => None,
+            false => Some(self.fail(ErrorKind::TargetLost).await),
+        }
+    }
+
+    /// Handles the refusal of a peer. Where the request did not run and another host may serve it,
+    /// returns `None`.
+    async fn handle_refusal(
+        &mut self,
+        peer: &HostName,
+        kind: ErrorKind,
+        retry_after_ms: Option<u64>,
+    ) -> Option<ExecutionOutcome> {
+        self.forward_permit = None;
+        let status = kind.answer().status;
+        let may_try_other = matches!(
+            kind,
+            ErrorKind::HostLeaving
+                | ErrorKind::NotReady
+                | ErrorKind::StaleView
+                | ErrorKind::NoTarget
+                | ErrorKind::TargetUnreachable
+        );
+        self.report_forward_failure(peer, &kind.to_string(), may_try_other);
+        if may_try_other {
+            return None;
+        }
+        self.may_have_run |= matches!(status, 502 | 504);
+        if self.progress.has_started || status == 503 && self.may_have_run {
+            return Some(self.fail(ErrorKind::TargetLost).await);
+        }
+        Some(ExecutionOutcome::Refused(EdgeRefusal {
+            kind,
+            retry_after: retry_after_ms.map(Duration::from_millis),
+        }))
+    }
+
+    fn report_forward_failure(&self, peer: &HostName, cause: &str, again: bool) {
+        self.state.log.write(&DecisionLine::ForwardFailed {
+            request: self.routed.id.clone(),
+            peer: peer.clone(),
+            cause: cause.to_owned(),
+            again,
+        });
+    }
+
+    /// Returns the request as its caller sent it, with what happened to it since.
+    fn forwarded_request(&self) -> ForwardedRequest {
+        let routed = self.routed;
+        let header_names = &self.state.header_names;
+        let mut headers = routed.request.message.headers.clone();
+        if let Some(credentials) = &routed.credentials {
+            headers.push("Authorization", credentials);
+        }
+        // The called host counts the age of the request towards its deadline.
+        let total = routed.deadline.saturating_sub(routed.request.arrived);
+        headers.push(&header_names.deadline_ms, total.as_millis().to_string());
+        if let Some(last) = self.progress.last_id() {
+            headers.retain(|name| !name.eq_ignore_ascii_case(&header_names.resume_after));
+            headers.push(&header_names.resume_after, last);
+        }
+        ForwardedRequest {
+            method: routed.request.message.method.clone(),
+            target: routed.request.message.target.clone(),
+            headers: headers.lines().to_vec(),
+            body: Bytes::copy_from_slice(&routed.request.body),
+            catalog: routed.catalog.version(),
+            pool: routed.pool.clone(),
+            age_ms: routed.age().as_millis() as u64,
+            waited_ms: routed.waited.as_millis() as u64,
+            attempts: self.attempts,
+            tried: self.tried.clone(),
+        }
+    }
+}
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -7,17 +7,12 @@
 use async_std::task;
 use futures_lite::future::or;
 
-use super::caller_connection::CallerConnection;
 use super::event_splitter::EventSplitter;
-use super::response_writer::ResponseFraming;
-use super::response_writer::forwarded_head;
-use super::response_writer::stream_framing;
-use super::response_writer::write_bytes;
-use super::response_writer::write_chunk;
-use super::response_writer::write_end;
+use super::response_sink::ResponseSink;
+use super::response_sink::StreamHead;
+use super::response_source::ResponseSource;
 use super::send_outcome::LossCause;
 use super::target_call::CallError;
-use super::target_call::TargetCall;
 use crate::clock::boot_now;
 use crate::dispatch::SlotGuard;
 use crate::metrics::RequestSeries;
@@ -73,7 +68,6 @@
     longest_pause: Duration,
     arrived: Duration,
     series: Arc<RequestSeries>,
-    framing: Option<ResponseFraming>,
 }
 
 /// Limits at which relaying a stream is abandoned.
@@ -97,7 +91,6 @@
             longest_pause: Duration::ZERO,
             arrived,
             series,
-            framing: None,
         }
     }
 
@@ -122,10 +115,10 @@
     /// over before that.
     pub(crate) async fn relay(
         &mut self,
-        caller: &mut CallerConnection,
+        caller: &mut ResponseSink<'_>,
         request: &RequestMessage,
-        call: &mut TargetCall,
-        slot: &mut SlotGuard,
+        source: &mut ResponseSource,
+        mut slot: Option<&mut SlotGuard>,
         limits: RelayLimits,
         can_resume: impl Fn() -> bool,
     ) -> RelayOutcome {
@@ -136,7 +129,8 @@
         loop {
             received.clear();
             let event = {
-                let target = async { RelayEvent::TargetData(call.read_body(&mut received).await) };
+                let target =
+                    async { RelayEvent::TargetData(source.read_body(&mut received).await) };
                 let disconnected = async {
                     caller.disconnected().await;
                     RelayEvent::CallerDisconnected
@@ -170,11 +164,11 @@
             };
             let mut events = self.splitter.take_events(&mut received);
             let loss = match is_complete {
-                true => self.finish_events(&mut events, call).err(),
+                true => self.finish_events(&mut events, source).err(),
                 false => None,
             };
             let ends = is_complete && loss.is_none();
-            let is_open = call.framing == BodyFraming::UntilClose;
+            let is_open = source.leaves_end_open();
             if events.is_empty() && (!ends || is_open) {
                 match loss {
                     Some(cause) => return RelayOutcome::TargetLost(cause),
@@ -182,11 +176,18 @@
                     None => continue,
                 }
             }
-            slot.record_event();
-            let output = self.frame(request, call, caller, &events, ends && !is_open);
+            if let Some(slot) = &mut slot {
+                slot.record_event();
+            }
+            let head = StreamHead {
+                message: source.head(),
+                declared: source.declared(),
+                is_http10: request.is_http10,
+            };
+            let head = (!self.has_started).then_some(head);
             let written = timeout(
                 limits.deadline.saturating_sub(boot_now()),
-                write_bytes(&caller.stream, &output),
+                caller.write_events(head, &events, ends && !is_open),
             );
             match written.await {
                 Ok(Ok(())) => {
@@ -208,24 +209,18 @@
         }
     }
 
-    /// Writes the end of a response whose events were written; returns whether it was written.
-    pub(crate) async fn write_end(&self, caller: &CallerConnection, limit: Duration) -> bool {
-        let mut output = Vec::new();
-        if let Some(framing) = self.framing {
-            write_end(framing, &mut output);
-        }
-        let written = timeout(limit, write_bytes(&caller.stream, &output));
-        matches!(written.await, Ok(Ok(())))
-    }
-
     /// Appends what follows the last event of a stream whose end was received.
     ///
     /// # Errors
     ///
     /// The stream was broken off: it ended inside an event, or was closed before any.
-    fn finish_events(&mut self, events: &mut Vec<u8>, call: &TargetCall) -> Result<(), LossCause> {
+    fn finish_events(
+        &mut self,
+        events: &mut Vec<u8>,
+        source: &ResponseSource,
+    ) -> Result<(), LossCause> {
         let is_empty = !self.has_started && events.is_empty();
-        if is_empty && call.framing == BodyFraming::UntilClose {
+        if is_empty && source.leaves_end_open() {
             return Err(LossCause::EmptyStream);
         }
         events.append(&mut self.splitter.finish()?);
@@ -249,34 +244,6 @@
         }
         self.last_at = now;
     }
-
-    fn frame(
-        &mut self,
-        request: &RequestMessage,
-        call: &TargetCall,
-        caller: &mut CallerConnection,
-        events: &[u8],
-        is_complete: bool,
-    ) -> Vec<u8> {
-        let mut output = Vec::with_capacity(events.len() + 512);
-        let framing = match self.framing {
-            Some(framing) => framing,
-            None => {
-                let framing = stream_framing(request, call.framing);
-                if framing == ResponseFraming::UntilClose {
-                    caller.end_by_close();
-                }
-                output = forwarded_head(&call.head, framing, !caller.reusable);
-                self.framing = Some(framing);
-                framing
-            }
-        };
-        write_chunk(framing, events, &mut output);
-        if is_complete {
-            write_end(framing, &mut output);
-        }
-        output
-    }
 }
 
 /// Reads a complete body. A truncated response must not look complete to the caller, so
@@ -285,11 +252,11 @@
 /// # Errors
 ///
 /// The body is truncated, malformed or too large.
-pub(crate) async fn collect_body(call: &mut TargetCall) -> Result<Vec<u8>, CallError> {
+pub(crate) async fn collect_body(source: &mut ResponseSource) -> Result<Vec<u8>, CallError> {
     let mut body = Vec::new();
     let mut chunk = Vec::new();
     loop {
-        let is_complete = call.read_body(&mut chunk).await?;
+        let is_complete = source.read_body(&mut chunk).await?;
         body.append(&mut chunk);
         if is_complete {
             return Ok(body);
@@ -299,24 +266,3 @@
         }
     }
 }
-
-/// Writes a buffered response to the caller; returns whether it was written completely.
-pub(crate) async fn write_buffered(
-    caller: &mut CallerConnection,
-    response: &BufferedResponse,
-    limit: Duration,
-) -> bool {
-    let framing = match response.declared {
-        BodyFraming::UntilClose => ResponseFraming::UntilClose,
-        BodyFraming::Length(_) | BodyFraming::Chunked => {
-            ResponseFraming::Length(response.body.len())
-        }
-    };
-    if framing == ResponseFraming::UntilClose {
-        caller.end_by_close();
-    }
-    let mut output = forwarded_head(&response.head, framing, !caller.reusable);
-    output.extend_from_slice(&response.body);
-    let written = timeout(limit, write_bytes(&caller.stream, &output));
-    matches!(written.await, Ok(Ok(())))
-}
--- a/src/edge/response_writer.rs
+++ b/src/edge/response_writer.rs
@@ -9,7 +9,6 @@
 use super::edge_refusal::EdgeRefusal;
 use crate::wire::BodyFraming;
 use crate::wire::MessageHeaders;
-use crate::wire::RequestMessage;
 use crate::wire::ResponseMessage;
 
 /// Framing of the response body sent to the caller.
@@ -90,13 +89,10 @@
     }
 }
 
-/// Returns the framing of a streamed response to `request`, of which the target declares the end
-/// by `declared`.
-pub(crate) const fn stream_framing(
-    request: &RequestMessage,
-    declared: BodyFraming,
-) -> ResponseFraming {
-    match (request.is_http10, declared) {
+/// Returns the framing of a streamed response to a request, which may be HTTP/1.0, and of which
+/// the target declares the end by `declared`.
+pub(crate) const fn stream_framing(is_http10: bool, declared: BodyFraming) -> ResponseFraming {
+    match (is_http10, declared) {
         (true, _) | (false, BodyFraming::UntilClose) => ResponseFraming::UntilClose,
         (false, BodyFraming::Length(_) | BodyFraming::Chunked) => ResponseFraming::Chunked,
     }
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -24,6 +24,9 @@
 /// Time limit of a request for which neither the caller nor the route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Route under which requests are counted that peers forwarded.
+const FORWARDED_SERIES: &str = "forwarded";
+
 /// Token counts that a request declares.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct TokenUsage {
@@ -67,6 +70,10 @@
     /// The declared token counts.
     pub(crate) usage: Option<TokenUsage>,
     pub(crate) series: Arc<RequestSeries>,
+    /// The caller's `Authorization`, if it sent one; targets don't get it.
+    pub(crate) credentials: Option<Vec<u8>>,
+    /// Whether a peer forwarded the request.
+    pub(crate) is_forwarded: bool,
     /// Fingerprint that stays the same if the caller retries the request under a new id.
     pub(crate) fingerprint: RequestFingerprint,
 }
@@ -84,6 +91,19 @@
     }
 }
 
+/// Who sent a request to this host.
+#[derive(Clone, Debug)]
+pub(crate) enum RequestOrigin {
+    Caller,
+    /// A peer that forwards a caller's request.
+    Peer {
+        /// The pool that it drew.
+        pool: PoolName,
+        /// How long the caller waited in earlier attempts.
+        waited: Duration,
+    },
+}
+
 /// A refused request with the reason of the refusal.
 #[derive(Debug)]
 pub(crate) struct UnroutedRequest {
@@ -99,6 +119,7 @@
 pub(crate) fn route_request(
     state: &EdgeState,
     mut request: CallerRequest,
+    origin: RequestOrigin,
 ) -> Result<RoutedRequest, Box<UnroutedRequest>> {
     let Some(catalog) = state.view.catalog() else {
         let refusal = EdgeRefusal::after(ErrorKind::NotReady, OTHER_HOST_DELAY);
@@ -116,12 +137,22 @@
     let deadline = request.arrived + time_limit(state, route, &request);
     let headers = &request.message.headers;
     let left = headers.number(&state.header_names.deadline_ms);
-    let waited = left.map_or(Duration::ZERO, |left| {
-        state.record_deadline(&route.name, Duration::from_millis(left))
-    });
+    let (drawn, waited) = match origin {
+        RequestOrigin::Peer { pool, waited } => (Some(pool), waited),
+        RequestOrigin::Caller => {
+            let waited = left.map_or(Duration::ZERO, |left| {
+                state.record_deadline(&route.name, Duration::from_millis(left))
+            });
+            (None, waited)
+        }
+    };
+    let is_forwarded = drawn.is_some();
+    let drawn = drawn.filter(|pool| route.shares.iter().any(|share| share.pool == *pool));
     let usage = token_usage(state, &request);
     let account_name = account.as_ref().map_or("", |account| account.name.as_str());
     let fingerprint = fingerprint_request(account_name, &request.message.target, &request.body);
+    let authorization = request.message.headers.all("authorization").next();
+    let credentials = authorization.map(<[u8]>::to_vec);
     prepare_headers(state, &mut request, account_name);
     let account_tier = account.as_ref().and_then(|account| account.tier);
     let priority = RequestPriority {
@@ -139,10 +170,18 @@
         first_event_deadline: route
             .abandon_timeout
             .map_or(deadline, |timeout| deadline.min(request.arrived + timeout)),
-        pool: route.pool_for(rand::random()).clone(),
-        series: state
-            .request_metrics
-            .series(priority.account, &route.name, account_name),
+        pool: drawn.unwrap_or_else(|| route.pool_for(rand::random()).clone()),
+        series: match is_forwarded {
+            // The peer counts the request for its account.
+            true => state
+                .request_metrics
+                .series(priority.account, FORWARDED_SERIES, ""),
+            false => state
+                .request_metrics
+                .series(priority.account, &route.name, account_name),
+        },
+        is_forwarded,
+        credentials,
         priority,
         account,
         deadline,
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -5,7 +5,6 @@
 use async_std::future::timeout;
 use futures_lite::future::or;
 
-use super::caller_connection::CallerConnection;
 use super::connection_pool::TargetConnection;
 use super::crash_check::is_alive;
 use super::request_execution::MIN_TIME_LEFT;
@@ -14,6 +13,8 @@
 use super::response_relay::RelayLimits;
 use super::response_relay::RelayOutcome;
 use super::response_relay::collect_body;
+use super::response_sink::ResponseSink;
+use super::response_source::ResponseSource;
 use super::send_outcome::LossCause;
 use super::send_outcome::SendOutcome;
 use super::target_call::CallIdentity;
@@ -23,7 +24,6 @@
 use crate::dispatch::AttemptOutcome;
 use crate::dispatch::SlotGuard;
 use crate::logs::DecisionLine;
-use crate::wire::BodyFraming;
 use crate::wire::ResponseMessage;
 
 /// Longest pause of a stream that another target can resume. Engines send an event
@@ -46,7 +46,7 @@
     ) -> SendOutcome {
         let bytes = self.request_bytes(&slot);
         let sent = self.call(connection, &bytes, &mut slot).await;
-        let mut call = match sent {
+        let call = match sent {
             Ok(call) => call,
             Err(outcome) => {
                 slot.finish(outcome.attempt_outcome());
@@ -60,25 +60,18 @@
             return SendOutcome::NotRun(cause);
         }
         let status = call.head.status;
+        self.caller.set_responder(&slot.target().name);
+        let mut source = ResponseSource::Target(call);
         let outcome = match self.routed.kind.is_stream() && status == 200 {
-            true => self.relay_stream(&mut call, &mut slot).await,
-            false => match self.collect(call, &mut slot).await {
-                Ok((complete, body)) => {
-                    call = complete;
-                    let response = BufferedResponse {
-                        head: call.head.clone(),
-                        body,
-                        declared: call.framing,
-                    };
-                    self.deliver_buffered(response).await
-                }
-                Err(outcome) => {
-                    slot.finish(outcome.attempt_outcome());
-                    return outcome;
-                }
+            true => self.relay_stream(&mut source, &mut slot).await,
+            false => match self.collect(&mut source, &mut slot).await {
+                Ok(response) => self.deliver_buffered(response).await,
+                Err(outcome) => outcome,
             },
         };
-        if let Some((connection, head)) = call.into_reusable() {
+        if let ResponseSource::Target(call) = source
+            && let Some((connection, head)) = call.into_reusable()
+        {
             self.state
                 .connections
                 .put(&slot.target().incarnation(), connection, &head);
@@ -111,7 +104,7 @@
                 Err(_) => Err(SendOutcome::Lost(LossCause::Unresponsive)),
             }
         };
-        let sent = cancel_on_disconnect(self.caller, routed.kind, exchange).await;
+        let sent = cancel_on_disconnect(&mut self.caller, routed.kind, exchange).await;
         if let Ok(call) = &sent {
             self.framing = Some(call.framing);
             self.record_limit(&call.head, slot);
@@ -154,7 +147,11 @@
         }
     }
 
-    async fn relay_stream(&mut self, call: &mut TargetCall, slot: &mut SlotGuard) -> SendOutcome {
+    async fn relay_stream(
+        &mut self,
+        source: &mut ResponseSource,
+        slot: &mut SlotGuard,
+    ) -> SendOutcome {
         let has_attempts_left = self.attempts < self.routed.max_attempts;
         let limits = RelayLimits {
             deadline: self.routed.deadline,
@@ -171,10 +168,14 @@
             let table = state.queue.lock_table();
             table.has_room_for(&placement, boot_now()) && state.can_retry(&placement.pool)
         };
-        let caller = &mut *self.caller;
-        let relayed = self
-            .progress
-            .relay(caller, request, call, slot, limits, can_resume);
+        let relayed = self.progress.relay(
+            &mut self.caller,
+            request,
+            source,
+            Some(slot),
+            limits,
+            can_resume,
+        );
         match relayed.await {
             RelayOutcome::Complete => SendOutcome::Delivered { status: 200 },
             RelayOutcome::Closed => self.end_stream(slot).await,
@@ -193,30 +194,31 @@
         if !is_alive(self.state, slot.target()).await {
             return SendOutcome::Lost(LossCause::UnverifiedEnd);
         }
-        match self.progress.write_end(self.caller, END_TIMEOUT).await {
-            true => SendOutcome::Delivered { status: 200 },
-            false => SendOutcome::CallerDisconnected,
+        let written = timeout(END_TIMEOUT, self.caller.write_events(None, &[], true));
+        match written.await {
+            Ok(Ok(())) => SendOutcome::Delivered { status: 200 },
+            Ok(Err(_)) | Err(_) => SendOutcome::CallerDisconnected,
         }
     }
 
     /// Reads the complete body.
     async fn collect(
         &mut self,
-        mut call: TargetCall,
+        source: &mut ResponseSource,
         slot: &mut SlotGuard,
-    ) -> Result<(TargetCall, Vec<u8>), SendOutcome> {
+    ) -> Result<BufferedResponse, SendOutcome> {
         let left = self.routed.deadline.saturating_sub(boot_now());
         let collected = async {
-            match timeout(left, collect_body(&mut call)).await {
+            match timeout(left, collect_body(source)).await {
                 Ok(Ok(body)) => Ok(body),
                 Ok(Err(error)) => Err(SendOutcome::Lost(error.into())),
                 Err(_) => Err(SendOutcome::DeadlineExceeded),
             }
         };
-        let body = cancel_on_disconnect(self.caller, self.routed.kind, collected).await?;
+        let body = cancel_on_disconnect(&mut self.caller, self.routed.kind, collected).await?;
         slot.record_event();
-        if call.framing == BodyFraming::UntilClose {
-            slot.release(match call.head.status {
+        if source.leaves_end_open() {
+            slot.release(match source.head().status {
                 500.. => AttemptOutcome::Failed,
                 _ => AttemptOutcome::Succeeded,
             });
@@ -224,12 +226,16 @@
                 return Err(SendOutcome::Lost(LossCause::UnverifiedEnd));
             }
         }
-        Ok((call, body))
+        Ok(BufferedResponse {
+            head: source.head().clone(),
+            body,
+            declared: source.declared(),
+        })
     }
 
-    /// Forwards a buffered response, or keeps an error response because another target
+    /// Delivers a buffered response, or keeps an error response because another target
     /// may succeed.
-    async fn deliver_buffered(&mut self, response: BufferedResponse) -> SendOutcome {
+    pub(super) async fn deliver_buffered(&mut self, response: BufferedResponse) -> SendOutcome {
         let status = response.head.status;
         // Statuses 429, 503, 408 and 421 tell the caller that nothing ran. Without the
         // target's confirmation it may have run the request.
@@ -252,9 +258,11 @@
     }
 
     /// Reads the rest of a refusal so that the connection can be reused.
-    async fn discard_body(&self, mut call: TargetCall, slot: &SlotGuard) {
-        let collected = timeout(DISCARD_TIMEOUT, collect_body(&mut call)).await;
+    async fn discard_body(&self, call: TargetCall, slot: &SlotGuard) {
+        let mut source = ResponseSource::Target(call);
+        let collected = timeout(DISCARD_TIMEOUT, collect_body(&mut source)).await;
         if matches!(collected, Ok(Ok(_)))
+            && let ResponseSource::Target(call) = source
             && let Some((connection, head)) = call.into_reusable()
         {
             self.state
@@ -286,8 +294,8 @@
 
 /// Runs `operation` until the caller disconnects. A non-idempotent request may already be
 /// running at the target, so it is left to finish.
-async fn cancel_on_disconnect<T>(
-    caller: &mut CallerConnection,
+pub(super) async fn cancel_on_disconnect<T>(
+    caller: &mut ResponseSink<'_>,
     kind: CallKind,
     operation: impl Future<Output = Result<T, SendOutcome>>,
 ) -> Result<T, SendOutcome> {
--- a/src/gateway/peer_service.rs
+++ b/src/gateway/peer_service.rs
@@ -65,9 +65,10 @@
                 Err(kind) => refuse(kind, replies).await,
             },
             // Hosts of this kind exchange digests and have no gossip, views or catalogs.
-            PeerCall::Gossip(_) | PeerCall::FleetView | PeerCall::Catalog { .. } => {
-                refuse(ErrorKind::NotReady, replies).await
-            }
+            PeerCall::Gossip(_)
+            | PeerCall::FleetView
+            | PeerCall::Catalog { .. }
+            | PeerCall::Forward(_) => refuse(ErrorKind::NotReady, replies).await,
         };
         // A failed send means that the peer is gone; there is nobody to answer.
         replied.ok();
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -279,6 +279,61 @@
         /// How the target declared the end of the response: `length`, `chunked` or `close`.
         framing: Option<&'static str>,
     },
+    /// Connections to several targets of a pool fail, while peers reach them or did not try: this
+    /// host has lost its path, and forwards requests to peers.
+    #[display("path to {pool} lost")]
+    PathLost {
+        /// The pool.
+        pool: PoolName,
+        /// The target that failed last.
+        target: TargetName,
+    },
+    /// Targets of a pool are reached again, or peers fail at them too.
+    #[display("path to {pool} back")]
+    PathBack {
+        /// The pool.
+        pool: PoolName,
+        /// The target that was reached; absent where peers fail too.
+        target: Option<TargetName>,
+    },
+    /// A request was forwarded to a peer.
+    #[display("forwarded to {peer}")]
+    RequestForwarded {
+        /// The request.
+        request: String,
+        /// The peer.
+        peer: HostName,
+        /// The pool whose targets this host does not reach.
+        pool: PoolName,
+        /// How long the request has waited, in milliseconds.
+        waited_ms: u64,
+        /// How often it was sent to a target before.
+        attempts: u32,
+    },
+    /// A peer did not serve a forwarded request.
+    #[display("{peer} did not serve a forwarded request: {cause}")]
+    ForwardFailed {
+        /// The request.
+        request: String,
+        /// The peer.
+        peer: HostName,
+        /// The cause, or the kind of the peer's error.
+        cause: String,
+        /// Whether another host or target is tried.
+        again: bool,
+    },
+    /// A request of a peer was accepted.
+    #[display("serves a request of {peer}")]
+    ForwardAccepted {
+        /// The request.
+        request: String,
+        /// The peer.
+        peer: HostName,
+        /// The pool.
+        pool: PoolName,
+        /// Time since it arrived at the peer, in milliseconds.
+        age_ms: u64,
+    },
     /// The host refused a request with an answer of its own, or aborted it.
     #[display("refused: {kind}")]
     RequestRefused {
@@ -341,12 +396,17 @@
     /// Returns the line's log level.
     pub const fn level(&self) -> Level {
         match self {
-            Self::RequestSent { .. } | Self::RequestAnswered { .. } => Level::Debug,
+            Self::RequestSent { .. }
+            | Self::RequestAnswered { .. }
+            | Self::RequestForwarded { .. }
+            | Self::ForwardAccepted { .. } => Level::Debug,
             Self::StoreLost { .. }
             | Self::GossipFailed { .. }
             | Self::ViewFetchFailed { .. }
             | Self::SettingsRefused { .. }
             | Self::SendFailed { .. }
+            | Self::PathLost { .. }
+            | Self::ForwardFailed { .. }
             | Self::RequestRefused { .. }
             | Self::TargetCrashed { .. } => Level::Warn,
             _ => Level::Info,
@@ -358,7 +418,11 @@
     pub const fn is_routine(&self) -> bool {
         matches!(
             self,
-            Self::RequestSent { .. } | Self::RequestAnswered { .. } | Self::CallerLeft { .. }
+            Self::RequestSent { .. }
+                | Self::RequestAnswered { .. }
+                | Self::RequestForwarded { .. }
+                | Self::ForwardAccepted { .. }
+                | Self::CallerLeft { .. }
         )
     }
 }
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -9,6 +9,7 @@
 use super::HeartbeatDigest;
 use crate::dispatch::LeavingTarget;
 use crate::dispatch::PoolGrants;
+use crate::dispatch::PoolReach;
 use crate::dispatch::ReturningTarget;
 use crate::dispatch::SlotDemand;
 use crate::dispatch::TargetLimit;
@@ -114,6 +115,8 @@
     pub leaving_targets: Vec<LeavingTarget>,
     /// Removed targets that a store which went back shows as registered.
     pub returning_targets: Vec<ReturningTarget>,
+    /// The sender's own paths to the targets of each pool.
+    pub reach: Vec<PoolReach>,
     /// Requests during which targets crashed.
     pub poison: Vec<PoisonEntry>,
 }
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -202,6 +202,17 @@
             .count()
     }
 
+    /// Returns whether a host was seen recently and is not leaving.
+    pub fn is_live(&self, host: &str, now: Duration) -> bool {
+        let entry = self.entries.get(host);
+        entry.is_some_and(|entry| entry.state(now) == MemberState::Live)
+    }
+
+    /// Returns the availability zone of a host.
+    pub fn zone_of(&self, host: &str) -> Option<&ZoneName> {
+        self.entries.get(host).map(|entry| &entry.availability_zone)
+    }
+
     /// Returns the address of a host.
     pub fn address_of(&self, host: &str) -> Option<SocketAddr> {
         self.entries.get(host).map(|entry| entry.address)
--- a/src/peers/peer_messages.rs
+++ b/src/peers/peer_messages.rs
@@ -6,6 +6,8 @@
 
 use super::DigestDelta;
 use super::DocumentIdentity;
+use super::ForwardedRequest;
+use super::ResponsePart;
 use crate::claim::ClaimCall;
 use crate::claim::ClaimReply;
 use crate::errors::ErrorKind;
@@ -66,6 +68,9 @@
         /// The version of the catalog that the calling host has.
         known: CatalogVersion,
     },
+    /// Forwards a request of a host that has lost its path to targets; answered with a stream of
+    /// [`PeerReply::ResponsePart`], or with [`PeerReply::Refused`].
+    Forward(Box<ForwardedRequest>),
 }
 
 /// A reply of a called host.
@@ -99,6 +104,8 @@
     Gossip(Box<GossipMessage>),
     /// A chunk of a package.
     PackageChunk(Bytes),
+    /// A part of the response to a forwarded request.
+    ResponsePart(ResponsePart),
 }
 
 /// The result of a digest delta, and which document the called host has in force.
--- a/src/wire/message_headers.rs
+++ b/src/wire/message_headers.rs
@@ -18,6 +18,16 @@
         Self { lines }
     }
 
+    /// Creates headers from their lines.
+    pub(crate) const fn from_lines(lines: Vec<(String, Vec<u8>)>) -> Self {
+        Self { lines }
+    }
+
+    /// Returns the lines, in the order received.
+    pub(crate) fn lines(&self) -> &[(String, Vec<u8>)] {
+        &self.lines
+    }
+
     /// Returns all values of `name`, which is matched case-insensitively.
     pub(crate) fn all<'n>(&self, name: &'n str) -> impl Iterator<Item = &[u8]> + use<'_, 'n> {
         self.lines
--- a/standins/src/link/path_link.rs
+++ b/standins/src/link/path_link.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -29,6 +30,9 @@
 const FILLER_COUNT: usize = 4;
 const FILLER_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Number of the next path of this process.
+static NEXT_PATH: AtomicU16 = AtomicU16::new(1);
+
 /// State of a path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathMode {
@@ -66,7 +70,9 @@
     ///
     /// No port can be bound.
     pub fn open(upstream: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        // An address of its own: while the path refuses connections, no other socket may get it.
+        let [high, low] = NEXT_PATH.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+        let listener = TcpListener::bind(SocketAddr::from(([127, 77, high, low], 0)))?;
         let link = Self {
             address: listener.local_addr()?,
             shared: Arc::new(PathShared {
@@ -175,6 +181,9 @@
             return;
         };
         lock(&self.connections).extend([held_host, held_target]);
+        if *lock(&self.mode) == PathMode::Reset {
+            return;
+        }
         let shared = Arc::clone(&self);
         thread::spawn(move || shared.copy(from_target, stream));
         self.copy(from_host, upstream);
--- a/tests/peers_mesh.rs
+++ b/tests/peers_mesh.rs
@@ -63,6 +63,7 @@
             | PeerCall::DigestDelta(_)
             | PeerCall::FleetView
             | PeerCall::Catalog { .. }
+            | PeerCall::Forward(_)
             | PeerCall::Gossip(_) => {}
             PeerCall::Join { .. } => {
                 replies.closed().await;
