Edge: a target that is silent for a second is not taken for lost

A stream whose target sent nothing for 1.3 s was resumed at another one, while the first, which may be sound, went on with it. Where the target sends nothing to any request and accepts connections, the stream now waits for 1.8 s, still before its caller gives up; a silent connection to a target that serves others, or one to a target that can't be reached, is given up after 1.3 s as before. The test fails with 1.3 s for both.

--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -15,8 +15,6 @@
 
 /// How long a peer's report of its paths counts. Peers report several times a second.
 const REPORT_TTL: Duration = Duration::from_millis(1500);
-/// Time within which a target that sent something needs no probe.
-const ACTIVITY_TTL: Duration = Duration::from_millis(300);
 /// Number of targets whose reachability tells a crash of another one from a lost path.
 const CONTROL_TARGETS: usize = 2;
 
@@ -71,7 +69,15 @@
 
 impl PoolTable {
     /// Records that a connection to a target of the pool was established.
-    pub fn record_connect(&mut self, pool: &str, now: Duration) -> Option<PathChange> {
+    pub fn record_connect(
+        &mut self,
+        pool: &str,
+        target: &TargetName,
+        now: Duration,
+    ) -> Option<PathChange> {
+        if let Some(target) = self.locations.find_mut(&mut self.pools, target) {
+            target.set_unreachable(false);
+        }
         let pool = self.pools.get_mut(pool)?;
         if !pool.reach.record_connect(now) {
             return None;
@@ -87,6 +93,9 @@
         target: &TargetName,
         now: Duration,
     ) -> Option<PathChange> {
+        if let Some(target) = self.locations.find_mut(&mut self.pools, target) {
+            target.set_unreachable(true);
+        }
         let peers_fail = self.peer_reaches.all_fail(pool_name, now);
         let pool = self.pools.get_mut(pool_name)?;
         let accepting = pool.targets.iter().filter(|target| target.is_accepting());
@@ -260,12 +269,11 @@
         self.peer_reaches.report_failure(pool, now)
     }
 
-    /// Returns whether a target sent something just now, for any request of this host.
-    pub fn is_active(&self, placed: &PlacedTarget, now: Duration) -> bool {
+    /// Returns whether a target sends nothing for any request of this host and accepts
+    /// connections: it may be sound and go on.
+    pub fn is_silent(&self, placed: &PlacedTarget, now: Duration) -> bool {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
         let mut found = targets.filter(|target| target.is_assigned(placed));
-        found
-            .next()
-            .is_some_and(|target| target.was_active_since(now.saturating_sub(ACTIVITY_TTL)))
+        found.next().is_some_and(|target| target.is_silent(now))
     }
 }
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -64,6 +64,8 @@
     /// What was known of the target before the first loss since its last success.
     before_losses: Option<TargetMarks>,
     next_silence_probe: Duration,
+    /// Whether the last connection to it could not be established.
+    is_unreachable: bool,
 }
 
 /// What losses change.
@@ -97,6 +99,7 @@
             next_backoff: INITIAL_BACKOFF,
             before_losses: None,
             next_silence_probe: Duration::ZERO,
+            is_unreachable: false,
         }
     }
 
@@ -342,9 +345,14 @@
         self.next_backoff = INITIAL_BACKOFF;
     }
 
-    /// Returns whether the target sent something since then.
-    pub(super) fn was_active_since(&self, since: Duration) -> bool {
-        self.last_activity_at.is_some_and(|at| at >= since)
+    /// Sets whether the last connection to the target could not be established.
+    pub(super) const fn set_unreachable(&mut self, is_unreachable: bool) {
+        self.is_unreachable = is_unreachable;
+    }
+
+    /// Returns whether the target sends nothing, and its last connection was established.
+    pub(super) fn is_silent(&self, now: Duration) -> bool {
+        self.is_unresponsive(now) && !self.is_unreachable
     }
 
     /// Returns whether the target sends nothing, and is to be probed for that now.
--- a/src/edge/path_monitor.rs
+++ b/src/edge/path_monitor.rs
@@ -26,7 +26,7 @@
         let now = boot_now();
         let mut table = self.queue.lock_table();
         let change = match established {
-            true => table.record_connect(pool, now),
+            true => table.record_connect(pool, target, now),
             false => table.record_connect_failure(pool, target, now),
         };
         drop(table);
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -12,6 +12,7 @@
 use super::request_execution::ExecutionOutcome;
 use super::request_execution::RequestExecution;
 use super::response_relay::BufferedResponse;
+use super::response_relay::RelayChecks;
 use super::response_relay::RelayLimits;
 use super::response_relay::RelayOutcome;
 use super::response_relay::collect_body;
@@ -221,9 +222,13 @@
             max_pause: None,
         };
         let request = &self.routed.request.message;
+        let checks = RelayChecks {
+            can_resume: || false,
+            is_silent: || false,
+        };
         let relayed = self
             .progress
-            .relay(&mut self.caller, request, source, None, limits, || false);
+            .relay(&mut self.caller, request, source, None, limits, checks);
         match relayed.await {
             RelayOutcome::Complete | RelayOutcome::Closed => SendOutcome::Delivered { status: 200 },
             RelayOutcome::CallerDisconnected => SendOutcome::CallerDisconnected,
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -77,7 +77,38 @@
     pub(crate) deadline: Duration,
     /// Longest time without data from the target before the stream is resumed at another
     /// one; `None` if the stream can't be resumed.
-    pub(crate) max_pause: Option<Duration>,
+    pub(crate) max_pause: Option<SilenceLimit>,
+}
+
+/// Limits on a target's silence.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SilenceLimit {
+    /// Where the target sends nothing on this connection only, or can't be reached.
+    pub(crate) connection: Duration,
+    /// Where it sends nothing at all and accepts connections.
+    pub(crate) target: Duration,
+}
+
+impl SilenceLimit {
+    /// Waits until the limit is exceeded; `is_silent` tells whether the target sends nothing at
+    /// all and accepts connections.
+    ///
+    /// Such a target may be sound and go on. A request that is sent to another one meanwhile
+    /// would run at both.
+    pub(crate) async fn exceeded(self, is_silent: impl Fn() -> bool) {
+        task::sleep(self.connection).await;
+        if is_silent() {
+            task::sleep(self.target.saturating_sub(self.connection)).await;
+        }
+    }
+}
+
+/// What the relay asks about targets.
+pub(crate) struct RelayChecks<R, S> {
+    /// Returns whether another target has capacity for the rest of the stream.
+    pub(crate) can_resume: R,
+    /// Returns whether the target sends nothing at all and accepts connections.
+    pub(crate) is_silent: S,
 }
 
 impl StreamProgress {
@@ -109,8 +140,8 @@
         self.longest_pause
     }
 
-    /// Forwards events as they arrive. An unresponsive target is abandoned only if
-    /// `can_resume` confirms that another one has capacity for the rest. The response head
+    /// Forwards events as they arrive. An unresponsive target is abandoned only if another one
+    /// has capacity for the rest. The response head
     /// is written together with the first events, so that another target can still take
     /// over before that.
     pub(crate) async fn relay(
@@ -120,7 +151,7 @@
         source: &mut ResponseSource,
         mut slot: Option<&mut SlotGuard>,
         limits: RelayLimits,
-        can_resume: impl Fn() -> bool,
+        checks: RelayChecks<impl Fn() -> bool, impl Fn() -> bool>,
     ) -> RelayOutcome {
         let mut received = Vec::new();
         let left = limits.deadline.saturating_sub(boot_now());
@@ -141,7 +172,7 @@
                 };
                 let silent = async {
                     match limits.max_pause {
-                        Some(max_pause) => task::sleep(max_pause).await,
+                        Some(max_pause) => max_pause.exceeded(&checks.is_silent).await,
                         None => std::future::pending().await,
                     }
                     RelayEvent::TargetUnresponsive
@@ -155,7 +186,7 @@
                 }
                 RelayEvent::CallerDisconnected => return RelayOutcome::CallerDisconnected,
                 RelayEvent::DeadlineExceeded => return RelayOutcome::DeadlineExceeded,
-                RelayEvent::TargetUnresponsive if can_resume() => {
+                RelayEvent::TargetUnresponsive if (checks.can_resume)() => {
                     return RelayOutcome::TargetLost(LossCause::Unresponsive);
                 }
                 // The target may only be slow, and an incomplete response is of no use to
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -10,8 +10,10 @@
 use super::request_execution::MIN_TIME_LEFT;
 use super::request_execution::RequestExecution;
 use super::response_relay::BufferedResponse;
+use super::response_relay::RelayChecks;
 use super::response_relay::RelayLimits;
 use super::response_relay::RelayOutcome;
+use super::response_relay::SilenceLimit;
 use super::response_relay::collect_body;
 use super::response_sink::ResponseSink;
 use super::response_source::ResponseSource;
@@ -27,8 +29,12 @@
 use crate::wire::ResponseMessage;
 
 /// Longest pause of a stream that another target can resume. Engines send an event
-/// every 25 to 100 ms; callers give up on a stream after two seconds.
-const MAX_RESUMABLE_PAUSE: Duration = Duration::from_millis(1300);
+/// every 25 to 100 ms; callers give up on a stream after two seconds. A sound target may be silent
+/// for a second and more.
+const RESUMABLE_SILENCE: SilenceLimit = SilenceLimit {
+    connection: Duration::from_millis(1300),
+    target: Duration::from_millis(1800),
+};
 /// Time after which an idempotent request is retried at another target, in latency
 /// objectives. Nine out of ten responses take a fifth of their objective.
 const RETRY_AFTER_OBJECTIVES: u32 = 2;
@@ -93,17 +99,23 @@
             request: &routed.id,
             method: &routed.request.message.method,
         };
-        let limit = self.head_timeout();
-        let exchange = async {
-            match timeout(limit, TargetCall::send(connection, bytes, identity)).await {
-                Ok(Ok(call)) => Ok(call),
-                Ok(Err(error)) => Err(SendOutcome::Lost(error.into())),
-                Err(_) if boot_now() + MIN_TIME_LEFT >= routed.deadline => {
-                    Err(SendOutcome::DeadlineExceeded)
-                }
-                Err(_) => Err(SendOutcome::Lost(LossCause::Unresponsive)),
-            }
+        let limit = self.head_limit();
+        let left = routed.deadline.saturating_sub(boot_now());
+        let table = || self.state.queue.lock_table();
+        let placed = slot.target().clone();
+        let answered = async {
+            let sent = TargetCall::send(connection, bytes, identity).await;
+            sent.map_err(|error| SendOutcome::Lost(error.into()))
+        };
+        let expired = async {
+            let silent = limit.exceeded(|| table().is_silent(&placed, boot_now()));
+            timeout(left, silent).await.ok();
+            Err(match boot_now() + MIN_TIME_LEFT >= routed.deadline {
+                true => SendOutcome::DeadlineExceeded,
+                false => SendOutcome::Lost(LossCause::Unresponsive),
+            })
         };
+        let exchange = or(answered, expired);
         let sent = cancel_on_disconnect(&mut self.caller, routed.kind, exchange).await;
         if let Ok(call) = &sent {
             self.framing = Some(call.framing);
@@ -133,17 +145,19 @@
         }
     }
 
-    /// Returns the time limit for the head of the response.
-    fn head_timeout(&self) -> Duration {
+    /// Returns the limits on the target's silence before the head of the response. They may be
+    /// later than the deadline.
+    fn head_limit(&self) -> SilenceLimit {
         let routed = self.routed;
-        let left = routed.deadline.saturating_sub(boot_now());
         let has_attempts_left = self.attempts < routed.max_attempts;
-        match routed.kind {
-            CallKind::Idempotent if has_attempts_left => {
-                left.min(routed.objective * RETRY_AFTER_OBJECTIVES)
-            }
-            CallKind::ResumableStream if has_attempts_left => left.min(MAX_RESUMABLE_PAUSE),
-            _ => left,
+        let limit = match routed.kind {
+            CallKind::Idempotent if has_attempts_left => routed.objective * RETRY_AFTER_OBJECTIVES,
+            CallKind::ResumableStream if has_attempts_left => return RESUMABLE_SILENCE,
+            _ => routed.deadline.saturating_sub(boot_now()),
+        };
+        SilenceLimit {
+            connection: limit,
+            target: limit,
         }
     }
 
@@ -156,10 +170,11 @@
         let limits = RelayLimits {
             deadline: self.routed.deadline,
             max_pause: match self.routed.kind {
-                CallKind::ResumableStream if has_attempts_left => Some(MAX_RESUMABLE_PAUSE),
+                CallKind::ResumableStream if has_attempts_left => Some(RESUMABLE_SILENCE),
                 _ => None,
             },
         };
+        let placed = slot.target().clone();
         let request = &self.routed.request.message;
         let mut placement = self.placement();
         placement.tried.push(slot.target().name.clone());
@@ -174,7 +189,10 @@
             source,
             Some(slot),
             limits,
-            can_resume,
+            RelayChecks {
+                can_resume,
+                is_silent: || state.queue.lock_table().is_silent(&placed, boot_now()),
+            },
         );
         match relayed.await {
             RelayOutcome::Complete => SendOutcome::Delivered { status: 200 },
--- a/src/edge/tests/responses.rs
+++ b/src/edge/tests/responses.rs
@@ -326,3 +326,77 @@
     assert_eq!(former.received().len(), before);
     assert!(!restarted.received().is_empty());
 }
+
+/// Guards against a stream that runs at a second target while its sound one is silent for a
+/// while.
+#[test]
+fn a_stream_whose_target_is_silent_for_a_second_is_not_resumed() {
+    for pause_at in [0, 1] {
+        let pausing = move || {
+            RawTarget::spawn(move |request, stream| {
+                let pause = || std::thread::sleep(Duration::from_millis(1500));
+                if pause_at == 0 {
+                    pause();
+                }
+                write_text(stream, &request.stream_head());
+                write_text(stream, &event_chunk(1));
+                if pause_at == 1 {
+                    pause();
+                }
+                write_text(stream, &event_chunk(2));
+                write_text(stream, "0\r\n\r\n");
+                true
+            })
+        };
+        let targets = [pausing(), pausing()];
+        let host = EdgeFixture::open(&targets);
+
+        let request = request_for("/resume/x", "id1").replace("X-Left-Ms: 2000", "X-Left-Ms: 9000");
+        let answer = host.call(&request);
+
+        assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+        assert_eq!(request_count(&[&targets[0], &targets[1]]), 1, "{pause_at}");
+    }
+}
+
+/// Guards against a stream on a dead connection that waits although its target serves others.
+#[test]
+fn a_stream_on_a_dead_connection_is_resumed_while_its_target_serves_others() {
+    let target = || {
+        RawTarget::spawn(|request, stream| {
+            write_text(stream, &request.stream_head());
+            let is_other = request.header("X-Request").as_deref() == Some("other");
+            let first = request
+                .header("X-Resume-After")
+                .map_or(1, |id| id.parse::<u32>().unwrap() + 1);
+            for id in first..=40 {
+                write_text(stream, &event_chunk(id));
+                if is_other {
+                    std::thread::sleep(Duration::from_millis(100));
+                } else if id == 1 {
+                    std::thread::sleep(Duration::from_secs(4));
+                    return false;
+                }
+            }
+            write_text(stream, "0\r\n\r\n");
+            true
+        })
+    };
+    let targets = [target(), target()];
+    let host = EdgeFixture::open(&targets);
+    let long =
+        |id: &str| request_for("/resume/x", id).replace("X-Left-Ms: 2000", "X-Left-Ms: 9000");
+    std::thread::scope(|scope| {
+        // One long stream at each target.
+        for _ in 0..6 {
+            scope.spawn(|| host.call(&long("other")));
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let started_at = Instant::now();
+
+        let answer = host.call(&long("id1"));
+
+        assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+        assert!(started_at.elapsed() < Duration::from_millis(1700));
+    });
+}
