Brittle pools: rejections become rare, by parts of each target's slots

Targets of a service may state that they fall over after N rejections in a second. No host read that: hosts that saw the same free slot sent to it at once, and plain services got up to three times their slots, as their queues usually hold it. Hosts pass the statement on, and an answer without it ends it.

--- a/src/dispatch/limit_table.rs
+++ b/src/dispatch/limit_table.rs
@@ -1,22 +1,23 @@
-//! Request limits that targets state in their answers.
+//! Limits that targets state in their answers, for themselves or for their pool.
 
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::PoolName;
 use crate::sorted::SortedMap;
 use crate::view::TargetIncarnation;
 
 /// The smallest relative change of a limit that is applied and gossiped.
 const MIN_RELATIVE_CHANGE: f64 = 0.1;
 
-/// The request limit of a target, as sent to peers.
+/// A limit, as sent to peers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TargetLimit {
-    /// The target.
-    pub target: TargetIncarnation,
-    /// Requests per second over all hosts; `None` once the limit has ended.
+pub struct StatedLimit<K> {
+    /// What is limited.
+    pub subject: K,
+    /// Number per second over all hosts; `None` once the limit has ended.
     pub per_second: Option<f64>,
     /// Time since the target first stated a limit, in milliseconds.
     pub lasted_ms: u64,
@@ -24,10 +25,15 @@
     pub age_ms: u64,
 }
 
-/// The last statement of a target.
+/// The requests that a target accepts.
+pub type TargetLimit = StatedLimit<TargetIncarnation>;
+/// The rejections after which a target of a brittle pool falls over.
+pub type BrittleLimit = StatedLimit<PoolName>;
+
+/// The last statement of a limit.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LimitEntry {
-    /// Requests per second over all hosts; `None` once the limit has ended.
+    /// Number per second over all hosts; `None` once the limit has ended.
     pub(super) per_second: Option<f64>,
     /// When the target first stated a limit, on the boot clock.
     pub(super) since: Duration,
@@ -37,19 +43,27 @@
     changed_at: Duration,
 }
 
-/// Request limits of targets, by their answers to this host and to its peers.
+/// Limits by the answers of targets to this host and to its peers.
 ///
 /// An overloaded target states a limit for all hosts together. If hosts did not exchange it,
 /// each would learn of it by its own requests and use all of it.
-#[derive(Debug, Default)]
-pub(super) struct LimitTable {
-    entries: SortedMap<TargetIncarnation, LimitEntry>,
+#[derive(Debug)]
+pub(super) struct LimitTable<K> {
+    entries: SortedMap<K, LimitEntry>,
+}
+
+impl<K: Ord> Default for LimitTable<K> {
+    fn default() -> Self {
+        Self {
+            entries: SortedMap::new(),
+        }
+    }
 }
 
-impl LimitTable {
-    /// Returns the last limit that a target stated.
-    pub(super) fn get(&self, target: &TargetIncarnation) -> Option<&LimitEntry> {
-        self.entries.get(target)
+impl<K: Clone + Ord> LimitTable<K> {
+    /// Returns the last limit that was stated.
+    pub(super) fn get(&self, subject: &K) -> Option<&LimitEntry> {
+        self.entries.get(subject)
     }
 
     /// Records the limit in the answer to a request that was sent at `sent`; returns whether the
@@ -59,31 +73,31 @@
     /// to an earlier request may predate the limit.
     pub(super) fn record(
         &mut self,
-        target: &TargetIncarnation,
+        subject: &K,
         per_second: Option<f64>,
         sent: Duration,
         now: Duration,
     ) -> bool {
-        let held = self.entries.get(target);
+        let held = self.entries.get(subject);
         if per_second.is_none() && held.is_none_or(|held| sent <= held.stated_at) {
             return false;
         }
-        self.store(target, per_second, now, now, now)
+        self.store(subject, per_second, now, now, now)
     }
 
     /// Merges a limit received from a peer; returns whether the limit changes.
-    pub(super) fn merge(&mut self, limit: &TargetLimit, now: Duration) -> bool {
+    pub(super) fn merge(&mut self, limit: &StatedLimit<K>, now: Duration) -> bool {
         let stated_at = now.saturating_sub(Duration::from_millis(limit.age_ms));
         let since = now.saturating_sub(Duration::from_millis(limit.lasted_ms));
-        let held = self.entries.get(&limit.target);
+        let held = self.entries.get(&limit.subject);
         if held.is_some_and(|held| stated_at <= held.stated_at) {
             return false;
         }
-        self.store(&limit.target, limit.per_second, since, stated_at, now)
+        self.store(&limit.subject, limit.per_second, since, stated_at, now)
     }
 
     /// Returns the limits that changed since `since`, or all current limits if `all` is set.
-    pub(super) fn changes(&self, all: bool, since: Duration, now: Duration) -> Vec<TargetLimit> {
+    pub(super) fn changes(&self, all: bool, since: Duration, now: Duration) -> Vec<StatedLimit<K>> {
         let entries = self.entries.iter();
         let changed = entries.filter(|(_, entry)| match all {
             true => entry.per_second.is_some(),
@@ -91,8 +105,8 @@
         });
         let age_of = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         changed
-            .map(|(target, entry)| TargetLimit {
-                target: target.clone(),
+            .map(|(subject, entry)| StatedLimit {
+                subject: subject.clone(),
                 per_second: entry.per_second,
                 lasted_ms: age_of(entry.since),
                 age_ms: age_of(entry.stated_at),
@@ -100,20 +114,20 @@
             .collect()
     }
 
-    /// Removes targets that are no longer registered.
-    pub(super) fn retain(&mut self, is_registered: impl Fn(&TargetIncarnation) -> bool) {
-        self.entries.retain(|target, _| is_registered(target));
+    /// Removes what is no longer registered.
+    pub(super) fn retain(&mut self, is_registered: impl Fn(&K) -> bool) {
+        self.entries.retain(|subject, _| is_registered(subject));
     }
 
     fn store(
         &mut self,
-        target: &TargetIncarnation,
+        subject: &K,
         per_second: Option<f64>,
         since: Duration,
         stated_at: Duration,
         now: Duration,
     ) -> bool {
-        let held = self.entries.get(target).copied();
+        let held = self.entries.get(subject).copied();
         let limited = held.filter(|held| held.per_second.is_some());
         let changes = differs(held.and_then(|held| held.per_second), per_second);
         let entry = LimitEntry {
@@ -129,7 +143,7 @@
                 _ => now,
             },
         };
-        self.entries.insert(target.clone(), entry);
+        self.entries.insert(subject.clone(), entry);
         changes
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -34,6 +34,8 @@
 pub(crate) use dispatch_queue::WaitOutcome;
 pub use gap_tracker::PaceSource;
 pub use gap_tracker::TargetPace;
+pub use limit_table::BrittleLimit;
+pub use limit_table::StatedLimit;
 pub use limit_table::TargetLimit;
 pub use notice_table::LeavingTarget;
 pub use notice_table::ReturningTarget;
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::AttemptOutcome;
+use super::BrittleLimit;
 use super::LeavingTarget;
 use super::PaceSource;
 use super::PlacedTarget;
@@ -12,6 +13,7 @@
 use super::TargetPace;
 use super::target_choice::shortest_mean_gap;
 use super::target_runtime::TargetRuntime;
+use crate::ids::PoolName;
 use crate::view::TargetIncarnation;
 
 impl PoolTable {
@@ -46,7 +48,7 @@
         let mut changed = Vec::new();
         for limit in limits {
             if self.limits.merge(&limit, now) {
-                self.apply_limit(&limit.target);
+                self.apply_limit(&limit.subject);
                 changed.push(limit);
             }
         }
@@ -58,6 +60,48 @@
         self.limits.changes(new, since, now)
     }
 
+    /// Records the rejections in a second after which a target of the pool falls over, as stated in
+    /// the answer to a request that was sent at `sent`; returns whether this changes.
+    pub fn record_brittle(
+        &mut self,
+        pool: &PoolName,
+        per_second: Option<f64>,
+        sent: Duration,
+        now: Duration,
+    ) -> bool {
+        let changes = self.brittle.record(pool, per_second, sent, now);
+        if changes {
+            self.apply_brittle(pool);
+        }
+        changes
+    }
+
+    /// Merges the brittle pools received from a peer; returns those that changed.
+    pub fn merge_brittle(&mut self, limits: Vec<BrittleLimit>, now: Duration) -> Vec<BrittleLimit> {
+        let mut changed = Vec::new();
+        for limit in limits {
+            if self.brittle.merge(&limit, now) {
+                self.apply_brittle(&limit.subject);
+                changed.push(limit);
+            }
+        }
+        changed
+    }
+
+    /// Returns the brittle pools that changed since `since`, for a peer; all of them if it is new.
+    pub fn changed_brittle(&self, new: bool, since: Duration, now: Duration) -> Vec<BrittleLimit> {
+        self.brittle.changes(new, since, now)
+    }
+
+    fn apply_brittle(&mut self, pool: &PoolName) {
+        let entry = self.brittle.get(pool);
+        let is_brittle = entry.is_some_and(|entry| entry.per_second.is_some());
+        let targets = self.pools.get_mut(pool).map(|pool| &mut pool.targets);
+        for target in targets.into_iter().flatten() {
+            target.set_brittle(is_brittle);
+        }
+    }
+
     /// Records that a target is leaving, as stated in one of its answers; returns whether this
     /// is new.
     pub fn record_leaving(&mut self, target: TargetIncarnation, now: Duration) -> bool {
@@ -254,6 +298,12 @@
         registered.sort_unstable();
         let is_registered = |target: &TargetIncarnation| registered.binary_search(target).is_ok();
         self.limits.retain(is_registered);
+        let pools: Vec<PoolName> = self.pools.iter().map(|(name, _)| name.clone()).collect();
+        self.brittle
+            .retain(|pool| pools.binary_search(pool).is_ok());
+        for pool in &pools {
+            self.apply_brittle(pool);
+        }
         self.notices.expire(is_registered, now);
         let targets = self
             .pools
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -30,6 +30,7 @@
 use crate::members::GroupShare;
 use crate::quota::UsageScope;
 use crate::sorted::SortedMap;
+use crate::view::TargetIncarnation;
 use crate::view::TargetRecord;
 
 /// How long granted slots may be used without renewal, as some reports may be lost.
@@ -62,7 +63,9 @@
     /// Where each target is; rebuilt whenever targets are added or removed.
     pub(super) locations: TargetLocations,
     peer_loads: PeerLoads,
-    pub(super) limits: LimitTable,
+    pub(super) limits: LimitTable<TargetIncarnation>,
+    /// Pools whose targets fall over after so many rejections in a second.
+    pub(super) brittle: LimitTable<PoolName>,
     pub(super) notices: NoticeTable,
     pub(super) peer_reaches: PeerReaches,
     host_position: Option<HostPosition>,
@@ -78,6 +81,7 @@
             locations: TargetLocations::default(),
             peer_loads: PeerLoads::default(),
             limits: LimitTable::default(),
+            brittle: LimitTable::default(),
             notices: NoticeTable::default(),
             peer_reaches: PeerReaches::default(),
             host_position: None,
--- a/src/dispatch/shared_rate.rs
+++ b/src/dispatch/shared_rate.rs
@@ -14,6 +14,23 @@
     pub hosts: usize,
 }
 
+impl HostPosition {
+    /// Returns this host's part of `count` places at a target. The parts of all hosts add up to
+    /// `count`, and other hosts get the rest of the division at each target.
+    pub(super) fn part_of(self, count: usize, target: &str) -> usize {
+        let hosts = self.hosts.max(1);
+        let index = self.index_at(target);
+        count / hosts + usize::from(index < count % hosts)
+    }
+
+    /// Returns the position in the order of hosts at a target, which differs from target to
+    /// target.
+    fn index_at(self, target: &str) -> usize {
+        let hosts = self.hosts.max(1);
+        (self.index + xxh3_64(target.as_bytes()) as usize % hosts) % hosts
+    }
+}
+
 /// A request rate at one target, shared by time division: each host may send one request per
 /// round, within its own send window, so the total holds during a network partition.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,10 +55,7 @@
     ) -> bool {
         let hosts = position.hosts.max(1);
         let round = hosts as f64 / self.per_second;
-        // The hash offsets the order of hosts, so that a different host comes first at each
-        // target.
-        let index = (position.index + xxh3_64(target.as_bytes()) as usize % hosts) % hosts;
-        let first = index as f64 / hosts as f64;
+        let first = position.index_at(target) as f64 / hosts as f64;
         let rounds = now.saturating_sub(self.since).as_secs_f64() / round - first;
         if !rounds.is_finite() || rounds < 0.0 {
             return false;
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -151,6 +151,7 @@
         let (usage, unresponsive) = self.usage_for(options, (!is_new).then_some(since), now);
         let table = self.queue.lock_table();
         let limits = table.changed_limits(is_new, since, now);
+        let brittle = table.changed_brittle(is_new, since, now);
         let leaving_targets = table.leaving_targets(is_new, since, now);
         let returning_targets = table.returning_targets(is_new, since, now);
         // Other groups use other engines.
@@ -190,6 +191,7 @@
             usage,
             unresponsive,
             limits,
+            brittle,
             paces,
             leaving_targets,
             returning_targets,
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -128,6 +128,7 @@
         let mut table = state.queue.lock_table();
         table.merge_paces(&message.paces, now);
     }
+    merge_brittle(state, message);
     merge_leaving(state, message);
     let mut table = state.queue.lock_table();
     let common = table.update_peer_reach(message.own.host.clone(), message.reach.clone(), now);
@@ -149,7 +150,23 @@
     let changed = state.queue.lock_table().merge_limits(limits, boot_now());
     for limit in changed {
         state.log.write(&DecisionLine::TargetLimited {
-            target: limit.target.name,
+            target: limit.subject.name,
+            per_second: limit.per_second,
+            peer: Some(message.own.host.clone()),
+        });
+    }
+}
+
+/// Merges the brittle pools that a peer knows.
+fn merge_brittle(state: &EdgeState, message: &GossipMessage) {
+    if message.brittle.is_empty() {
+        return;
+    }
+    let brittle = message.brittle.clone();
+    let changed = state.queue.lock_table().merge_brittle(brittle, boot_now());
+    for limit in changed {
+        state.log.write(&DecisionLine::PoolBrittle {
+            pool: limit.subject,
             per_second: limit.per_second,
             peer: Some(message.own.host.clone()),
         });
--- a/src/edge/header_names.rs
+++ b/src/edge/header_names.rs
@@ -16,6 +16,9 @@
     /// Requests per second that a target accepts from all hosts; absent where it has no
     /// limit.
     pub(crate) request_limit: String,
+    /// Rejections in a second, of all hosts together, after which a target of the responding one's
+    /// pool falls over; absent where they bear any number.
+    pub(crate) brittle: String,
     /// States in any response of a target whether it is leaving.
     pub(crate) leaving: String,
     /// Prompt tokens and maximum output tokens, separated by a comma.
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -119,7 +119,7 @@
         let sent = cancel_on_disconnect(&mut self.caller, routed.kind, exchange).await;
         if let Ok(call) = &sent {
             self.framing = Some(call.framing);
-            self.record_limit(&call.head, slot);
+            self.record_limits(&call.head, slot);
             self.record_notices(&call.head, slot);
             if !routed.kind.is_stream() {
                 slot.record_event();
@@ -128,15 +128,22 @@
         sent
     }
 
-    /// Records the request limit that a response declares. Only a successful response
-    /// without one shows that there is no limit: an error may come from an intermediary
-    /// in front of the target.
-    fn record_limit(&self, head: &ResponseMessage, slot: &SlotGuard) {
-        let header = head.headers.text(&self.state.header_names.request_limit);
-        let per_second = header.and_then(|text| text.trim().parse().ok());
-        let per_second = per_second.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
-        let is_unlimited = header.is_none() && (200..300).contains(&head.status);
-        if (per_second.is_some() || is_unlimited) && slot.record_limit(per_second) {
+    /// Records the limits that a response declares: on requests to the target, and on rejections
+    /// by the targets of its pool.
+    fn record_limits(&self, head: &ResponseMessage, slot: &SlotGuard) {
+        let header_names = &self.state.header_names;
+        if let Some(per_second) = stated_limit(head, &header_names.brittle)
+            && slot.record_brittle(per_second)
+        {
+            self.state.log.write(&DecisionLine::PoolBrittle {
+                pool: self.routed.pool.clone(),
+                per_second,
+                peer: None,
+            });
+        }
+        if let Some(per_second) = stated_limit(head, &header_names.request_limit)
+            && slot.record_limit(per_second)
+        {
             self.state.log.write(&DecisionLine::TargetLimited {
                 target: slot.target().name.clone(),
                 per_second,
@@ -310,6 +317,17 @@
     }
 }
 
+/// Returns the limit that a response states in a header, `Some(None)` where it shows that there is
+/// none. Only a successful response does: an error may come from an intermediary in front of the
+/// target.
+fn stated_limit(head: &ResponseMessage, header: &str) -> Option<Option<f64>> {
+    let Some(text) = head.headers.text(header) else {
+        return (200..300).contains(&head.status).then_some(None);
+    };
+    let limit: f64 = text.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(Some(limit))
+}
+
 /// Runs `operation` until the caller disconnects. A non-idempotent request may already be
 /// running at the target, so it is left to finish.
 pub(super) async fn cancel_on_disconnect<T>(
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -439,6 +439,7 @@
         target: "X-Wanted-Target".into(),
         not_run: "X-Not-Run".into(),
         request_limit: "X-Limit".into(),
+        brittle: "X-Brittle".into(),
         leaving: "X-Leaving".into(),
         token_usage: "X-Tokens".into(),
         length_hint: "X-Expected".into(),
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -188,6 +188,17 @@
         /// The peer that reported it; absent if it came with an answer of the target.
         peer: Option<HostName>,
     },
+    /// The targets of a pool stated in an answer that they fall over after so many rejections in a
+    /// second, or no longer do.
+    #[display("{pool} bears {per_second:?} rejections per second")]
+    PoolBrittle {
+        /// The pool.
+        pool: PoolName,
+        /// Rejections per second of a target; absent when the pool is not brittle any more.
+        per_second: Option<f64>,
+        /// The peer that reported it; absent if it came with an answer of a target.
+        peer: Option<HostName>,
+    },
     /// A target stated in an answer that it is leaving.
     #[display("{target} is leaving")]
     TargetLeaving {
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::HeartbeatDigest;
+use crate::dispatch::BrittleLimit;
 use crate::dispatch::LeavingTarget;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::PoolReach;
@@ -109,6 +110,8 @@
     pub unresponsive: UnresponsiveHosts,
     /// Changed request limits announced by targets.
     pub limits: Vec<TargetLimit>,
+    /// Changed brittle pools, with the rejections in a second after which a target falls over.
+    pub brittle: Vec<BrittleLimit>,
     /// Changed paces of engines that the receiver uses.
     pub paces: Vec<TargetPace>,
     /// Targets that stated in an answer that they are leaving.
--- /dev/null
+++ b/tests/brittle_targets.rs
@@ -0,0 +1,266 @@
+//! Simulation of many hosts before targets that fall over when they have to reject many requests
+//! in a second, in virtual time.
+
+#![allow(
+    clippy::panic,
+    clippy::unwrap_used,
+    reason = "a test fails by panicking"
+)]
+
+use std::time::Duration;
+
+use cardamomgw::dispatch::AttemptOutcome;
+use cardamomgw::dispatch::BrittleLimit;
+use cardamomgw::dispatch::HostPosition;
+use cardamomgw::dispatch::PlacedTarget;
+use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolMember;
+use cardamomgw::dispatch::PoolTable;
+use cardamomgw::dispatch::RequestPriority;
+use cardamomgw::ids::PoolName;
+use cardamomgw::quota::UsageScope;
+use cardamomgw::view::TargetPhase;
+use cardamomgw::view::TargetRecord;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const TIME_STEP: Duration = Duration::from_millis(10);
+const LENGTH: Duration = Duration::from_secs(12);
+/// Age of the loads of other hosts, and time for a rejection to reach its host.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
+const REJECTION_TIME: Duration = Duration::from_millis(10);
+const SLOTS: usize = 12;
+/// Rejections in a second after which a target falls over.
+const MAX_REJECTIONS: usize = 5;
+/// Time from the first statement until targets let no request wait.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// A request at a target, until its end.
+#[derive(Clone, Debug)]
+struct RunningRequest {
+    host: usize,
+    placed: PlacedTarget,
+    ends_at: Duration,
+    outcome: AttemptOutcome,
+}
+
+/// Hosts and targets.
+struct BrittleSimulation {
+    tables: Vec<PoolTable>,
+    targets: usize,
+    engine: bool,
+    running: Vec<RunningRequest>,
+    /// Target and time of each rejection.
+    rejections: Vec<(String, Duration)>,
+    served: usize,
+    rng: ChaCha8Rng,
+}
+
+fn start() -> Duration {
+    Duration::from_secs(100)
+}
+
+fn pool() -> PoolName {
+    "p".into()
+}
+
+fn request(now: Duration) -> PlacementRequest {
+    PlacementRequest {
+        pool: pool(),
+        priority: RequestPriority {
+            account: 0,
+            route: 0,
+        },
+        objective_at: now + Duration::from_millis(400),
+        is_retry: false,
+        prompt_tokens: 0,
+        output_tokens: None,
+        event_gap_objective: None,
+        deadline: now + Duration::from_secs(12),
+        tried: Vec::new(),
+    }
+}
+
+impl BrittleSimulation {
+    fn new(hosts: usize, targets: usize, engine: bool) -> Self {
+        let member = |index: usize| PoolMember {
+            record: TargetRecord {
+                name: format!("t{index}"),
+                pool: pool(),
+                address: ([10, 0, 0, index as u8], 80).into(),
+                availability_zone: "za".into(),
+                slots: SLOTS as u32,
+                phase: TargetPhase::Ready,
+                started_at_ms: 1,
+                cold_remaining: Duration::ZERO,
+                revision: 1.into(),
+            },
+            engine,
+            cold_limit: None,
+            evacuated: false,
+        };
+        let table = |index| {
+            let mut table = PoolTable::new("za".into());
+            table.set_host_position(Some(HostPosition { index, hosts }));
+            table.set_targets((0..targets).map(member).collect(), start());
+            table
+        };
+        Self {
+            tables: (0..hosts).map(table).collect(),
+            targets,
+            engine,
+            running: Vec::new(),
+            rejections: Vec::new(),
+            served: 0,
+            rng: ChaCha8Rng::seed_from_u64(7),
+        }
+    }
+
+    /// Lets all hosts learn that the pool is brittle, or that it is no longer.
+    fn state(&mut self, per_second: Option<f64>, now: Duration) {
+        for table in &mut self.tables {
+            let limit = BrittleLimit {
+                subject: pool(),
+                per_second,
+                lasted_ms: 0,
+                age_ms: 0,
+            };
+            table.merge_brittle(vec![limit], now);
+        }
+    }
+
+    /// Runs the hosts with `arrivals` requests per second each.
+    fn run(&mut self, arrivals: f64, service_time: Duration) {
+        let mut now = start();
+        let mut next_gossip = now;
+        while now < start() + LENGTH {
+            self.finish_requests(now);
+            if now >= next_gossip {
+                self.exchange_loads(now);
+                next_gossip += GOSSIP_INTERVAL;
+            }
+            for host in 0..self.tables.len() {
+                if self
+                    .rng
+                    .random_bool((arrivals * TIME_STEP.as_secs_f64()).min(1.0))
+                {
+                    self.send(host, service_time, now);
+                }
+            }
+            now += TIME_STEP;
+        }
+    }
+
+    fn send(&mut self, host: usize, service_time: Duration, now: Duration) {
+        let random = self.rng.random();
+        let Some(placed) = self.tables[host].place(&request(now), now, random) else {
+            return;
+        };
+        let is_there = |held: &&RunningRequest| {
+            held.placed.name == placed.name && held.outcome == AttemptOutcome::Succeeded
+        };
+        let is_full = self.running.iter().filter(is_there).count() >= SLOTS;
+        let (outcome, time) = match is_full {
+            true => (AttemptOutcome::Rejected, REJECTION_TIME),
+            false => (AttemptOutcome::Succeeded, service_time),
+        };
+        if is_full {
+            self.rejections.push((placed.name.clone(), now));
+        }
+        self.running.push(RunningRequest {
+            host,
+            placed,
+            ends_at: now + time,
+            outcome,
+        });
+    }
+
+    fn finish_requests(&mut self, now: Duration) {
+        let (ended, running): (Vec<_>, Vec<_>) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|held| held.ends_at <= now);
+        self.running = running;
+        for held in ended {
+            self.served += usize::from(held.outcome == AttemptOutcome::Succeeded);
+            self.tables[held.host].record_outcome("p", &held.placed, held.outcome, now);
+        }
+    }
+
+    fn exchange_loads(&mut self, now: Duration) {
+        let loads: Vec<_> = self.tables.iter().map(PoolTable::own_loads).collect();
+        for (receiver, table) in self.tables.iter_mut().enumerate() {
+            for (sender, loads) in loads.iter().enumerate() {
+                if sender != receiver {
+                    let host = format!("e{sender}");
+                    table.update_peer_loads(host, loads.clone(), UsageScope::Host, now);
+                }
+            }
+        }
+    }
+
+    /// Returns how often targets fell over from [`CONTACT_TIME`] on.
+    fn falls(&self) -> usize {
+        let late = |at: &Duration| *at >= start() + CONTACT_TIME;
+        (0..self.targets)
+            .map(|index| {
+                let name = format!("t{index}");
+                let at_target = self.rejections.iter().filter(|(held, _)| *held == name);
+                let times: Vec<Duration> = at_target.map(|(_, at)| *at).filter(late).collect();
+                let windows = times.windows(MAX_REJECTIONS + 1);
+                let within_second = |window: &&[Duration]| {
+                    window[MAX_REJECTIONS] - window[0] < Duration::from_secs(1)
+                };
+                windows.filter(within_second).count()
+            })
+            .sum()
+    }
+}
+
+/// Returns the falls and the served requests of an overloaded fleet.
+fn overload(hosts: usize, targets: usize, engine: bool) -> (usize, usize) {
+    let mut simulation = BrittleSimulation::new(hosts, targets, engine);
+    simulation.state(Some(MAX_REJECTIONS as f64), start());
+    let service_time = Duration::from_millis(400);
+    let capacity = (targets * SLOTS) as f64 / service_time.as_secs_f64();
+    simulation.run(capacity * 1.5 / hosts as f64, service_time);
+    (simulation.falls(), simulation.served)
+}
+
+/// Guards against hosts that all send to the target in which they see a free slot.
+#[test]
+fn brittle_targets_reject_few_requests_of_an_overloaded_fleet() {
+    for (hosts, targets, engine) in [(8, 12, true), (8, 3, false), (40, 12, true)] {
+        let (falls, served) = overload(hosts, targets, engine);
+
+        let allowed = 2 + targets / 10;
+        assert!(falls <= allowed, "{hosts} hosts: {falls} of {allowed}");
+        let capacity = targets * SLOTS * LENGTH.as_millis() as usize / 400;
+        assert!(served * 10 >= capacity * 7, "{served} of {capacity}");
+    }
+}
+
+/// Guards against a limit that stays after targets state none.
+#[test]
+fn a_pool_that_is_no_longer_brittle_is_used_as_before() {
+    let mut simulation = BrittleSimulation::new(8, 3, false);
+    simulation.state(Some(1.0), start());
+    let table = &mut simulation.tables[0];
+    let mut place = |now: Duration| {
+        (0..18)
+            .filter_map(|_| table.place(&request(now), now, 0.5))
+            .count()
+    };
+    let during = place(start());
+    simulation.state(None, start() + Duration::from_secs(1));
+    let table = &mut simulation.tables[0];
+    let now = start() + Duration::from_secs(1);
+
+    let after = (0..40)
+        .filter_map(|_| table.place(&request(now), now, 0.5))
+        .count();
+
+    assert!(during < 18, "{during}");
+    assert!(after >= 30, "{after}");
+    assert!(!simulation.engine);
+}
--- a/tests/request_limits.rs
+++ b/tests/request_limits.rs
@@ -100,7 +100,7 @@
         for table in &mut self.tables {
             let age = MAX_DELAY.mul_f64(self.rng.random::<f64>());
             let limit = TargetLimit {
-                target: target(),
+                subject: target(),
                 per_second,
                 lasted_ms: age.as_millis() as u64,
                 age_ms: age.as_millis() as u64,
