Soak: hosts that lose their paths to all targets

Each host reaches targets over paths of its own, which hang, are reset or refuse new connections while other hosts are killed, paused and stopped.

--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use standins::LinkMode;
+use standins::PathMode;
 
 use super::soak_target::TargetMode;
 
@@ -65,6 +66,8 @@
     SetTargetLimit(usize, Option<u32>),
     SetTargetLink(usize, LinkMode),
     SetTargetDelay(usize, u64),
+    /// The host's paths to all targets change.
+    SetPaths(usize, PathMode),
     RemoveKey,
     RestoreKey,
     PublishVersion,
@@ -200,6 +203,48 @@
     steps
 }
 
+/// Draws hosts that lose their paths to all targets, twice each at most, and hosts that are killed,
+/// paused or stopped meanwhile. One host is never cut off.
+pub(crate) fn draw_cuts(rng: &mut ChaCha8Rng, hosts: usize) -> Vec<TimedStep> {
+    let modes = [PathMode::Reset, PathMode::Refusing, PathMode::Hanging];
+    let mut steps = Vec::new();
+    let mut add = |at: u64, step: SoakStep| {
+        let at = Duration::from_millis(at);
+        steps.push(TimedStep { at, step });
+    };
+    for host in 1..hosts {
+        let mut at = rng.random_range(0..4000);
+        for _ in 0..rng.random_range(1..=2) {
+            let mode = modes[rng.random_range(0..modes.len())];
+            add(at, SoakStep::SetPaths(host, mode));
+            at += rng.random_range(1000..9000);
+            add(at, SoakStep::SetPaths(host, PathMode::Open));
+            at += rng.random_range(500..3000);
+        }
+    }
+    for _ in 0..rng.random_range(0..=2) {
+        let host = rng.random_range(0..hosts);
+        let at = rng.random_range(1000..12_000);
+        match rng.random_range(0..3) {
+            0 => {
+                add(at, SoakStep::KillHost(host));
+                add(at + rng.random_range(200..2000), SoakStep::StartHost(host));
+            }
+            1 => {
+                add(at, SoakStep::PauseHost(host));
+                add(at + rng.random_range(200..4000), SoakStep::ResumeHost(host));
+            }
+            _ => {
+                add(at, SoakStep::TerminateHost(host));
+                let restart = at + RESTART_AFTER.as_millis() as u64;
+                add(restart, SoakStep::StartHost(host));
+            }
+        }
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Draws one fault and its end.
 fn draw_fault(
     rng: &mut ChaCha8Rng,
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -20,6 +20,7 @@
 use super::soak_history::SoakHistory;
 use super::soak_plan::SoakStep;
 use super::soak_plan::TimedStep;
+use super::soak_plan::draw_cuts;
 use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
 use super::soak_plan::draw_responses;
@@ -144,6 +145,18 @@
     run_plan(seed, rng, size, &plan)
 }
 
+/// Runs a soak in which hosts lose their paths to all targets, while others are killed, paused and
+/// stopped.
+pub(crate) fn run_path_soak(seed: u64) -> SoakReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = SoakSize {
+        targets: 6,
+        ..SoakSize::draw(&mut rng)
+    };
+    let plan = draw_cuts(&mut rng, size.hosts);
+    run_plan(seed, rng, size, &plan)
+}
+
 fn run_plan(seed: u64, mut rng: ChaCha8Rng, size: SoakSize, plan: &[TimedStep]) -> SoakReport {
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
