--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -127,15 +127,13 @@
     /// Returns what this host reports of its paths.
     pub fn own_reach(&self, now: Duration) -> Vec<PoolReach> {
         let pools = self.pools.iter();
-        let reaches = pools.map(|(name, pool)| {
-            let running: u32 = pool.targets.iter().map(|target| target.own_running).sum();
-            PoolReach {
-                pool: name.clone(),
-                reaches: pool.reach.reaches(now),
-                load: running + pool.queue.len() as u32,
-            }
+        let reaches = pools.map(|(name, pool)| PoolReach {
+            pool: name.clone(),
+            reaches: pool.reach.reaches(now),
+            load: pool.running.values().sum::<u32>() + pool.queue.len() as u32,
         });
-        reaches.collect()
+        let is_news = |reach: &PoolReach| reach.reaches.is_some() || reach.load > 0;
+        reaches.filter(is_news).collect()
     }
 
     /// Replaces what a peer reported of its paths. Returns the pools whose path no longer counts
@@ -223,8 +221,8 @@
         probes
     }
 
-    /// Returns targets whose reachability shows whether another one crashed: those that sent
-    /// something last, of other pools and zones first.
+    /// Returns targets whose reachability shows whether another one crashed: those of the same pool,
+    /// as the path to one pool only may be lost, of other zones first; else of other pools.
     pub fn control_targets(&self, lost: &PlacedTarget, now: Duration) -> Vec<PathProbe> {
         let lost_pool = self.locations.pool_of(&lost.name);
         let zone_of = |name: &str| {
@@ -243,17 +241,21 @@
                     && !pool.reach.has_failed(&target.record.name)
             });
             controls.extend(targets.map(|target| {
-                let is_near = Some(name) == lost_pool;
+                let other_pool = Some(name) != lost_pool;
                 let same_zone = Some(&target.record.availability_zone) == lost_zone.as_ref();
                 let is_silent = !target.is_healthy(now);
                 let probe = PathProbe {
                     pool: name.clone(),
                     target: target.record.incarnation(),
                 };
-                ((is_silent, is_near, same_zone), probe)
+                ((other_pool, is_silent, same_zone), probe)
             }));
         }
         controls.sort_by_key(|(preference, _)| *preference);
+        let any_in_pool = controls
+            .first()
+            .is_some_and(|((other_pool, ..), _)| !other_pool);
+        controls.retain(|((other_pool, ..), _)| !any_in_pool || !other_pool);
         let controls = controls.into_iter().take(CONTROL_TARGETS);
         controls.map(|(_, probe)| probe).collect()
     }
--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -33,7 +33,8 @@
 /// read the response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_LINGER_READS: usize = 64;
-/// TCP settings that detect a dead caller, well before targets have finished work whose
+/// TCP settings that detect a dead caller after 6 s, also an idle one: the user timeout ends the
+/// connection before the last probe is counted. That is well before targets have finished work whose
 /// response nobody would receive.
 const KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
     probe_interval: Duration::from_secs(2),
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -28,7 +28,8 @@
 const DEFAULT_IDLE: Duration = Duration::from_millis(700);
 /// Limit on idle connections per target.
 const MAX_IDLE: usize = 16;
-/// TCP settings that detect a dead target.
+/// TCP settings that detect a dead target: 2.5 s after a request that it does not acknowledge, 3 s
+/// after the last bytes of an idle connection.
 const KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
     probe_interval: Duration::from_secs(1),
     max_probes: 2,
--- a/src/edge/forward_service.rs
+++ b/src/edge/forward_service.rs
@@ -68,7 +68,7 @@
     state: &Arc<EdgeState>,
     forwarded: ForwardedRequest,
 ) -> Result<RoutedRequest, EdgeRefusal> {
-    if state.is_leaving() {
+    if !state.accepts_requests() {
         let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_RETRY_DELAY);
         return Err(refusal);
     }
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -111,12 +111,14 @@
         let mut connected = state.connected_peers();
         let own_zone = state.settings.load().availability_zone.clone();
         let members = state.members();
-        connected.retain(|host| members.is_live(host, now) && !self.tried_peers.contains(host));
+        connected.retain(|host| members.is_alive(host, now) && !self.tried_peers.contains(host));
         let table = state.queue.lock_table();
         let peers = table.reaching_peers(&self.routed.pool, &connected, now);
         drop(table);
         let candidates = peers.into_iter().map(|mut peer| {
             peer.load += state.forwards.count(&peer.host);
+            // A host that is leaving still serves for a while; any other one is preferred.
+            peer.is_certain &= members.is_live(&peer.host, now);
             PeerCandidate {
                 same_zone: members.zone_of(&peer.host) == Some(&own_zone),
                 peer,
--- a/src/edge/tests/request_limits.rs
+++ b/src/edge/tests/request_limits.rs
@@ -61,3 +61,37 @@
     let allowed = WINDOW.as_secs_f64() * LIMIT * 1.5 + 5.0;
     assert!(counted as f64 <= allowed, "{counted} of {allowed}");
 }
+
+/// Guards against a plain service that gets more requests than it has slots, although its targets
+/// fall over when they have to reject some.
+#[test]
+fn brittle_targets_get_no_more_requests_than_they_have_slots() {
+    let running = Arc::new(Mutex::new((0_u32, 0_u32)));
+    let counted = Arc::clone(&running);
+    let brittle = RawTarget::spawn(move |request, stream| {
+        {
+            let mut counts = counted.lock().unwrap();
+            counts.0 += 1;
+            counts.1 = counts.1.max(counts.0);
+        }
+        thread::sleep(Duration::from_millis(100));
+        counted.lock().unwrap().0 -= 1;
+        let answer = request.answer("200 OK", "fine");
+        let declared = "HTTP/1.1 200 OK\r\nX-Brittle: 3\r\n";
+        write_text(stream, &answer.replacen("HTTP/1.1 200 OK\r\n", declared, 1));
+        true
+    });
+    let host = EdgeFixture::open(&[brittle]);
+    host.call(&request_for("/once/x", "first"));
+
+    thread::scope(|scope| {
+        for number in 0..16 {
+            let host = &host;
+            scope.spawn(move || host.call(&request_for("/once/x", &format!("id{number}"))));
+        }
+    });
+
+    // The target has four slots.
+    let (_, most) = *running.lock().unwrap();
+    assert!((2..=4).contains(&most), "{most} at once");
+}
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -208,6 +208,12 @@
         entry.is_some_and(|entry| entry.state(now) == MemberState::Live)
     }
 
+    /// Returns whether a host was seen recently; it may be leaving.
+    pub fn is_alive(&self, host: &str, now: Duration) -> bool {
+        let entry = self.entries.get(host);
+        entry.is_some_and(|entry| entry.state(now) != MemberState::Dead)
+    }
+
     /// Returns the availability zone of a host.
     pub fn zone_of(&self, host: &str) -> Option<&ZoneName> {
         self.entries.get(host).map(|entry| &entry.availability_zone)
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -1,12 +1,23 @@
 //! Parsing of heads, framing and bodies from raw bytes.
 
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use async_std::task;
+use rustix::net::sockopt::socket_keepalive;
+use rustix::net::sockopt::tcp_keepidle;
+use rustix::net::sockopt::tcp_keepintvl;
+use rustix::net::sockopt::tcp_user_timeout;
+
 use super::BodyDecoder;
 use super::BodyFraming;
 use super::InputBuffer;
+use super::KeepaliveSettings;
 use super::MessageHeaders;
 use super::RequestMessage;
 use super::ResponseMessage;
 use super::WireError;
+use super::configure_keepalive;
 
 fn buffer_of(bytes: &[u8]) -> InputBuffer {
     let mut buffer = InputBuffer::default();
@@ -131,3 +142,41 @@
 
     assert_eq!(headers, headers_of(&[("X-Model", "m")]));
 }
+
+/// Returns after what silence of the other end an idle connection with these options is closed,
+/// counted from the last bytes received, on Linux.
+///
+/// Probes are sent after each interval. Where `TCP_USER_TIMEOUT` is set, it decides when they give
+/// up, and the number of probes does not: at the first probe time from it on, if a probe was sent.
+fn idle_detection_time(stream: &TcpStream) -> Duration {
+    let first = tcp_keepidle(stream).unwrap();
+    let interval = tcp_keepintvl(stream).unwrap();
+    let user_timeout = Duration::from_millis(tcp_user_timeout(stream).unwrap().into());
+    let probe_times = (1..).map(|count| first + interval * count);
+    let given_up = probe_times.into_iter().find(|time| *time >= user_timeout);
+    given_up.unwrap()
+}
+
+/// Guards against a dead connection that is noticed later than its time limits promise, because
+/// one option overrides another.
+#[test]
+fn the_user_timeout_decides_when_probes_give_up() {
+    let settings = [(1, 2500, 3), (2, 6000, 6), (2, 6100, 8)];
+    for (interval, user_timeout, detected) in settings {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let stream = task::block_on(TcpStream::connect(address)).unwrap();
+
+        configure_keepalive(
+            &stream,
+            KeepaliveSettings {
+                probe_interval: Duration::from_secs(interval),
+                max_probes: 2,
+                user_timeout: Duration::from_millis(user_timeout),
+            },
+        );
+
+        assert!(socket_keepalive(&stream).unwrap());
+        assert_eq!(idle_detection_time(&stream), Duration::from_secs(detected));
+    }
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -46,6 +46,7 @@
 
 use soak_run::SoakReport;
 use soak_run::SoakSize;
+use soak_run::run_brittle_soak;
 use soak_run::run_limit_soak;
 use soak_run::run_path_soak;
 use soak_run::run_response_soak;
@@ -157,6 +158,12 @@
     assert!(report_result(29, &run_path_soak(29)));
 }
 
+/// Guards against targets that fall over by the requests that they have to reject.
+#[test]
+fn brittle_targets_seldom_fall_over() {
+    assert!(report_result(31, &run_brittle_soak(31)));
+}
+
 /// Runs many seeds, several at a time.
 #[test]
 #[ignore = "takes minutes; run by hand"]
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -66,6 +66,8 @@
     SetTargetLimit(usize, Option<u32>),
     SetTargetLink(usize, LinkMode),
     SetTargetDelay(usize, u64),
+    /// All targets fall over after so many rejections in a second, or bear any number.
+    SetBrittle(Option<usize>),
     /// The host's paths to all targets change.
     SetPaths(usize, PathMode),
     RemoveKey,
--- a/tests/target_paths.rs
+++ b/tests/target_paths.rs
@@ -11,10 +11,12 @@
 
 use cardamomgw::dispatch::PathChange;
 use cardamomgw::dispatch::PeerCandidate;
+use cardamomgw::dispatch::PlacementRequest;
 use cardamomgw::dispatch::PoolMember;
 use cardamomgw::dispatch::PoolReach;
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::ReachingPeer;
+use cardamomgw::dispatch::RequestPriority;
 use cardamomgw::dispatch::choose_peer;
 use cardamomgw::ids::TargetName;
 use cardamomgw::view::TargetPhase;
@@ -53,6 +55,23 @@
     table
 }
 
+fn request() -> PlacementRequest {
+    PlacementRequest {
+        pool: "p".into(),
+        priority: RequestPriority {
+            account: 0,
+            route: 0,
+        },
+        objective_at: after(500),
+        is_retry: false,
+        prompt_tokens: 0,
+        output_tokens: None,
+        event_gap_objective: None,
+        deadline: after(9000),
+        tried: Vec::new(),
+    }
+}
+
 /// Lets a peer report whether it reaches targets of the pool.
 fn report(table: &mut PoolTable, peer: &str, reaches: Option<bool>, now: Duration) {
     let reach = PoolReach {
@@ -180,6 +199,22 @@
     );
 }
 
+/// Guards against a crash that is confirmed by another pool, while the path to this one is lost.
+#[test]
+fn a_crash_is_checked_at_targets_of_the_same_pool_in_other_zones() {
+    let mut table = table_of(6);
+    let placed = table.place(&request(), after(0), 0.0).unwrap();
+
+    let controls = table.control_targets(&placed, after(0));
+
+    let zone = |name: &str| name[1..].parse::<usize>().unwrap() % 3;
+    assert_eq!(controls.len(), 2);
+    for control in &controls {
+        assert_eq!(control.pool, "p");
+        assert_ne!(zone(&control.target.name), zone(&placed.name));
+    }
+}
+
 fn candidate(host: &str, same_zone: bool, is_certain: bool, load: u32) -> PeerCandidate {
     PeerCandidate {
         peer: ReachingPeer {
