Crash check: a crash of the last targets of a pool is marked

It had crashed the last target of a pool that another request had crashed; no other target could be reached, which the host took for a loss of its own path, and the request got no mark. The host now waits up to 1.2 s for what peers report: that they fail there as well shows crashes. A host reports that it fails once no target has answered for 0.3 s behind a failed connection, where it took two failed targets before.

--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -235,15 +235,15 @@
         let lost_zone = zone_of(&lost.name);
         let mut controls: Vec<_> = Vec::new();
         for (name, pool) in self.pools.iter() {
-            let targets = pool.targets.iter().filter(|target| {
-                target.is_accepting()
-                    && target.record.name != lost.name
-                    && !pool.reach.has_failed(&target.record.name)
-            });
+            let targets = pool
+                .targets
+                .iter()
+                .filter(|target| target.is_accepting() && target.record.name != lost.name);
             controls.extend(targets.map(|target| {
                 let other_pool = Some(name) != lost_pool;
                 let same_zone = Some(&target.record.availability_zone) == lost_zone.as_ref();
-                let is_silent = !target.is_healthy(now);
+                let has_failed = pool.reach.has_failed(&target.record.name);
+                let is_silent = has_failed || !target.is_healthy(now);
                 let probe = PathProbe {
                     pool: name.clone(),
                     target: target.record.incarnation(),
--- a/src/dispatch/reach_tracker.rs
+++ b/src/dispatch/reach_tracker.rs
@@ -18,6 +18,9 @@
 const MIN_FAILED_TARGETS: usize = 4;
 /// How long a failed connection counts. It covers three attempts with a timeout.
 const FAILURE_TTL: Duration = Duration::from_secs(3);
+/// Time within which some target answers a host that reaches them and has requests. A failed
+/// connection counts for the host's report only after it.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Time over which requests return to a path that is back. All at once would open a connection
 /// each.
 const RETURN_TIME: Duration = Duration::from_secs(2);
@@ -154,11 +157,13 @@
 
     /// Returns whether this host reaches targets; `None` if it did not try recently.
     pub(super) fn reaches(&self, now: Duration) -> Option<bool> {
-        if self.is_lost() || self.failed.len() > 1 && self.is_failing(now) {
+        let last = self.responded_at.max(self.connected_at);
+        let answers = |within: Duration| last.is_some_and(|at| now.saturating_sub(at) < within);
+        let failed_since = self.failed.iter().any(|(_, at)| Some(*at) > last);
+        if self.is_lost() || failed_since && self.is_failing(now) && !answers(ANSWER_TIME) {
             return Some(false);
         }
-        let last = self.responded_at.max(self.connected_at)?;
-        (now.saturating_sub(last) < FAILURE_TTL).then_some(true)
+        answers(FAILURE_TTL).then_some(true)
     }
 
     /// Returns how many targets to probe now, and the number of the first probe: one of a lost
--- a/src/edge/path_monitor.rs
+++ b/src/edge/path_monitor.rs
@@ -1,6 +1,7 @@
 //! Observes this host's paths to targets, and probes those that fail.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::task;
 
@@ -15,6 +16,11 @@
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
 
+/// Time within which peers report that they lost the same targets, and interval at which their
+/// reports are looked at.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 impl EdgeState {
     /// Records whether a connection to a target was established.
     pub(crate) fn record_connect(
@@ -75,16 +81,7 @@
         pool: &PoolName,
         target: &PlacedTarget,
     ) -> bool {
-        let controls = {
-            let table = self.queue.lock_table();
-            if table.is_path_lost(pool) {
-                return false;
-            }
-            table.control_targets(target, boot_now())
-        };
-        if controls.is_empty() {
-            return true;
-        }
+        let controls = self.queue.lock_table().control_targets(target, boot_now());
         let probes: Vec<_> = controls
             .into_iter()
             .map(|probe| task::spawn(probe_target(Arc::clone(self), probe)))
@@ -94,8 +91,15 @@
                 return true;
             }
         }
-        let table = self.queue.lock_table();
-        !table.is_path_lost(pool) && table.is_loss_common(pool, boot_now())
+        // Nothing of the pool is reached from here. If all of it crashed, peers report that soon.
+        let started_at = boot_now();
+        while boot_now().saturating_sub(started_at) < REPORT_TIMEOUT {
+            if self.queue.lock_table().is_loss_common(pool, boot_now()) {
+                return true;
+            }
+            task::sleep(REPORT_INTERVAL).await;
+        }
+        false
     }
 }
 
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -372,7 +372,7 @@
     }
 
     /// Returns whether the request is rejected because it crashes targets.
-    fn is_refused(&self) -> bool {
+    pub(super) fn is_refused(&self) -> bool {
         let table = self.state.poison.table();
         table.is_refused(self.routed.fingerprint)
     }
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -109,12 +109,13 @@
         let state = self.state;
         let now = boot_now();
         let mut connected = state.connected_peers();
-        let own_zone = state.settings.load().availability_zone.clone();
-        let members = state.members();
-        connected.retain(|host| members.is_alive(host, now) && !self.tried_peers.contains(host));
+        connected.retain(|host| !self.tried_peers.contains(host));
         let table = state.queue.lock_table();
-        let peers = table.reaching_peers(&self.routed.pool, &connected, now);
+        let mut peers = table.reaching_peers(&self.routed.pool, &connected, now);
         drop(table);
+        let own_zone = state.settings.load().availability_zone.clone();
+        let members = state.members();
+        peers.retain(|peer| members.is_alive(&peer.host, now));
         let candidates = peers.into_iter().map(|mut peer| {
             peer.load += state.forwards.count(&peer.host);
             // A host that is leaving still serves for a while; any other one is preferred.
@@ -132,6 +133,13 @@
 
     /// Forwards the request to a peer. Returns `None` if another host or target may serve it.
     pub(super) async fn forward(&mut self, peer: HostName) -> Option<ExecutionOutcome> {
+        // Both may have changed while the request waited.
+        if self.caller.has_disconnected().await {
+            return Some(ExecutionOutcome::Closed);
+        }
+        if self.is_refused() {
+            return Some(self.fail(ErrorKind::SuspectRequest).await);
+        }
         self.tried_peers.push(peer.clone());
         let state = self.state;
         let size = self.routed.request.body.len();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -152,6 +152,13 @@
     assert!(report_result(23, &run_response_soak(23)));
 }
 
+/// Guards against a request that crashes the last target of a pool, and is not marked for that as
+/// no other target can be reached.
+#[test]
+fn a_request_that_crashes_a_whole_pool_is_refused() {
+    assert!(report_result(38, &run_response_soak(38)));
+}
+
 /// Guards against callers that are turned away because their host has no path to targets.
 #[test]
 fn hosts_without_paths_to_targets_serve_their_callers() {
