--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -206,13 +206,15 @@
                 }
             }
             SoakStep::SetPaths(index, mode) => {
-                self.paths[index].set_mode(mode);
                 let cut = &mut self.path_cuts[index];
-                match (cut.take(), mode) {
-                    (None, PathMode::Open) => {}
-                    (None, _) => *cut = Some(self.history.begin_cut(index)),
-                    (Some(number), PathMode::Open) => self.history.end_cut(number),
-                    (Some(number), _) => *cut = Some(number),
+                if mode != PathMode::Open && cut.is_none() {
+                    *cut = Some(self.history.begin_cut(index));
+                }
+                self.paths[index].set_mode(mode);
+                if mode == PathMode::Open
+                    && let Some(number) = cut.take()
+                {
+                    self.history.end_cut(number);
                 }
             }
             SoakStep::SetTargetDelay(index, millis) => {
