Soak: a host's memory is read once it executes its own program

The peak is a high-water mark and is read each 50 ms, yet only one reading was high: before it executes its program, a new process has the memory of the test process.

--- a/tests/soak/soak_host.rs
+++ b/tests/soak/soak_host.rs
@@ -181,6 +181,11 @@
                 self.settings.host
             ));
         }
+        // Before it executes its own program, a new process has the memory of this one. The peak
+        // that is read later includes all of its own.
+        if self.started?.elapsed() < STARTUP_TIME {
+            return None;
+        }
         let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
         let line = status.lines().find(|line| line.starts_with("VmHWM"))?;
         let peak: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
