--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -385,7 +385,7 @@
     }
 
     /// Returns whether the request may be retried, and charges the retry budget if so.
-    pub(super) fn reserve_retry(&self) -> bool {
+    fn reserve_retry(&self) -> bool {
         let is_resumable = !self.progress.has_started || self.progress.last_id().is_some();
         is_resumable
             && self.attempts < self.routed.max_attempts
--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -256,6 +256,7 @@
             arrivals: &arrivals,
             statements: &self.statements.lock().unwrap(),
             interruptions: &self.interruptions.lock().unwrap(),
+            cuts: &self.cuts.lock().unwrap(),
         };
         violations.extend(statements.check());
         violations.extend(check_crashes(&self.crashes.lock().unwrap()));
