--- a/tests/support/process_sockets.rs
+++ b/tests/support/process_sockets.rs
@@ -1,6 +1,7 @@
 //! Maps connections to the processes that opened them.
 
 use std::fs;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 /// Returns which of `processes` owns the socket with the local address `client`.
@@ -15,15 +16,23 @@
         .find(|process| holds_socket(*process, &link))
 }
 
-/// Returns the inode of the socket with the local port of `client`.
+/// Returns the inode of the socket with the local address `client`. Sockets at other addresses of
+/// the loopback range may have the same port.
 fn socket_inode(client: SocketAddr) -> Option<u64> {
-    let port = format!(":{:04X}", client.port());
+    let IpAddr::V4(ip) = client.ip() else {
+        return None;
+    };
+    let address = format!(
+        "{:08X}:{:04X}",
+        u32::from_ne_bytes(ip.octets()),
+        client.port()
+    );
     let table = fs::read_to_string("/proc/self/net/tcp").ok()?;
     table.lines().skip(1).find_map(|line| {
         let fields: Vec<&str> = line.split_whitespace().collect();
         let local = fields.get(1)?;
         let inode: u64 = fields.get(9)?.parse().ok()?;
-        (local.ends_with(&port) && inode != 0).then_some(inode)
+        (*local == address && inode != 0).then_some(inode)
     })
 }
 
