--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -251,12 +251,13 @@
         violations.extend(check_unknown_requests(&arrivals, &requests));
         violations.extend(check_account_quota(&arrivals));
         violations.extend(self.check_target_limits(&arrivals));
+        let cuts = self.cuts.lock().unwrap().clone();
         let statements = StatementRecord {
             requests: &requests,
             arrivals: &arrivals,
             statements: &self.statements.lock().unwrap(),
             interruptions: &self.interruptions.lock().unwrap(),
-            cuts: &self.cuts.lock().unwrap(),
+            cuts: &cuts,
         };
         violations.extend(statements.check());
         violations.extend(check_crashes(&self.crashes.lock().unwrap()));
@@ -267,11 +268,9 @@
             statements.interruptions,
         ));
         violations.extend(check_retry_budget(&arrivals, &requests));
-        violations.extend(check_cuts(
-            &self.cuts.lock().unwrap(),
-            &requests,
-            |from, until| self.was_undisturbed(from, until),
-        ));
+        violations.extend(check_cuts(&cuts, &requests, |from, until| {
+            self.was_undisturbed(from, until)
+        }));
         violations.extend(check_recovery(&requests, hosts, recovered_by));
         violations
     }
