Tidy: what reading the change again showed

The end of a forwarded request always ends it, so it returns an outcome and not an option. The zone of a lost target is looked up in its pool, not among all targets. Plainer words (crash for fall over, confirm for tell).

--- a/src/dispatch/limit_table.rs
+++ b/src/dispatch/limit_table.rs
@@ -27,7 +27,7 @@
 
 /// The requests that a target accepts.
 pub type TargetLimit = StatedLimit<TargetIncarnation>;
-/// The rejections after which a target of a brittle pool falls over.
+/// The rejections after which a target of a brittle pool crashes.
 pub type BrittleLimit = StatedLimit<PoolName>;
 
 /// The last statement of a limit.
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -60,7 +60,7 @@
         self.limits.changes(new, since, now)
     }
 
-    /// Records the rejections in a second after which a target of the pool falls over, as stated in
+    /// Records the rejections in a second after which a target of the pool crashes, as stated in
     /// the answer to a request that was sent at `sent`; returns whether this changes.
     pub fn record_brittle(
         &mut self,
--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -15,7 +15,7 @@
 
 /// How long a peer's report of its paths counts. Peers report several times a second.
 const REPORT_TTL: Duration = Duration::from_millis(1500);
-/// Number of targets whose reachability tells a crash of another one from a lost path.
+/// Number of targets that are probed to distinguish a crash of another one from a lost path.
 const CONTROL_TARGETS: usize = 2;
 
 /// A target to be probed.
@@ -52,7 +52,7 @@
         recent.map(|(host, (_, reaches))| (host, reaches))
     }
 
-    /// Returns whether no peer tells this host's paths from those of all: none reports, or all
+    /// Returns whether no report shows that a failure is this host's own: no peer reports, or all
     /// that tried fail at the pool's targets too.
     fn all_fail(&self, pool: &str, now: Duration) -> bool {
         self.recent(now).next().is_none() || self.report_failure(pool, now)
@@ -132,8 +132,8 @@
             reaches: pool.reach.reaches(now),
             load: pool.running.values().sum::<u32>() + pool.queue.len() as u32,
         });
-        let is_news = |reach: &PoolReach| reach.reaches.is_some() || reach.load > 0;
-        reaches.filter(is_news).collect()
+        let is_relevant = |reach: &PoolReach| reach.reaches.is_some() || reach.load > 0;
+        reaches.filter(is_relevant).collect()
     }
 
     /// Replaces what a peer reported of its paths. Returns the pools whose path no longer counts
@@ -225,14 +225,11 @@
     /// as the path to one pool only may be lost, of other zones first; else of other pools.
     pub fn control_targets(&self, lost: &PlacedTarget, now: Duration) -> Vec<PathProbe> {
         let lost_pool = self.locations.pool_of(&lost.name);
-        let zone_of = |name: &str| {
-            let targets = self.pools.values().flat_map(|pool| &pool.targets);
-            let mut found = targets.filter(|target| target.record.name == name);
-            found
-                .next()
-                .map(|target| target.record.availability_zone.clone())
-        };
-        let lost_zone = zone_of(&lost.name);
+        let in_pool = lost_pool.and_then(|pool| self.pools.get(pool));
+        let mut held = in_pool.into_iter().flat_map(|pool| &pool.targets);
+        let lost_zone = held
+            .find(|target| target.record.name == lost.name)
+            .map(|target| &target.record.availability_zone);
         let mut controls: Vec<_> = Vec::new();
         for (name, pool) in self.pools.iter() {
             let targets = pool
@@ -241,7 +238,7 @@
                 .filter(|target| target.is_accepting() && target.record.name != lost.name);
             controls.extend(targets.map(|target| {
                 let other_pool = Some(name) != lost_pool;
-                let same_zone = Some(&target.record.availability_zone) == lost_zone.as_ref();
+                let same_zone = Some(&target.record.availability_zone) == lost_zone;
                 let has_failed = pool.reach.has_failed(&target.record.name);
                 let is_silent = has_failed || !target.is_healthy(now);
                 let probe = PathProbe {
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -64,7 +64,7 @@
     pub(super) locations: TargetLocations,
     peer_loads: PeerLoads,
     pub(super) limits: LimitTable<TargetIncarnation>,
-    /// Pools whose targets fall over after so many rejections in a second.
+    /// Pools whose targets crash after so many rejections in a second.
     pub(super) brittle: LimitTable<PoolName>,
     pub(super) notices: NoticeTable,
     pub(super) peer_reaches: PeerReaches,
--- a/src/dispatch/reach_tracker.rs
+++ b/src/dispatch/reach_tracker.rs
@@ -92,7 +92,7 @@
     }
 
     /// Records that no connection to a target could be established, in a pool with `accepting`
-    /// targets; returns whether the path is now lost. `peers_fail` tells whether all peers that
+    /// targets; returns whether the path is now lost. `peers_fail` is whether all peers that
     /// tried recently fail as well: then the targets are lost, not the path.
     pub(super) fn record_failure(
         &mut self,
@@ -167,7 +167,7 @@
     }
 
     /// Returns how many targets to probe now, and the number of the first probe: one of a lost
-    /// path at a time, several while connections fail and nothing tells why.
+    /// path at a time, several while connections fail for an unknown reason.
     pub(super) fn take_probes(&mut self, now: Duration) -> Option<(usize, usize)> {
         if now < self.next_probe_at {
             return None;
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -77,7 +77,7 @@
         table.record_limit(&target, per_second, self.started_at, boot_now())
     }
 
-    /// Records the rejections in a second after which a target of the pool falls over, as stated in
+    /// Records the rejections in a second after which a target of the pool crashes, as stated in
     /// the answer; returns whether this changes.
     pub(crate) fn record_brittle(&self, per_second: Option<f64>) -> bool {
         let mut table = self.queue.lock_table();
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -28,7 +28,7 @@
 /// The initial and maximum back-off after a target could not be reached.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
-/// The back-off after a rejection by a target that falls over after many of them in a second.
+/// The back-off after a rejection by a target that crashes after many of them in a second.
 const BRITTLE_BACKOFF: Duration = Duration::from_secs(2);
 /// The weight of a new outcome in the failure rate, which covers about the last five, so that
 /// a target that fails every request is detected after as many requests.
@@ -68,7 +68,7 @@
     next_silence_probe: Duration,
     /// Whether the last connection to it could not be established.
     is_unreachable: bool,
-    /// Whether it falls over when it has to reject many requests.
+    /// Whether it crashes when it has to reject many requests.
     is_brittle: bool,
 }
 
@@ -215,7 +215,7 @@
             && self.brittle_allows(position)
     }
 
-    /// Sets whether the target falls over when it has to reject many requests.
+    /// Sets whether the target crashes when it has to reject many requests.
     pub(super) const fn set_brittle(&mut self, is_brittle: bool) {
         self.is_brittle = is_brittle;
     }
--- a/src/edge/header_names.rs
+++ b/src/edge/header_names.rs
@@ -17,7 +17,7 @@
     /// limit.
     pub(crate) request_limit: String,
     /// Rejections in a second, of all hosts together, after which a target of the responding one's
-    /// pool falls over; absent where they bear any number.
+    /// pool crashes; absent where they bear any number.
     pub(crate) brittle: String,
     /// States in any response of a target whether it is leaving.
     pub(crate) leaving: String,
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -161,14 +161,14 @@
             ForwardAttempt::Failed(error) => Err(error),
         };
         match outcome {
-            Ok(outcome) => self.finish_forward(&peer, outcome).await,
+            Ok(outcome) => Some(self.finish_forward(&peer, outcome).await),
             Err(ForwardError::Refused {
                 kind,
                 retry_after_ms,
             }) => self.handle_refusal(&peer, kind, retry_after_ms).await,
             Err(ForwardError::Lost) => {
                 let outcome = SendOutcome::Lost(LossCause::ConnectionClosed);
-                self.finish_forward(&peer, outcome).await
+                Some(self.finish_forward(&peer, outcome).await)
             }
         }
     }
@@ -265,29 +265,25 @@
         }
     }
 
-    /// Ends the attempt. Returns `None` if another host or target may serve the request.
-    async fn finish_forward(
-        &mut self,
-        peer: &HostName,
-        outcome: SendOutcome,
-    ) -> Option<ExecutionOutcome> {
+    /// Ends the request after an attempt that a peer may have sent to a target.
+    async fn finish_forward(&mut self, peer: &HostName, outcome: SendOutcome) -> ExecutionOutcome {
         self.forward_permit = None;
         self.may_have_run = true;
         let cause = match outcome {
             SendOutcome::Delivered { status } => {
                 let responder = self.responder.clone();
                 self.report_served(&responder, status);
-                return Some(ExecutionOutcome::Answered);
+                return ExecutionOutcome::Answered;
             }
-            SendOutcome::CallerDisconnected => return Some(ExecutionOutcome::Closed),
-            SendOutcome::DeadlineExceeded => return Some(self.fail(ErrorKind::TargetSilent).await),
+            SendOutcome::CallerDisconnected => return ExecutionOutcome::Closed,
+            SendOutcome::DeadlineExceeded => return self.fail(ErrorKind::TargetSilent).await,
             SendOutcome::Lost(cause) => cause,
             SendOutcome::NotRun(_) | SendOutcome::TargetFailure(_) => LossCause::InvalidResponse,
         };
         // The peer may have sent the request to as many targets as the route allows.
         self.attempts = self.routed.max_attempts;
         self.report_forward_failure(peer, &cause.to_string(), false);
-        Some(self.fail(ErrorKind::TargetLost).await)
+        self.fail(ErrorKind::TargetLost).await
     }
 
     /// Handles the refusal of a peer. Where the request did not run and another host may serve it,
--- a/src/edge/response_source.rs
+++ b/src/edge/response_source.rs
@@ -33,7 +33,7 @@
 /// What a peer answered instead of a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ForwardError {
-    /// The peer's answer to the request; a status of 503 tells that it did not run.
+    /// The peer's answer to the request; a status of 503 confirms that it did not run.
     Refused {
         kind: ErrorKind,
         retry_after_ms: Option<u64>,
@@ -92,7 +92,7 @@
                     self.received = part.body.to_vec();
                     self.is_complete = part.ends;
                 }
-                // Without the peer's word for it, the response is not complete.
+                // The response is complete only if the peer confirms it.
                 Ok(_) | Err(_) => return Err(CallError::ConnectionClosed),
             }
         }
--- a/src/edge/tests/request_limits.rs
+++ b/src/edge/tests/request_limits.rs
@@ -63,7 +63,7 @@
 }
 
 /// Guards against a plain service that gets more requests than it has slots, although its targets
-/// fall over when they have to reject some.
+/// crash when they have to reject some.
 #[test]
 fn brittle_targets_get_no_more_requests_than_they_have_slots() {
     let running = Arc::new(Mutex::new((0_u32, 0_u32)));
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -188,9 +188,9 @@
         /// The peer that reported it; absent if it came with an answer of the target.
         peer: Option<HostName>,
     },
-    /// The targets of a pool stated in an answer that they fall over after so many rejections in a
+    /// The targets of a pool stated in an answer that they crash after so many rejections in a
     /// second, or no longer do.
-    #[display("{pool} bears {per_second:?} rejections per second")]
+    #[display("{pool} tolerates {per_second:?} rejections per second")]
     PoolBrittle {
         /// The pool.
         pool: PoolName,
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -110,7 +110,7 @@
     pub unresponsive: UnresponsiveHosts,
     /// Changed request limits announced by targets.
     pub limits: Vec<TargetLimit>,
-    /// Changed brittle pools, with the rejections in a second after which a target falls over.
+    /// Changed brittle pools, with the rejections in a second after which a target crashes.
     pub brittle: Vec<BrittleLimit>,
     /// Changed paces of engines that the receiver uses.
     pub paces: Vec<TargetPace>,
