serve: SIGHUP does not end the process

What callers saw: the connection to a host that was paused and resumed closed without an answer (a_host_resumed_after_all_timeouts_runs_nothing_twice, `Closed` at tests/process_resend.rs:169).

Cause: `serve` handled SIGTERM and SIGINT only, so SIGHUP ended it at once, without a log line. The kernel sends SIGHUP and SIGCONT to the stopped members of a process group that becomes orphaned (POSIX, _exit), which happens when the shell that started the test ends during the pause. Without any pause, a terminal or supervisor that hangs up cuts off all callers of the host.

Change: `edge` and `serve` share `ProcessSignals`, registered before anything slow. `serve` logs `hang-up-ignored` and goes on: none of its settings can change at run time, so there is nothing to reload. SIGHUP does not count as the second signal that aborts a drain.

Other long-running commands: `edge` took SIGHUP already; `demo` and the load end by themselves and hold no requests of others; the stand-ins run until they are killed. Left as they are.

--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -12,7 +12,8 @@
         /// Print the program's version.
         optional -V,--version
 
-        /// Run an entry host until SIGTERM, which drains it; a second signal stops it at once.
+        /// Run an entry host until SIGTERM, which drains it; a second one stops it at once.
+        /// SIGHUP is ignored.
         cmd serve {
             /// The host's settings file.
             required --settings file: PathBuf
--- a/src/cli/edge_command.rs
+++ b/src/cli/edge_command.rs
@@ -10,9 +10,9 @@
 
 use crate::edge::EdgeDependencies;
 use crate::edge::EdgeHost;
-use crate::edge::EdgeSignals;
 use crate::json::DocumentFault;
 use crate::platform;
+use crate::signals::ProcessSignals;
 
 use super::cli_error::CliError;
 use super::command_output::CommandOutcome;
@@ -26,7 +26,7 @@
 /// Runs a host with the platform's settings file until SIGTERM or SIGINT.
 pub(super) fn serve_edge() -> Result<CommandOutcome, CliError> {
     // Registered before anything slow: SIGHUP would otherwise end a starting host.
-    let signals = task::block_on(async { EdgeSignals::register() }).map_err(CliError::Serve)?;
+    let signals = task::block_on(async { ProcessSignals::register() }).map_err(CliError::Serve)?;
     let dependencies = match load_dependencies() {
         Ok(dependencies) => dependencies,
         Err(faults) => {
--- a/src/cli/serve_command.rs
+++ b/src/cli/serve_command.rs
@@ -8,12 +8,15 @@
 
 use crate::gateway::serve_host;
 use crate::settings::read_settings;
+use crate::signals::ProcessSignals;
 
 use super::cli_error::CliError;
 use super::command_output::CommandOutcome;
 
 /// Runs a host with a settings file until SIGTERM or SIGINT.
 pub(super) fn serve(settings: &Path) -> Result<CommandOutcome, CliError> {
+    // Registered before anything slow: SIGHUP would otherwise end a starting host.
+    let signals = task::block_on(async { ProcessSignals::register() }).map_err(CliError::Serve)?;
     let settings = match read_settings(settings) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -23,6 +26,6 @@
             return Ok(CommandOutcome::Faulty);
         }
     };
-    task::block_on(serve_host(&settings)).map_err(CliError::Serve)?;
+    task::block_on(serve_host(&settings, signals)).map_err(CliError::Serve)?;
     Ok(CommandOutcome::Success)
 }
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -11,12 +11,7 @@
 use async_channel::Sender;
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
-use async_std::stream::StreamExt;
 use async_std::task;
-use signal_hook::consts::SIGHUP;
-use signal_hook::consts::SIGINT;
-use signal_hook::consts::SIGTERM;
-use signal_hook_async_std::Signals;
 
 use super::caller_session::serve_caller;
 use super::edge_settings::EdgeSettings;
@@ -38,6 +33,8 @@
 use crate::peers::PeerIdentity;
 use crate::peers::PeerListener;
 use crate::peers::PeerMesh;
+use crate::signals::ProcessSignal;
+use crate::signals::ProcessSignals;
 use crate::view::FleetSource;
 
 /// Shared key of the peer handshake. The platform distributes no secrets and only hosts
@@ -70,21 +67,6 @@
     pub(crate) metrics: Option<SocketAddr>,
 }
 
-/// The signals that a host handles.
-pub(crate) struct EdgeSignals(Signals);
-
-impl EdgeSignals {
-    /// Registers the signal handlers. Signals that arrive before [`EdgeHost::run`] are
-    /// delivered to it.
-    ///
-    /// # Errors
-    ///
-    /// The handlers can't be registered.
-    pub(crate) fn register() -> io::Result<Self> {
-        Ok(Self(Signals::new([SIGHUP, SIGINT, SIGTERM])?))
-    }
-}
-
 /// A running host.
 pub(crate) struct EdgeHost {
     state: Arc<EdgeState>,
@@ -160,7 +142,7 @@
 
     /// Runs until SIGTERM or SIGINT and the graceful shutdown that follows. SIGHUP
     /// reloads the settings.
-    pub(crate) async fn run(self, mut signals: EdgeSignals) {
+    pub(crate) async fn run(self, mut signals: ProcessSignals) {
         self.state.log.write(&DecisionLine::Started {
             host: self.state.settings.load().host.clone(),
             program: env!("CARGO_PKG_VERSION"),
@@ -168,10 +150,7 @@
             ready_address: self.addresses.ready,
             metrics_address: self.addresses.metrics,
         });
-        while let Some(signal) = signals.0.next().await {
-            if signal != SIGHUP {
-                break;
-            }
+        while signals.next().await == ProcessSignal::HangUp {
             // A reload that is already queued covers this signal as well.
             self.reload.try_send(()).ok();
         }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -52,7 +52,6 @@
 
 pub(crate) use edge_host::EdgeDependencies;
 pub(crate) use edge_host::EdgeHost;
-pub(crate) use edge_host::EdgeSignals;
 pub(crate) use edge_settings::EdgeBounds;
 pub(crate) use edge_settings::EdgeSettings;
 pub(crate) use edge_settings::SettingsLoader;
--- a/src/gateway/host_server.rs
+++ b/src/gateway/host_server.rs
@@ -7,12 +7,8 @@
 use std::time::Duration;
 
 use async_std::io;
-use async_std::stream::StreamExt;
 use async_std::task;
 use futures_lite::future::or;
-use signal_hook::consts::SIGINT;
-use signal_hook::consts::SIGTERM;
-use signal_hook_async_std::Signals;
 
 use super::CallerService;
 use super::HostState;
@@ -55,6 +51,8 @@
 use crate::roster::RosterPlan;
 use crate::roster::SeatIncarnation;
 use crate::settings::HostSettings;
+use crate::signals::ProcessSignal;
+use crate::signals::ProcessSignals;
 
 /// Memory limit for the bodies of all waiting and running requests: 32 MiB, a quarter
 /// of the 128 MB that a daemon may use.
@@ -73,8 +71,9 @@
 /// # Errors
 ///
 /// An address can't be bound, or a part of the process can't be set up.
-pub async fn serve_host(settings: &HostSettings) -> io::Result<()> {
-    HostServer::open(settings).await?.run().await
+pub async fn serve_host(settings: &HostSettings, signals: ProcessSignals) -> io::Result<()> {
+    HostServer::open(settings).await?.run(signals).await;
+    Ok(())
 }
 
 /// One running host; several may run in one process.
@@ -237,19 +236,17 @@
         self.drain().await;
     }
 
-    /// Serves until SIGTERM or SIGINT, then drains; a second signal ends the process at once.
-    ///
-    /// # Errors
-    ///
-    /// The signals can't be caught.
-    pub async fn run(self) -> io::Result<()> {
-        let mut signals = Signals::new([SIGTERM, SIGINT])?;
-        signals.next().await;
-        let second = async {
-            signals.next().await;
-        };
-        or(second, self.drain()).await;
-        Ok(())
+    /// Serves until SIGTERM or SIGINT, then drains; a second one aborts the drain. SIGHUP is
+    /// logged and has no other effect, since none of the settings can change at run time.
+    pub async fn run(self, mut signals: ProcessSignals) {
+        self.wait_for_shutdown(&mut signals).await;
+        or(self.wait_for_shutdown(&mut signals), self.drain()).await;
+    }
+
+    async fn wait_for_shutdown(&self, signals: &mut ProcessSignals) {
+        while signals.next().await == ProcessSignal::HangUp {
+            self.state.log.write(&StateChange::HangUpIgnored);
+        }
     }
 
     /// Drains the host: waiting requests are forwarded to peers or refused with a proof
--- a/src/logs/state_change.rs
+++ b/src/logs/state_change.rs
@@ -139,6 +139,10 @@
         /// The lowest tier that is admitted.
         tier: TierRank,
     },
+    /// SIGHUP was received, for example since the terminal or shell that started the process
+    /// ended. The host continues.
+    #[display("hang-up ignored")]
+    HangUpIgnored,
     /// The host accepts no new requests and completes the running ones.
     #[display("draining: {waiting} waiting, {running} running")]
     DrainBegan {
@@ -177,6 +181,7 @@
             Self::ConfigurationAccepted { .. }
             | Self::DrainBegan { .. }
             | Self::DrainEnded
+            | Self::HangUpIgnored
             | Self::MajorityBack
             | Self::PlatformBack
             | Self::Ready
--- a/tests/support/host_process.rs
+++ b/tests/support/host_process.rs
@@ -79,6 +79,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP, as the kernel does when the terminal or shell that started the process ends.
+    pub(crate) fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Starts a new process with the same settings; the previous one must have exited.
     pub(crate) fn restart(&mut self) {
         self.child = spawn_child(&self.settings, &self.directory);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -23,6 +23,7 @@
 
 pub(crate) use fleet_plan::FleetPlan;
 pub(crate) use fleet_plan::TOKEN;
+pub(crate) use free_port::free_address;
 pub(crate) use host_process::HostProcess;
 pub(crate) use process_sockets::socket_owner;
 pub(crate) use raw_bytes::RawAnswer;
