Soak: a large fleet does not exhaust the file descriptors

Cause, in the test's own stand-ins: each host had a path to each target (2,400 listeners and threads), also in plans that change no path; and a target kept a copy of each connection until its next crash. The process had 19,900 descriptors of 20,000 from 23 s on, measured each second.

Change: paths only where a plan changes them (`TargetRoutes`); a target holds its connections weakly. A target's idle connections now end as they should, where the copy kept them open.

--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -58,6 +58,18 @@
     store_disturbance: Option<usize>,
 }
 
+/// How hosts reach the targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TargetRoutes {
+    /// At their addresses. A link would accept connections for a target that has crashed.
+    Direct,
+    /// Over one link for each target.
+    Links,
+    /// Over a path for each host and target, in front of the target's link. Each path needs file
+    /// descriptors and a thread, so a large fleet has none unless its plan changes them.
+    Paths,
+}
+
 /// The processes, stand-ins and links of one soak.
 pub(crate) struct SoakFleet {
     store: StoreServer,
@@ -71,8 +83,7 @@
     /// disturbance until then.
     lost_keys: Vec<String>,
     rewind_disturbance: Option<usize>,
-    /// Whether hosts reach the targets without links.
-    direct_targets: bool,
+    routes: TargetRoutes,
     /// The paths of each host to each target, by the address that the target registers.
     paths: Vec<Arc<HostPaths>>,
     path_cuts: Vec<Option<usize>>,
@@ -83,7 +94,7 @@
     pub(crate) fn start(
         run: u8,
         sizes: (usize, usize),
-        direct_targets: bool,
+        routes: TargetRoutes,
         directory: &std::path::Path,
         history: Arc<SoakHistory>,
     ) -> Self {
@@ -102,7 +113,7 @@
             key_removal: None,
             lost_keys: Vec::new(),
             rewind_disturbance: None,
-            direct_targets,
+            routes,
             paths: Vec::new(),
             path_cuts: vec![None; hosts],
             store,
@@ -297,11 +308,10 @@
             let directory = PathBuf::from(directory);
             let paths = Arc::new(HostPaths::default());
             let held = Arc::clone(&paths);
-            // Paths accept connections for a target that has crashed.
-            let direct = self.direct_targets;
-            let address_to = move |target| match direct {
-                true => target,
-                false => held.address_to(target),
+            let routes = self.routes;
+            let address_to = move |target| match routes {
+                TargetRoutes::Paths => held.address_to(target),
+                TargetRoutes::Direct | TargetRoutes::Links => target,
             };
             let store = self.store.spawn(Arc::new(address_to));
             let host = SoakHost::open(run, number, store, directory);
@@ -396,9 +406,9 @@
         let spec = TargetSpec {
             name: identity.name,
             pool: identity.pool,
-            address: match self.direct_targets {
-                true => target.address,
-                false => link.address(),
+            address: match self.routes {
+                TargetRoutes::Direct => target.address,
+                TargetRoutes::Links | TargetRoutes::Paths => link.address(),
             },
             leaving: false,
             slots: SLOTS as u32,
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -17,6 +17,7 @@
 use super::soak_caller::REVOCABLE_KEY;
 use super::soak_caller::SoakCaller;
 use super::soak_fleet::SoakFleet;
+use super::soak_fleet::TargetRoutes;
 use super::soak_history::SoakHistory;
 use super::soak_plan::SoakStep;
 use super::soak_plan::TimedStep;
@@ -190,12 +191,8 @@
     let directory = make_directory(seed, run);
     let history = Arc::new(SoakHistory::default());
     let sizes = (size.hosts, size.targets);
-    // A link accepts connections for a target that has crashed.
-    let is_brittle = plan
-        .iter()
-        .any(|step| matches!(step.step, SoakStep::SetBrittle(_)));
-    let direct_targets = size.poison_callers > 0 || is_brittle;
-    let mut fleet = SoakFleet::start(run, sizes, direct_targets, &directory, Arc::clone(&history));
+    let routes = target_routes(size, plan);
+    let mut fleet = SoakFleet::start(run, sizes, routes, &directory, Arc::clone(&history));
     // Guarantees for undisturbed fleets do not apply while hosts start.
     let starting = history.begin_disturbance();
     thread::sleep(STARTUP_TIME);
@@ -249,6 +246,18 @@
     }
 }
 
+fn target_routes(size: SoakSize, plan: &[TimedStep]) -> TargetRoutes {
+    let crashes = |step: &TimedStep| matches!(step.step, SoakStep::SetBrittle(_));
+    let cuts = |step: &TimedStep| matches!(step.step, SoakStep::SetPaths(..));
+    if size.poison_callers > 0 || plan.iter().any(crashes) {
+        TargetRoutes::Direct
+    } else if plan.iter().any(cuts) {
+        TargetRoutes::Paths
+    } else {
+        TargetRoutes::Links
+    }
+}
+
 fn apply_steps(plan: &[TimedStep], fleet: &mut SoakFleet, history: &SoakHistory) -> Vec<String> {
     let began = Instant::now();
     let mut trace = Vec::new();
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -104,8 +105,8 @@
     busy: AtomicUsize,
     /// Whether it has crashed and not restarted yet.
     crashed: AtomicBool,
-    /// Its connections, which a crash closes.
-    connections: Mutex<Vec<TcpStream>>,
+    /// Its open connections, which a crash closes.
+    connections: Mutex<Vec<Weak<TcpStream>>>,
     address: SocketAddr,
     history: Arc<SoakHistory>,
 }
@@ -209,22 +210,32 @@
                 if self.crashed.load(Ordering::Acquire) {
                     break;
                 }
+                let Ok(held) = stream.try_clone().map(Arc::new) else {
+                    continue;
+                };
+                self.hold_connection(&held);
                 let shared = Arc::clone(&self);
-                self.connections
-                    .lock()
-                    .unwrap()
-                    .extend(stream.try_clone().ok());
-                thread::spawn(move || shared.serve(stream));
+                thread::spawn(move || {
+                    shared.serve(stream);
+                    drop(held);
+                });
             }
         }
     }
 
+    fn hold_connection(&self, connection: &Arc<TcpStream>) {
+        let mut connections = self.connections.lock().unwrap();
+        connections.retain(|held| held.strong_count() > 0);
+        connections.push(Arc::downgrade(connection));
+    }
+
     /// Refuses connections and closes the open ones, as the end of the process does.
     fn crash(&self) {
         self.crashed.store(true, Ordering::Release);
         // Ends the wait for the next connection, and with it the listener.
         TcpStream::connect(self.address).ok();
-        for connection in self.connections.lock().unwrap().drain(..) {
+        let connections = std::mem::take(&mut *self.connections.lock().unwrap());
+        for connection in connections.iter().filter_map(Weak::upgrade) {
             connection.shutdown(Shutdown::Both).ok();
         }
     }
