Suspect requests: a trial clears what only ran beside crashes

Cause: requests of one account, path and body share a fingerprint, and each one that runs at a target when it crashes is marked with it. Two marks refuse the fingerprint, and from then on no run can clear it. Besides, marks were made that no crash stands behind: a request that was sent to a target that had crashed already, and a second one for the same crash where a host noticed it more than two seconds later (a paused host, or a check that waits for peers' reports).

Change: a refused request has a trial: 5 s after its last loss where other suspects ran on each of its targets, else after 60 s; each further loss makes that ten times longer. One host runs it, by turns of 5 s, with no other suspect of that host on the target; a completed run clears the fingerprint on all hosts. Retry-After names the time. Losses count by when the request was sent and lost.

A request that does crash targets takes down one more by its trial, three in ten minutes where it always ran beside others, as the users' bound allows.

--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -147,8 +147,8 @@
         refuse(request.message, refusal, None, None)
     })?;
     let account = routed.account.as_ref().map(|account| account.name.clone());
-    if state.poison.table().is_refused(routed.fingerprint) {
-        let refusal = ErrorKind::SuspectRequest.into();
+    if state.rejects_suspect(routed.fingerprint) {
+        let refusal = state.suspect_refusal(routed.fingerprint);
         return Err(refuse(routed.request.message, refusal, account, None));
     }
     match consume_quota(state, &routed) {
--- a/src/edge/crash_check.rs
+++ b/src/edge/crash_check.rs
@@ -10,7 +10,9 @@
 use super::edge_state::EdgeState;
 use crate::dispatch::PlacedTarget;
 use crate::ids::PoolName;
+use crate::ids::UnixMillis;
 use crate::logs::DecisionLine;
+use crate::poison::LostRun;
 use crate::poison::RequestFingerprint;
 
 /// Delay between the loss of a connection and the probe of its target. A crashed process
@@ -38,6 +40,9 @@
     pub(crate) fingerprint: RequestFingerprint,
     /// The request's id.
     pub(crate) request: String,
+    /// When it was sent to the target, and when its connection was lost.
+    pub(crate) sent_at: UnixMillis,
+    pub(crate) lost_at: UnixMillis,
 }
 
 /// Probes a target that closed the connection while it ran a request, and records the
@@ -63,10 +68,16 @@
         return;
     }
     let name = lost.target.name;
-    state.poison.record_loss(lost.fingerprint, &name);
+    let run = LostRun {
+        target: &name,
+        sent_at: lost.sent_at,
+        lost_at: lost.lost_at,
+    };
+    let suspect = state.poison.record_loss(lost.fingerprint, run);
     state.log.write(&DecisionLine::TargetCrashed {
         target: name,
         request: lost.request,
         fingerprint: fingerprint_text,
+        suspect,
     });
 }
--- a/src/edge/forward_service.rs
+++ b/src/edge/forward_service.rs
@@ -93,7 +93,7 @@
     };
     let routed = route_request(state, request, origin).map_err(|unrouted| unrouted.refusal)?;
     match state.poison.table().is_refused(routed.fingerprint) {
-        true => Err(ErrorKind::SuspectRequest.into()),
+        true => Err(state.suspect_refusal(routed.fingerprint)),
         false => Ok(routed),
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -41,6 +41,7 @@
 mod send_outcome;
 mod settings_controller;
 mod shutdown_controller;
+mod suspect_filter;
 mod target_call;
 mod target_notices;
 mod target_send;
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -5,12 +5,9 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::task;
 use futures_lite::future::or;
 
 use super::connection_pool::TargetConnection;
-use super::crash_check::LostRequest;
-use super::crash_check::check_crash;
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
@@ -20,12 +17,11 @@
 use super::response_relay::StreamProgress;
 use super::response_sink::ResponseSink;
 use super::route_filter::RoutedRequest;
-use super::send_outcome::LossCause;
 use super::send_outcome::SendOutcome;
 use crate::catalog::CallKind;
 use crate::clock::boot_now;
+use crate::clock::unix_now;
 use crate::dispatch::AttemptOutcome;
-use crate::dispatch::PlacedTarget;
 use crate::dispatch::PlacementRequest;
 use crate::dispatch::SlotGuard;
 use crate::dispatch::WaitOutcome;
@@ -180,6 +176,7 @@
                 Err(WaitEnd::Failed(_)) if self.may_forward() => continue,
                 Err(WaitEnd::Failed(kind)) => return self.fail(kind).await,
             };
+            let exclusive = self.acquire_exclusive(&slot).await;
             let Some(connection) = self.connect(&slot).await else {
                 let target = slot.target().name.clone();
                 self.report_failure(&target, "unreachable", true);
@@ -203,7 +200,7 @@
                     false => continue,
                 }
             }
-            if self.is_refused() {
+            if !self.may_run(&exclusive, &slot) {
                 let target = slot.target().incarnation();
                 self.state.connections.put_unused(&target, connection);
                 return self.fail(ErrorKind::SuspectRequest).await;
@@ -324,6 +321,7 @@
         self.attempts += 1;
         self.framing = None;
         self.report_sent(&target);
+        let sent_at = unix_now();
         let outcome = self.send(slot, connection).await;
         self.tried.push(target.clone());
         self.may_have_run |= !matches!(outcome, SendOutcome::NotRun(_));
@@ -338,7 +336,7 @@
             SendOutcome::Lost(cause) => {
                 let is_retryable = self.routed.kind.is_retryable() && !self.may_crash_more(cause);
                 if cause.may_be_crash() {
-                    self.spawn_crash_check(placed);
+                    self.spawn_crash_check(placed, sent_at);
                 }
                 (cause.to_string(), is_retryable, ErrorKind::TargetLost)
             }
@@ -357,33 +355,6 @@
         }
     }
 
-    /// Looks for a crash of the target. A crash may come at any point of a response: an engine
-    /// sends the head before it starts to run the request.
-    fn spawn_crash_check(&self, target: PlacedTarget) {
-        let routed = self.routed;
-        let state = Arc::clone(self.state);
-        let lost = LostRequest {
-            pool: routed.pool.clone(),
-            target,
-            fingerprint: routed.fingerprint,
-            request: routed.id.clone(),
-        };
-        task::spawn(check_crash(state, lost));
-    }
-
-    /// Returns whether the request is rejected because it crashes targets.
-    pub(super) fn is_refused(&self) -> bool {
-        let table = self.state.poison.table();
-        table.is_refused(self.routed.fingerprint)
-    }
-
-    /// Returns whether a retry may crash another target: the request has crashed one before,
-    /// and the outcome of the check of this one is not known yet.
-    fn may_crash_more(&self, cause: LossCause) -> bool {
-        let table = self.state.poison.table();
-        cause.may_be_crash() && table.is_suspect(self.routed.fingerprint)
-    }
-
     /// Returns whether the request may be retried, and charges the retry budget if so.
     fn reserve_retry(&self) -> bool {
         let is_resumable = !self.progress.has_started || self.progress.last_id().is_some();
@@ -427,6 +398,9 @@
         match (claims_not_run, self.may_have_run) {
             // Status 503 promises that nothing ran, but an earlier attempt may have.
             (true, true) => ExecutionOutcome::Refused(ErrorKind::TargetLost.into()),
+            (true, false) if kind == ErrorKind::SuspectRequest => {
+                ExecutionOutcome::Refused(self.state.suspect_refusal(self.routed.fingerprint))
+            }
             (true, false) => {
                 ExecutionOutcome::Refused(EdgeRefusal::after(kind, self.retry_delay()))
             }
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -17,4 +17,5 @@
 mod shutdown;
 mod store_access;
 mod store_eras;
+mod suspect_trials;
 mod target_notices;
--- /dev/null
+++ b/src/edge/tests/suspect_trials.rs
@@ -0,0 +1,123 @@
+//! Harmless requests that ran beside a request that crashes targets.
+
+use std::net::Shutdown;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::edge_fixture::EdgeFixture;
+use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
+use super::raw_target::RawRequest;
+use super::raw_target::RawTarget;
+use super::raw_target::write_text;
+
+const HARMLESS: &str = "/once/harmless";
+const POISON: &str = "/once/poison";
+/// Execution time of a harmless request that runs beside a crashing one.
+const EXECUTION_TIME: Duration = Duration::from_millis(800);
+/// Time until a target crashes.
+const CRASH_DELAY: Duration = Duration::from_millis(200);
+/// Time within which a harmless request must be served again.
+const RECOVERY_TIME: Duration = Duration::from_secs(8);
+/// Number of targets that one request may crash.
+const MAX_CRASHED: usize = 3;
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
+
+/// A target that a poison request crashes: from then on, its address refuses connections.
+fn fragile_target(execution_time: Duration) -> RawTarget {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = RawTarget::at(listener.local_addr().unwrap());
+    let crashed = Arc::new(AtomicBool::new(false));
+    let open = Arc::new(Mutex::new(Vec::new()));
+    let accepting = target.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(stream) = stream else { return };
+            if crashed.load(Ordering::Acquire) {
+                return;
+            }
+            open.lock().unwrap().push(stream.try_clone().unwrap());
+            let (target, crashed) = (accepting.clone(), Arc::clone(&crashed));
+            let open = Arc::clone(&open);
+            thread::spawn(move || {
+                let serve = |request: &RawRequest, stream: &mut TcpStream| {
+                    if !request.text.contains(POISON) {
+                        thread::sleep(execution_time);
+                        write_text(stream, &request.answer("200 OK", "done"));
+                        return true;
+                    }
+                    thread::sleep(CRASH_DELAY);
+                    crashed.store(true, Ordering::Release);
+                    TcpStream::connect(target.address).ok();
+                    for stream in open.lock().unwrap().drain(..) {
+                        stream.shutdown(Shutdown::Both).ok();
+                    }
+                    false
+                };
+                target.serve(stream, &serve);
+            });
+        }
+    });
+    target
+}
+
+fn has_received(target: &RawTarget, path: &str) -> bool {
+    let received = target.received();
+    received.iter().any(|request| request.text.contains(path))
+}
+
+/// Crashes the target by a poison request while it runs a harmless one.
+fn crash_beside(host: &EdgeFixture, target: &RawTarget, number: usize) {
+    let harmless = request_for(HARMLESS, &format!("harmless{number}"));
+    thread::scope(|scope| {
+        scope.spawn(|| host.call(&harmless));
+        let started_at = Instant::now();
+        while !has_received(target, HARMLESS) {
+            assert!(started_at.elapsed() < RECOVERY_TIME, "never sent");
+            thread::sleep(Duration::from_millis(5));
+        }
+        host.call(&request_for(POISON, &format!("poison{number}")));
+    });
+}
+
+/// Guards against harmless requests that are rejected for ten minutes since they ran beside a
+/// request that crashes targets, and against more crashes by that request.
+#[test]
+fn a_request_that_ran_beside_two_crashes_is_served_again() {
+    let mut targets = vec![fragile_target(EXECUTION_TIME)];
+    let host = EdgeFixture::open(&targets);
+    crash_beside(&host, &targets[0], 1);
+    targets.push(fragile_target(EXECUTION_TIME));
+    host.store.write(2, &targets, &["k1"]);
+    crash_beside(&host, &targets[1], 2);
+    targets.extend((0..6).map(|_| fragile_target(Duration::ZERO)));
+    host.store.write(3, &targets, &["k1"]);
+    thread::sleep(RESEND_PAUSE);
+    assert_eq!(
+        status_of(&host.call(&request_for(HARMLESS, "refused"))),
+        503
+    );
+
+    let started_at = Instant::now();
+    let mut served = false;
+    for number in 0.. {
+        host.call(&request_for(POISON, &format!("resent{number}")));
+        let answer = host.call(&request_for(HARMLESS, &format!("again{number}")));
+        served |= status_of(&answer) == 200;
+        if started_at.elapsed() > RECOVERY_TIME {
+            break;
+        }
+        thread::sleep(RESEND_PAUSE);
+    }
+
+    assert!(served, "still rejected");
+    let crashed = targets.iter().filter(|target| has_received(target, POISON));
+    assert!(crashed.count() <= MAX_CRASHED);
+}
--- a/src/gateway/host_state.rs
+++ b/src/gateway/host_state.rs
@@ -20,6 +20,7 @@
 use crate::metrics::RequestMetrics;
 use crate::peers::PeerMesh;
 use crate::poison::PoisonGuard;
+use crate::poison::RequestFingerprint;
 use crate::recorder::TraceRecorder;
 
 /// State shared by the filters of one host.
@@ -86,6 +87,20 @@
         })
     }
 
+    /// Returns whether a request is refused because it crashes targets. One that is due for a
+    /// trial is not, if it is the turn of this host.
+    pub(crate) fn rejects_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        let hosts = || {
+            let mut hosts = vec![self.host.clone()];
+            hosts.extend(self.mesh.connected_peers());
+            hosts
+        };
+        match self.drain.is_leaving() {
+            true => self.suspects.table().is_refused(fingerprint),
+            false => self.suspects.is_rejected(fingerprint, hosts),
+        }
+    }
+
     /// Returns the host's current state.
     pub(crate) fn snapshot(&self) -> HostSnapshot {
         let roster = self.claims.register().roster().active_tag();
--- a/src/gateway/relay_filter.rs
+++ b/src/gateway/relay_filter.rs
@@ -23,6 +23,7 @@
 use crate::ids::TokenCount;
 use crate::logs::StateChange;
 use crate::metrics::PrefillWaste;
+use crate::poison::LostRun;
 use crate::policy::WorkOutcome;
 
 use super::RequestRefusal;
@@ -58,6 +59,7 @@
 ) {
     let _sent = claim.dispatch();
     ticket.started();
+    let sent_at = unix_now();
     run.meter.record_dispatch(prefill_tokens(run, &target));
     let head = target_head(run);
     let relayed = match connection
@@ -79,7 +81,12 @@
         }
         Err(kind) => {
             if kind == ErrorKind::TargetLost {
-                record_loss(run, &target);
+                let lost = LostRun {
+                    target: &target,
+                    sent_at,
+                    lost_at: unix_now(),
+                };
+                record_loss(run, lost);
                 // Guards against a resend that is faster than the next digest exchange:
                 // a third host would run the request and lose a third target to it.
                 run.host.digests.broadcast_now().await;
@@ -114,10 +121,10 @@
 
 /// Records that the request ran on a target that was lost, and logs it when the request
 /// starts being refused for that.
-fn record_loss(run: &RequestRun, target: &TargetName) {
+fn record_loss(run: &RequestRun, lost: LostRun<'_>) {
     let mut table = run.host.suspects.table();
     let before = table.is_refused(run.fingerprint);
-    table.record_loss(run.fingerprint, target, unix_now());
+    table.record_loss(run.fingerprint, lost);
     if !before && table.is_refused(run.fingerprint) {
         run.host.log.write(&StateChange::CrashingRequest {
             fingerprint: format!("{:016x}", run.fingerprint),
--- a/src/gateway/request_chain.rs
+++ b/src/gateway/request_chain.rs
@@ -1,7 +1,6 @@
 //! The filter chain: limit, admit, claim and connect, dispatch, relay.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::future::or;
@@ -19,8 +18,11 @@
 use crate::errors::ErrorKind;
 use crate::errors::RequestOutcome;
 use crate::ids::HostName;
+use crate::ids::TargetName;
 use crate::limits::BytePermit;
+use crate::logs::StateChange;
 use crate::poison::RequestFingerprint;
+use crate::poison::SuspectGuard;
 use crate::policy::WorkOutcome;
 use crate::recorder::RecordedRequest;
 
@@ -42,10 +44,6 @@
 /// time; if more than two in a row are unreachable, it is better to retry later.
 const MAX_TARGETS_TRIED: usize = 3;
 
-/// When to retry a request that crashes targets: after the time for which it is
-/// remembered as such.
-const CRASH_RETRY: Duration = Duration::from_secs(600);
-
 /// The result of running the filter chain.
 pub(crate) enum ChainResult {
     /// The buffer holds the answer.
@@ -126,11 +124,8 @@
         if let Err(refusal) = limit_account(&self.host, &self.request) {
             return ChainResult::Refused(refusal);
         }
-        if self.host.suspects.table().is_refused(self.fingerprint) {
-            return ChainResult::Refused(RequestRefusal {
-                kind: ErrorKind::CrashesTargets,
-                retry_after: Some(CRASH_RETRY),
-            });
+        if self.host.rejects_suspect(self.fingerprint) {
+            return ChainResult::Refused(self.crash_refusal());
         }
         let source = match self.request.forwarded {
             true => WorkSource::Peer,
@@ -173,11 +168,15 @@
                 Some(WorkPlacement::Target(target)) => target,
             };
             self.meter.record_placement();
-            let _exclusive = self
+            let exclusive = self
                 .host
                 .suspects
                 .acquire_exclusive(self.fingerprint, &target, self.request.deadline)
                 .await;
+            if !self.may_run(&exclusive, &target) {
+                ticket.end(WorkOutcome::Cancelled);
+                return refuse(self.crash_refusal(), held);
+            }
             match claim_and_connect(self, &target, held).await {
                 ClaimResult::Ready(connection, claim) => {
                     relay_answer(self, ticket, connection, claim, target).await;
@@ -196,6 +195,33 @@
         refuse(ErrorKind::TargetUnreachable.into(), held)
     }
 
+    fn crash_refusal(&self) -> RequestRefusal {
+        RequestRefusal {
+            kind: ErrorKind::CrashesTargets,
+            retry_after: Some(self.host.suspects.retry_delay(self.fingerprint)),
+        }
+    }
+
+    /// Returns whether the request may be sent: it is not refused as one that crashes targets, or
+    /// this is its trial, which must not run beside other suspects. Targets may have been lost
+    /// while it waited.
+    fn may_run(&self, exclusive: &SuspectGuard<'_>, target: &TargetName) -> bool {
+        let suspects = &self.host.suspects;
+        if !suspects.table().is_refused(self.fingerprint) {
+            return true;
+        }
+        let is_trial = exclusive.is_exclusive()
+            && !self.host.rejects_suspect(self.fingerprint)
+            && suspects.start_trial(self.fingerprint);
+        if is_trial {
+            self.host.log.write(&StateChange::TrialStarted {
+                target: target.clone(),
+                fingerprint: format!("{:016x}", self.fingerprint),
+            });
+        }
+        is_trial
+    }
+
     /// Forwards the request to a peer; returns whether the buffer has its answer.
     async fn run_peer(&self, host: &HostName) -> bool {
         !self.request.forwarded && forward_to_peer(self, host).await
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -400,6 +400,18 @@
         request: String,
         /// The request's fingerprint.
         fingerprint: String,
+        /// Whether the request can have caused the crash; false if it was sent behind it.
+        suspect: bool,
+    },
+    /// A request that is rejected because it crashes targets runs once more.
+    #[display("trial of a rejected request at {target}")]
+    TrialStarted {
+        /// The request.
+        request: String,
+        /// The target.
+        target: TargetName,
+        /// The request's fingerprint.
+        fingerprint: String,
     },
 }
 
@@ -419,7 +431,8 @@
             | Self::PathLost { .. }
             | Self::ForwardFailed { .. }
             | Self::RequestRefused { .. }
-            | Self::TargetCrashed { .. } => Level::Warn,
+            | Self::TargetCrashed { .. }
+            | Self::TrialStarted { .. } => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/src/logs/state_change.rs
+++ b/src/logs/state_change.rs
@@ -133,6 +133,14 @@
         /// The targets that crashed.
         targets: Vec<TargetName>,
     },
+    /// A request that is refused because it crashes targets runs once more.
+    #[display("trial of a refused request at {target}")]
+    TrialStarted {
+        /// The target.
+        target: TargetName,
+        /// The fingerprint, in hexadecimal.
+        fingerprint: String,
+    },
     /// The lowest tier that is admitted changed.
     #[display("tiers above {tier} are shed")]
     ShedLevel {
@@ -176,7 +184,8 @@
             | Self::PeerRefused { .. }
             | Self::PlatformLost { .. }
             | Self::ShedLevel { .. }
-            | Self::TargetLost { .. } => Level::Warn,
+            | Self::TargetLost { .. }
+            | Self::TrialStarted { .. } => Level::Warn,
             Self::PeerConnected { .. } => Level::Debug,
             Self::ConfigurationAccepted { .. }
             | Self::DrainBegan { .. }
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -9,4 +9,8 @@
 pub use poison_entry::TargetLoss;
 pub use poison_entry::fingerprint_request;
 pub(crate) use poison_guard::PoisonGuard;
+pub(crate) use poison_guard::SuspectGuard;
+pub use poison_table::LostRun;
 pub use poison_table::PoisonTable;
+use poison_table::TRIAL_TURN;
+pub use poison_table::trial_host;
--- a/src/poison/poison_guard.rs
+++ b/src/poison/poison_guard.rs
@@ -7,12 +7,17 @@
 
 use async_std::task;
 
+use super::LostRun;
 use super::PoisonEntry;
 use super::PoisonTable;
 use super::RequestFingerprint;
+use super::TRIAL_TURN;
+use super::trial_host;
 use crate::clock::boot_now;
 use crate::clock::unix_now;
+use crate::ids::HostName;
 use crate::ids::TargetName;
+use crate::ids::UnixMillis;
 use crate::sorted::SortedMap;
 
 /// Interval at which a suspect checks whether its target is free of other suspects.
@@ -29,6 +34,8 @@
     changed_at: Mutex<SortedMap<RequestFingerprint, Duration>>,
     /// The suspect that runs on each target.
     running: Mutex<SortedMap<TargetName, RequestFingerprint>>,
+    /// When this host last ran a trial of each rejected request.
+    trials: Mutex<SortedMap<RequestFingerprint, UnixMillis>>,
 }
 
 /// Exclusive access of one suspect to a target; released on drop.
@@ -55,10 +62,8 @@
         target: &TargetName,
         deadline: Duration,
     ) -> SuspectGuard<'_> {
-        if !self.table().is_suspect(fingerprint) {
-            return self.suspect_guard(None);
-        }
-        while boot_now() < deadline {
+        // Another run of the request may clear it meanwhile.
+        while self.table().is_suspect(fingerprint) && boot_now() < deadline {
             if self.try_acquire(fingerprint, target) {
                 return self.suspect_guard(Some(target.clone()));
             }
@@ -81,10 +86,67 @@
         table.evict_expired(unix_now());
     }
 
-    /// Records that a target was lost while it ran the request.
-    pub(crate) fn record_loss(&self, fingerprint: RequestFingerprint, target: &TargetName) {
-        self.table().record_loss(fingerprint, target, unix_now());
-        self.mark_changed(fingerprint);
+    /// Records that a target was lost while it ran the request; returns whether the request can
+    /// have caused that.
+    pub(crate) fn record_loss(&self, fingerprint: RequestFingerprint, lost: LostRun<'_>) -> bool {
+        let is_suspect = self.table().record_loss(fingerprint, lost);
+        if is_suspect {
+            self.mark_changed(fingerprint);
+        }
+        is_suspect
+    }
+
+    /// Returns whether the request is rejected. One that is due for a trial is not, if it is the
+    /// turn of this host; `hosts` returns all hosts that serve, with this one first.
+    pub(crate) fn is_rejected(
+        &self,
+        fingerprint: RequestFingerprint,
+        hosts: impl FnOnce() -> Vec<HostName>,
+    ) -> bool {
+        let table = self.table();
+        if !table.is_refused(fingerprint) {
+            return false;
+        }
+        let now = unix_now();
+        let due_at = table.trial_due_at(fingerprint, self.last_trial(fingerprint));
+        if due_at.is_none_or(|due_at| now < due_at) {
+            return true;
+        }
+        drop(table);
+        let hosts = hosts();
+        trial_host(fingerprint, &hosts, now) != hosts.first()
+    }
+
+    /// Starts a trial of a rejected request; returns whether one is due, as another request with
+    /// the fingerprint may have started it.
+    pub(crate) fn start_trial(&self, fingerprint: RequestFingerprint) -> bool {
+        let table = self.table();
+        let now = unix_now();
+        let due_at = table.trial_due_at(fingerprint, self.last_trial(fingerprint));
+        if due_at.is_none_or(|due_at| now < due_at) {
+            return false;
+        }
+        let mut trials = lock(&self.trials);
+        trials.retain(|held, _| table.is_refused(*held));
+        trials.insert(fingerprint, now);
+        true
+    }
+
+    /// Returns when the caller of a rejected request may send it again: when it is due for a trial,
+    /// and at another host's turn if it is due already.
+    pub(crate) fn retry_delay(&self, fingerprint: RequestFingerprint) -> Duration {
+        let last_trial = self.last_trial(fingerprint);
+        let due_at = self.table().trial_due_at(fingerprint, last_trial);
+        let left = due_at.map_or(0, |due_at| due_at.saturating_sub(unix_now()));
+        match left {
+            0 => TRIAL_TURN,
+            left => Duration::from_millis(left),
+        }
+    }
+
+    fn last_trial(&self, fingerprint: RequestFingerprint) -> UnixMillis {
+        let trials = lock(&self.trials);
+        trials.get(&fingerprint).copied().unwrap_or(0)
     }
 
     /// Records that a target completed the request.
@@ -134,6 +196,13 @@
     }
 }
 
+impl SuspectGuard<'_> {
+    /// Returns whether no other suspect of this host runs on the target meanwhile.
+    pub(crate) const fn is_exclusive(&self) -> bool {
+        self.target.is_some()
+    }
+}
+
 impl Drop for SuspectGuard<'_> {
     fn drop(&mut self) {
         if let Some(target) = &self.target {
--- a/src/poison/poison_table.rs
+++ b/src/poison/poison_table.rs
@@ -5,10 +5,14 @@
 //! requests that ran on the same targets would be lost as well.
 
 use std::cmp::Reverse;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
 
 use super::PoisonEntry;
 use super::RequestFingerprint;
 use super::TargetLoss;
+use crate::ids::HostName;
 use crate::ids::TargetName;
 use crate::ids::UnixMillis;
 use crate::sorted::SortedMap;
@@ -23,12 +27,34 @@
 /// Losses of one target within this time count as one, in milliseconds. Several copies of the
 /// request may have run there for different hosts.
 const SAME_LOSS_MS: u64 = 2_000;
+/// Time from the last loss of a rejected request to its trial, in milliseconds: where other
+/// suspects ran on the same targets, any of them may be the cause; otherwise the losses may still
+/// be coincidences.
+const SHARED_TRIAL_DELAY_MS: u64 = 5_000;
+const TRIAL_DELAY_MS: u64 = 60_000;
+/// Factor by which each further loss delays the next trial, so that a request that does crash
+/// targets has few trials before its losses are forgotten.
+const TRIAL_DELAY_FACTOR: u64 = 10;
+/// Time for which one host may run trials of a request. Each host gets its turn, because the caller
+/// may not reach the others.
+pub(super) const TRIAL_TURN: Duration = Duration::from_secs(5);
 /// Maximum number of suspects. Each crash makes suspects of all requests that ran on the target,
 /// a dozen or more; the losses of a request must outlast the crashes between two of its runs.
 const MAX_SUSPECTS: usize = 4096;
 /// Maximum number of suspects in a message.
 const MAX_SENT: usize = 64;
 
+/// A run of a request at a target that was lost meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct LostRun<'t> {
+    /// The target.
+    pub target: &'t TargetName,
+    /// When the request was sent.
+    pub sent_at: UnixMillis,
+    /// When its connection was lost. The check whether the target crashed takes longer.
+    pub lost_at: UnixMillis,
+}
+
 /// Requests suspected of crashing targets.
 ///
 /// Only requests that ran on a target when it was lost are suspected. A request that
@@ -39,20 +65,25 @@
 }
 
 impl PoisonTable {
-    /// Records that a target was lost while it ran the request.
-    pub fn record_loss(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        target: &TargetName,
-        now: UnixMillis,
-    ) {
+    /// Records that a target was lost while it ran the request; returns whether the request can
+    /// have caused that. A request that was sent to a target that had crashed already can't.
+    pub fn record_loss(&mut self, fingerprint: RequestFingerprint, lost: LostRun<'_>) -> bool {
+        let losses = self.entries.values().flat_map(|entry| &entry.losses);
+        let known = losses.filter(|loss| loss.target == *lost.target && loss.at <= lost.lost_at);
+        let at = match known.map(|loss| loss.at).max() {
+            // It ran when the target crashed, and this host learned of that later than others.
+            Some(crashed_at) if crashed_at >= lost.sent_at => crashed_at,
+            Some(crashed_at) if lost.lost_at - crashed_at < SAME_LOSS_MS => return false,
+            Some(_) | None => lost.lost_at,
+        };
         let mut loss = PoisonEntry::new(fingerprint);
         loss.losses.push(TargetLoss {
-            at: now,
-            target: target.clone(),
+            at,
+            target: lost.target.clone(),
         });
         self.merge(&loss);
-        self.evict_expired(now);
+        self.evict_expired(lost.lost_at);
+        true
     }
 
     /// Records that a target completed the request; returns whether the request was in the
@@ -99,6 +130,29 @@
         self.count_losses(fingerprint) >= MAX_LOSSES
     }
 
+    /// Returns when a rejected request may run once more, if its last trial on this host was at
+    /// `last_trial`; `None` if it is not rejected.
+    ///
+    /// Without a trial, a harmless request that ran beside crashes is rejected until its losses
+    /// are forgotten, since no run can clear it.
+    pub fn trial_due_at(
+        &self,
+        fingerprint: RequestFingerprint,
+        last_trial: UnixMillis,
+    ) -> Option<UnixMillis> {
+        let entry = self.entries.get(&fingerprint)?;
+        let further = count_losses(entry).checked_sub(MAX_LOSSES)?;
+        let is_shared = entry.losses.iter().all(|loss| self.is_shared(entry, loss));
+        let delay = match is_shared {
+            true => SHARED_TRIAL_DELAY_MS,
+            false => TRIAL_DELAY_MS,
+        };
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        let delay = delay.saturating_mul(TRIAL_DELAY_FACTOR.saturating_pow(further));
+        let last_loss = entry.losses.last().map_or(0, |loss| loss.at);
+        Some(last_loss.max(last_trial).saturating_add(delay))
+    }
+
     /// Returns the targets that were lost while they ran the request.
     pub fn lost_targets(&self, fingerprint: RequestFingerprint) -> Vec<TargetName> {
         self.entries
@@ -126,11 +180,36 @@
         }
     }
 
+    /// Returns whether a target was lost while it ran other suspects too.
+    fn is_shared(&self, entry: &PoisonEntry, loss: &TargetLoss) -> bool {
+        let others = self.entries.values();
+        let others = others.filter(|other| other.fingerprint != entry.fingerprint);
+        let mut losses = others.flat_map(|other| &other.losses);
+        losses.any(|other| other.target == loss.target && other.at.abs_diff(loss.at) < SAME_LOSS_MS)
+    }
+
     fn count_losses(&self, fingerprint: RequestFingerprint) -> usize {
         self.entries.get(&fingerprint).map_or(0, count_losses)
     }
 }
 
+/// Returns the host that runs a trial of the request now, out of `hosts`; `None` if there are none.
+pub fn trial_host(
+    fingerprint: RequestFingerprint,
+    hosts: &[HostName],
+    now: UnixMillis,
+) -> Option<&HostName> {
+    let turn = now / TRIAL_TURN.as_millis() as u64;
+    let rank = |host: &&HostName| {
+        let mut hasher = Xxh3::new();
+        hasher.update(&fingerprint.to_le_bytes());
+        hasher.update(&turn.to_le_bytes());
+        hasher.update(host.as_bytes());
+        hasher.digest()
+    };
+    hosts.iter().max_by_key(rank)
+}
+
 /// Returns the order in which entries are kept and sent: by their losses, since an entry with
 /// more of them protects more targets, then by time.
 fn importance(entry: &PoisonEntry) -> (usize, UnixMillis) {
