Starting hosts: what peers reject is heard first, or one crash is enough

The first to start read the store after 80 ms without any peer, and sent each request to two targets more: the retry went out 25 ms after the loss, before the crash check ended. Besides, a host whose peer calls first, and does not notice the restart, gets that peer's changes only and did not call it for all the rest.

Change: until a peer that is not starting itself has answered, or for 3 s, a host rejects what ran beside one crash and waits for the outcome of a crash check (150 ms at most) before a retry. It calls each peer once, also one that called first, as an answer lists all that the peer knows: marks, statements and limits of targets, paces. Requests that arrive in the first 80 ms wait for that answer, 400 ms if a peer is connected.

--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -1,8 +1,10 @@
 //! Serves the requests of one caller connection in sequence.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::net::TcpStream;
+use async_std::task;
 
 use super::caller_connection::BadRequest;
 use super::caller_connection::CallerConnection;
@@ -29,6 +31,9 @@
 use crate::logs::DecisionLine;
 use crate::wire::RequestMessage;
 
+/// Interval at which a starting host checks whether its peers have answered.
+const PEER_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
 /// Serves a connection until it is closed.
 pub(crate) async fn serve_caller(state: Arc<EdgeState>, stream: TcpStream) {
     let mut caller = CallerConnection::new(stream);
@@ -63,6 +68,9 @@
     request: CallerRequest,
 ) -> bool {
     let arrived = request.arrived;
+    while state.awaits_peers() {
+        task::sleep(PEER_CHECK_PERIOD).await;
+    }
     let routed = match admit_request(state, request) {
         Ok(routed) => routed,
         Err(refused) => {
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -21,6 +21,7 @@
 use super::fleet_role::PeerFleetSize;
 use super::forward_table::ForwardTable;
 use super::gossip_builder::GossipCursors;
+use super::gossip_builder::is_starting_up;
 use super::header_names::HeaderNames;
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
@@ -52,6 +53,15 @@
 /// renew theirs every 1.2 s and lose it after three missed renewals.
 const RETURN_PAUSE: Duration = Duration::from_secs(6);
 
+/// Time after its start from which a host relies on what it knows itself. Until then, or until a
+/// peer has answered, it takes each request that ran beside a crash for the cause: its peers may
+/// know of other crashes, and be paused or cut off.
+const INFORM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after its start for which requests wait for the first link to a peer, and for a connected
+/// peer's answer, which takes a few milliseconds.
+const CONNECT_WAIT: Duration = Duration::from_millis(80);
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+
 /// State shared by all requests and controllers of a host.
 ///
 /// A guard returned by an accessor must not be held across an await.
@@ -63,6 +73,10 @@
     pub(crate) started: Duration,
     pub(crate) view: SharedView,
     pub(crate) queue: Arc<DispatchQueue>,
+    /// Whether a peer has answered, with all that it knows, and whether one did that is not
+    /// starting itself.
+    has_answer: AtomicBool,
+    is_informed: AtomicBool,
     /// Held while the dispatch table is filled from the view: of two concurrent changes, the
     /// one with the older targets could otherwise replace the newer ones.
     table_refresh: Mutex<()>,
@@ -129,6 +143,8 @@
         let hosts = others.count() + 1;
         Arc::new(Self {
             queue: DispatchQueue::new(settings.availability_zone.clone()),
+            has_answer: AtomicBool::new(hosts == 1),
+            is_informed: AtomicBool::new(hosts == 1),
             table_refresh: Mutex::default(),
             is_table_filled: AtomicBool::new(false),
             members: Mutex::new(MemberTable::new(settings.host.clone())),
@@ -172,6 +188,33 @@
         self.mesh.get()
     }
 
+    /// Records the answer of a peer that has run for `uptime`.
+    pub(crate) fn record_answer(&self, uptime: Duration) {
+        self.has_answer.store(true, Ordering::Release);
+        if !is_starting_up(uptime) {
+            self.is_informed.store(true, Ordering::Release);
+        }
+    }
+
+    /// Returns whether this host knows which requests and targets its peers avoid, or no peer told
+    /// it in time.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.is_informed.load(Ordering::Acquire) || self.uptime() >= INFORM_TIMEOUT
+    }
+
+    /// Returns whether requests wait for the answer of a connected peer before the first is sent.
+    pub(crate) fn awaits_peers(&self) -> bool {
+        let is_soon = || match self.connected_peers().is_empty() {
+            true => self.uptime() < CONNECT_WAIT,
+            false => self.uptime() < ANSWER_WAIT,
+        };
+        !self.has_answer.load(Ordering::Acquire) && is_soon()
+    }
+
+    fn uptime(&self) -> Duration {
+        boot_now().saturating_sub(self.started)
+    }
+
     /// Returns the connected peers, sorted.
     pub(crate) fn connected_peers(&self) -> Vec<HostName> {
         self.mesh()
@@ -319,7 +362,7 @@
     /// table is filled a moment after the view; a request in between would find no target.
     pub(crate) fn is_ready(&self) -> bool {
         let has_targets = self.is_table_filled.load(Ordering::Acquire);
-        !self.is_leaving() && has_targets && self.has_fresh_keys()
+        !self.is_leaving() && has_targets && self.has_fresh_keys() && !self.awaits_peers()
     }
 
     /// Starts the graceful shutdown.
--- a/src/edge/forward_service.rs
+++ b/src/edge/forward_service.rs
@@ -92,7 +92,7 @@
         waited: Duration::from_millis(forwarded.waited_ms),
     };
     let routed = route_request(state, request, origin).map_err(|unrouted| unrouted.refusal)?;
-    match state.poison.table().is_refused(routed.fingerprint) {
+    match state.is_refused(routed.fingerprint) {
         true => Err(state.suspect_refusal(routed.fingerprint)),
         false => Ok(routed),
     }
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -334,10 +334,12 @@
             SendOutcome::DeadlineExceeded => return Some(self.fail(ErrorKind::TargetSilent).await),
             SendOutcome::NotRun(cause) => (cause, true, ErrorKind::Overloaded),
             SendOutcome::Lost(cause) => {
-                let is_retryable = self.routed.kind.is_retryable() && !self.may_crash_more(cause);
+                let was_suspect = self.may_crash_more(cause);
                 if cause.may_be_crash() {
-                    self.spawn_crash_check(placed, sent_at);
+                    self.look_for_crash(placed, sent_at).await;
                 }
+                let may_crash_more = was_suspect || !self.state.is_informed() && self.is_refused();
+                let is_retryable = self.routed.kind.is_retryable() && !may_crash_more;
                 (cause.to_string(), is_retryable, ErrorKind::TargetLost)
             }
             SendOutcome::TargetFailure(response) => {
--- a/src/edge/suspect_filter.rs
+++ b/src/edge/suspect_filter.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 
 use super::crash_check::LostRequest;
@@ -25,17 +26,26 @@
 /// less in most cases.
 const EXCLUSIVE_WAIT: Duration = Duration::from_millis(300);
 
+/// How long a retry waits for the outcome of a crash check, which goes on behind it.
+const CHECK_WAIT: Duration = Duration::from_millis(150);
+
 impl EdgeState {
-    /// Returns whether a request is rejected because it crashes targets. One that is due for a
-    /// trial is not, if it is the turn of this host.
+    /// Returns whether a request is rejected because it crashes targets. A host that does not know
+    /// what its peers reject takes one crash for enough.
+    pub(crate) fn is_refused(&self, fingerprint: RequestFingerprint) -> bool {
+        let table = self.poison.table();
+        table.is_refused(fingerprint) || !self.is_informed() && table.is_suspect(fingerprint)
+    }
+
+    /// Returns the same, but for a request that is due for a trial if it is the turn of this host.
     pub(crate) fn rejects_suspect(&self, fingerprint: RequestFingerprint) -> bool {
         let hosts = || {
             let mut hosts = vec![self.settings.load().host.clone()];
             hosts.extend(self.members().live_names(boot_now()));
             hosts
         };
-        match self.is_leaving() {
-            true => self.poison.table().is_refused(fingerprint),
+        match self.is_leaving() || !self.is_informed() {
+            true => self.is_refused(fingerprint),
             false => self.poison.is_rejected(fingerprint, hosts),
         }
     }
@@ -50,7 +60,10 @@
 impl<'a> RequestExecution<'a> {
     /// Looks for a crash of the target. A crash may come at any point of a response: an engine
     /// sends the head before it starts to run the request.
-    pub(super) fn spawn_crash_check(&self, target: PlacedTarget, sent_at: UnixMillis) {
+    ///
+    /// A host that does not know what its peers reject waits for the outcome, which decides
+    /// whether the request may be retried.
+    pub(super) async fn look_for_crash(&self, target: PlacedTarget, sent_at: UnixMillis) {
         let routed = self.routed;
         let state = Arc::clone(self.state);
         let lost = LostRequest {
@@ -61,7 +74,10 @@
             sent_at,
             lost_at: unix_now(),
         };
-        task::spawn(check_crash(state, lost));
+        let check = task::spawn(check_crash(state, lost));
+        if !self.state.is_informed() {
+            timeout(CHECK_WAIT, check).await.ok();
+        }
     }
 
     /// Waits until no other suspect of this host runs at the target of a suspect, for a while: of
@@ -97,8 +113,7 @@
 
     /// Returns whether the request is rejected because it crashes targets.
     pub(super) fn is_refused(&self) -> bool {
-        let table = self.state.poison.table();
-        table.is_refused(self.routed.fingerprint)
+        self.state.is_refused(self.routed.fingerprint)
     }
 
     /// Returns whether a retry may crash another target: the request has crashed one before,
--- a/src/edge/tests/crashing_requests.rs
+++ b/src/edge/tests/crashing_requests.rs
@@ -96,10 +96,15 @@
     }
 }
 
-/// Returns how many targets crash while a caller sends a request again and again.
-fn crashed_targets(path: &str, point: CrashPoint) -> usize {
+/// Returns how many targets crash while a caller sends a request again and again to the host that
+/// `open` starts.
+fn crashed_targets(
+    open: impl FnOnce(&[RawTarget]) -> EdgeFixture,
+    path: &str,
+    point: CrashPoint,
+) -> usize {
     let targets: Vec<RawTarget> = (0..TARGETS).map(|_| crashing_target(point)).collect();
-    let host = EdgeFixture::open(&targets);
+    let host = open(&targets);
 
     for number in 0..TARGETS {
         let answer = host.call_to_end(&request_for(path, &format!("id{number}")));
@@ -120,7 +125,7 @@
                 *point,
                 thread::spawn({
                     let point = *point;
-                    move || crashed_targets(path, point)
+                    move || crashed_targets(EdgeFixture::open, path, point)
                 }),
             )
         })
@@ -176,3 +181,16 @@
 fn a_crashing_stream_that_is_resumed_takes_down_two_targets_at_most() {
     assert_few_crash("/resume/x", &STREAM_POINTS);
 }
+
+/// Guards against a restarted host that knows of no crash, as its peers are paused or gone, and
+/// sends a request that they reject to two targets more.
+#[test]
+fn a_starting_host_without_peers_loses_one_target_to_a_request() {
+    let crashes = ["/once/x", "/again/x", "/stream/x", "/resume/x"].map(|path| {
+        thread::spawn(move || crashed_targets(EdgeFixture::open_alone, path, CrashPoint::AfterHead))
+    });
+
+    let crashes = crashes.map(|crashes| crashes.join().unwrap());
+
+    assert_eq!(crashes, [1; 4]);
+}
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -281,6 +281,21 @@
         Self::open_on(store, bounds)
     }
 
+    /// Starts a host whose peers don't answer.
+    pub(super) fn open_alone(targets: &[RawTarget]) -> Self {
+        let store = ManualStore::default();
+        store.write(1, targets, &["k1"]);
+        let fixture = Self::open_as(
+            store,
+            EdgeSettings {
+                seeds: vec![([127, 0, 0, 1], 1).into()],
+                ..settings_with(EdgeBounds::default())
+            },
+        );
+        fixture.wait_ready(true);
+        fixture
+    }
+
     /// Starts a host while the store is unavailable.
     pub(super) fn open_without_store() -> Self {
         Self::open_on(ManualStore::default(), EdgeBounds::default())
--- a/src/members/gossip_schedule.rs
+++ b/src/members/gossip_schedule.rs
@@ -73,6 +73,8 @@
     called_last: bool,
     /// Whether to call the peer as soon as possible.
     urgent: bool,
+    /// Whether the peer has answered a call of this host.
+    has_answered: bool,
     /// When the last successful exchange started.
     last_success: Option<Duration>,
 }
@@ -130,6 +132,9 @@
         for peer in peers {
             let state = *self.peer_state(&peer.host, now);
             let interval = match state.sent_version {
+                // Only an answer lists all that a peer knows: one that did not notice the restart
+                // of this host sends the changes since its last message.
+                _ if !state.has_answered => Duration::ZERO,
                 None => Duration::ZERO,
                 Some(version) if version == loads => peer.idle_interval,
                 Some(_) => peer.active_interval,
@@ -177,6 +182,7 @@
         if let Some(state) = self.peers.get_mut(peer) {
             state.in_progress = false;
             state.sent_version = sent.or(state.sent_version);
+            state.has_answered |= sent.is_some();
             state.last_success = sent.map_or(state.last_success, |_| Some(state.started_at));
         }
     }
@@ -231,6 +237,7 @@
                 in_progress: false,
                 called_last: false,
                 urgent: false,
+                has_answered: false,
                 last_success: None,
             })
     }
--- a/tests/members_table.rs
+++ b/tests/members_table.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use cardamomgw::members::CallInitiator;
+use cardamomgw::members::GossipPeer;
 use cardamomgw::members::GossipSchedule;
 use cardamomgw::members::MemberRecord;
 use cardamomgw::members::MemberState;
@@ -174,3 +176,27 @@
     assert!(!is_new);
     assert!(schedule.is_new("member"), "a host that left is forgotten");
 }
+
+/// Guards against a restarted host that never asks its peers for all that they know, since one of
+/// them called first and did not notice the restart.
+#[test]
+fn a_restarted_host_calls_a_peer_that_called_first() {
+    let mut schedule = GossipSchedule::new("e1".into());
+    let now = seconds(100);
+    let peers = [GossipPeer {
+        host: "e2".into(),
+        active_interval: seconds(1),
+        idle_interval: seconds(1),
+        initiator: CallInitiator::Alternating,
+        sends_loads: true,
+    }];
+    schedule.record_answered_call("e2", 1, now);
+
+    let due = schedule.due(&peers, 1, now);
+    schedule.record_call_start("e2", now);
+    schedule.record_call_end("e2", Some(1));
+    let due_again = schedule.due(&peers, 1, now);
+
+    assert_eq!(due.len(), 1);
+    assert!(due_again.is_empty());
+}
