Soak: a crashed target accepts no connection once its others are closed

By the logs the host's probe, 30 ms behind the end, found the target accepting ("target-alive"), and 170 ms later it refused connections.

Cause, in the stand-in: a crash closed the connections and left it to the thread that waits for new ones to close the listener, which took longer than 30 ms on a busy machine. Of a process that ends, the kernel closes all sockets itself. Change: the listener is shut down first.

--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -105,7 +105,8 @@
     busy: AtomicUsize,
     /// Whether it has crashed and not restarted yet.
     crashed: AtomicBool,
-    /// Its open connections, which a crash closes.
+    /// Its listener and its open connections, which a crash closes.
+    listener: Mutex<Option<TcpListener>>,
     connections: Mutex<Vec<Weak<TcpStream>>>,
     address: SocketAddr,
     history: Arc<SoakHistory>,
@@ -137,6 +138,7 @@
                 leaving: AtomicBool::new(false),
                 busy: AtomicUsize::new(0),
                 crashed: AtomicBool::new(false),
+                listener: Mutex::default(),
                 connections: Mutex::default(),
                 address,
                 history,
@@ -206,10 +208,12 @@
         let mut listener = Some(listener);
         loop {
             let open = listener.take().unwrap_or_else(|| self.restart());
-            for stream in open.incoming().flatten() {
+            *self.listener.lock().unwrap() = open.try_clone().ok();
+            for stream in open.incoming() {
                 if self.crashed.load(Ordering::Acquire) {
                     break;
                 }
+                let Ok(stream) = stream else { continue };
                 let Ok(held) = stream.try_clone().map(Arc::new) else {
                     continue;
                 };
@@ -232,8 +236,11 @@
     /// Refuses connections and closes the open ones, as the end of the process does.
     fn crash(&self) {
         self.crashed.store(true, Ordering::Release);
-        // Ends the wait for the next connection, and with it the listener.
-        TcpStream::connect(self.address).ok();
+        // No new connection may be established once others are closed, however long the thread
+        // that waits for it takes to end.
+        if let Some(listener) = self.listener.lock().unwrap().take() {
+            rustix::net::shutdown(&listener, rustix::net::Shutdown::Both).ok();
+        }
         let connections = std::mem::take(&mut *self.connections.lock().unwrap());
         for connection in connections.iter().filter_map(Weak::upgrade) {
             connection.shutdown(Shutdown::Both).ok();
