Suspect requests: a loss just before a crash does not excuse its cause

The target had broken off the answer to another request 1 ms before the crashing one was sent to it; that loss was checked 30 ms later, found the target crashed, and so counted as a crash before. One loss that is noticed late still counts as the crash that it ran through.

--- a/src/edge/crash_check.rs
+++ b/src/edge/crash_check.rs
@@ -73,11 +73,10 @@
         sent_at: lost.sent_at,
         lost_at: lost.lost_at,
     };
-    let suspect = state.poison.record_loss(lost.fingerprint, run);
+    state.poison.record_loss(lost.fingerprint, run);
     state.log.write(&DecisionLine::TargetCrashed {
         target: name,
         request: lost.request,
         fingerprint: fingerprint_text,
-        suspect,
     });
 }
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -400,8 +400,6 @@
         request: String,
         /// The request's fingerprint.
         fingerprint: String,
-        /// Whether the request can have caused the crash; false if it was sent behind it.
-        suspect: bool,
     },
     /// A request that is rejected because it crashes targets runs once more.
     #[display("trial of a rejected request at {target}")]
--- a/src/poison/poison_guard.rs
+++ b/src/poison/poison_guard.rs
@@ -86,14 +86,10 @@
         table.evict_expired(unix_now());
     }
 
-    /// Records that a target was lost while it ran the request; returns whether the request can
-    /// have caused that.
-    pub(crate) fn record_loss(&self, fingerprint: RequestFingerprint, lost: LostRun<'_>) -> bool {
-        let is_suspect = self.table().record_loss(fingerprint, lost);
-        if is_suspect {
-            self.mark_changed(fingerprint);
-        }
-        is_suspect
+    /// Records that a target was lost while it ran the request.
+    pub(crate) fn record_loss(&self, fingerprint: RequestFingerprint, lost: LostRun<'_>) {
+        self.table().record_loss(fingerprint, lost);
+        self.mark_changed(fingerprint);
     }
 
     /// Returns whether the request is rejected. One that is due for a trial is not, if it is the
--- a/src/poison/poison_table.rs
+++ b/src/poison/poison_table.rs
@@ -65,17 +65,16 @@
 }
 
 impl PoisonTable {
-    /// Records that a target was lost while it ran the request; returns whether the request can
-    /// have caused that. A request that was sent to a target that had crashed already can't.
-    pub fn record_loss(&mut self, fingerprint: RequestFingerprint, lost: LostRun<'_>) -> bool {
+    /// Records that a target was lost while it ran the request.
+    ///
+    /// If the target is known to have been lost meanwhile, this is the same loss: a paused host, or
+    /// one that waits for reports of its peers, notices it later than others.
+    pub fn record_loss(&mut self, fingerprint: RequestFingerprint, lost: LostRun<'_>) {
         let losses = self.entries.values().flat_map(|entry| &entry.losses);
-        let known = losses.filter(|loss| loss.target == *lost.target && loss.at <= lost.lost_at);
-        let at = match known.map(|loss| loss.at).max() {
-            // It ran when the target crashed, and this host learned of that later than others.
-            Some(crashed_at) if crashed_at >= lost.sent_at => crashed_at,
-            Some(crashed_at) if lost.lost_at - crashed_at < SAME_LOSS_MS => return false,
-            Some(_) | None => lost.lost_at,
-        };
+        let known = losses.filter(|loss| loss.target == *lost.target);
+        let run = lost.sent_at..=lost.lost_at;
+        let known = known.map(|loss| loss.at).filter(|at| run.contains(at));
+        let at = known.max().unwrap_or(lost.lost_at);
         let mut loss = PoisonEntry::new(fingerprint);
         loss.losses.push(TargetLoss {
             at,
@@ -83,7 +82,6 @@
         });
         self.merge(&loss);
         self.evict_expired(lost.lost_at);
-        true
     }
 
     /// Records that a target completed the request; returns whether the request was in the
--- a/tests/poison_table.rs
+++ b/tests/poison_table.rs
@@ -35,14 +35,14 @@
     number: u32,
     run_time: u64,
     now: u64,
-) -> bool {
+) {
     let target = target(number);
     let lost = LostRun {
         target: &target,
         sent_at: now - run_time,
         lost_at: now,
     };
-    table.record_loss(request, lost)
+    table.record_loss(request, lost);
 }
 
 /// Exchanges all entries in both directions, as gossip messages do.
@@ -175,16 +175,16 @@
     assert!(right.is_refused(poison()));
 }
 
-/// Guards against a request that is blamed for a crash that came before it: its target was gone
-/// already, and the host did not know.
+/// Guards against a crashing request that is not marked, since the target broke off the answer to
+/// another request just before, and was gone when that was checked.
 #[test]
-fn a_request_that_is_sent_behind_a_crash_is_not_suspect() {
+fn a_loss_just_before_a_crash_does_not_excuse_its_cause() {
     let mut table = PoisonTable::default();
-    lose(&mut table, poison(), 1, MINUTE_MS);
+    lose(&mut table, harmless(), 1, MINUTE_MS);
 
-    let is_suspect = lose_after(&mut table, harmless(), 1, 20, MINUTE_MS + 100);
+    lose_after(&mut table, poison(), 1, 30, MINUTE_MS + 31);
 
-    assert!(!is_suspect && !table.is_suspect(harmless()));
+    assert!(table.is_suspect(poison()));
 }
 
 /// Guards against one crash that counts as two, as a paused host or a slow check notices it
@@ -194,9 +194,9 @@
     let mut table = PoisonTable::default();
     lose(&mut table, poison(), 1, MINUTE_MS);
 
-    let is_suspect = lose_after(&mut table, poison(), 1, 5_000, MINUTE_MS + 4_000);
+    lose_after(&mut table, poison(), 1, 5_000, MINUTE_MS + 4_000);
 
-    assert!(is_suspect && !table.is_refused(poison()));
+    assert!(table.is_suspect(poison()) && !table.is_refused(poison()));
 }
 
 /// Guards against a harmless request that stays rejected for as long as losses are remembered.
