serve: test that a restarted host refuses what its peers refuse

No such gap was found in `serve`: a host is ready once it is connected to a majority of the seats, and its first digest to each is answered with all suspects.

--- a/tests/process_crash.rs
+++ b/tests/process_crash.rs
@@ -185,3 +185,23 @@
     let crashing = crashing_request(&new_request_id());
     assert_ne!(call(hosts[0], &crashing).await.unwrap().status, 200);
 }
+
+/// Guards against a restarted host that is ready before it knows which requests its peers refuse.
+#[async_std::test]
+async fn a_restarted_host_refuses_what_its_peers_refuse() {
+    let mut fleet = start_fleet(0).await;
+    let hosts = fleet.caller_addresses();
+    for host in &hosts[1..] {
+        let crashing = crashing_request(&new_request_id());
+        call(*host, &crashing).await.unwrap();
+    }
+
+    fleet.hosts[0].process.kill();
+    fleet.restart_host(0);
+    fleet.hosts[0].process.wait_ready().await;
+    let id = new_request_id();
+    let answer = call(hosts[0], &crashing_request(&id)).await.unwrap();
+
+    assert_eq!(fleet.execution_count(&id), 0, "{}", answer.text());
+    assert_ne!(answer.status, 200);
+}
