serve: which seat left a claim unanswered, and how late the host noticed

To tell a slow machine from a time-out that is too short (process_resend at load averages above 24): `seat-unanswered` names the seat, the reason, the time waited and how much of it lies beyond the limit; `seat-back` ends it. One line when a seat's state changes, none for each request.

--- a/src/controllers/claim_coordinator.rs
+++ b/src/controllers/claim_coordinator.rs
@@ -12,6 +12,8 @@
 use async_std::future::timeout;
 use async_std::task;
 
+use super::seat_watch::SeatFailure;
+use super::seat_watch::SeatWatch;
 use crate::claim::BarRound;
 use crate::claim::BarStatus;
 use crate::claim::ClaimCall;
@@ -23,11 +25,13 @@
 use crate::claim::SeatRegister;
 use crate::claim::SeatRound;
 use crate::claim::UnsentStage;
+use crate::clock::boot_now;
 use crate::clock::unix_now;
 use crate::ids::AttemptNumber;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
 use crate::ids::RequestId;
+use crate::logs::StateLog;
 use crate::peers::PeerCall;
 use crate::peers::PeerMesh;
 use crate::peers::PeerReply;
@@ -80,6 +84,7 @@
     incarnation: IncarnationId,
     register: Mutex<SeatRegister>,
     mesh: Arc<PeerMesh>,
+    seats: Arc<SeatWatch>,
     next_round: AtomicU64,
 }
 
@@ -98,12 +103,14 @@
         incarnation: IncarnationId,
         register: SeatRegister,
         mesh: Arc<PeerMesh>,
+        log: Arc<StateLog>,
     ) -> Arc<Self> {
         Arc::new(Self {
             host,
             incarnation,
             register: Mutex::new(register),
             mesh,
+            seats: Arc::new(SeatWatch::new(log)),
             next_round: AtomicU64::new(1),
         })
     }
@@ -282,15 +289,29 @@
             return;
         }
         let mesh = self.mesh.clone();
+        let seats = self.seats.clone();
         task::spawn(async move {
+            let asked_at = boot_now();
             let answer = timeout(
                 SEAT_TIMEOUT,
                 mesh.call(&host, PeerCall::Claim(call), SEAT_TIMEOUT),
             );
-            let reply = match answer.await {
-                Ok(Ok(PeerReply::Claim(reply))) => Some(reply),
-                _ => None,
+            let result = match answer.await {
+                Ok(Ok(PeerReply::Claim(reply))) => Ok(reply),
+                Ok(Ok(_)) => Err("unexpected reply".to_owned()),
+                Ok(Err(error)) => Err(error.to_string()),
+                Err(_) => Err("no answer in time".to_owned()),
             };
+            match &result {
+                Ok(_) => seats.record_answer(&host),
+                Err(reason) => seats.record_failure(SeatFailure {
+                    seat: host.clone(),
+                    reason: reason.clone(),
+                    limit: SEAT_TIMEOUT,
+                    waited: boot_now().saturating_sub(asked_at),
+                }),
+            }
+            let reply = result.ok();
             // The receiver is closed once the round is decided.
             let reply = SeatReply {
                 renewals,
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -13,6 +13,7 @@
 mod peer_tracker;
 mod peer_watch;
 mod platform_watch;
+mod seat_watch;
 mod target_controller;
 mod view_freshness;
 mod work_controller;
--- a/src/controllers/tests.rs
+++ b/src/controllers/tests.rs
@@ -21,6 +21,8 @@
 use crate::clock::unix_now;
 use crate::ids::HostName;
 use crate::ids::RequestId;
+use crate::logs::StateLog;
+use crate::metrics::RequestMetrics;
 use crate::peers::CallHandler;
 use crate::peers::HandleFuture;
 use crate::peers::PeerCall;
@@ -31,6 +33,7 @@
 use crate::peers::ReplySender;
 use crate::roster::RosterPlan;
 use crate::roster::SeatIncarnation;
+use crate::settings::LogLevel;
 
 const HOSTS: [&str; 3] = ["a", "b", "c"];
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -38,6 +41,11 @@
 /// on new ids.
 const BOOTSTRAP_AGE_MS: u64 = 10_000;
 
+fn quiet_log() -> Arc<StateLog> {
+    let metrics = RequestMetrics::open().unwrap();
+    Arc::new(StateLog::open(LogLevel::Error, metrics).unwrap())
+}
+
 /// A seat that drops its first releases.
 struct LossySeat {
     seat: Mutex<SeatRegister>,
@@ -172,7 +180,7 @@
         assert!(began.elapsed() < TIMEOUT, "the peers did not connect");
         task::sleep(Duration::from_millis(5)).await;
     }
-    let coordinator = ClaimCoordinator::open("a".into(), 1, own, mesh);
+    let coordinator = ClaimCoordinator::open("a".into(), 1, own, mesh, quiet_log());
 
     let outcome = coordinator.claim(id, 1).await;
 
--- a/src/gateway/host_server.rs
+++ b/src/gateway/host_server.rs
@@ -104,7 +104,7 @@
             PeerIdentity::from(settings),
             settings.peer_addresses.clone(),
         );
-        let claims = open_claims(settings, incarnation, &mesh);
+        let claims = open_claims(settings, incarnation, &mesh, &log);
         let policy_settings = PolicySettings {
             incarnation,
             ..PolicySettings::default()
@@ -270,6 +270,7 @@
     settings: &HostSettings,
     incarnation: IncarnationId,
     mesh: &Arc<PeerMesh>,
+    log: &Arc<StateLog>,
 ) -> Arc<ClaimCoordinator> {
     let seat_incarnation = SeatIncarnation {
         started: unix_now(),
@@ -282,7 +283,13 @@
         ..RegisterSettings::default()
     };
     let seat = SeatRegister::open(settings.host.clone(), seat_incarnation, register);
-    ClaimCoordinator::open(settings.host.clone(), incarnation, seat, mesh.clone())
+    ClaimCoordinator::open(
+        settings.host.clone(),
+        incarnation,
+        seat,
+        mesh.clone(),
+        log.clone(),
+    )
 }
 
 async fn evict_answers(state: Arc<HostState>) {
--- a/src/logs/state_change.rs
+++ b/src/logs/state_change.rs
@@ -74,6 +74,25 @@
     /// A majority of seats answers again.
     #[display("a majority of seats answers")]
     MajorityBack,
+    /// A seat left a claim unanswered, for the first time after it answered. If this host itself
+    /// gets no processor time, it notices the time limit late.
+    #[display("seat {seat} left a claim unanswered: {reason}")]
+    SeatUnanswered {
+        /// The seat.
+        seat: HostName,
+        /// How the call failed.
+        reason: String,
+        /// Time from the call until its failure was noticed, in milliseconds.
+        waited_ms: u64,
+        /// The part of it that lies beyond the time limit of the call, in milliseconds.
+        late_ms: u64,
+    },
+    /// A seat answers claims again.
+    #[display("seat {seat} answers claims again")]
+    SeatBack {
+        /// The seat.
+        seat: HostName,
+    },
     /// A peer is connected.
     #[display("peer {host} is connected")]
     PeerConnected {
@@ -183,6 +202,7 @@
             | Self::PeerLost { .. }
             | Self::PeerRefused { .. }
             | Self::PlatformLost { .. }
+            | Self::SeatUnanswered { .. }
             | Self::ShedLevel { .. }
             | Self::TargetLost { .. }
             | Self::TrialStarted { .. } => Level::Warn,
@@ -195,6 +215,7 @@
             | Self::PlatformBack
             | Self::Ready
             | Self::RosterActive { .. }
+            | Self::SeatBack { .. }
             | Self::Started { .. }
             | Self::TargetLeaving { .. }
             | Self::TargetLive { .. } => Level::Info,
