Suspect requests: what ran beside one crash does not excuse what ran beside both

Only a suspect with as many losses leaves open which of them is the cause; else the trial is due after 60 s.

--- a/src/poison/poison_table.rs
+++ b/src/poison/poison_table.rs
@@ -28,8 +28,8 @@
 /// request may have run there for different hosts.
 const SAME_LOSS_MS: u64 = 2_000;
 /// Time from the last loss of a rejected request to its trial, in milliseconds: where other
-/// suspects ran on the same targets, any of them may be the cause; otherwise the losses may still
-/// be coincidences.
+/// suspects with as many losses ran on the same targets, any of them may be the cause; otherwise
+/// the losses may still be coincidences.
 const SHARED_TRIAL_DELAY_MS: u64 = 5_000;
 const TRIAL_DELAY_MS: u64 = 60_000;
 /// Factor by which each further loss delays the next trial, so that a request that does crash
@@ -178,12 +178,17 @@
         }
     }
 
-    /// Returns whether a target was lost while it ran other suspects too.
+    /// Returns whether a target was lost while it also ran another suspect with as many losses.
     fn is_shared(&self, entry: &PoisonEntry, loss: &TargetLoss) -> bool {
-        let others = self.entries.values();
-        let others = others.filter(|other| other.fingerprint != entry.fingerprint);
-        let mut losses = others.flat_map(|other| &other.losses);
-        losses.any(|other| other.target == loss.target && other.at.abs_diff(loss.at) < SAME_LOSS_MS)
+        let is_same = |other: &TargetLoss| {
+            other.target == loss.target && other.at.abs_diff(loss.at) < SAME_LOSS_MS
+        };
+        let mut others = self.entries.values();
+        others.any(|other| {
+            other.fingerprint != entry.fingerprint
+                && other.losses.iter().any(is_same)
+                && count_losses(other) >= count_losses(entry)
+        })
     }
 
     fn count_losses(&self, fingerprint: RequestFingerprint) -> usize {
--- a/tests/poison_table.rs
+++ b/tests/poison_table.rs
@@ -232,6 +232,19 @@
     assert_eq!(table.trial_due_at(harmless(), 0), None);
 }
 
+/// Guards against an early trial of a request that alone ran at both crashes, among many others
+/// that ran at one of them.
+#[test]
+fn requests_beside_one_crash_do_not_excuse_the_one_beside_both() {
+    let mut table = PoisonTable::default();
+    record_crash(&mut table, Some(poison()), 1, 12, MINUTE_MS);
+    record_crash(&mut table, Some(poison()), 2, 12, MINUTE_MS + 1_000);
+
+    let due_at = table.trial_due_at(poison(), 0);
+
+    assert_eq!(due_at, Some(2 * MINUTE_MS + 1_000));
+}
+
 /// Guards against one trial for each host of a fleet, and against hosts that never have one.
 #[test]
 fn hosts_take_turns_with_trials() {
