--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -159,6 +159,13 @@
     assert!(report_result(38, &run_response_soak(38)));
 }
 
+/// Guards against a host that starts while no peer answers, and sends a request that they reject to
+/// two targets more.
+#[test]
+fn a_host_that_starts_without_peers_does_not_exceed_the_allowed_crashes() {
+    assert!(report_result(46, &run_response_soak(46)));
+}
+
 /// Guards against callers that are turned away because their host has no path to targets.
 #[test]
 fn hosts_without_paths_to_targets_serve_their_callers() {
