--- a/src/edge/tests/crashing_requests.rs
+++ b/src/edge/tests/crashing_requests.rs
@@ -1,13 +1,5 @@
 //! Requests that crash each target that runs them, and callers that send them again.
 
-use std::io::Write;
-use std::net::Shutdown;
-use std::net::TcpListener;
-use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +9,7 @@
 use super::raw_target::RawTarget;
 use super::raw_target::event_chunk;
 use super::raw_target::unframed_head;
+use super::raw_target::write_text;
 
 /// Number of targets that one request may crash.
 const MAX_CRASHED: usize = 2;
@@ -39,41 +32,13 @@
     InUnframedEvent,
 }
 
-/// A target that crashes when it has sent a part of its first response: from then on, its
-/// address refuses connections.
+/// A target that crashes when it has sent a part of its first response.
 fn crashing_target(point: CrashPoint) -> RawTarget {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let target = RawTarget::at(listener.local_addr().unwrap());
-    let crashed = Arc::new(AtomicBool::new(false));
-    let open = Arc::new(Mutex::new(Vec::new()));
-    let accepting = target.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(stream) = stream else { return };
-            if crashed.load(Ordering::Acquire) {
-                return;
-            }
-            open.lock().unwrap().push(stream.try_clone().unwrap());
-            let (target, crashed) = (accepting.clone(), Arc::clone(&crashed));
-            let open = Arc::clone(&open);
-            thread::spawn(move || {
-                let crash = |request: &RawRequest, stream: &mut TcpStream| {
-                    stream
-                        .write_all(response_until(point, request).as_bytes())
-                        .ok();
-                    thread::sleep(Duration::from_millis(20));
-                    crashed.store(true, Ordering::Release);
-                    TcpStream::connect(target.address).ok();
-                    for stream in open.lock().unwrap().drain(..) {
-                        stream.shutdown(Shutdown::Both).ok();
-                    }
-                    false
-                };
-                target.serve(stream, &crash);
-            });
-        }
-    });
-    target
+    RawTarget::spawn_fragile(move |request, stream| {
+        write_text(stream, &response_until(point, request));
+        thread::sleep(Duration::from_millis(20));
+        true
+    })
 }
 
 /// Returns the part of the response that a target sends before it crashes.
--- a/src/edge/tests/raw_target.rs
+++ b/src/edge/tests/raw_target.rs
@@ -2,11 +2,14 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 /// A request as the target received it.
@@ -88,6 +91,45 @@
         target
     }
 
+    /// Starts a target that crashes once `serve` has run a request and returns true: from then on,
+    /// its address refuses connections, and the open ones are closed.
+    pub(super) fn spawn_fragile(
+        serve: impl Fn(&RawRequest, &mut TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let target = Self::at(listener.local_addr().unwrap());
+        let crashed = Arc::new(AtomicBool::new(false));
+        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let serve = Arc::new(serve);
+        let accepting = target.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { return };
+                if crashed.load(Ordering::Acquire) {
+                    return;
+                }
+                open.lock().unwrap().push(stream.try_clone().unwrap());
+                let (target, crashed) = (accepting.clone(), Arc::clone(&crashed));
+                let (open, serve) = (Arc::clone(&open), Arc::clone(&serve));
+                thread::spawn(move || {
+                    target.serve(stream, &|request: &RawRequest, stream: &mut TcpStream| {
+                        if !serve(request, stream) {
+                            return true;
+                        }
+                        crashed.store(true, Ordering::Release);
+                        // Ends the wait for the next connection, and with it the listener.
+                        TcpStream::connect(target.address).ok();
+                        for stream in open.lock().unwrap().drain(..) {
+                            stream.shutdown(Shutdown::Both).ok();
+                        }
+                        false
+                    });
+                });
+            }
+        });
+        target
+    }
+
     /// Returns a target whose connections the test accepts itself.
     pub(super) fn at(address: SocketAddr) -> Self {
         Self {
--- a/src/edge/tests/suspect_trials.rs
+++ b/src/edge/tests/suspect_trials.rs
@@ -1,12 +1,5 @@
 //! Harmless requests that ran beside a request that crashes targets.
 
-use std::net::Shutdown;
-use std::net::TcpListener;
-use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,7 +7,6 @@
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::request_for;
 use super::edge_fixture::status_of;
-use super::raw_target::RawRequest;
 use super::raw_target::RawTarget;
 use super::raw_target::write_text;
 
@@ -30,42 +22,17 @@
 const MAX_CRASHED: usize = 3;
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
 
-/// A target that a poison request crashes: from then on, its address refuses connections.
+/// A target that a poison request crashes, and that runs others for `execution_time`.
 fn fragile_target(execution_time: Duration) -> RawTarget {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let target = RawTarget::at(listener.local_addr().unwrap());
-    let crashed = Arc::new(AtomicBool::new(false));
-    let open = Arc::new(Mutex::new(Vec::new()));
-    let accepting = target.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(stream) = stream else { return };
-            if crashed.load(Ordering::Acquire) {
-                return;
-            }
-            open.lock().unwrap().push(stream.try_clone().unwrap());
-            let (target, crashed) = (accepting.clone(), Arc::clone(&crashed));
-            let open = Arc::clone(&open);
-            thread::spawn(move || {
-                let serve = |request: &RawRequest, stream: &mut TcpStream| {
-                    if !request.text.contains(POISON) {
-                        thread::sleep(execution_time);
-                        write_text(stream, &request.answer("200 OK", "done"));
-                        return true;
-                    }
-                    thread::sleep(CRASH_DELAY);
-                    crashed.store(true, Ordering::Release);
-                    TcpStream::connect(target.address).ok();
-                    for stream in open.lock().unwrap().drain(..) {
-                        stream.shutdown(Shutdown::Both).ok();
-                    }
-                    false
-                };
-                target.serve(stream, &serve);
-            });
+    RawTarget::spawn_fragile(move |request, stream| {
+        if request.text.contains(POISON) {
+            thread::sleep(CRASH_DELAY);
+            return true;
         }
-    });
-    target
+        thread::sleep(execution_time);
+        write_text(stream, &request.answer("200 OK", "done"));
+        false
+    })
 }
 
 fn has_received(target: &RawTarget, path: &str) -> bool {
