--- a/src/controllers/seat_watch.rs
+++ b/src/controllers/seat_watch.rs
@@ -1,4 +1,4 @@
-//! Logs the seats that leave claims unanswered, with what tells a silent seat from a starved host.
+//! Logs which seats leave claims unanswered, and whether this host noticed the time limit late.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,7 +28,7 @@
 }
 
 impl SeatWatch {
-    /// Creates a watch under which all seats have answered.
+    /// Creates a watch for which all seats count as answering.
     pub(crate) fn new(log: Arc<StateLog>) -> Self {
         Self {
             log,
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -53,9 +53,8 @@
 /// renew theirs every 1.2 s and lose it after three missed renewals.
 const RETURN_PAUSE: Duration = Duration::from_secs(6);
 
-/// Time after its start from which a host relies on what it knows itself. Until then, or until a
-/// peer has answered, it takes each request that ran beside a crash for the cause: its peers may
-/// know of other crashes, and be paused or cut off.
+/// Time after its start for which a host that no peer has answered rejects a request after one
+/// crash instead of two: its peers may know of another crash, and be paused or cut off.
 const INFORM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after its start for which requests wait for the first link to a peer, and for a connected
 /// peer's answer, which takes a few milliseconds.
@@ -196,8 +195,8 @@
         }
     }
 
-    /// Returns whether this host knows which requests and targets its peers avoid, or no peer told
-    /// it in time.
+    /// Returns whether this host knows which requests and targets its peers avoid, or has waited
+    /// long enough for their answer.
     pub(crate) fn is_informed(&self) -> bool {
         self.is_informed.load(Ordering::Acquire) || self.uptime() >= INFORM_TIMEOUT
     }
--- a/src/edge/suspect_filter.rs
+++ b/src/edge/suspect_filter.rs
@@ -26,18 +26,19 @@
 /// less in most cases.
 const EXCLUSIVE_WAIT: Duration = Duration::from_millis(300);
 
-/// How long a retry waits for the outcome of a crash check, which goes on behind it.
+/// Maximum time that a retry waits for the outcome of a crash check.
 const CHECK_WAIT: Duration = Duration::from_millis(150);
 
 impl EdgeState {
-    /// Returns whether a request is rejected because it crashes targets. A host that does not know
-    /// what its peers reject takes one crash for enough.
+    /// Returns whether a request is rejected because it crashes targets: after two crashes, or one if
+    /// this host does not know yet what its peers reject.
     pub(crate) fn is_refused(&self, fingerprint: RequestFingerprint) -> bool {
         let table = self.poison.table();
         table.is_refused(fingerprint) || !self.is_informed() && table.is_suspect(fingerprint)
     }
 
-    /// Returns the same, but for a request that is due for a trial if it is the turn of this host.
+    /// Like [`EdgeState::is_refused`], but false for a request that is due for a trial, if it is the
+    /// turn of this host.
     pub(crate) fn rejects_suspect(&self, fingerprint: RequestFingerprint) -> bool {
         let hosts = || {
             let mut hosts = vec![self.settings.load().host.clone()];
--- a/src/members/gossip_schedule.rs
+++ b/src/members/gossip_schedule.rs
@@ -132,8 +132,8 @@
         for peer in peers {
             let state = *self.peer_state(&peer.host, now);
             let interval = match state.sent_version {
-                // Only an answer lists all that a peer knows: one that did not notice the restart
-                // of this host sends the changes since its last message.
+                // Only an answer lists all that a peer knows. In its own calls, a peer that did not
+                // notice the restart of this host lists the changes since its last message.
                 _ if !state.has_answered => Duration::ZERO,
                 None => Duration::ZERO,
                 Some(version) if version == loads => peer.idle_interval,
