--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod crashing_requests;
+mod crowded_hosts;
 mod deadlines;
 mod edge_fixture;
 mod event_splitting;
