Forwarding: a request that a peer has no room for is offered to another

It is now, to three peers at most as for the other refusals; if none serves it, the caller gets the last peer's refusal with its Retry-After.

--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -92,6 +92,8 @@
     pub(super) version: Option<SoftwareVersion>,
     /// Peers to which the request was forwarded.
     pub(super) tried_peers: Vec<HostName>,
+    /// The refusal of the last of these, if it had no room.
+    pub(super) peer_refusal: Option<EdgeRefusal>,
     /// Held while the request is forwarded.
     pub(super) forward_permit: Option<ForwardPermit>,
     /// The target that responded to a peer.
@@ -119,6 +121,7 @@
             tried: Vec::new(),
             version: None,
             tried_peers: Vec::new(),
+            peer_refusal: None,
             forward_permit: None,
             responder: String::new(),
             may_have_run: false,
@@ -172,7 +175,7 @@
         loop {
             match self.decide_forward().await {
                 ForwardDecision::Own => {}
-                ForwardDecision::Nowhere => return self.fail(ErrorKind::TargetUnreachable).await,
+                ForwardDecision::Nowhere => return self.refuse_unforwarded().await,
                 ForwardDecision::Peer(host) => match self.forward(host).await {
                     Some(outcome) => return outcome,
                     None => continue,
@@ -423,6 +426,16 @@
         }
     }
 
+    /// Ends a request that no peer serves, with the refusal of a peer that had no room.
+    async fn refuse_unforwarded(&mut self) -> ExecutionOutcome {
+        match self.peer_refusal.take() {
+            Some(refusal) if !self.may_have_run && !self.progress.has_started => {
+                ExecutionOutcome::Refused(refusal)
+            }
+            _ => self.fail(ErrorKind::TargetUnreachable).await,
+        }
+    }
+
     /// Returns the delay after which the caller should retry: not before a target takes requests.
     fn retry_delay(&self) -> Duration {
         let table = self.state.queue.lock_table();
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -311,19 +311,23 @@
                 | ErrorKind::StaleView
                 | ErrorKind::NoTarget
                 | ErrorKind::TargetUnreachable
+                | ErrorKind::Overloaded
         );
         self.report_forward_failure(peer, &kind.to_string(), may_try_other);
+        let refusal = EdgeRefusal {
+            kind,
+            retry_after: retry_after_ms.map(Duration::from_millis),
+        };
         if may_try_other {
+            // If no peer serves it, the caller returns when this one has room.
+            self.peer_refusal = (kind == ErrorKind::Overloaded).then_some(refusal);
             return None;
         }
         self.may_have_run |= matches!(status, 502 | 504);
         if self.progress.has_started || status == 503 && self.may_have_run {
             return Some(self.fail(ErrorKind::TargetLost).await);
         }
-        Some(ExecutionOutcome::Refused(EdgeRefusal {
-            kind,
-            retry_after: retry_after_ms.map(Duration::from_millis),
-        }))
+        Some(ExecutionOutcome::Refused(refusal))
     }
 
     fn report_forward_failure(&self, peer: &HostName, cause: &str, again: bool) {
