Divided bounds: a host whose part is used up forwards to peers that have room in theirs

Callers of a host that had most callers were refused while slots were free: the slots of brittle targets, and the rates of cold and limited ones, are divided evenly among hosts, callers are not. Class of fault: a bound that holds without hearing the others is divided evenly, and the demand is not.

Hosts report the room in their part; a host whose part keeps a request from a target forwards it to a peer that has room, and looks again each 100 ms while the request waits. The peer serves it in its own part or refuses at once, so the bound holds as before whatever is lost or late. Forwards log their cause.

--- a/src/dispatch/brittle_guard.rs
+++ b/src/dispatch/brittle_guard.rs
@@ -116,24 +116,36 @@
         position: Option<HostPosition>,
         now: Duration,
     ) -> bool {
-        let Some(state) = self.state else {
-            return true;
-        };
-        let Some(position) = position else {
-            return false;
-        };
+        match (self.state, position) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(_), Some(position)) => self.room(target, usage, position, now) > 0,
+        }
+    }
+
+    /// Returns how many more requests this host may send.
+    pub(super) fn room(
+        &self,
+        target: &str,
+        usage: SlotUsage,
+        position: HostPosition,
+        now: Duration,
+    ) -> usize {
         let rejection = self.rejection;
         let rejection = rejection.filter(|held| now.saturating_sub(held.at) < DOUBT_TIME);
-        let room = rejection.map_or(usage.slots, |held| held.room.clamp(1, usage.slots));
-        let is_full = usage.own_running + usage.peer_running >= room;
-        if is_full || usage.own_running >= position.part_of(room, target) {
-            return false;
+        let slots = rejection.map_or(usage.slots, |held| held.room.clamp(1, usage.slots));
+        let free = slots.saturating_sub(usage.own_running + usage.peer_running);
+        let part = position.part_of(slots, target);
+        let room = free.min(part.saturating_sub(usage.own_running));
+        let (Some(state), Some(held)) = (self.state, rejection) else {
+            return room;
+        };
+        if now < held.at + resume_delay(position, target) {
+            return 0;
         }
-        rejection.is_none_or(|held| {
-            let unconfirmed = self.unconfirmed(now).min(usage.own_running);
-            now >= held.at + resume_delay(position, target)
-                && unconfirmed < share_of(state, target, position, now)
-        })
+        let unconfirmed = self.unconfirmed(now).min(usage.own_running);
+        let share = share_of(state, target, position, now);
+        room.min(share.saturating_sub(unconfirmed))
     }
 
     /// Returns how many dispatches of this host others may know no rejection of.
--- a/src/dispatch/dispatch_queue.rs
+++ b/src/dispatch/dispatch_queue.rs
@@ -64,12 +64,14 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until a target has a free slot, for at most `max_wait`. Dropping the future
-    /// removes the request from the queue.
+    /// Waits until a target has a free slot, for at most `max_wait`; a request that is expected to
+    /// wait longer than `patience` is not queued. Dropping the future removes the request from the
+    /// queue.
     pub(crate) async fn wait_for_target(
         self: &Arc<Self>,
         request: PlacementRequest,
         max_wait: Duration,
+        patience: Duration,
     ) -> WaitOutcome {
         let pool = request.pool.clone();
         let (ticket, receiver) = {
@@ -83,7 +85,7 @@
                 return WaitOutcome::Placed(Box::new(self.make_guard(pool, placed)));
             }
             let should_shed =
-                table.should_shed(&request, now) || table.expected_wait(&request, now) > max_wait;
+                table.should_shed(&request, now) || table.expected_wait(&request, now) > patience;
             if should_shed || table.waiting(&pool) >= MAX_WAITING {
                 return WaitOutcome::Overloaded;
             }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod brittle_pools;
 mod cold_start;
 mod dispatch_queue;
+mod divided_pools;
 mod gap_tracker;
 mod limit_table;
 mod notice_table;
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -54,6 +54,8 @@
     pub(super) granted: Option<GrantedSlots>,
     /// This host's path to the targets.
     pub(super) reach: ReachTracker,
+    /// Until when peers are asked for room, as this host's part was used up.
+    pub(super) short_until: Duration,
 }
 
 /// The host's state that a placement depends on.
--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -88,6 +88,33 @@
         paths
     }
 
+    /// Returns the peers that reported their room in a pool with divided bounds, unless they fail at
+    /// its targets.
+    pub(super) fn rooms(
+        &self,
+        pool: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = (&HostName, u32)> {
+        self.recent(now).filter_map(move |(host, reaches)| {
+            let reach = reaches.iter().find(|reach| reach.pool == pool)?;
+            (reach.reaches != Some(false)).then_some((host, reach.room?))
+        })
+    }
+
+    /// Changes the room that a peer reported.
+    pub(super) fn change_room(
+        &mut self,
+        host: &HostName,
+        pool: &str,
+        change: impl FnOnce(u32) -> Option<u32>,
+    ) {
+        let reaches = self.hosts.get_mut(host).map(|(_, reaches)| reaches);
+        let mut reaches = reaches.into_iter().flatten();
+        if let Some(reach) = reaches.find(|reach| reach.pool == pool) {
+            reach.room = reach.room.and_then(change);
+        }
+    }
+
     /// Returns whether no report shows that a failure is this host's own: peers fail at the pool's
     /// targets too, or there is no peer.
     fn all_fail(&self, pool: &str, reporting: PeerReporting, now: Duration) -> bool {
@@ -159,7 +186,9 @@
     /// Returns whether requests of any pool are forwarded to peers, or may soon be.
     pub fn needs_peers(&self, now: Duration) -> bool {
         let mut pools = self.pools.values();
-        pools.any(|pool| pool.reach.own_share(now) < 1.0 || pool.reach.is_failing(now))
+        pools.any(|pool| {
+            pool.reach.own_share(now) < 1.0 || pool.reach.is_failing(now) || now < pool.short_until
+        })
     }
 
     /// Returns the share of a pool's requests that use this host's own path.
@@ -175,8 +204,11 @@
             pool: name.clone(),
             reaches: pool.reach.reaches(now),
             load: pool.running.values().sum::<u32>() + pool.queue.len() as u32,
+            room: self.own_room(pool, now),
         });
-        let is_relevant = |reach: &PoolReach| reach.reaches.is_some() || reach.load > 0;
+        let is_relevant = |reach: &PoolReach| {
+            reach.reaches.is_some() || reach.load > 0 || reach.room.is_some_and(|room| room > 0)
+        };
         reaches.filter(is_relevant).collect()
     }
 
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -70,7 +70,7 @@
     pub(super) notices: NoticeTable,
     pub(super) peer_reaches: PeerReaches,
     pub(super) reporting: PeerReporting,
-    host_position: Option<HostPosition>,
+    pub(super) host_position: Option<HostPosition>,
 }
 
 impl PoolTable {
--- a/src/dispatch/reach_tracker.rs
+++ b/src/dispatch/reach_tracker.rs
@@ -40,6 +40,9 @@
     pub reaches: Option<bool>,
     /// Requests of the pool that run or wait at the host.
     pub load: u32,
+    /// Requests that the host may still start within its part of the bounds that hosts divide among
+    /// them; `None` if there is no such bound.
+    pub room: Option<u32>,
 }
 
 /// A change of the path to a pool.
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -263,7 +263,8 @@
     (most - taken).max(0.0) / most.max(1.0)
 }
 
-fn pick_weighted(weights: &[f64], random: f64) -> Option<usize> {
+/// Draws an index by weight; `random` is uniform between 0 and 1.
+pub(super) fn pick_weighted(weights: &[f64], random: f64) -> Option<usize> {
     let total: f64 = weights.iter().sum();
     if total <= 0.0 {
         return None;
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -211,17 +211,37 @@
     /// Returns whether a send window allows this host to send to the target now. A host that
     /// does not know its position must not send to a rate-limited target.
     pub(super) fn may_send(&self, position: Option<HostPosition>, now: Duration) -> bool {
-        let usage = SlotUsage {
-            slots: self.record.slots as usize,
-            own_running: self.own_running as usize,
-            peer_running: self.peer_load.running as usize,
-        };
+        let usage = self.slot_usage();
         let guard = &self.brittle_guard;
         self.cold_start_allows(position, now)
             && self.limit_allows(position, now)
             && guard.allows(&self.record.name, usage, position, now)
     }
 
+    /// Returns how many more requests this host may start there within its part of the target's
+    /// bounds.
+    pub(super) fn room(&self, position: Option<HostPosition>, now: Duration) -> u32 {
+        let is_open = self.is_available(now) && self.is_healthy(now);
+        if !is_open || !self.may_send(position, now) {
+            return 0;
+        }
+        // A send window is for one request.
+        let has_window = self.is_cold(now) || self.limit.is_some();
+        let (Some(position), false) = (position, has_window) else {
+            return self.free_slots().min(1);
+        };
+        let guard = &self.brittle_guard;
+        guard.room(&self.record.name, self.slot_usage(), position, now) as u32
+    }
+
+    fn slot_usage(&self) -> SlotUsage {
+        SlotUsage {
+            slots: self.record.slots as usize,
+            own_running: self.own_running as usize,
+            peer_running: self.peer_load.running as usize,
+        }
+    }
+
     fn cold_start_allows(&self, position: Option<HostPosition>, now: Duration) -> bool {
         let (true, Some(cold_start), Some(limit)) =
             (self.is_cold(now), self.cold_start, self.cold_limit)
--- a/src/edge/forward_service.rs
+++ b/src/edge/forward_service.rs
@@ -1,4 +1,4 @@
-//! Serves the requests that peers without a path to targets forward.
+//! Serves the requests that peers without a path to targets, or without room, forward.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +40,7 @@
     let attempts = request.attempts;
     let tried = request.tried.clone();
     let version = request.version.clone();
+    let cause = request.cause;
     let Some(_permit) = state.forwarded.take(&from, request.body.len()) else {
         let refusal = EdgeRefusal::after(ErrorKind::Overloaded, LIMIT_RETRY_DELAY);
         return refuse(refusal, replies).await;
@@ -52,6 +53,7 @@
         request: routed.id.clone(),
         peer: from,
         pool: routed.pool.clone(),
+        cause,
         age_ms: routed.age().as_millis() as u64,
     });
     let sink = ResponseSink::for_peer(replies);
@@ -91,6 +93,7 @@
     let origin = RequestOrigin::Peer {
         pool: forwarded.pool,
         waited: Duration::from_millis(forwarded.waited_ms),
+        cause: forwarded.cause,
     };
     let routed = route_request(state, request, origin).map_err(|unrouted| unrouted.refusal)?;
     match state.is_refused(routed.fingerprint) {
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -30,6 +30,7 @@
 use crate::ids::HostName;
 use crate::ids::SoftwareVersion;
 use crate::ids::TargetName;
+use crate::peers::ForwardCause;
 use crate::peers::ReplySender;
 use crate::wire::BodyFraming;
 
@@ -53,6 +54,9 @@
 /// during it. After a third of their time callers retry regardless of the delay they were
 /// given.
 const STREAM_RETRY_RATIO: f64 = 0.33;
+/// Interval at which a request that waits for this host's part of a bound looks for a peer that has
+/// room in its own.
+const PEER_ROOM_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum retry delay for a request that is not a stream, which may still meet its objective.
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Random variation of the retry delays, as a share of them, so that callers don't retry
@@ -75,6 +79,8 @@
 /// Why a request got no slot at a target.
 enum WaitEnd {
     CallerLeft,
+    /// A peer has room in its part of the pool.
+    PeerRoom,
     Failed(ErrorKind),
 }
 
@@ -176,7 +182,7 @@
             match self.decide_forward().await {
                 ForwardDecision::Own => {}
                 ForwardDecision::Nowhere => return self.refuse_unforwarded().await,
-                ForwardDecision::Peer(host) => match self.forward(host).await {
+                ForwardDecision::Peer(receiver) => match self.forward(receiver).await {
                     Some(outcome) => return outcome,
                     None => continue,
                 },
@@ -184,6 +190,7 @@
             let slot = match self.wait_for_slot().await {
                 Ok(slot) => slot,
                 Err(WaitEnd::CallerLeft) => return ExecutionOutcome::Closed,
+                Err(WaitEnd::PeerRoom) => continue,
                 // The path was lost while the request waited.
                 Err(WaitEnd::Failed(_)) if self.may_forward() => continue,
                 Err(WaitEnd::Failed(kind)) => return self.fail(kind).await,
@@ -231,21 +238,32 @@
         if left <= MIN_TIME_LEFT {
             return Err(WaitEnd::Failed(ErrorKind::DeadlinePassed));
         }
-        let placement = self.placement();
-        let max_wait = self.max_queue_wait(left);
-        let queue = &self.state.queue;
-        let caller = &mut self.caller;
-        let placed = async { Some(queue.wait_for_target(placement, max_wait).await) };
-        let disconnected = async {
-            caller.disconnected().await;
-            None
-        };
-        match or(placed, disconnected).await {
-            None => Err(WaitEnd::CallerLeft),
-            Some(WaitOutcome::Placed(slot)) => Ok(*slot),
-            Some(WaitOutcome::NoTarget) => Err(WaitEnd::Failed(ErrorKind::NoTarget)),
-            Some(WaitOutcome::Overloaded | WaitOutcome::TimedOut) => {
-                Err(WaitEnd::Failed(ErrorKind::Overloaded))
+        let wait_end = now + self.max_queue_wait(left);
+        loop {
+            let left = wait_end.saturating_sub(boot_now());
+            let max_wait = match self.may_use_peer_room() {
+                true => left.min(PEER_ROOM_INTERVAL),
+                false => left,
+            };
+            let placement = self.placement();
+            let queue = &self.state.queue;
+            let caller = &mut self.caller;
+            let placed = async { Some(queue.wait_for_target(placement, max_wait, left).await) };
+            let disconnected = async {
+                caller.disconnected().await;
+                None
+            };
+            match or(placed, disconnected).await {
+                None => return Err(WaitEnd::CallerLeft),
+                Some(WaitOutcome::Placed(slot)) => return Ok(*slot),
+                Some(WaitOutcome::NoTarget) => return Err(WaitEnd::Failed(ErrorKind::NoTarget)),
+                Some(WaitOutcome::TimedOut) if max_wait < left => {}
+                Some(WaitOutcome::Overloaded | WaitOutcome::TimedOut) => {
+                    return Err(WaitEnd::Failed(ErrorKind::Overloaded));
+                }
+            }
+            if self.finds_peer_room() {
+                return Err(WaitEnd::PeerRoom);
             }
         }
     }
@@ -281,6 +299,10 @@
     /// is kept waiting until it gives up leaves without any response.
     fn max_queue_wait(&self, left: Duration) -> Duration {
         let routed = self.routed;
+        if routed.forwarded == Some(ForwardCause::PartUsed) && !self.progress.has_started {
+            // It waits at the host that forwarded it, which may find room elsewhere.
+            return Duration::ZERO;
+        }
         let wait = routed
             .first_event_deadline
             .saturating_sub(routed.request.arrived);
@@ -323,7 +345,7 @@
             .queue
             .lock_table()
             .is_path_lost(&self.routed.pool);
-        is_lost && !self.routed.is_forwarded && boot_now() + MIN_TIME_LEFT < self.routed.deadline
+        is_lost && !self.routed.is_forwarded() && boot_now() + MIN_TIME_LEFT < self.routed.deadline
     }
 
     /// Sends the request once. Returns `None` if it should be sent to another target.
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -1,5 +1,6 @@
-//! Forwards a request to a peer that reaches targets.
+//! Forwards a request to a peer that reaches targets, or that has room left in its part of them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -23,11 +24,14 @@
 use super::send_outcome::SendOutcome;
 use super::target_send::cancel_on_disconnect;
 use crate::clock::boot_now;
+use crate::dispatch::DispatchQueue;
 use crate::dispatch::PeerCandidate;
 use crate::dispatch::choose_peer;
 use crate::errors::ErrorKind;
 use crate::ids::HostName;
+use crate::ids::PoolName;
 use crate::logs::DecisionLine;
+use crate::peers::ForwardCause;
 use crate::peers::ForwardedRequest;
 use crate::peers::PeerCall;
 use crate::peers::PeerError;
@@ -44,12 +48,33 @@
 pub(super) enum ForwardDecision {
     /// This host sends it to a target itself.
     Own,
-    /// It is forwarded to this peer.
-    Peer(HostName),
+    Peer(ForwardReceiver),
     /// No peer can serve it, and this host reaches no target.
     Nowhere,
 }
 
+/// The peer that a request is forwarded to.
+pub(super) struct ForwardReceiver {
+    host: HostName,
+    cause: ForwardCause,
+    /// The place that the request takes in the peer's part of a bound.
+    _room: Option<PeerRoom>,
+}
+
+/// A place in a peer's part of a bound; returned on drop.
+struct PeerRoom {
+    queue: Arc<DispatchQueue>,
+    pool: PoolName,
+    host: HostName,
+}
+
+impl Drop for PeerRoom {
+    fn drop(&mut self) {
+        let mut table = self.queue.lock_table();
+        table.return_peer_room(&self.pool, &self.host);
+    }
+}
+
 /// An attempt to forward a request.
 enum ForwardAttempt {
     Opened(PeerStream),
@@ -67,19 +92,26 @@
             .queue
             .lock_table()
             .own_path_share(pool, boot_now());
-        if self.routed.is_forwarded {
+        if self.routed.is_forwarded() {
             return match share > 0.0 {
                 true => ForwardDecision::Own,
                 false => ForwardDecision::Nowhere,
             };
         }
         if share >= 1.0 || rand::random::<f64>() < share {
-            return ForwardDecision::Own;
+            return match self.take_peer_room() {
+                Some(receiver) => ForwardDecision::Peer(receiver),
+                None => ForwardDecision::Own,
+            };
         }
         let started_at = boot_now();
         loop {
             if let Some(host) = self.choose_peer() {
-                return ForwardDecision::Peer(host);
+                return ForwardDecision::Peer(ForwardReceiver {
+                    host,
+                    cause: ForwardCause::PathLost,
+                    _room: None,
+                });
             }
             if share > 0.0 {
                 return ForwardDecision::Own;
@@ -92,6 +124,56 @@
         }
     }
 
+    /// Returns whether the request may be forwarded to a peer that has room in its part of a bound.
+    pub(super) fn may_use_peer_room(&self) -> bool {
+        if self.routed.is_forwarded() || self.tried_peers.len() >= MAX_PEERS {
+            return false;
+        }
+        let now = boot_now();
+        let mut table = self.state.queue.lock_table();
+        let exceeds = table.exceeds_part(&self.placement(), now);
+        if exceeds {
+            table.record_shortage(&self.routed.pool, now);
+        }
+        exceeds
+    }
+
+    /// Returns whether a peer has room for a request that waits for this host's part of a bound.
+    pub(super) fn finds_peer_room(&self) -> bool {
+        let connected = self.untried_peers();
+        let table = self.state.queue.lock_table();
+        table.has_peer_room(&self.routed.pool, &connected, boot_now())
+    }
+
+    /// Takes a place at a peer that has room, if this host's part of a bound is used up.
+    fn take_peer_room(&self) -> Option<ForwardReceiver> {
+        if !self.may_use_peer_room() {
+            return None;
+        }
+        let connected = self.untried_peers();
+        let pool = &self.routed.pool;
+        let now = boot_now();
+        let mut table = self.state.queue.lock_table();
+        let host = table.take_peer_room(pool, &connected, rand::random(), now)?;
+        drop(table);
+        Some(ForwardReceiver {
+            cause: ForwardCause::PartUsed,
+            _room: Some(PeerRoom {
+                queue: Arc::clone(&self.state.queue),
+                pool: pool.clone(),
+                host: host.clone(),
+            }),
+            host,
+        })
+    }
+
+    /// Returns the connected peers to which the request was not forwarded, sorted.
+    fn untried_peers(&self) -> Vec<HostName> {
+        let mut connected = self.state.connected_peers();
+        connected.retain(|host| !self.tried_peers.contains(host));
+        connected
+    }
+
     /// Returns whether links to peers that were not tried may still be opened.
     fn awaits_links(&self) -> bool {
         let wanted = self.state.forward_peers(boot_now());
@@ -108,8 +190,7 @@
         }
         let state = self.state;
         let now = boot_now();
-        let mut connected = state.connected_peers();
-        connected.retain(|host| !self.tried_peers.contains(host));
+        let connected = self.untried_peers();
         let table = state.queue.lock_table();
         let mut peers = table.reaching_peers(&self.routed.pool, &connected, now);
         drop(table);
@@ -132,7 +213,8 @@
     }
 
     /// Forwards the request to a peer. Returns `None` if another host or target may serve it.
-    pub(super) async fn forward(&mut self, peer: HostName) -> Option<ExecutionOutcome> {
+    pub(super) async fn forward(&mut self, receiver: ForwardReceiver) -> Option<ExecutionOutcome> {
+        let peer = receiver.host.clone();
         // Both may have changed while the request waited.
         if self.caller.has_disconnected().await {
             return Some(ExecutionOutcome::Closed);
@@ -149,10 +231,11 @@
             request: self.routed.id.clone(),
             peer: peer.clone(),
             pool: self.routed.pool.clone(),
+            cause: receiver.cause,
             waited_ms: self.routed.age().as_millis() as u64,
             attempts: self.attempts,
         });
-        let outcome = match self.open_forward(&peer, permit).await {
+        let outcome = match self.open_forward(&receiver, permit).await {
             ForwardAttempt::NotSent => {
                 self.report_forward_failure(&peer, "not sent", true);
                 return None;
@@ -173,13 +256,17 @@
         }
     }
 
-    async fn open_forward(&mut self, peer: &HostName, permit: ForwardPermit) -> ForwardAttempt {
-        let call = PeerCall::Forward(Box::new(self.forwarded_request()));
+    async fn open_forward(
+        &mut self,
+        receiver: &ForwardReceiver,
+        permit: ForwardPermit,
+    ) -> ForwardAttempt {
+        let call = PeerCall::Forward(Box::new(self.forwarded_request(receiver.cause)));
         let left = self.routed.deadline.saturating_sub(boot_now());
         let Some(mesh) = self.state.mesh() else {
             return ForwardAttempt::NotSent;
         };
-        let opened = timeout(left, mesh.open_call(peer, call)).await;
+        let opened = timeout(left, mesh.open_call(&receiver.host, call)).await;
         self.forward_permit = Some(permit);
         match opened {
             Ok(Ok(stream)) => ForwardAttempt::Opened(stream),
@@ -321,6 +408,8 @@
         if may_try_other {
             // If no peer serves it, the caller returns when this one has room.
             self.peer_refusal = (kind == ErrorKind::Overloaded).then_some(refusal);
+            let mut table = self.state.queue.lock_table();
+            table.clear_peer_room(&self.routed.pool, peer);
             return None;
         }
         self.may_have_run |= matches!(status, 502 | 504);
@@ -340,7 +429,7 @@
     }
 
     /// Returns the request as its caller sent it, with what happened to it since.
-    fn forwarded_request(&self) -> ForwardedRequest {
+    fn forwarded_request(&self, cause: ForwardCause) -> ForwardedRequest {
         let routed = self.routed;
         let header_names = &self.state.header_names;
         let mut headers = routed.request.message.headers.clone();
@@ -355,6 +444,7 @@
             headers.push(&header_names.resume_after, last);
         }
         ForwardedRequest {
+            cause,
             method: routed.request.message.method.clone(),
             target: routed.request.message.target.clone(),
             headers: headers.lines().to_vec(),
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -16,6 +16,7 @@
 use crate::errors::RequestOutcome;
 use crate::ids::PoolName;
 use crate::metrics::RequestSeries;
+use crate::peers::ForwardCause;
 use crate::poison::RequestFingerprint;
 use crate::poison::fingerprint_request;
 
@@ -76,13 +77,18 @@
     pub(crate) is_resumed: bool,
     /// The attempt that brought the first event of that stream, if the caller names it.
     pub(crate) resumed_request: Option<String>,
-    /// Whether a peer forwarded the request.
-    pub(crate) is_forwarded: bool,
+    /// Why a peer forwarded the request, if one did.
+    pub(crate) forwarded: Option<ForwardCause>,
     /// Fingerprint that stays the same if the caller retries the request under a new id.
     pub(crate) fingerprint: RequestFingerprint,
 }
 
 impl RoutedRequest {
+    /// Returns whether a peer forwarded the request.
+    pub(crate) const fn is_forwarded(&self) -> bool {
+        self.forwarded.is_some()
+    }
+
     /// Returns the time since the request arrived.
     pub(crate) fn age(&self) -> Duration {
         boot_now().saturating_sub(self.request.arrived)
@@ -105,6 +111,8 @@
         pool: PoolName,
         /// How long the caller waited in earlier attempts.
         waited: Duration,
+        /// Why it does.
+        cause: ForwardCause,
     },
 }
 
@@ -141,16 +149,19 @@
     let deadline = request.arrived + time_limit(state, route, &request);
     let headers = &request.message.headers;
     let left = headers.number(&state.header_names.deadline_ms);
-    let (drawn, waited) = match origin {
-        RequestOrigin::Peer { pool, waited } => (Some(pool), waited),
+    let (drawn, waited, forwarded) = match origin {
+        RequestOrigin::Peer {
+            pool,
+            waited,
+            cause,
+        } => (Some(pool), waited, Some(cause)),
         RequestOrigin::Caller => {
             let waited = left.map_or(Duration::ZERO, |left| {
                 state.record_deadline(&route.name, Duration::from_millis(left))
             });
-            (None, waited)
+            (None, waited, None)
         }
     };
-    let is_forwarded = drawn.is_some();
     let resumed_request = headers.text(&state.header_names.resumed_request);
     let resumed_request = resumed_request.map(|id| id.trim().to_owned());
     let is_resumed =
@@ -179,7 +190,7 @@
             .abandon_timeout
             .map_or(deadline, |timeout| deadline.min(request.arrived + timeout)),
         pool: drawn.unwrap_or_else(|| route.pool_for(rand::random()).clone()),
-        series: match is_forwarded {
+        series: match forwarded.is_some() {
             // The peer counts the request for its account.
             true => state
                 .request_metrics
@@ -190,7 +201,7 @@
         },
         is_resumed,
         resumed_request,
-        is_forwarded,
+        forwarded,
         credentials,
         priority,
         account,
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -15,6 +15,7 @@
 use crate::ids::StoreRevision;
 use crate::ids::TargetName;
 use crate::ids::ZoneName;
+use crate::peers::ForwardCause;
 
 /// A decision about a request, or a change of the process's view of its environment.
 ///
@@ -339,8 +340,10 @@
         request: String,
         /// The peer.
         peer: HostName,
-        /// The pool whose targets this host does not reach.
+        /// The pool.
         pool: PoolName,
+        /// Why it is forwarded.
+        cause: ForwardCause,
         /// How long the request has waited, in milliseconds.
         waited_ms: u64,
         /// How often it was sent to a target before.
@@ -367,6 +370,8 @@
         peer: HostName,
         /// The pool.
         pool: PoolName,
+        /// Why it was forwarded.
+        cause: ForwardCause,
         /// Time since it arrived at the peer, in milliseconds.
         age_ms: u64,
     },
--- a/src/peers/forwarded_request.rs
+++ b/src/peers/forwarded_request.rs
@@ -1,6 +1,7 @@
-//! Requests that a host without a path to targets forwards, and their responses.
+//! Requests that a host forwards, as it has no path to targets or no room, and their responses.
 
 use bytes::Bytes;
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,10 +13,24 @@
 /// A header line: its name and value.
 pub type HeaderLine = (String, Vec<u8>);
 
+/// Why a host forwards a request.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ForwardCause {
+    /// It has no path to the targets.
+    #[display("path-lost")]
+    PathLost,
+    /// Its part of a bound that hosts divide is used up.
+    #[display("part-used")]
+    PartUsed,
+}
+
 /// A request that one host forwards to another, which serves it as one of its own callers. The
 /// account's quota is charged by the calling host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ForwardedRequest {
+    /// Why it is forwarded.
+    pub cause: ForwardCause,
     /// The method.
     pub method: String,
     /// The path and query.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -95,6 +95,7 @@
 pub use digest_inbox::DigestInbox;
 pub use digest_outbox::DigestOutbox;
 pub use digest_outbox::MAX_CONSECUTIVE_DELTAS;
+pub use forwarded_request::ForwardCause;
 pub use forwarded_request::ForwardedHead;
 pub use forwarded_request::ForwardedRequest;
 pub use forwarded_request::HeaderLine;
--- a/tests/brittle_targets.rs
+++ b/tests/brittle_targets.rs
@@ -17,6 +17,7 @@
 use cardamomgw::dispatch::PoolMember;
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::RequestPriority;
+use cardamomgw::ids::HostName;
 use cardamomgw::ids::PoolName;
 use cardamomgw::ids::TargetName;
 use cardamomgw::quota::UsageScope;
@@ -32,8 +33,12 @@
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
 const REJECTION_TIME: Duration = Duration::from_millis(10);
 const SLOTS: usize = 12;
+/// Number of peers to which a request is offered.
+const MAX_PEERS: usize = 3;
 /// Rejections in a second after which a target falls over.
 const MAX_REJECTIONS: usize = 5;
+/// Least share of the requests that are served where there are slots enough.
+const MIN_SERVED_SHARE: f64 = 0.85;
 /// Time from the first statement until targets let no request wait.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -41,6 +46,8 @@
 #[derive(Clone, Debug)]
 struct RunningRequest {
     host: usize,
+    /// The host that forwarded it, if one did.
+    origin: Option<usize>,
     placed: PlacedTarget,
     ends_at: Duration,
     outcome: AttemptOutcome,
@@ -49,6 +56,7 @@
 /// Hosts and targets.
 struct BrittleSimulation {
     tables: Vec<PoolTable>,
+    names: Vec<HostName>,
     targets: usize,
     engine: bool,
     /// Slots of each target that hold requests which no host knows of any more.
@@ -113,6 +121,7 @@
         };
         Self {
             tables: (0..hosts).map(table).collect(),
+            names: (0..hosts).map(|index| format!("e{index:03}")).collect(),
             targets,
             engine,
             hidden: 0,
@@ -138,6 +147,11 @@
 
     /// Runs the hosts with `arrivals` requests per second each.
     fn run(&mut self, arrivals: f64, service_time: Duration) {
+        self.run_uneven(&vec![arrivals; self.tables.len()], service_time);
+    }
+
+    /// Runs the hosts with the given requests per second.
+    fn run_uneven(&mut self, arrivals: &[f64], service_time: Duration) {
         let mut now = start();
         let mut next_gossip = now;
         while now < start() + LENGTH {
@@ -146,12 +160,13 @@
                 self.exchange_loads(now);
                 next_gossip += GOSSIP_INTERVAL;
             }
-            for host in 0..self.tables.len() {
-                if self
-                    .rng
-                    .random_bool((arrivals * TIME_STEP.as_secs_f64()).min(1.0))
-                {
-                    self.send(host, service_time, now);
+            for (host, arrivals) in arrivals.iter().enumerate() {
+                let mut expected = arrivals * TIME_STEP.as_secs_f64();
+                while expected > 0.0 {
+                    if self.rng.random_bool(expected.min(1.0)) {
+                        self.send(host, service_time, now);
+                    }
+                    expected -= 1.0;
                 }
             }
             now += TIME_STEP;
@@ -183,8 +198,7 @@
         service_time: Duration,
         now: Duration,
     ) -> Option<TargetName> {
-        let random = self.rng.random();
-        let placed = self.tables[host].place(request, now, random)?;
+        let (placed, origin, host) = self.place(host, request, now)?;
         let is_there = |held: &&RunningRequest| {
             held.placed.name == placed.name && held.outcome == AttemptOutcome::Succeeded
         };
@@ -199,6 +213,7 @@
         }
         self.running.push(RunningRequest {
             host,
+            origin,
             placed,
             ends_at: now + time,
             outcome,
@@ -206,6 +221,33 @@
         rejected_by
     }
 
+    /// Places a request at a target of its host's part, or of a peer's; returns the target, the
+    /// host that forwards the request, if any, and the one that sends it.
+    fn place(
+        &mut self,
+        host: usize,
+        request: &PlacementRequest,
+        now: Duration,
+    ) -> Option<(PlacedTarget, Option<usize>, usize)> {
+        let random = self.rng.random();
+        if let Some(placed) = self.tables[host].place(request, now, random) {
+            return Some((placed, None, host));
+        }
+        if !self.tables[host].exceeds_part(request, now) {
+            return None;
+        }
+        for _ in 0..MAX_PEERS {
+            let random = self.rng.random();
+            let peer = self.tables[host].take_peer_room(&pool(), &self.names, random, now)?;
+            let index = self.names.binary_search(&peer).unwrap();
+            if let Some(placed) = self.tables[index].place(request, now, self.rng.random()) {
+                return Some((placed, Some(host), index));
+            }
+            self.tables[host].clear_peer_room(&pool(), &peer);
+        }
+        None
+    }
+
     fn finish_requests(&mut self, now: Duration) {
         let (ended, running): (Vec<_>, Vec<_>) = std::mem::take(&mut self.running)
             .into_iter()
@@ -214,6 +256,10 @@
         for held in ended {
             self.served += usize::from(held.outcome == AttemptOutcome::Succeeded);
             self.tables[held.host].record_outcome("p", &held.placed, held.outcome, now);
+            if let Some(origin) = held.origin {
+                let peer = &self.names[held.host];
+                self.tables[origin].return_peer_room(&pool(), peer);
+            }
         }
     }
 
@@ -222,10 +268,16 @@
         let since = now.saturating_sub(GOSSIP_INTERVAL);
         let changed = |table: &PoolTable| table.changed_rejections(false, since, now);
         let rejections: Vec<_> = self.tables.iter().map(changed).collect();
+        let reaches: Vec<_> = self
+            .tables
+            .iter()
+            .map(|table| table.own_reach(now))
+            .collect();
         for (receiver, table) in self.tables.iter_mut().enumerate() {
             for (sender, loads) in loads.iter().enumerate() {
                 if sender != receiver {
-                    let host = format!("e{sender}");
+                    let host = self.names[sender].clone();
+                    table.update_peer_reach(host.clone(), reaches[sender].clone(), now);
                     table.update_peer_loads(host, loads.clone(), UsageScope::Host, now);
                     table.merge_rejections(&rejections[sender], now);
                 }
@@ -357,3 +409,27 @@
     assert!(after >= 30, "{after}");
     assert!(!simulation.engine);
 }
+
+/// Guards against a host that has most callers, or a fleet of many hosts, whose requests are refused
+/// at its part of the slots while other parts are unused.
+#[test]
+fn uneven_callers_use_the_slots_of_brittle_targets() {
+    let service_time = Duration::from_millis(400);
+    for (hosts, targets, load) in [(8, 12, 0.5), (8, 3, 0.5), (40, 12, 0.5), (8, 12, 0.8)] {
+        for share in [1.0 / hosts as f64, 0.5, 0.9] {
+            let mut simulation = BrittleSimulation::new(hosts, targets, true);
+            simulation.state(Some(MAX_REJECTIONS as f64), start());
+            let capacity = (targets * SLOTS) as f64 / service_time.as_secs_f64();
+            let total = capacity * load;
+            let mut arrivals = vec![total * (1.0 - share) / (hosts - 1) as f64; hosts];
+            arrivals[0] = total * share;
+
+            simulation.run_uneven(&arrivals, service_time);
+
+            let case = format!("{hosts} hosts, {targets} targets, load {load}, share {share}");
+            assert_eq!(simulation.falls(), 0, "{case}");
+            let served = simulation.served as f64 / (total * LENGTH.as_secs_f64());
+            assert!(served >= MIN_SERVED_SHARE, "{case}: {served}");
+        }
+    }
+}
--- a/tests/target_paths.rs
+++ b/tests/target_paths.rs
@@ -78,6 +78,7 @@
 /// Lets a peer report whether it reaches targets of the pool.
 fn report(table: &mut PoolTable, peer: &str, reaches: Option<bool>, now: Duration) {
     let reach = PoolReach {
+        room: None,
         pool: "p".into(),
         reaches,
         load: 0,
