Soak: hosts that get most new connections in turn, before brittle targets

Callers open nine in ten connections to one host for five to seven seconds, then to another, without keeping them; other hosts are killed meanwhile in half of the cases.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,6 +16,8 @@
 mod raw_link;
 #[path = "soak/soak_caller.rs"]
 mod soak_caller;
+#[path = "soak/soak_crowds.rs"]
+mod soak_crowds;
 #[path = "soak/soak_fleet.rs"]
 mod soak_fleet;
 #[path = "soak/soak_history.rs"]
@@ -50,6 +52,7 @@
 use soak_run::SoakSize;
 use soak_run::run_brittle_restart_soak;
 use soak_run::run_brittle_soak;
+use soak_run::run_crowd_soak;
 use soak_run::run_limit_soak;
 use soak_run::run_path_soak;
 use soak_run::run_response_soak;
@@ -187,6 +190,13 @@
     assert!(report_result(31, &run_brittle_soak(31)));
 }
 
+/// Guards against callers that are refused since their host has most of them, while brittle targets
+/// have room.
+#[test]
+fn crowded_hosts_serve_their_callers() {
+    assert!(report_result(53, &run_crowd_soak(53)));
+}
+
 /// Guards against streams that go on at another software version than the one that began them.
 #[test]
 fn streams_go_on_at_their_software_version() {
@@ -241,6 +251,13 @@
     run_seeds(|seed| report_result(seed, &run_brittle_restart_soak(seed)));
 }
 
+/// The same with brittle targets and hosts that get most connections.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn crowd_soak_of_many_seeds() {
+    run_seeds(|seed| report_result(seed, &run_crowd_soak(seed)));
+}
+
 /// Hosts of a fleet that gossips in groups lose their paths to all targets.
 #[test]
 #[ignore = "takes many processes; run by hand"]
--- a/tests/soak/soak_caller.rs
+++ b/tests/soak/soak_caller.rs
@@ -15,6 +15,7 @@
 use super::raw_link::RawBody;
 use super::raw_link::RawHead;
 use super::raw_link::RawLink;
+use super::soak_crowds::CROWD_SHARE;
 use super::soak_history::SentRequest;
 use super::soak_history::SoakHistory;
 use super::soak_routes::SoakRoute;
@@ -71,8 +72,11 @@
             let pause = self.rng.random_range(PAUSE_MS);
             std::thread::sleep(Duration::from_millis(pause));
             count += 1;
-            let host = self.rng.random_range(0..self.hosts.len());
-            let reuses = self.rng.random_bool(REUSE_SHARE);
+            let crowded = self.history.crowded_host();
+            let crowded = crowded.filter(|_| self.rng.random_bool(CROWD_SHARE));
+            let host = crowded.unwrap_or_else(|| self.rng.random_range(0..self.hosts.len()));
+            // Callers open new connections more often while most go to one host.
+            let reuses = self.rng.random_bool(REUSE_SHARE) && crowded.is_none();
             let link = idle[host].take().filter(|_| reuses);
             let Some(link) = link.or_else(|| connect(self.hosts[host])) else {
                 continue;
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -221,6 +221,7 @@
                     entry.target.set_brittle(rejections);
                 }
             }
+            SoakStep::CrowdHost(host) => self.history.set_crowded_host(host),
             SoakStep::SetPaths(index, mode) => {
                 let cut = &mut self.path_cuts[index];
                 if mode != PathMode::Open && cut.is_none() {
@@ -246,6 +247,7 @@
         self.rewrite_store();
         self.restore_key();
         self.apply(SoakStep::SetBrittle(None));
+        self.apply(SoakStep::CrowdHost(None));
         for index in 0..self.targets.len() {
             self.restart_target(index);
             self.apply(SoakStep::SetTargetMode(index, TargetMode::Healthy));
--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::soak_crowds::HostCrowd;
+use super::soak_crowds::check_crowds;
 use super::soak_leaving::AnnouncedLeaving;
 use super::soak_leaving::check_leaving;
 use super::soak_paths::HostCut;
@@ -100,6 +102,7 @@
     leaving: Mutex<Vec<AnnouncedLeaving>>,
     /// Hosts without paths to targets.
     cuts: Mutex<Vec<HostCut>>,
+    crowds: Mutex<Vec<HostCrowd>>,
     /// When targets fell over.
     falls: Mutex<Vec<Instant>>,
 }
@@ -271,10 +274,35 @@
         violations.extend(check_cuts(&cuts, &requests, |from, until| {
             self.was_undisturbed(from, until)
         }));
+        let crowds = self.crowds.lock().unwrap();
+        violations.extend(check_crowds(&crowds, &requests, |from, until| {
+            self.was_undisturbed(from, until)
+        }));
         violations.extend(check_recovery(&requests, hosts, recovered_by));
         violations
     }
 
+    /// Lets most new connections go to one host from now on, or to all alike.
+    pub(crate) fn set_crowded_host(&self, host: Option<usize>) {
+        let mut crowds = self.crowds.lock().unwrap();
+        let now = Instant::now();
+        if let Some(crowd) = crowds.last_mut() {
+            crowd.until.get_or_insert(now);
+        }
+        crowds.extend(host.map(|host| HostCrowd {
+            host,
+            from: now,
+            until: None,
+        }));
+    }
+
+    /// Returns the host to which most new connections go, if there is one.
+    pub(crate) fn crowded_host(&self) -> Option<usize> {
+        let crowds = self.crowds.lock().unwrap();
+        let crowd = crowds.last().filter(|crowd| crowd.until.is_none());
+        crowd.map(|crowd| crowd.host)
+    }
+
     /// Checks that in an undisturbed fleet every executed request is answered, even if its host is
     /// signalled or reconfigured meanwhile.
     fn check_answered(&self, request: &SentRequest, runs: &[&RequestArrival]) -> Option<String> {
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -71,6 +71,8 @@
     SetTargetDelay(usize, u64),
     /// All targets fall over after so many rejections in a second, or bear any number.
     SetBrittle(Option<usize>),
+    /// Most new connections go to one host, or to all alike.
+    CrowdHost(Option<usize>),
     /// The host's paths to all targets change.
     SetPaths(usize, PathMode),
     RemoveKey,
@@ -235,6 +237,37 @@
     steps
 }
 
+/// Draws hosts that get most connections in turn, while targets fall over after `rejections` in a
+/// second, and others that are killed, paused or stopped meanwhile.
+pub(crate) fn draw_crowds(rng: &mut ChaCha8Rng, hosts: usize, rejections: usize) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    let mut add = |at: u64, step: SoakStep| {
+        let at = Duration::from_millis(at);
+        steps.push(TimedStep { at, step });
+    };
+    add(500, SoakStep::SetBrittle(Some(rejections)));
+    let mut at = 3500;
+    for _ in 0..2 {
+        let crowded = rng.random_range(0..hosts);
+        add(at, SoakStep::CrowdHost(Some(crowded)));
+        if rng.random_bool(0.5) {
+            let other = (crowded + rng.random_range(1..hosts)) % hosts;
+            let killed_at = at + rng.random_range(0..2000);
+            add(killed_at, SoakStep::KillHost(other));
+            add(
+                killed_at + rng.random_range(200..1500),
+                SoakStep::StartHost(other),
+            );
+        }
+        at += rng.random_range(5000..7000);
+        add(at, SoakStep::CrowdHost(None));
+        at += rng.random_range(2500..3500);
+    }
+    add(at, SoakStep::SetBrittle(None));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Draws answers that break off, hosts that are killed, paused or stopped, and targets that leave
 /// and come back with another software version.
 pub(crate) fn draw_versions(rng: &mut ChaCha8Rng, hosts: usize, targets: usize) -> Vec<TimedStep> {
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -23,6 +23,7 @@
 use super::soak_plan::SoakStep;
 use super::soak_plan::TimedStep;
 use super::soak_plan::draw_brittle;
+use super::soak_plan::draw_crowds;
 use super::soak_plan::draw_cuts;
 use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
@@ -223,6 +224,17 @@
     run_plan(seed, rng, size, &plan)
 }
 
+/// Runs a soak with brittle targets in which hosts get most connections in turn.
+pub(crate) fn run_crowd_soak(seed: u64) -> SoakReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = SoakSize {
+        targets: 8,
+        ..SoakSize::draw(&mut rng)
+    };
+    let plan = draw_crowds(&mut rng, size.hosts, MAX_REJECTIONS);
+    run_plan(seed, rng, size, &plan)
+}
+
 fn run_plan(seed: u64, mut rng: ChaCha8Rng, size: SoakSize, plan: &[TimedStep]) -> SoakReport {
     let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
     let directory = make_directory(seed, run);
