--- a/src/edge/crash_check.rs
+++ b/src/edge/crash_check.rs
@@ -14,6 +14,7 @@
 use crate::logs::DecisionLine;
 use crate::poison::LostRun;
 use crate::poison::RequestFingerprint;
+use crate::poison::SharedParts;
 
 /// Delay between the loss of a connection and the probe of its target. A crashed process
 /// refuses connections immediately and takes seconds to restart.
@@ -38,6 +39,7 @@
     pub(crate) pool: PoolName,
     pub(crate) target: PlacedTarget,
     pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) shared_parts: SharedParts,
     /// The request's id.
     pub(crate) request: String,
     /// When it was sent to the target, and when its connection was lost.
@@ -80,5 +82,6 @@
         target: name,
         request: lost.request,
         fingerprint: fingerprint_text,
+        parts: lost.shared_parts.ids(),
     });
 }
--- a/src/edge/header_names.rs
+++ b/src/edge/header_names.rs
@@ -23,6 +23,9 @@
     pub(crate) leaving: String,
     /// Prompt tokens and maximum output tokens, separated by a comma.
     pub(crate) token_usage: String,
+    /// The parts of the prompt, as comma-separated `ID:TOKENS` entries; requests share all but the
+    /// last.
+    pub(crate) prompt_parts: String,
     /// Output tokens that the caller expects; often inaccurate.
     pub(crate) length_hint: String,
     /// Id of the last forwarded event, when a stream is resumed.
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -18,6 +18,7 @@
 use crate::metrics::RequestSeries;
 use crate::peers::ForwardCause;
 use crate::poison::RequestFingerprint;
+use crate::poison::SharedParts;
 use crate::poison::fingerprint_request;
 
 /// Delay after which a caller may try another host, when this one's view is out of date.
@@ -81,6 +82,8 @@
     pub(crate) forwarded: Option<ForwardCause>,
     /// Fingerprint that stays the same if the caller retries the request under a new id.
     pub(crate) fingerprint: RequestFingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) shared_parts: SharedParts,
 }
 
 impl RoutedRequest {
@@ -172,6 +175,8 @@
     let fingerprint = fingerprint_request(account_name, &request.message.target, &request.body);
     let authorization = request.message.headers.all("authorization").next();
     let credentials = authorization.map(<[u8]>::to_vec);
+    let pool = drawn.unwrap_or_else(|| route.pool_for(rand::random()).clone());
+    let shared_parts = shared_parts(state, &request, &pool, account_name);
     prepare_headers(state, &mut request, account_name);
     let account_tier = account.as_ref().and_then(|account| account.tier);
     let priority = RequestPriority {
@@ -189,7 +194,7 @@
         first_event_deadline: route
             .abandon_timeout
             .map_or(deadline, |timeout| deadline.min(request.arrived + timeout)),
-        pool: drawn.unwrap_or_else(|| route.pool_for(rand::random()).clone()),
+        pool,
         series: match forwarded.is_some() {
             // The peer counts the request for its account.
             true => state
@@ -208,6 +213,7 @@
         deadline,
         usage,
         fingerprint,
+        shared_parts,
         request,
         catalog: Arc::clone(&catalog),
     })
@@ -306,6 +312,27 @@
     })
 }
 
+/// Returns the parts of the prompt that other requests may share. A list that is spread over several
+/// lines is read as one (RFC 9110 section 5.3).
+fn shared_parts(
+    state: &EdgeState,
+    request: &CallerRequest,
+    pool: &str,
+    account: &str,
+) -> SharedParts {
+    let lines = request
+        .message
+        .headers
+        .all(&state.header_names.prompt_parts);
+    let lines: Vec<&str> = lines
+        .filter_map(|line| std::str::from_utf8(line).ok())
+        .collect();
+    match lines.is_empty() {
+        true => SharedParts::default(),
+        false => SharedParts::parse(&lines.join(","), pool, account),
+    }
+}
+
 /// Removes the headers that the target must not see and adds the account's name.
 fn prepare_headers(state: &EdgeState, request: &mut CallerRequest, account: &str) {
     let header_names = &state.header_names;
--- a/src/edge/suspect_filter.rs
+++ b/src/edge/suspect_filter.rs
@@ -71,6 +71,7 @@
             pool: routed.pool.clone(),
             target,
             fingerprint: routed.fingerprint,
+            shared_parts: routed.shared_parts.clone(),
             request: routed.id.clone(),
             sent_at,
             lost_at: unix_now(),
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -474,6 +474,7 @@
         brittle: "X-Brittle".into(),
         leaving: "X-Leaving".into(),
         token_usage: "X-Tokens".into(),
+        prompt_parts: "X-Parts".into(),
         length_hint: "X-Expected".into(),
         resume_after: "X-Resume-After".into(),
         resumed_request: "X-Resumes".into(),
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -430,6 +430,8 @@
         request: String,
         /// The request's fingerprint.
         fingerprint: String,
+        /// The parts of its prompt that other requests may share.
+        parts: Vec<String>,
     },
     /// A request that is rejected because it crashes targets runs once more.
     #[display("trial of a rejected request at {target}")]
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -3,6 +3,7 @@
 mod poison_entry;
 mod poison_guard;
 mod poison_table;
+mod prompt_part;
 
 pub use poison_entry::PoisonEntry;
 pub use poison_entry::RequestFingerprint;
@@ -14,3 +15,7 @@
 pub use poison_table::PoisonTable;
 use poison_table::TRIAL_TURN;
 pub use poison_table::trial_host;
+pub use prompt_part::AccountKey;
+pub use prompt_part::PartKey;
+pub use prompt_part::PromptPart;
+pub use prompt_part::SharedParts;
