--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod metrics;
 mod partitions;
+mod poison_parts;
 mod raw_target;
 mod request_limits;
 mod response_ends;
