Crash checks: further targets are probed if the first ones have crashed too

Requests that crash targets went on after many targets were gone: a crash was not confirmed, and so not marked, if the two targets that were probed for comparison had crashed as well. They were the first two in the order of names, the same on all hosts, and among those that a host does not know to be down. Up to eight are probed now, two at a time, in random order between equal ones, until one accepts a connection; a path that hangs ends this after 1.2 s as before.

--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -298,8 +298,16 @@
     }
 
     /// Returns targets whose reachability shows whether another one crashed: those of the same pool,
-    /// as the path to one pool only may be lost, of other zones first; else of other pools.
-    pub fn control_targets(&self, lost: &PlacedTarget, now: Duration) -> Vec<PathProbe> {
+    /// as the path to one pool only may be lost, of other zones first; else of other pools. Those in
+    /// `probed` are left out; `random`, between 0 and 1, decides between equal ones, as neighbours in
+    /// the order of targets may have crashed together.
+    pub fn control_targets(
+        &self,
+        lost: &PlacedTarget,
+        probed: &[TargetName],
+        random: f64,
+        now: Duration,
+    ) -> Vec<PathProbe> {
         let lost_pool = self.locations.pool_of(&lost.name);
         let in_pool = lost_pool.and_then(|pool| self.pools.get(pool));
         let mut held = in_pool.into_iter().flat_map(|pool| &pool.targets);
@@ -311,7 +319,8 @@
             let targets = pool
                 .targets
                 .iter()
-                .filter(|target| target.is_accepting() && target.record.name != lost.name);
+                .filter(|target| target.is_accepting() && target.record.name != lost.name)
+                .filter(|target| !probed.contains(&target.record.name));
             controls.extend(targets.map(|target| {
                 let other_pool = Some(name) != lost_pool;
                 let same_zone = Some(&target.record.availability_zone) == lost_zone;
@@ -324,6 +333,8 @@
                 ((other_pool, is_silent, same_zone), probe)
             }));
         }
+        let start = ((random * controls.len() as f64) as usize).min(controls.len());
+        controls.rotate_left(start);
         controls.sort_by_key(|(preference, _)| *preference);
         let any_in_pool = controls
             .first()
--- a/src/edge/path_monitor.rs
+++ b/src/edge/path_monitor.rs
@@ -19,6 +19,8 @@
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
 
+/// Maximum number of targets that are probed to tell a crash from a lost path.
+const MAX_CONTROLS: usize = 8;
 /// Time within which peers report that they lost the same targets, and interval at which their
 /// reports are looked at.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -102,14 +104,27 @@
         pool: &PoolName,
         target: &PlacedTarget,
     ) -> bool {
-        let controls = self.queue.lock_table().control_targets(target, boot_now());
-        let probes: Vec<_> = controls
-            .into_iter()
-            .map(|probe| task::spawn(probe_target(Arc::clone(self), probe)))
-            .collect();
-        for probe in probes {
-            if probe.await {
-                return true;
+        let started_at = boot_now();
+        let mut probed: Vec<TargetName> = Vec::new();
+        // Some of them may have crashed too, and refuse connections at once.
+        while probed.len() < MAX_CONTROLS && boot_now().saturating_sub(started_at) < REPORT_TIMEOUT
+        {
+            let controls = {
+                let table = self.queue.lock_table();
+                table.control_targets(target, &probed, rand::random(), boot_now())
+            };
+            if controls.is_empty() {
+                break;
+            }
+            probed.extend(controls.iter().map(|probe| probe.target.name.clone()));
+            let probes: Vec<_> = controls
+                .into_iter()
+                .map(|probe| task::spawn(probe_target(Arc::clone(self), probe)))
+                .collect();
+            for probe in probes {
+                if probe.await {
+                    return true;
+                }
             }
         }
         // Nothing of the pool is reached from here. If all of it crashed, peers report that soon.
--- a/src/edge/tests/poison_parts.rs
+++ b/src/edge/tests/poison_parts.rs
@@ -13,6 +13,7 @@
 use super::partitions::serve_request;
 use super::raw_target::RawRequest;
 use super::raw_target::RawTarget;
+use super::raw_target::write_text;
 
 /// A part that crashes targets, one that most requests share, and the parts of sound requests.
 const BAD: &str = "bad0";
@@ -172,3 +173,33 @@
 
     assert!(served.count() >= 5);
 }
+
+/// Guards against a crash that is not confirmed, as the targets that are probed for comparison have
+/// crashed as well.
+#[test]
+fn a_crash_is_confirmed_while_many_other_targets_are_down() {
+    let targets: Vec<RawTarget> = (0..40).map(|_| engine_like_target()).collect();
+    let fleet = FleetFixture::open_direct(&targets, &["za", "zb"]);
+    for host in &fleet.hosts {
+        assert!(is_served(host, "/once/x", &[COMMON], "warm"));
+    }
+    // A pool's targets are ordered by name.
+    let mut order: Vec<usize> = (0..targets.len()).collect();
+    order.sort_by_key(|index| format!("t{index}"));
+    let crash = request_with("/once/x", &[BAD], "direct");
+    for index in &order[..12] {
+        let mut stream = TcpStream::connect(targets[*index].address).unwrap();
+        write_text(&mut stream, &crash);
+    }
+    thread::sleep(PAUSE);
+
+    for number in 0..6 {
+        let request = request_with("/once/x", &[OTHER_BAD], "same");
+        let request = request.replace("X-Request: same", &format!("X-Request: same{number}"));
+        fleet.hosts[0].call(&request);
+        thread::sleep(PAUSE / 6);
+    }
+
+    let crashed = reached(&targets, &[OTHER_BAD]);
+    assert!(crashed <= 2, "{crashed} targets");
+}
--- a/tests/target_paths.rs
+++ b/tests/target_paths.rs
@@ -253,7 +253,7 @@
     let mut table = table_of(6);
     let placed = table.place(&request(), after(0), 0.0).unwrap();
 
-    let controls = table.control_targets(&placed, after(0));
+    let controls = table.control_targets(&placed, &[], 0.0, after(0));
 
     let zone = |name: &str| name[1..].parse::<usize>().unwrap() % 3;
     assert_eq!(controls.len(), 2);
