Soak: parts of prompts that crash targets, two at once, while hosts are killed, paused and stopped

Callers send requests that share all parts but one with sound ones, no two with the same body or last part.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,6 +26,8 @@
 mod soak_host;
 #[path = "soak/soak_leaving.rs"]
 mod soak_leaving;
+#[path = "soak/soak_parts.rs"]
+mod soak_parts;
 #[path = "soak/soak_paths.rs"]
 mod soak_paths;
 #[path = "soak/soak_plan.rs"]
@@ -54,6 +56,7 @@
 use soak_run::run_brittle_soak;
 use soak_run::run_crowd_soak;
 use soak_run::run_limit_soak;
+use soak_run::run_part_soak;
 use soak_run::run_path_soak;
 use soak_run::run_response_soak;
 use soak_run::run_rewind_soak;
@@ -128,6 +131,7 @@
         callers: 16,
         poison_callers: 0,
         version_callers: 0,
+        part_callers: 0,
         unframed_crashes: false,
     };
     assert!(report_result(13, &run_limit_soak(13, size, DEFAULT_LENGTH)));
@@ -143,6 +147,7 @@
         callers: 16,
         poison_callers: 0,
         version_callers: 0,
+        part_callers: 0,
         unframed_crashes: false,
     };
     assert!(report_result(17, &run_statement_soak(17, size)));
@@ -197,6 +202,12 @@
     assert!(report_result(53, &run_crowd_soak(53)));
 }
 
+/// Guards against a part of prompts that crashes one target after another in different requests.
+#[test]
+fn parts_that_crash_targets_are_rejected() {
+    assert!(report_result(59, &run_part_soak(59)));
+}
+
 /// Guards against streams that go on at another software version than the one that began them.
 #[test]
 fn streams_go_on_at_their_software_version() {
@@ -258,6 +269,13 @@
     run_seeds(|seed| report_result(seed, &run_crowd_soak(seed)));
 }
 
+/// The same with parts of prompts that crash targets.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn part_soak_of_many_seeds() {
+    run_seeds(|seed| report_result(seed, &run_part_soak(seed)));
+}
+
 /// Hosts of a fleet that gossips in groups lose their paths to all targets.
 #[test]
 #[ignore = "takes many processes; run by hand"]
@@ -268,6 +286,7 @@
         callers: 60,
         poison_callers: 0,
         version_callers: 0,
+        part_callers: 0,
         unframed_crashes: false,
     };
     assert!(report_result(43, &run_path_soak(43, Some(size))));
@@ -306,6 +325,7 @@
         callers: 80,
         poison_callers: 0,
         version_callers: 0,
+        part_callers: 0,
         unframed_crashes: false,
     };
     assert!(run_seed(11, Some(size), DEFAULT_LENGTH));
--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -8,6 +8,8 @@
 use super::soak_crowds::check_crowds;
 use super::soak_leaving::AnnouncedLeaving;
 use super::soak_leaving::check_leaving;
+use super::soak_parts::PartCrash;
+use super::soak_parts::PartRecord;
 use super::soak_paths::HostCut;
 use super::soak_paths::check_cuts;
 use super::soak_poison::TargetCrash;
@@ -103,6 +105,7 @@
     /// Hosts without paths to targets.
     cuts: Mutex<Vec<HostCut>>,
     crowds: Mutex<Vec<HostCrowd>>,
+    part_crashes: Mutex<Vec<PartCrash>>,
     /// When targets fell over.
     falls: Mutex<Vec<Instant>>,
 }
@@ -141,6 +144,14 @@
         self.crashes.lock().unwrap().push(crash);
     }
 
+    /// Records that a part of a request's prompt crashes a target.
+    pub(crate) fn record_part_crash(&self, part: &str) {
+        self.part_crashes.lock().unwrap().push(PartCrash {
+            part: part.to_owned(),
+            at: Instant::now(),
+        });
+    }
+
     /// Records that the store acknowledged that a target is leaving.
     pub(crate) fn record_leaving(&self, target: &str) {
         self.leaving.lock().unwrap().push(AnnouncedLeaving {
@@ -264,6 +275,13 @@
         };
         violations.extend(statements.check());
         violations.extend(check_crashes(&self.crashes.lock().unwrap()));
+        let parts = PartRecord {
+            crashes: &self.part_crashes.lock().unwrap(),
+            requests: &requests,
+            arrivals: &arrivals,
+            interruptions: statements.interruptions,
+        };
+        violations.extend(parts.check());
         violations.extend(check_leaving(
             &self.leaving.lock().unwrap(),
             &requests,
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -198,7 +198,7 @@
 }
 
 /// Draws one kill, pause or stop of each host.
-fn draw_host_stops(rng: &mut ChaCha8Rng, hosts: usize) -> Vec<TimedStep> {
+pub(crate) fn draw_host_stops(rng: &mut ChaCha8Rng, hosts: usize) -> Vec<TimedStep> {
     let mut steps = Vec::new();
     for host in 0..hosts {
         let at = rng.random_range(1000..UNFRAMED_MS / 2);
--- a/tests/soak/soak_poison.rs
+++ b/tests/soak/soak_poison.rs
@@ -117,7 +117,7 @@
             let host = self.rng.random_range(0..self.hosts.len());
             let request = format!("{PREFIX}-{}-{count}", self.name);
             let sent = Instant::now();
-            let status = call(self.hosts[host], route, &request, &body);
+            let status = call(self.hosts[host], route, &request, &body, "");
             self.history.record_request(SentRequest {
                 request,
                 route,
@@ -134,8 +134,14 @@
     }
 }
 
-/// Sends one request; returns the status, or 0 without a complete answer.
-fn call(host: SocketAddr, route: SoakRoute, request: &str, body: &str) -> u16 {
+/// Sends one request with `more` header lines; returns the status, or 0 without a complete answer.
+pub(crate) fn call(
+    host: SocketAddr,
+    route: SoakRoute,
+    request: &str,
+    body: &str,
+    more: &str,
+) -> u16 {
     let Ok(stream) = TcpStream::connect_timeout(&host, DEADLINE) else {
         return 0;
     };
@@ -143,7 +149,7 @@
     link.deadline = Instant::now() + DEADLINE;
     let text = format!(
         "POST {} HTTP/1.1\r\nHost: soak.example\r\n{}: {request}\r\n{}: {}\r\n\
-         Authorization: {} {PERMANENT_KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+         Authorization: {} {PERMANENT_KEY}\r\n{more}Content-Length: {}\r\n\r\n{body}",
         route.path(),
         headers::REQUEST_ID,
         headers::DEADLINE_MS,
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -20,11 +20,13 @@
 use super::soak_fleet::SoakFleet;
 use super::soak_fleet::TargetRoutes;
 use super::soak_history::SoakHistory;
+use super::soak_parts::PartCaller;
 use super::soak_plan::SoakStep;
 use super::soak_plan::TimedStep;
 use super::soak_plan::draw_brittle;
 use super::soak_plan::draw_crowds;
 use super::soak_plan::draw_cuts;
+use super::soak_plan::draw_host_stops;
 use super::soak_plan::draw_limits;
 use super::soak_plan::draw_plan;
 use super::soak_plan::draw_responses;
@@ -32,6 +34,7 @@
 use super::soak_plan::draw_versions;
 use super::soak_poison::CrashPoint;
 use super::soak_poison::PoisonCaller;
+use super::soak_routes::SoakRoute;
 use super::soak_target::TargetMode;
 use super::soak_versions::VersionCaller;
 use super::soak_versions::VersionCounts;
@@ -67,6 +70,8 @@
     pub(crate) poison_callers: usize,
     /// Callers that ask for the rest of broken streams, of targets of two software versions.
     pub(crate) version_callers: usize,
+    /// Callers some of whose requests have a part that crashes targets.
+    pub(crate) part_callers: usize,
     /// Whether targets crash within responses without a length, rather than others.
     pub(crate) unframed_crashes: bool,
 }
@@ -90,6 +95,7 @@
             callers: 16,
             poison_callers: 0,
             version_callers: 0,
+            part_callers: 0,
             unframed_crashes: false,
         }
     }
@@ -185,6 +191,7 @@
         callers: 60,
         poison_callers: 0,
         version_callers: 0,
+        part_callers: 0,
         unframed_crashes: false,
     };
     let step = |at: u64, step: SoakStep| TimedStep {
@@ -224,6 +231,20 @@
     run_plan(seed, rng, size, &plan)
 }
 
+/// Runs a soak in which parts of prompts crash the targets that run them, while hosts are killed,
+/// paused and stopped.
+pub(crate) fn run_part_soak(seed: u64) -> SoakReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = SoakSize {
+        targets: 16,
+        callers: 8,
+        part_callers: 8,
+        ..SoakSize::draw(&mut rng)
+    };
+    let plan = draw_host_stops(&mut rng, size.hosts);
+    run_plan(seed, rng, size, &plan)
+}
+
 /// Runs a soak with brittle targets in which hosts get most connections in turn.
 pub(crate) fn run_crowd_soak(seed: u64) -> SoakReport {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -293,6 +314,17 @@
         };
         thread::spawn(move || caller.run())
     }));
+    callers.extend((0..size.part_callers).map(|number| {
+        let caller = PartCaller {
+            name: format!("{seed}-{number}"),
+            hosts: fleet.caller_addresses(),
+            route: SoakRoute::ALL[number % SoakRoute::ALL.len()],
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+            history: Arc::clone(&history),
+            stop: Arc::clone(&stop),
+        };
+        thread::spawn(move || caller.run())
+    }));
     let faults_from = Instant::now();
     let trace = apply_steps(plan, &mut fleet, &history);
     fleet.clear_faults();
@@ -319,7 +351,9 @@
 fn target_routes(size: SoakSize, plan: &[TimedStep]) -> TargetRoutes {
     let crashes = |step: &TimedStep| matches!(step.step, SoakStep::SetBrittle(_));
     let cuts = |step: &TimedStep| matches!(step.step, SoakStep::SetPaths(..));
-    if size.poison_callers + size.version_callers > 0 || plan.iter().any(crashes) {
+    if size.poison_callers + size.version_callers + size.part_callers > 0
+        || plan.iter().any(crashes)
+    {
         TargetRoutes::Direct
     } else if plan.iter().any(cuts) {
         TargetRoutes::Paths
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -19,6 +19,7 @@
 use super::raw_link::RawLink;
 use super::soak_history::RequestArrival;
 use super::soak_history::SoakHistory;
+use super::soak_parts::crashing_part;
 use super::soak_poison::CrashPoint;
 use super::soak_poison::TargetCrash;
 use super::soak_routes::SoakRoute;
@@ -275,6 +276,8 @@
             };
             let body = link.read_body(&head);
             let crash_point = CrashPoint::from_body(&body.bytes);
+            let crash_point =
+                crash_point.or_else(|| crashing_part(&head).map(|_| CrashPoint::InBody));
             if !body.complete || !self.serve_request(&mut link, &head, crash_point) {
                 return;
             }
@@ -339,10 +342,13 @@
         }
         if let Some(point) = crash_point {
             thread::sleep(EXECUTION_TIME);
-            self.history.record_crash(TargetCrash {
-                request: request.to_owned(),
-                target: identity.name.clone(),
-            });
+            match crashing_part(head) {
+                Some(part) => self.history.record_part_crash(part),
+                None => self.history.record_crash(TargetCrash {
+                    request: request.to_owned(),
+                    target: identity.name.clone(),
+                }),
+            }
             let opening = stream_head(&identity.name, request, &limit);
             let partial = point.partial_response(&opening, &stream_event(request, 1));
             link.write(&partial).ok();
