--- a/src/edge/tests/crowded_hosts.rs
+++ b/src/edge/tests/crowded_hosts.rs
@@ -15,6 +15,9 @@
 use super::edge_fixture::FleetFixture;
 use super::edge_fixture::request_for;
 use super::edge_fixture::status_of;
+use super::group_partitions::first_group;
+use super::group_partitions::form_groups;
+use super::group_partitions::zones_of_groups;
 use super::partitions::send_many;
 use super::partitions::serve_request;
 use super::partitions::served_share;
@@ -139,6 +142,27 @@
     assert!(share >= MIN_SERVED_SHARE, "{share}: {statuses:?}");
 }
 
+/// Guards against a crowded host of a group, which gets the reports of its leader only.
+#[test]
+fn a_host_of_a_group_that_has_most_callers_uses_the_slots_of_its_peers() {
+    let targets: Vec<BrittleTarget> = (0..12).map(|_| brittle_target()).collect();
+    let raw: Vec<RawTarget> = targets.iter().map(|held| held.target.clone()).collect();
+    let fleet = FleetFixture::open(&raw, &zones_of_groups());
+    let (_, members) = first_group();
+    let crowded = members[0];
+    form_groups(&fleet);
+
+    send_many(&fleet, crowded, "early", CONTACT_TIME);
+    let statuses = send_many(&fleet, crowded, "late", CONTACT_TIME);
+
+    let crashes = targets
+        .iter()
+        .map(|held| held.crashes.load(Ordering::Acquire));
+    assert_eq!(crashes.sum::<usize>(), 0);
+    let share = served_share(&statuses);
+    assert!(share >= MIN_SERVED_SHARE, "{share}: {statuses:?}");
+}
+
 /// A target that asks for a pause in answers to one path, and serves all others.
 fn pausing_target() -> RawTarget {
     RawTarget::spawn(|request: &RawRequest, stream: &mut TcpStream| {
--- a/tests/request_limits.rs
+++ b/tests/request_limits.rs
@@ -241,3 +241,47 @@
     let sent = simulation.run(start(), Duration::from_secs(1));
     assert!(sent.len() >= 12, "{}", sent.len());
 }
+
+/// Guards against a host that has all callers and sends in its own windows only, while those of its
+/// peers pass unused.
+#[test]
+fn a_host_with_all_callers_uses_the_windows_of_its_peers() {
+    let (hosts, per_second) = (8, 8.0);
+    let mut simulation = LimitSimulation::new(hosts);
+    simulation.announce_limit(Some(per_second), start());
+    let names: Vec<String> = (0..hosts).map(|index| format!("e{index}")).collect();
+    let mut sent = Vec::new();
+    let mut running = Vec::new();
+    let from = start() + MAX_DELAY;
+    let mut now = from;
+    while now < from + LENGTH {
+        for (index, name) in names.iter().enumerate().skip(1) {
+            let reach = simulation.tables[index].own_reach(now);
+            simulation.tables[0].update_peer_reach(name.clone(), reach, now);
+        }
+        let own = simulation.tables[0].place(&request(now), now, simulation.rng.random());
+        let exceeds = own.is_none() && simulation.tables[0].exceeds_part(&request(now), now);
+        let random = simulation.rng.random();
+        let peer = exceeds
+            .then(|| simulation.tables[0].take_peer_room(&POOL.into(), &names, random, now))
+            .flatten();
+        let index = peer.map_or(0, |peer| names.binary_search(&peer).unwrap());
+        let placed = own.or_else(|| {
+            let random = simulation.rng.random();
+            simulation.tables[index].place(&request(now), now, random)
+        });
+        if let Some(placed) = placed {
+            sent.push(now);
+            running.push((now + SERVICE_TIME, index, placed));
+        }
+        for (_, host, placed) in running.extract_if(.., |(end, _, _)| *end <= now) {
+            simulation.tables[host].record_outcome(POOL, &placed, AttemptOutcome::Succeeded, now);
+        }
+        now += TIME_STEP;
+    }
+
+    let most = most_in_a_window(&sent) as f64;
+    assert!(most <= allowed(per_second), "{most}");
+    let used = sent.len() as f64 / LENGTH.as_secs_f64() / per_second;
+    assert!(used >= 0.5, "{used}");
+}
