--- a/src/errors.rs
+++ b/src/errors.rs
@@ -361,18 +361,18 @@
         "targets were lost to requests like this one",
     ),
     row(
-        ErrorKind::SuspectPrompt,
+        ErrorKind::VersionUnknown,
         503,
         RequestOutcome::NotRun,
         RetryAdvice::AfterDelay,
-        "targets were lost to requests with a part of this prompt; a retry is of no use before the delay",
+        "it is not known which software version began the stream; another host may know",
     ),
     row(
-        ErrorKind::VersionUnknown,
+        ErrorKind::SuspectPrompt,
         503,
         RequestOutcome::NotRun,
         RetryAdvice::AfterDelay,
-        "it is not known which software version began the stream; another host may know",
+        "targets were lost to requests with a part of this prompt; a retry is of no use before the delay",
     ),
     row(
         ErrorKind::Internal,
