--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -8,6 +8,8 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -46,6 +48,10 @@
 
 /// Port at which the hosts of a fleet listen for each other, each at an address of its own.
 const PEER_PORT: u16 = 7600;
+/// Number of hosts from which on a fleet is large, and held while one runs: several at once take so
+/// much time from each other that requests time out.
+const LARGE_FLEET: usize = 16;
+static LARGE_FLEETS: Mutex<()> = Mutex::new(());
 /// Number of the next fleet of this process.
 static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
 
@@ -82,6 +88,7 @@
     pub(super) hosts: Vec<EdgeFixture>,
     /// The paths of each host, in the order of the targets.
     paths: Vec<Vec<PathLink>>,
+    _large: Option<MutexGuard<'static, ()>>,
 }
 
 impl FleetFixture {
@@ -116,6 +123,8 @@
         let mut fixture = Self {
             hosts: Vec::new(),
             paths: Vec::new(),
+            _large: (zones.len() >= LARGE_FLEET)
+                .then(|| LARGE_FLEETS.lock().unwrap_or_else(PoisonError::into_inner)),
         };
         for (index, zone) in zones.iter().enumerate() {
             let paths = open_paths();
