--- a/src/dispatch/divided_pools.rs
+++ b/src/dispatch/divided_pools.rs
@@ -1,7 +1,7 @@
 //! Pools whose targets have bounds that hosts divide among them.
 //!
 //! Each host keeps to its part of the slots of brittle targets, and of the rates of cold and of
-//! limited ones, so that the bounds hold whatever it hears of the others. Callers are not divided
+//! limited ones, whatever the others report, so that the bounds hold. Callers are not divided
 //! evenly: a host whose part is used up offers requests to peers that have room in theirs.
 
 use std::time::Duration;
