Edge tests: print the hosts' log lines of a failed test; a peer without room is arranged surely

The hosts' logs went nowhere, so the run itself can't be traced. Ruled out by a run: the retry budget (one request before the pause still asks both targets). Left as causes: only one of the targets was asked for the pause, or the host took its paths for lost.

Change: hosts of the edge tests keep their last log lines and print them if the test fails. The test asks for the pause until each target has stated it; its checks are the same.

--- a/src/edge/tests/crowded_hosts.rs
+++ b/src/edge/tests/crowded_hosts.rs
@@ -176,14 +176,31 @@
     })
 }
 
+/// Sends requests to a host until each target has asked for a pause.
+fn pause_targets(fleet: &FleetFixture, host: usize, targets: &[RawTarget]) {
+    let is_paused = |target: &RawTarget| {
+        let mut received = target.received().into_iter();
+        received.any(|request| request.text.starts_with("POST /again/pause"))
+    };
+    let started_at = Instant::now();
+    for number in 0.. {
+        if targets.iter().all(is_paused) {
+            return;
+        }
+        let waited = started_at.elapsed();
+        assert!(waited < CONTACT_TIME, "{number} requests, one target idle");
+        let request = request_for("/again/pause", &format!("pause{number}"));
+        fleet.hosts[host].call(&request);
+    }
+}
+
 /// Guards against a forwarded request that ends at a peer without room while another has room.
 #[test]
 fn a_forwarded_request_that_a_peer_has_no_room_for_is_offered_to_another() {
     let targets: Vec<RawTarget> = (0..2).map(|_| pausing_target()).collect();
     let fleet = FleetFixture::open(&targets, &["za", "za", "zb"]);
     send_to_all(&fleet, Duration::from_millis(300));
-    // The targets want no requests of the second host for a while.
-    fleet.hosts[1].call(&request_for("/again/pause", "pause"));
+    pause_targets(&fleet, 1, &targets);
     fleet.set_paths(0, PathMode::Reset);
     thread::scope(|scope| {
         scope.spawn(|| send_many(&fleet, 2, "peer", CONTACT_TIME * 2));
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -20,6 +20,7 @@
 use standins::PathMode;
 
 use super::raw_target::RawTarget;
+use super::recent_lines::RecentLines;
 use crate::catalog::CallKind;
 use crate::catalog::CallerLimits;
 use crate::catalog::CatalogParts;
@@ -80,9 +81,18 @@
     /// Where readiness probes are answered.
     pub(super) ready_address: SocketAddr,
     metrics_address: SocketAddr,
+    lines: RecentLines,
     _host: EdgeHost,
 }
 
+impl Drop for EdgeFixture {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.lines.print(&self.address.to_string());
+        }
+    }
+}
+
 /// Hosts that are each other's peers, and their paths to the targets.
 pub(super) struct FleetFixture {
     pub(super) hosts: Vec<EdgeFixture>,
@@ -348,7 +358,8 @@
             loader: Arc::new(FixedLoader(settings.clone())),
             settings,
         };
-        let log = DecisionLog::open_on(LineQueue::spawn(std::io::sink())).unwrap();
+        let lines = RecentLines::default();
+        let log = DecisionLog::open_on(LineQueue::spawn(lines.clone())).unwrap();
         let host = task::block_on(EdgeHost::start_with_log(dependencies, log)).unwrap();
         let addresses = host.addresses;
         Self {
@@ -356,6 +367,7 @@
             address: addresses.caller,
             ready_address: addresses.ready,
             metrics_address: addresses.metrics.unwrap(),
+            lines,
             _host: host,
         }
     }
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -14,6 +14,7 @@
 mod partitions;
 mod poison_parts;
 mod raw_target;
+mod recent_lines;
 mod request_limits;
 mod response_ends;
 mod responses;
