Test that fails: a crashing request sent again before the crash check ends

A loss counts only when its check has ended; the caller's pause of 150 ms is longer than the check except on a busy machine.

--- a/src/edge/tests/crashing_requests.rs
+++ b/src/edge/tests/crashing_requests.rs
@@ -1,6 +1,7 @@
 //! Requests that crash each target that runs them, and callers that send them again.
 
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use super::edge_fixture::EdgeFixture;
@@ -61,47 +62,41 @@
     }
 }
 
-/// Returns how many targets crash while a caller sends a request again and again to the host that
-/// `open` starts.
-fn crashed_targets(
+/// Sends a request again and again to the host that `open` starts, `pause` after each answer, and asserts that it crashes
+/// between one and `max` targets.
+fn assert_crashed(
     open: impl FnOnce(&[RawTarget]) -> EdgeFixture,
     path: &str,
     point: CrashPoint,
-) -> usize {
+    pause: Duration,
+    max: usize,
+) {
     let targets: Vec<RawTarget> = (0..TARGETS).map(|_| crashing_target(point)).collect();
     let host = open(&targets);
 
     for number in 0..TARGETS {
         let answer = host.call_to_end(&request_for(path, &format!("id{number}")));
         assert!(!answer.is_complete(200), "{answer:?}");
-        thread::sleep(RESEND_PAUSE);
+        thread::sleep(pause);
     }
 
     let crashed = |target: &&RawTarget| !target.received().is_empty();
-    targets.iter().filter(crashed).count()
+    let count = targets.iter().filter(crashed).count();
+    assert!((1..=max).contains(&count), "{path}, {point:?}: {count}");
 }
 
 /// Asserts that a request on `path` crashes few targets, whenever it does so.
-fn assert_few_crash(path: &'static str, points: &[CrashPoint]) {
-    let running: Vec<_> = points
-        .iter()
-        .map(|point| {
-            (
-                *point,
-                thread::spawn({
-                    let point = *point;
-                    move || crashed_targets(EdgeFixture::open, path, point)
-                }),
-            )
-        })
-        .collect();
-    let counts: Vec<_> = running
-        .into_iter()
-        .map(|(point, thread)| (point, thread.join().unwrap()))
-        .collect();
-
-    let is_few = |(_, count): &(CrashPoint, usize)| (1..=MAX_CRASHED).contains(count);
-    assert!(counts.iter().all(is_few), "{path}: {counts:?}");
+fn assert_few_crash(path: &'static str, points: &[CrashPoint], pause: Duration) {
+    let running = points.iter().map(|point| {
+        let point = *point;
+        thread::spawn(move || assert_crashed(EdgeFixture::open, path, point, pause, MAX_CRASHED))
+    });
+    join_all(running.collect());
+}
+
+fn join_all(threads: Vec<JoinHandle<()>>) {
+    let results: Vec<_> = threads.into_iter().map(JoinHandle::join).collect();
+    assert!(results.iter().all(Result::is_ok));
 }
 
 const CALL_POINTS: [CrashPoint; 6] = [
@@ -126,36 +121,60 @@
 /// Guards against a request whose targets crash in the body of the response, again and again.
 #[test]
 fn a_crashing_call_takes_down_two_targets_at_most() {
-    assert_few_crash("/once/x", &CALL_POINTS);
+    assert_few_crash("/once/x", &CALL_POINTS, RESEND_PAUSE);
 }
 
 /// Guards against retries that take a crashing request to further targets.
 #[test]
 fn a_crashing_call_that_is_retried_takes_down_two_targets_at_most() {
-    assert_few_crash("/again/x", &CALL_POINTS);
+    assert_few_crash("/again/x", &CALL_POINTS, RESEND_PAUSE);
 }
 
 /// Guards against a request whose targets crash in the middle of their streams.
 #[test]
 fn a_crashing_stream_takes_down_two_targets_at_most() {
-    assert_few_crash("/stream/x", &STREAM_POINTS);
+    assert_few_crash("/stream/x", &STREAM_POINTS, RESEND_PAUSE);
 }
 
 /// Guards against resumptions that take a crashing stream to further targets.
 #[test]
 fn a_crashing_stream_that_is_resumed_takes_down_two_targets_at_most() {
-    assert_few_crash("/resume/x", &STREAM_POINTS);
+    assert_few_crash("/resume/x", &STREAM_POINTS, RESEND_PAUSE);
 }
 
 /// Guards against a restarted host that knows of no crash, as its peers are paused or gone, and
 /// sends a request that they reject to two targets more.
 #[test]
 fn a_starting_host_without_peers_loses_one_target_to_a_request() {
-    let crashes = ["/once/x", "/again/x", "/stream/x", "/resume/x"].map(|path| {
-        thread::spawn(move || crashed_targets(EdgeFixture::open_alone, path, CrashPoint::AfterHead))
+    let running = ["/once/x", "/again/x", "/stream/x", "/resume/x"].map(|path| {
+        thread::spawn(move || {
+            let point = CrashPoint::AfterHead;
+            assert_crashed(EdgeFixture::open_alone, path, point, RESEND_PAUSE, 1);
+        })
     });
+    join_all(running.into());
+}
 
-    let crashes = crashes.map(|crashes| crashes.join().unwrap());
+/// Guards against a request that is sent to further targets while the losses of earlier ones are
+/// being checked.
+#[test]
+fn a_crashing_request_that_is_sent_again_at_once_takes_down_two_targets_at_most() {
+    for path in ["/once/x", "/again/x"] {
+        assert_few_crash(path, &CALL_POINTS, Duration::ZERO);
+    }
+    for path in ["/stream/x", "/resume/x"] {
+        assert_few_crash(path, &STREAM_POINTS, Duration::ZERO);
+    }
+}
 
-    assert_eq!(crashes, [1; 4]);
+/// Guards against a starting host that sends a request again while a loss is being checked.
+#[test]
+fn a_starting_host_checks_a_loss_before_it_sends_the_request_again() {
+    let running = ["/once/x", "/again/x", "/stream/x", "/resume/x"].map(|path| {
+        thread::spawn(move || {
+            let point = CrashPoint::AfterHead;
+            assert_crashed(EdgeFixture::open_alone, path, point, Duration::ZERO, 1);
+        })
+    });
+    join_all(running.into());
 }
