Crash checks that have not ended count before a request is sent again

A loss was recorded only when the check of its target had ended, so a request that had lost one or two targets was sent to a third while the checks ran.

Change: a host knows for which targets a request's checks run. Where the known losses and those may have the request rejected, it waits for their end, for a second at most, before it looks for a peer or a slot; it looks again before the request is written. A loss of such a request is answered when the checks have ended, so that the caller's next try is decided. If they take longer, the request is refused as not run. `serve` records a loss at once and needs no change. The log's and protocol's formats are the same.

Other hosts learn of a loss only when its check has ended, as before.

--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -187,6 +187,9 @@
         }
         let mut unreachable = 0;
         loop {
+            if !self.wait_for_checks().await {
+                return self.fail(ErrorKind::SuspectRequest).await;
+            }
             match self.decide_forward().await {
                 ForwardDecision::Own => {}
                 ForwardDecision::Nowhere => return self.refuse_unforwarded().await,
@@ -219,7 +222,7 @@
             };
             // Both may have changed while the connection was opened.
             let has_left = self.caller.has_disconnected().await;
-            if has_left || !slot.may_send() {
+            if has_left || !slot.may_send() || self.is_undecided() {
                 let target = slot.target().incarnation();
                 self.state.connections.put_unused(&target, connection);
                 match has_left {
@@ -385,7 +388,7 @@
                 if cause.may_be_crash() {
                     self.look_for_crash(placed, sent_at).await;
                 }
-                let may_crash_more = was_suspect || !self.state.is_informed() && self.is_refused();
+                let may_crash_more = was_suspect || self.is_refused() || self.is_undecided();
                 let is_retryable = self.routed.kind.is_retryable() && !may_crash_more;
                 (cause.to_string(), is_retryable, ErrorKind::TargetLost)
             }
--- a/src/edge/suspect_filter.rs
+++ b/src/edge/suspect_filter.rs
@@ -6,8 +6,8 @@
 use async_std::future::timeout;
 use async_std::task;
 
+use super::crash_check::CrashCheck;
 use super::crash_check::LostRequest;
-use super::crash_check::check_crash;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
 use super::request_execution::RequestExecution;
@@ -33,6 +33,10 @@
 
 /// Maximum time that a retry waits for the outcome of a crash check.
 const CHECK_WAIT: Duration = Duration::from_millis(150);
+/// Maximum time that a request waits for crash checks that may have it rejected, and interval at
+/// which it looks at them. A check takes longer only if no target is reached.
+const MAX_CHECK_WAIT: Duration = Duration::from_secs(1);
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 impl EdgeState {
     /// Returns whether a request is rejected because it crashes targets: after two crashes, or one if
@@ -42,6 +46,16 @@
         table.is_refused(fingerprint) || !self.is_informed() && table.is_suspect(fingerprint)
     }
 
+    /// Returns whether crash checks that have not ended decide whether a request is rejected.
+    pub(crate) fn is_undecided(&self, fingerprint: RequestFingerprint) -> bool {
+        let checked = self.poison.checked_targets(fingerprint);
+        if checked == 0 || self.is_refused(fingerprint) {
+            return false;
+        }
+        let table = self.poison.table();
+        !self.is_informed() || table.is_refused_after(fingerprint, checked)
+    }
+
     /// Returns why a request is rejected as one that crashes targets, by itself or by a part of its
     /// prompt; `None` if it is not.
     pub(crate) fn suspicion(&self, routed: &RoutedRequest) -> Option<ErrorKind> {
@@ -122,8 +136,8 @@
     /// Looks for a crash of the target. A crash may come at any point of a response: an engine
     /// sends the head before it starts to run the request.
     ///
-    /// A host that does not know what its peers reject waits for the outcome, which decides
-    /// whether the request may be retried; so does one that may reject a part of its prompt next.
+    /// Where the outcome decides whether the request or a part of its prompt is rejected, this waits
+    /// for it: the request may be retried, or its caller may send it again.
     pub(super) async fn look_for_crash(&self, target: PlacedTarget, sent_at: UnixMillis) {
         let routed = self.routed;
         let state = Arc::clone(self.state);
@@ -137,12 +151,32 @@
             sent_at,
             lost_at: unix_now(),
         };
-        let check = task::spawn(check_crash(state, lost));
-        if !self.state.is_informed() || self.state.parts.is_suspect(&routed.shared_parts) {
+        let check = task::spawn(CrashCheck::begin(state, lost).run());
+        if self.state.is_undecided(routed.fingerprint) {
+            self.wait_for_checks().await;
+        } else if self.state.parts.is_suspect(&routed.shared_parts) {
             timeout(CHECK_WAIT, check).await.ok();
         }
     }
 
+    /// Waits for the crash checks that decide whether the request is rejected; returns whether they
+    /// have ended.
+    pub(super) async fn wait_for_checks(&self) -> bool {
+        let deadline = (boot_now() + MAX_CHECK_WAIT).min(self.routed.deadline);
+        while self.is_undecided() {
+            if boot_now() >= deadline {
+                return false;
+            }
+            task::sleep(CHECK_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Returns whether crash checks that have not ended decide whether the request is rejected.
+    pub(super) fn is_undecided(&self) -> bool {
+        self.state.is_undecided(self.routed.fingerprint)
+    }
+
     /// Waits until no other suspect of this host runs at the target of a suspect, for a while: of
     /// two suspects at a target that crashes, either may be the cause.
     pub(super) async fn acquire_exclusive(&self, slot: &SlotGuard) -> SuspectGuard<'a> {
--- a/src/poison/poison_guard.rs
+++ b/src/poison/poison_guard.rs
@@ -34,6 +34,8 @@
     changed_at: Mutex<SortedMap<RequestFingerprint, Duration>>,
     /// The suspect that runs on each target.
     running: Mutex<SortedMap<TargetName, RequestFingerprint>>,
+    /// Targets that closed the connection of each request and may have crashed.
+    checked: Mutex<SortedMap<RequestFingerprint, Vec<TargetName>>>,
     /// When this host last ran a trial of each rejected request.
     trials: Mutex<SortedMap<RequestFingerprint, UnixMillis>>,
 }
@@ -92,6 +94,35 @@
         self.mark_changed(fingerprint);
     }
 
+    /// Records that this host checks whether a target crashed that ran the request.
+    pub(crate) fn begin_check(&self, fingerprint: RequestFingerprint, target: &TargetName) {
+        let mut checked = lock(&self.checked);
+        let targets = checked.get_or_insert_with(fingerprint, Vec::new);
+        targets.push(target.clone());
+        targets.sort();
+    }
+
+    /// Records that a check has ended.
+    pub(crate) fn end_check(&self, fingerprint: RequestFingerprint, target: &TargetName) {
+        let mut checked = lock(&self.checked);
+        let Some(targets) = checked.get_mut(&fingerprint) else {
+            return;
+        };
+        if let Ok(index) = targets.binary_search(target) {
+            targets.remove(index);
+        }
+        if targets.is_empty() {
+            checked.remove(&fingerprint);
+        }
+    }
+
+    /// Returns the number of targets for which it is not known yet whether the request crashed them.
+    pub(crate) fn checked_targets(&self, fingerprint: RequestFingerprint) -> usize {
+        let checked = lock(&self.checked);
+        let targets = checked.get(&fingerprint);
+        targets.map_or(0, |targets| targets.chunk_by(TargetName::eq).count())
+    }
+
     /// Returns whether the request is rejected. One that is due for a trial is not, if it is the
     /// turn of this host; `hosts` returns all hosts that serve, with this one first.
     pub(crate) fn is_rejected(
--- a/src/poison/poison_table.rs
+++ b/src/poison/poison_table.rs
@@ -128,6 +128,11 @@
         self.count_losses(fingerprint) >= MAX_LOSSES
     }
 
+    /// Returns whether the request is rejected once `more` targets were lost while they ran it.
+    pub fn is_refused_after(&self, fingerprint: RequestFingerprint, more: usize) -> bool {
+        self.count_losses(fingerprint) + more >= MAX_LOSSES
+    }
+
     /// Returns when a rejected request may run once more, if its last trial on this host was at
     /// `last_trial`; `None` if it is not rejected.
     ///
