Tests of stream versions wait until each host has the target list

Two streams of the failed run were resumed with `no-target`: they began before their host knew the versions, 300 ms after these were written.

Change: the tests wait until each host logs the new revision of the target list, in place of a fixed time. The checks are the same.

--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -47,6 +47,8 @@
 use crate::view::TargetRecord;
 use crate::view::ViewUpdate;
 
+/// Time within which a host learns of a change of the store.
+const VIEW_TIMEOUT: Duration = Duration::from_secs(5);
 /// Port at which the hosts of a fleet listen for each other, each at an address of its own.
 const PEER_PORT: u16 = 7600;
 /// Number of hosts from which on a fleet is large, and held while one runs: several at once take so
@@ -372,6 +374,16 @@
         }
     }
 
+    /// Waits until the host has a revision of the target list.
+    pub(super) fn wait_revision(&self, number: u64) {
+        let started_at = Instant::now();
+        let revision = format!(r#""revision":{{"era":0,"number":{number}}}"#);
+        while !self.lines.contain(&revision) {
+            assert!(started_at.elapsed() < VIEW_TIMEOUT, "{revision}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Waits until the readiness probe reports the wanted state.
     pub(super) fn wait_ready(&self, wanted: bool) {
         let started_at = Instant::now();
--- a/src/edge/tests/recent_lines.rs
+++ b/src/edge/tests/recent_lines.rs
@@ -16,6 +16,12 @@
 }
 
 impl RecentLines {
+    /// Returns whether one of the lines contains `text`.
+    pub(super) fn contain(&self, text: &str) -> bool {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().any(|line| line.contains(text))
+    }
+
     /// Prints the lines under the name of the host.
     pub(super) fn print(&self, host: &str) {
         for line in &*self.lines.lock().unwrap() {
--- a/src/edge/tests/stream_versions.rs
+++ b/src/edge/tests/stream_versions.rs
@@ -21,8 +21,6 @@
 /// Number of streams that are begun and resumed. With one in two by chance at the same version,
 /// all of them can't be.
 const STREAMS: usize = 16;
-/// Time within which all hosts know a change of the store.
-const VIEW_TIME: Duration = Duration::from_millis(300);
 
 /// Serves streams of three events, or the rest of one.
 fn serve_stream(request: &RawRequest, stream: &mut TcpStream) -> bool {
@@ -68,12 +66,19 @@
     targets.iter().position(has_received)
 }
 
+/// Waits until all hosts have a revision of the target list.
+fn wait_revision(fleet: &FleetFixture, number: u64) {
+    for host in &fleet.hosts {
+        host.wait_revision(number);
+    }
+}
+
 /// Writes the versions `v1, v1, v2, v2` to the store of each host.
 fn set_two_versions(fleet: &FleetFixture) {
     for host in &fleet.hosts {
         host.store.set_versions(2, &["v1", "v1", "v2", "v2"]);
     }
-    thread::sleep(VIEW_TIME);
+    wait_revision(fleet, 2);
 }
 
 /// Begins streams at one host, as attempts whose ids begin with `name`.
@@ -110,7 +115,7 @@
         let targets = targets_of(4, break_stream);
         let host = EdgeFixture::open(&targets);
         host.store.set_versions(2, &versions);
-        thread::sleep(VIEW_TIME);
+        host.wait_revision(2);
 
         for number in 0..STREAMS {
             let id = format!("first{number}");
@@ -214,12 +219,12 @@
     for host in &fleet.hosts {
         host.store.set_versions(2, &["v1", "v1", "v1", "v1"]);
     }
-    thread::sleep(VIEW_TIME);
+    wait_revision(&fleet, 2);
     begin_streams(&fleet.hosts[0], "first");
     for host in &fleet.hosts {
         host.store.set_versions(3, &["v1", "v1", "v2", "v2"]);
     }
-    thread::sleep(VIEW_TIME);
+    wait_revision(&fleet, 3);
 
     for number in 0..STREAMS {
         let id = format!("second{number}");
