Test that fails: a peer avoids targets that the forwarding host doesn't reach

Cause, by the lines of a_forwarded_stream_goes_on_at_its_version: a cut host found the two targets of a version unreachable, forwarded the request with both as tried, and the peer, which reaches them, kept it for 1.5 s and refused it as overloaded.

Change: a test with two targets. The first request of a cut host is answered 503 after 1.5 s, those after it are served.

--- a/src/edge/tests/partitions.rs
+++ b/src/edge/tests/partitions.rs
@@ -21,6 +21,8 @@
 const CUT_MODES: [PathMode; 3] = [PathMode::Reset, PathMode::Refusing, PathMode::Hanging];
 /// Time from the start of a partition within which its hosts serve their callers again.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time within which peers report that they reach targets.
+const REPORT_TIME: Duration = Duration::from_millis(300);
 /// Least share of the first attempts that hosts without a path serve.
 const MIN_SERVED_SHARE: f64 = 0.67;
 
@@ -341,6 +343,25 @@
     assert!((1000..=2000).contains(&left), "{left}");
 }
 
+/// Guards against a peer that does not use a target because the host that forwards the request does
+/// not reach it.
+#[test]
+fn a_forwarded_request_runs_at_a_target_that_its_own_host_does_not_reach() {
+    let targets = healthy_targets(2);
+    let fleet = FleetFixture::open(&targets, &["za", "za", "zb"]);
+    for host in [1, 2] {
+        send_many(&fleet, host, &format!("peer{host}"), REPORT_TIME);
+    }
+    fleet.set_paths(0, PathMode::Reset);
+
+    let statuses: Vec<u16> = (0..4)
+        .map(|number| request_for("/once/x", &format!("cut{number}")))
+        .map(|request| status_of(&fleet.hosts[0].call(&request)))
+        .collect();
+
+    assert_eq!(statuses, [200; 4]);
+}
+
 /// Guards against a request that is forwarded again after a peer has sent it to all targets that
 /// its route allows.
 #[test]
