A peer uses targets that the forwarding host did not reach

A host recorded targets that accepted no connection from it as tried, and passed them on with a forwarded request. In a pool of few targets, or where a stream goes on at one version of few, the peer had none left, held the request for 1.5 s and refused it.

Change: a request keeps the targets to which it was sent apart from those that its host did not reach. The host avoids both, a peer only the first. The message has the same form.

--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -94,7 +94,10 @@
     pub(super) attempts: u32,
     /// Framing of the response to the last attempt; `None` if its head was not received.
     pub(super) framing: Option<BodyFraming>,
+    /// Targets to which it was sent.
     pub(super) tried: Vec<TargetName>,
+    /// Targets that this host did not reach. Peers may reach them.
+    unreached: Vec<TargetName>,
     /// The software version that began the stream; the only one at which it goes on.
     pub(super) version: Option<SoftwareVersion>,
     /// Peers to which the request was forwarded.
@@ -131,6 +134,7 @@
             attempts: 0,
             framing: None,
             tried: Vec::new(),
+            unreached: Vec::new(),
             version: None,
             tried_peers: Vec::new(),
             peer_refusal: None,
@@ -185,7 +189,6 @@
         if !self.resolve_version().await {
             return self.fail(ErrorKind::VersionUnknown).await;
         }
-        let mut unreachable = 0;
         loop {
             if !self.wait_for_checks().await {
                 return self.fail(ErrorKind::SuspectRequest).await;
@@ -210,11 +213,10 @@
             let Some(connection) = self.connect(&slot).await else {
                 let target = slot.target().name.clone();
                 self.report_failure(&target, "unreachable", true);
-                self.tried.push(target.clone());
                 slot.finish(AttemptOutcome::Unreachable);
                 self.state.record_connect(&self.routed.pool, &target, false);
-                unreachable += 1;
-                let is_hopeless = unreachable >= MAX_UNREACHABLE || self.has_tried_all();
+                self.unreached.push(target);
+                let is_hopeless = self.unreached.len() >= MAX_UNREACHABLE || self.has_tried_all();
                 if is_hopeless && !self.may_forward() {
                     return self.fail(ErrorKind::TargetUnreachable).await;
                 }
@@ -299,11 +301,16 @@
             output_tokens: routed.usage.and_then(|usage| usage.expected_output),
             event_gap_objective: routed.event_gap_objective,
             deadline: routed.deadline,
-            tried: self.tried.clone(),
+            tried: self.unavailable_targets(),
             version: self.version.clone(),
         }
     }
 
+    /// Returns the targets that are not tried again by this host.
+    fn unavailable_targets(&self) -> Vec<TargetName> {
+        [self.tried.as_slice(), &self.unreached].concat()
+    }
+
     /// Returns how long the request may wait in the queue.
     ///
     /// A caller that is refused early can retry when capacity may be free again. One that
@@ -345,7 +352,7 @@
         let pool = &self.routed.pool;
         let table = self.state.queue.lock_table();
         !self.progress.has_started
-            && !table.has_untried_target(pool, &self.tried)
+            && !table.has_untried_target(pool, &self.unavailable_targets())
             && table.is_loss_reported(pool, boot_now())
     }
 
--- a/src/peers/forwarded_request.rs
+++ b/src/peers/forwarded_request.rs
@@ -50,7 +50,7 @@
     pub waited_ms: u64,
     /// How often the calling host has sent the request to a target.
     pub attempts: u32,
-    /// The targets that it has tried.
+    /// The targets to which it has sent the request, without those that it did not reach.
     pub tried: Vec<TargetName>,
     /// The software version that began the stream, if it has begun.
     pub version: Option<SoftwareVersion>,
