--- a/tests/soak/soak_poison.rs
+++ b/tests/soak/soak_poison.rs
@@ -24,6 +24,8 @@
 const DEADLINE: Duration = Duration::from_millis(1500);
 /// Pause before a request is sent again, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 250..900;
+/// Share of the requests that are sent again at once and to the same host.
+const AT_ONCE_SHARE: f64 = 0.3;
 /// Number of targets that one request may crash.
 const MAX_CRASHED: usize = 3;
 /// What the ids and bodies of such requests start with.
@@ -110,11 +112,14 @@
         let point = self.points.start + point;
         let body = format!("{PREFIX} {} {point}", self.name);
         let mut count = 0;
+        let mut host = 0;
         while !self.stop.load(Ordering::Acquire) {
-            let pause = self.rng.random_range(PAUSE_MS);
-            std::thread::sleep(Duration::from_millis(pause));
+            if count == 0 || !self.rng.random_bool(AT_ONCE_SHARE) {
+                let pause = self.rng.random_range(PAUSE_MS);
+                std::thread::sleep(Duration::from_millis(pause));
+                host = self.rng.random_range(0..self.hosts.len());
+            }
             count += 1;
-            let host = self.rng.random_range(0..self.hosts.len());
             let request = format!("{PREFIX}-{}-{count}", self.name);
             let sent = Instant::now();
             let status = call(self.hosts[host], route, &request, &body, "");
