Test that fails: a link that goes silent lets a connection through

The stand-in reads the mode of a new connection before it connects, and looks again only for a cut.

Change: a test whose link goes silent in between.

--- a/standins/tests/link.rs
+++ b/standins/tests/link.rs
@@ -4,6 +4,9 @@
 
 mod support;
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
 use standins::CallerConnection;
 use standins::CallerError;
 use standins::CallerRequest;
@@ -109,3 +112,18 @@
     assert_eq!(answer.status, 200);
     assert!(call(link.address(), &request()).await.is_err());
 }
+
+/// Guards against a connection that passes data because the link went silent while it was opened.
+#[async_std::test]
+async fn a_connection_that_is_being_opened_goes_silent() {
+    let (_service, link) = linked_service().await;
+    let selected = AtomicBool::new(false);
+    link.set_mode_selector(move |_| match selected.swap(true, Ordering::AcqRel) {
+        false => LinkMode::Open,
+        true => LinkMode::Silent,
+    });
+
+    let answer = call_briefly(link.address(), &request()).await;
+
+    assert_eq!(answer, Err(CallerError::TimedOut));
+}
