--- a/standins/src/link/link_server.rs
+++ b/standins/src/link/link_server.rs
@@ -262,8 +262,9 @@
         connections.push(Arc::clone(&connection));
     }
     // The mode may have changed while the upstream connection was being opened.
-    if shared.mode_for(client) == LinkMode::Cut {
-        connection.cut();
+    match shared.mode_for(client) {
+        LinkMode::Cut => connection.cut(),
+        mode => connection.silence(mode),
     }
     connection
         .run(stream, upstream, Arc::clone(&shared.delay_ms))
