Stand-ins: a path that is cut while a connection is opened resets this one too

Cause, by reading: a path that changes to `Reset` resets the connections that it holds. One that was accepted before and held after was left open without anybody reading it, so that a host's request waited there for its time-out.

Change: that connection is reset like the others.

The race itself has no test.

--- a/standins/src/link/path_link.rs
+++ b/standins/src/link/path_link.rs
@@ -186,6 +186,10 @@
         };
         lock(&self.connections).push((number, [held_host, held_target]));
         if *lock(&self.mode) == PathMode::Reset {
+            // The others were reset before this one was held.
+            reset(&stream);
+            reset(&upstream);
+            lock(&self.connections).retain(|(held, _)| *held != number);
             return;
         }
         let shared = Arc::clone(&self);
