--- a/src/edge/tests/crashing_requests.rs
+++ b/src/edge/tests/crashing_requests.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Sends a request again and again to the host that `open` starts, `pause` after each answer, and asserts that it crashes
-/// between one and `max` targets.
+/// Sends a request again and again to the host that `open` starts, `pause` after each answer, and
+/// asserts that it crashes between one and `max` targets.
 fn assert_crashed(
     open: impl FnOnce(&[RawTarget]) -> EdgeFixture,
     path: &str,
--- a/src/edge/tests/recent_lines.rs
+++ b/src/edge/tests/recent_lines.rs
@@ -8,7 +8,6 @@
 
 /// Number of lines that are kept.
 const MAX_LINES: usize = 400;
-
 /// Lines that are not kept.
 const FREQUENT: [&str; 2] = [r#""event":"request-answered""#, r#""event":"store-read""#];
 
