--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use super::LoadControl;
 use crate::ids::HostName;
 use crate::ids::ZoneName;
 use crate::json::DocumentFault;
@@ -30,6 +31,8 @@
     /// Limit on open file descriptors of the process.
     pub(crate) max_descriptors: usize,
     pub(crate) bounds: EdgeBounds,
+    /// Settings of the decisions under heavy load.
+    pub(crate) load_control: LoadControl,
 }
 
 /// Service levels that the host must keep.
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -32,6 +32,7 @@
 use crate::edge::EdgeHost;
 use crate::edge::EdgeSettings;
 use crate::edge::HeaderNames;
+use crate::edge::LoadControl;
 use crate::edge::SettingsLoader;
 use crate::edge::edge_host::EdgeDependencies;
 use crate::edge::edge_state::EdgeState;
@@ -528,6 +529,7 @@
         capacity: 1000,
         max_descriptors: 1000,
         bounds,
+        load_control: LoadControl::default(),
     }
 }
 
