Targets that fail request after request are ejected for 0.5 to 4 s

Cause: an engine that resets every request has free slots at all times, so while all others are full it gets every waiting request.

Change: three successive failures eject a target for 0.5 s, doubled up to 4 s; then one request at a time shows whether it has recovered. Ejections are ignored while more than half of a pool's targets are ejected. Hosts decide alone.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod gap_tracker;
 mod limit_table;
 mod notice_table;
+mod outlier_ejection;
 mod output_estimate;
 mod peer_choice;
 mod peer_loads;
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -457,6 +457,15 @@
         names
     }
 
+    /// Returns the targets that are ejected, as they fail request after request, sorted.
+    pub fn ejected(&self, now: Duration) -> Vec<TargetName> {
+        let targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let ejected = targets.filter(|target| target.is_ejected(now));
+        let mut names: Vec<TargetName> = ejected.map(|target| target.record.name.clone()).collect();
+        names.sort();
+        names
+    }
+
     /// Returns this host's load at each target, for its peers.
     pub fn own_loads(&self) -> Vec<TargetLoad> {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -36,6 +36,8 @@
 /// The weight factor of a target whose software version is being replaced: new streams leave its
 /// slots to those that must go on at this version.
 const REPLACED_VERSION_FACTOR: f64 = 0.25;
+/// The fraction of the targets up to which ejections count.
+const MAX_EJECTED_FRACTION: f64 = 0.5;
 /// The extra time to the first event, beyond the shortest, that halves a target's weight.
 const HALVING_DELAY: Duration = Duration::from_millis(60);
 
@@ -91,15 +93,19 @@
     let is_open = |target: &TargetRuntime| {
         target.is_available(context.now) && request.allows_version(&target.record.software_version)
     };
+    let ignores_ejections = are_most_ejected(targets, context.now);
+    let is_healthy = |target: &TargetRuntime| {
+        target.is_healthy(context.now) && (ignores_ejections || !target.is_blocked(context.now))
+    };
     let any_healthy = targets
         .iter()
-        .any(|target| is_open(target) && target.is_healthy(context.now));
+        .any(|target| is_open(target) && is_healthy(target));
     let fastest = shortest_mean_gap(targets);
     let forecasts: Vec<TargetForecast> = targets
         .iter()
         .map(|target| {
             // If no target is healthy, an unhealthy one is still better than none.
-            let is_usable = target.is_healthy(context.now) || !any_healthy;
+            let is_usable = is_healthy(target) || !any_healthy;
             let slowness = target.slowness(fastest);
             let tokens = target.tokens_ahead() + request.prompt_tokens;
             let first = context.prefill.predict(tokens, slowness);
@@ -161,6 +167,14 @@
     pick_weighted(&weights, random)
 }
 
+/// Returns whether more than half of the targets that take requests are ejected. The cause is then
+/// not a single target, and the others could not take the load.
+fn are_most_ejected(targets: &[TargetRuntime], now: Duration) -> bool {
+    let available = || targets.iter().filter(|target| target.is_available(now));
+    let ejected = available().filter(|target| target.is_ejected(now)).count();
+    ejected as f64 > available().count() as f64 * MAX_EJECTED_FRACTION
+}
+
 /// Returns the software versions of which targets are leaving, sorted; none if that is so of all
 /// versions that accept new work.
 fn replaced_versions(targets: &[TargetRuntime]) -> Vec<&str> {
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -13,6 +13,7 @@
 use super::cold_start::ColdStart;
 use super::gap_tracker::GapTracker;
 use super::limit_table::LimitEntry;
+use super::outlier_ejection::OutlierEjection;
 use super::peer_loads::LoadSum;
 use super::request_limit::RequestLimit;
 use crate::catalog::ColdLimit;
@@ -59,6 +60,7 @@
     limit: Option<RequestLimit>,
     /// Moving average of failures among the outcomes, 0 to 1.
     error_rate: f64,
+    ejection: OutlierEjection,
     /// When the target last sent something, or got its first running request; `None` while it
     /// runs no request of this host.
     last_activity_at: Option<Duration>,
@@ -99,6 +101,7 @@
             gaps: GapTracker::default(),
             in_shard: true,
             error_rate: 0.0,
+            ejection: OutlierEjection::default(),
             last_activity_at: None,
             backoff_until: Duration::ZERO,
             next_backoff: INITIAL_BACKOFF,
@@ -204,7 +207,7 @@
 
     /// Returns whether the leader of a group may grant the target's slots.
     pub(super) fn is_grantable(&self, now: Duration) -> bool {
-        let usable = self.is_available(now) && self.is_healthy(now);
+        let usable = self.is_available(now) && self.is_healthy(now) && !self.is_ejected(now);
         self.in_shard && usable && !self.is_rate_limited(now)
     }
 
@@ -265,6 +268,16 @@
         now >= self.backoff_until && !self.is_unresponsive(now)
     }
 
+    /// Returns whether the target is ejected, as it fails request after request.
+    pub(super) fn is_ejected(&self, now: Duration) -> bool {
+        self.ejection.is_ejected(now)
+    }
+
+    /// Returns whether the ejection keeps requests from the target.
+    pub(super) fn is_blocked(&self, now: Duration) -> bool {
+        self.ejection.blocks(self.own_running, now)
+    }
+
     /// Returns whether the target is suspected to be lost: it could not be reached, or is
     /// unresponsive. A target that is only full is not suspected.
     pub(super) fn is_suspected(&self, now: Duration) -> bool {
@@ -354,11 +367,15 @@
         match end {
             AttemptOutcome::Succeeded => {
                 self.before_losses = None;
+                self.ejection.record_success();
                 self.error_rate -= OUTCOME_WEIGHT * self.error_rate;
                 self.next_backoff = INITIAL_BACKOFF;
                 self.backoff_until = Duration::ZERO;
             }
-            AttemptOutcome::Failed => self.error_rate += OUTCOME_WEIGHT * (1.0 - self.error_rate),
+            AttemptOutcome::Failed => {
+                self.error_rate += OUTCOME_WEIGHT * (1.0 - self.error_rate);
+                self.ejection.record_failure(now);
+            }
             AttemptOutcome::Rejected => {
                 // The load of peers may be newer than their reports.
                 let known = self.own_running + self.peer_load.running;
@@ -382,6 +399,7 @@
             return;
         };
         self.error_rate = marks.error_rate;
+        self.ejection = OutlierEjection::default();
         self.cold_start = marks.cold_start;
         self.backoff_until = Duration::ZERO;
         self.next_backoff = INITIAL_BACKOFF;
--- a/src/edge/view_logger.rs
+++ b/src/edge/view_logger.rs
@@ -13,6 +13,7 @@
     connected: Vec<HostName>,
     members: Vec<(HostName, MemberState)>,
     suspected: Vec<TargetName>,
+    ejected: Vec<TargetName>,
 }
 
 impl ViewLogger {
@@ -26,6 +27,7 @@
         }
         self.log_members(state);
         self.log_targets(state);
+        self.log_ejections(state);
     }
 
     fn log_members(&mut self, state: &EdgeState) {
@@ -58,6 +60,18 @@
         });
         self.suspected = suspected;
     }
+
+    fn log_ejections(&mut self, state: &EdgeState) {
+        let ejected = state.queue.lock_table().ejected(boot_now());
+        if ejected == self.ejected {
+            return;
+        }
+        state.log.write(&DecisionLine::TargetsEjected {
+            ejected: missing_from(&self.ejected, &ejected),
+            back: missing_from(&ejected, &self.ejected),
+        });
+        self.ejected = ejected;
+    }
 }
 
 /// Returns the members that are in the wanted state now and were not before.
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -180,6 +180,14 @@
         /// Targets that have recovered.
         back: Vec<TargetName>,
     },
+    /// Targets were ejected, because they failed request after request, or are used again.
+    #[display("ejected targets changed")]
+    TargetsEjected {
+        /// Targets that are now ejected.
+        ejected: Vec<TargetName>,
+        /// Targets that are used again.
+        back: Vec<TargetName>,
+    },
     /// A target announced a request limit, changed it, or has none any more.
     #[display("{target} accepts {per_second:?} requests per second")]
     TargetLimited {
--- a/src/logs/request_timeline.rs
+++ b/src/logs/request_timeline.rs
@@ -6,7 +6,7 @@
 
 /// Events that change the host's state or its view of the fleet; the last one of each kind
 /// is the current state.
-const STATE_EVENTS: [&str; 15] = [
+const STATE_EVENTS: [&str; 16] = [
     "catalog-in-force",
     "leaving",
     "members-changed",
@@ -21,6 +21,7 @@
     "target-limited",
     "target-paused",
     "targets-changed",
+    "targets-ejected",
     "targets-suspected",
 ];
 
