Slots: reports between two rounds of gossip, refused demand, early division

Between two reports of a host, granted slots stayed idle while other hosts refused requests, and in the first second of a burst hosts piled requests on engines by loads that were 0.2 s old. A host whose grants don't fit its requests now reports to its leader at once, refused requests count as demand, and slots are divided from 0.85 of the full-speed slots on, down to 0.7.

--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -50,6 +50,8 @@
     pub(super) late_dispatch_rate: RateMeter,
     /// Running requests of this host, by priority.
     pub(super) running: SortedMap<RequestPriority, u32>,
+    /// Requests that this host refused as overloaded, by priority.
+    pub(super) refused: SortedMap<RequestPriority, RateMeter>,
     /// The slots granted to this host, if the pool's slots are divided among hosts.
     pub(super) granted: Option<GrantedSlots>,
     /// This host's path to the targets.
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -9,9 +9,7 @@
 use super::PlacementRequest;
 use super::PoolGrants;
 use super::QueueTicket;
-use super::RequestPriority;
 use super::ShardRange;
-use super::SlotDemand;
 use super::TargetLoad;
 use super::limit_table::LimitTable;
 use super::notice_table::NoticeTable;
@@ -20,7 +18,10 @@
 use super::pool_entry::HostView;
 use super::pool_entry::PoolEntry;
 use super::pool_reach::PeerReaches;
+use super::slot_grants::full_speed_slots;
+use super::slot_reporting::SlotReporting;
 use super::target_choice::shortest_first_event;
+use super::target_choice::shortest_mean_gap;
 use super::target_locations::TargetLocations;
 use super::target_runtime::TargetRuntime;
 use crate::catalog::ColdLimit;
@@ -71,6 +72,7 @@
     pub(super) peer_reaches: PeerReaches,
     pub(super) reporting: PeerReporting,
     pub(super) host_position: Option<HostPosition>,
+    pub(super) slot_reporting: SlotReporting,
 }
 
 impl PoolTable {
@@ -88,6 +90,7 @@
             peer_reaches: PeerReaches::default(),
             reporting: PeerReporting::All,
             host_position: None,
+            slot_reporting: SlotReporting::default(),
         }
     }
 
@@ -162,33 +165,6 @@
         }
     }
 
-    /// Returns how many engine slots this host wants, by priority.
-    pub fn slot_demands(&self) -> Vec<SlotDemand> {
-        let mut demands: Vec<SlotDemand> = Vec::new();
-        for (name, pool) in self.pools.iter().filter(|(_, pool)| pool.engine) {
-            let first = demands.len();
-            let mut add = |priority: Option<RequestPriority>, slots: u32| {
-                let held = demands[first..].iter_mut();
-                let held = held.into_iter().find(|demand| demand.priority == priority);
-                match held {
-                    Some(held) => held.slots += slots,
-                    None => demands.push(SlotDemand {
-                        pool: name.clone(),
-                        priority,
-                        slots,
-                    }),
-                }
-            };
-            for (priority, running) in pool.running.iter() {
-                add(Some(*priority), *running);
-            }
-            for (_, request, late) in pool.queue.iter() {
-                add((!late).then_some(request.priority), 1);
-            }
-        }
-        demands
-    }
-
     /// Returns whether any request waits for an engine.
     pub fn has_waiting(&self) -> bool {
         let mut engines = self.pools.values().filter(|pool| pool.engine);
@@ -220,18 +196,30 @@
                 slots: target.record.slots,
                 running,
                 ungranted_running: all.saturating_sub(by_members + running),
+                slowness_percent: 100,
             }
         };
+        let divides_fast = self.slot_reporting.enabled;
         let engines = self.pools.iter().filter(|(_, pool)| pool.engine);
-        let usable = engines.map(|(name, pool)| (name, pool.grantable_targets(now)));
+        let usable = engines.map(|(name, pool)| (name, pool, pool.grantable_targets(now)));
         usable
-            .filter(|(name, targets)| {
-                let slots = targets.iter().map(|target| target.record.slots).sum();
-                is_scarce(name, slots)
-            })
-            .map(|(name, targets)| {
-                let targets = targets.into_iter().map(grant_target);
-                (name.clone(), targets.collect())
+            .filter_map(|(name, pool, targets)| {
+                let fastest = shortest_mean_gap(&pool.targets);
+                let with_slowness = targets
+                    .iter()
+                    .map(|target| (target.record.slots, target.slowness(fastest)));
+                let slots = match divides_fast {
+                    true => full_speed_slots(with_slowness),
+                    false => targets.iter().map(|target| target.record.slots).sum(),
+                };
+                if !is_scarce(name, slots) {
+                    return None;
+                }
+                let targets = targets.into_iter().map(|target| GrantTarget {
+                    slowness_percent: (target.slowness(fastest) * 100.0) as u32,
+                    ..grant_target(target)
+                });
+                Some((name.clone(), targets.collect()))
             })
             .collect()
     }
@@ -505,7 +493,7 @@
         names
     }
 
-    fn is_engine(&self, target: &str) -> bool {
+    pub(super) fn is_engine(&self, target: &str) -> bool {
         let pool = self.locations.pool_of(target);
         let pool = pool.and_then(|pool| self.pools.get(pool));
         pool.is_some_and(|pool| pool.engine)
--- a/src/dispatch/slot_grants.rs
+++ b/src/dispatch/slot_grants.rs
@@ -41,6 +41,13 @@
     pub grants: Vec<SlotGrant>,
 }
 
+/// Returns the slots of targets, each given with its slowness, where those of slow targets count by
+/// their speed.
+pub(super) fn full_speed_slots(targets: impl Iterator<Item = (u32, f64)>) -> u32 {
+    let slots = targets.map(|(slots, slowness)| f64::from(slots) / slowness.max(1.0));
+    slots.sum::<f64>().round() as u32
+}
+
 /// A target as the leader of a group sees it while granting slots to one host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GrantTarget {
@@ -52,6 +59,8 @@
     pub running: u32,
     /// Requests of hosts without a grant that run there.
     pub ungranted_running: u32,
+    /// How many times as slow it is as the fastest target, in percent; at least 100.
+    pub slowness_percent: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -70,9 +79,17 @@
 pub struct SlotGrants {
     shares: SlotShares,
     granted: SortedMap<HostName, HostGrants>,
+    /// Whether a host keeps its grants at the same targets where possible.
+    divides_fast: bool,
 }
 
 impl SlotGrants {
+    /// Sets whether slots are divided before they are full, and refused requests count as demand.
+    pub fn set_fast(&mut self, divides_fast: bool) {
+        self.divides_fast = divides_fast;
+        self.shares.set_fast(divides_fast);
+    }
+
     /// Updates the demand of a host.
     pub fn update_demands(&mut self, host: &str, demands: Vec<SlotDemand>, now: Duration) {
         self.shares.update(host, demands, now);
@@ -98,15 +115,28 @@
         pools: Vec<(PoolName, Vec<GrantTarget>)>,
         now: Duration,
     ) -> Vec<PoolGrants> {
-        self.granted.remove(host);
+        let former = self.granted.remove(host);
+        let former = former.filter(|_| self.divides_fast);
+        let former = former.map_or_else(SortedMap::new, |held| held.grants);
+        self.shares
+            .set_divided(pools.iter().map(|(pool, _)| pool.clone()).collect());
         let mut held = SortedMap::new();
         let mut granted = Vec::new();
         for (pool, targets) in pools {
             let slots = targets.iter().map(|target| target.slots).sum();
-            let Some(share) = self.shares.share_of(host, &pool, slots) else {
-                continue;
+            let scarce_slots = match self.divides_fast {
+                true => full_speed_slots(
+                    targets
+                        .iter()
+                        .map(|target| (target.slots, f64::from(target.slowness_percent) / 100.0)),
+                ),
+                false => slots,
             };
-            let grants = self.divide(&targets, share.slots);
+            if !self.shares.is_scarce(&pool, scarce_slots) {
+                continue;
+            }
+            let share = self.shares.divided_share_of(host, &pool, slots);
+            let grants = self.divide(&targets, &former, share.slots);
             for grant in &grants {
                 held.insert(grant.target.clone(), grant.slots);
             }
@@ -128,8 +158,16 @@
     }
 
     /// Distributes `share` slots: first to the requests that the host runs, then to the targets
-    /// with the most slots left.
-    fn divide(&self, targets: &[GrantTarget], share: u32) -> Vec<SlotGrant> {
+    /// of its `former` grants, then to the targets with the most slots left.
+    ///
+    /// A request that starts under a former grant while the new grants are on their way is over
+    /// its target's slots if the grant moved to another target.
+    fn divide(
+        &self,
+        targets: &[GrantTarget],
+        former: &SortedMap<TargetName, u32>,
+        share: u32,
+    ) -> Vec<SlotGrant> {
         let mut granted: Vec<u32> = targets.iter().map(|target| target.running).collect();
         let mut left: Vec<u32> = targets
             .iter()
@@ -140,8 +178,22 @@
             })
             .collect();
         let running: u32 = granted.iter().sum();
-        for _ in running..share {
-            let Some(index_of_most) = (0..left.len()).max_by_key(|index| left[*index]) else {
+        let mut spare = share.saturating_sub(running);
+        for (index, target) in targets.iter().enumerate() {
+            let held = former.get(&target.name).copied().unwrap_or(0);
+            let kept = held.saturating_sub(target.running);
+            let kept = kept.min(left[index]).min(spare);
+            left[index] -= kept;
+            granted[index] += kept;
+            spare -= kept;
+        }
+        for _ in 0..spare {
+            let rank = |index: &usize| match self.divides_fast {
+                // Fast targets first, as hosts choose them.
+                true => left[*index] * 100_000 / targets[*index].slowness_percent.max(100),
+                false => left[*index],
+            };
+            let Some(index_of_most) = (0..left.len()).max_by_key(rank) else {
                 break;
             };
             if left[index_of_most] == 0 {
--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -12,6 +12,12 @@
 
 /// The ratio of wanted to existing slots at or above which the slots are divided.
 const DIVISION_THRESHOLD: f64 = 1.0;
+/// The same with fast division, where the slots of slow targets count by their speed. Hosts fill
+/// the fast targets first, so that their queues would grow long before all slots are in use.
+const FAST_DIVISION_START: f64 = 0.85;
+/// The ratio below which fast division ends. At a single threshold, the slots would be divided and
+/// freed again with each report.
+const FAST_DIVISION_END: f64 = 0.7;
 /// The ratio of granted to existing slots. Some granted slots are briefly free, and a target
 /// queues the excess.
 const OVERCOMMIT_FACTOR: f64 = 1.05;
@@ -30,6 +36,8 @@
     pub priority: Option<RequestPriority>,
     /// Number of slots wanted.
     pub slots: u32,
+    /// Number of requests that were refused as overloaded, decayed over a second.
+    pub refused: u32,
 }
 
 /// A host's share of a pool's slots.
@@ -57,9 +65,23 @@
 #[derive(Debug, Default)]
 pub struct SlotShares {
     hosts: SortedMap<HostName, HostDemand>,
+    /// Whether slots are divided before they are full, and refused requests count.
+    divides_fast: bool,
+    /// Pools whose slots are divided.
+    divided: Vec<PoolName>,
 }
 
 impl SlotShares {
+    /// Sets whether slots are divided before they are full, and refused requests count as demand.
+    pub fn set_fast(&mut self, divides_fast: bool) {
+        self.divides_fast = divides_fast;
+    }
+
+    /// Sets the pools whose slots are divided; division of others starts at a higher demand.
+    pub(super) fn set_divided(&mut self, pools: Vec<PoolName>) {
+        self.divided = pools;
+    }
+
     /// Updates the demand of a host.
     pub fn update(&mut self, host: &str, demands: Vec<SlotDemand>, now: Duration) {
         let demand = HostDemand {
@@ -71,19 +93,31 @@
             .retain(|_, demand| now.saturating_sub(demand.reported_at) < DEMAND_TTL);
     }
 
-    /// Returns whether the hosts want at least all of a pool's `slots`.
+    /// Returns whether the hosts want so many of a pool's `slots` that they are to be divided.
     pub fn is_scarce(&self, pool: &str, slots: u32) -> bool {
+        let is_divided = || self.divided.iter().any(|divided| divided == pool);
+        let (threshold, counts_refused) = match self.divides_fast {
+            false => (DIVISION_THRESHOLD, false),
+            true if is_divided() => (FAST_DIVISION_END, true),
+            true => (FAST_DIVISION_START, true),
+        };
         let demands = self.demands_in(pool);
-        let wanted: u32 = demands.map(|demand| demand.slots).sum();
-        slots > 0 && f64::from(wanted) >= f64::from(slots) * DIVISION_THRESHOLD
+        let wanted = demands.map(|demand| match counts_refused {
+            true => demand.slots + demand.refused,
+            false => demand.slots,
+        });
+        slots > 0 && f64::from(wanted.sum::<u32>()) >= f64::from(slots) * threshold
     }
 
     /// Returns a host's share of a pool's `slots`; `None` while there are enough for all
     /// hosts.
     pub fn share_of(&self, host: &str, pool: &str, slots: u32) -> Option<SlotShare> {
-        if !self.is_scarce(pool, slots) {
-            return None;
-        }
+        let is_scarce = self.is_scarce(pool, slots);
+        is_scarce.then(|| self.divided_share_of(host, pool, slots))
+    }
+
+    /// Returns a host's share of a pool's `slots`, which are to be divided.
+    pub(super) fn divided_share_of(&self, host: &str, pool: &str, slots: u32) -> SlotShare {
         let mut left = f64::from(slots) * OVERCOMMIT_FACTOR;
         let mut share = 0.0;
         let mut late = 0.0;
@@ -104,12 +138,22 @@
             }
             left -= allotted;
         }
-        // Slots that nobody wants yet are for requests that arrive before the next report.
-        let spare = (left / self.hosts.len() as f64).ceil();
-        Some(SlotShare {
-            slots: share as u32 + spare as u32,
+        SlotShare {
+            slots: share as u32 + self.spare_of(host, pool, left),
             late: late as u32,
-        })
+        }
+    }
+
+    /// Returns a host's part of the slots that nobody wants yet, which are for requests that arrive
+    /// before the next report: in proportion to what the hosts refused lately, if anything.
+    fn spare_of(&self, host: &str, pool: &str, left: f64) -> u32 {
+        let hosts = self.hosts.values();
+        let refused: f64 = hosts.map(|demand| demand.refused_in(pool)).sum();
+        if !self.divides_fast || refused <= 0.0 {
+            return (left / self.hosts.len() as f64).ceil() as u32;
+        }
+        let refused_here = self.hosts.get(host).map(|demand| demand.refused_in(pool));
+        (left * refused_here.unwrap_or_default() / refused).ceil() as u32
     }
 
     fn demands_in(&self, pool: &str) -> impl Iterator<Item = &SlotDemand> {
@@ -154,6 +198,11 @@
         demands.filter(move |demand| demand.pool == pool)
     }
 
+    fn refused_in(&self, pool: &str) -> f64 {
+        let refused = self.in_pool(pool).map(|demand| demand.refused);
+        f64::from(refused.sum::<u32>())
+    }
+
     fn of(&self, pool: &str, priority: Option<RequestPriority>) -> f64 {
         let mut demands = self.in_pool(pool);
         let found = demands.find(|demand| demand.priority == priority);
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -24,6 +24,7 @@
 use super::operator_endpoints::serve_readiness;
 use super::settings_controller::follow_settings;
 use super::shutdown_controller::shut_down;
+use super::slot_report_exchange::run_slot_reports;
 use super::watch_controller::expire_stale;
 use super::watch_controller::follow_store;
 use super::watch_controller::refresh_evidence;
@@ -125,6 +126,7 @@
         ));
         task::spawn(follow_store(Arc::clone(&state), dependencies.source));
         task::spawn(run_gossip(Arc::clone(&state), Arc::clone(&mesh)));
+        task::spawn(run_slot_reports(Arc::clone(&state), Arc::clone(&mesh)));
         task::spawn(follow_settings(
             Arc::clone(&state),
             dependencies.loader,
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) lost_paths: AtomicU64,
     /// Requests forwarded to peers.
     pub(crate) forwarded: AtomicU64,
+    /// Reports of slot demand that were sent to the leader between two rounds of gossip.
+    pub(crate) slot_reports: AtomicU64,
     /// Requests that peers forwarded.
     pub(crate) served_for_peers: AtomicU64,
 }
@@ -50,6 +52,7 @@
             ("paths_lost_total", &self.lost_paths),
             ("requests_forwarded_total", &self.forwarded),
             ("requests_for_peers_total", &self.served_for_peers),
+            ("slot_reports_total", &self.slot_reports),
         ];
         for (name, counter) in counters {
             line(&mut text, name, counter.load(Ordering::Relaxed));
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -183,8 +183,11 @@
                 .with_loads
                 .then(|| self.loads_for(options))
                 .flatten(),
-            slot_demands: (options.scope == Some(UsageScope::Host))
-                .then(|| self.queue.lock_table().slot_demands()),
+            slot_demands: (options.scope == Some(UsageScope::Host)).then(|| {
+                let mut table = self.queue.lock_table();
+                table.record_slot_report(now);
+                table.slot_demands(now)
+            }),
             slot_grants: match options.scope {
                 Some(UsageScope::Fleet) => self.grant_slots(options.receiver, now),
                 _ => Vec::new(),
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -60,7 +60,7 @@
 const DEAD_HOST_PROBES: usize = 4;
 const DEAD_PROBE_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which a candidate that did not respond as a leader is skipped.
-const LEADER_SKIP_TIME: Duration = Duration::from_secs(2);
+pub(super) const LEADER_SKIP_TIME: Duration = Duration::from_secs(2);
 
 /// State shared by the exchanges of one host.
 struct GossipSender {
@@ -124,13 +124,12 @@
         match self.state.acts_as_leader(role) {
             true => self.other_leaders(&role.layout, is_usable),
             false => {
-                let candidates = role.layout.leader_candidates(role.layout.own_group());
-                let leader = candidates.into_iter().find(is_usable);
+                let leader = self.state.usable_leader(role, connected);
                 let interval = match self.state.has_waiting() {
                     true => BUSY_REPORT_PERIOD,
                     false => GROUP_PERIOD,
                 };
-                let leader = leader.cloned().map(|host| leader_peer(host, interval));
+                let leader = leader.map(|host| leader_peer(host, interval));
                 leader.into_iter().collect()
             }
         }
@@ -236,7 +235,7 @@
             false => UsageScope::Host,
         };
         if scope == UsageScope::Group {
-            self.grant_own_slots(now);
+            self.state.grant_own_slots(now);
         }
         let due = self.state.gossip_schedule().due(peers, version, now);
         let due = due.into_iter();
@@ -248,15 +247,6 @@
         }
     }
 
-    /// Grants this host its part of the shard's slots, like the hosts that report to it.
-    fn grant_own_slots(&self, now: Duration) {
-        let host = self.state.settings.load().host.clone();
-        let demands = self.state.queue.lock_table().slot_demands();
-        self.state.slot_grants().update_demands(&host, demands, now);
-        let grants = self.state.grant_slots(&host, now);
-        self.state.queue.lock_table().set_grants(grants, now);
-    }
-
     /// Performs one exchange.
     async fn call(self: Arc<Self>, peer: DuePeer, scope: UsageScope) {
         let started_at = boot_now();
--- a/src/edge/gossip_service.rs
+++ b/src/edge/gossip_service.rs
@@ -53,6 +53,13 @@
             PeerCall::Gossip(message) => {
                 PeerReply::Gossip(Box::new(handle_gossip(&self.state, *message)))
             }
+            PeerCall::SlotReport(report) => match self.state.answer_slot_report(&from, *report) {
+                Some(grants) => PeerReply::SlotGrants(grants),
+                None => PeerReply::Refused {
+                    kind: ErrorKind::NotReady,
+                    retry_after_ms: None,
+                },
+            },
             // Hosts that serve routes hold neither seats nor documents.
             _ => PeerReply::Refused {
                 kind: ErrorKind::NotReady,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -43,6 +43,7 @@
 mod send_outcome;
 mod settings_controller;
 mod shutdown_controller;
+mod slot_report_exchange;
 mod stream_origin;
 mod suspect_filter;
 mod target_call;
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -8,6 +8,7 @@
 use super::edge_state::EdgeState;
 use super::response_writer::write_bytes;
 use crate::catalog::CallerLimits;
+use crate::clock::boot_now;
 use crate::metrics::MetricsError;
 
 /// Answers any request with 200 while the host is ready and with 503 otherwise.
@@ -56,6 +57,7 @@
     let (left_out, dropped) = state.log.lost_lines();
     let (revision, catalog) = state.view.held_versions();
     let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
+    let idle_slots = state.queue.lock_table().idle_granted_slots(boot_now());
     let mut text = state.metrics.render(&[
         ("catalog_version", catalog),
         ("store_era", revision.era),
@@ -63,6 +65,7 @@
         ("evidence_age_ms", age),
         ("view_age_ms", state.view_age_ms().unwrap_or(0)),
         ("members_live", state.live_host_count() as u64),
+        ("granted_slots_idle", u64::from(idle_slots)),
         ("requests_running", state.active_requests() as u64),
         (
             "target_connections_kept",
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -272,6 +272,8 @@
                 Some(WaitOutcome::NoTarget) => return Err(WaitEnd::Failed(ErrorKind::NoTarget)),
                 Some(WaitOutcome::TimedOut) if max_wait < left => {}
                 Some(WaitOutcome::Overloaded | WaitOutcome::TimedOut) => {
+                    let mut table = queue.lock_table();
+                    table.record_refusal(&self.placement(), boot_now());
                     return Err(WaitEnd::Failed(ErrorKind::Overloaded));
                 }
             }
--- a/src/gateway/peer_service.rs
+++ b/src/gateway/peer_service.rs
@@ -70,6 +70,7 @@
             | PeerCall::Catalog { .. }
             | PeerCall::Forward(_)
             | PeerCall::Paths(_)
+            | PeerCall::SlotReport(_)
             | PeerCall::StreamOrigin(_) => refuse(ErrorKind::NotReady, replies).await,
         };
         // A failed send means that the peer is gone; there is nobody to answer.
--- a/src/peers/peer_messages.rs
+++ b/src/peers/peer_messages.rs
@@ -10,7 +10,9 @@
 use super::ResponsePart;
 use crate::claim::ClaimCall;
 use crate::claim::ClaimReply;
+use crate::dispatch::PoolGrants;
 use crate::dispatch::PoolReach;
+use crate::dispatch::SlotReport;
 use crate::errors::ErrorKind;
 use crate::errors::RequestOutcome;
 use crate::http::AnswerHead;
@@ -79,6 +81,9 @@
     Paths(Vec<PoolReach>),
     /// Asks which software version began a stream; answered with [`PeerReply::StreamOrigin`].
     StreamOrigin(OriginQuery),
+    /// Sends the slots that a member of a group wants and its loads to the leader; answered with
+    /// [`PeerReply::SlotGrants`], or with [`PeerReply::Refused`] by a host that is no leader.
+    SlotReport(Box<SlotReport>),
 }
 
 /// A reply of a called host.
@@ -118,6 +123,8 @@
     Paths(Vec<PoolReach>),
     /// What the called host knows of the origin of a stream.
     StreamOrigin(OriginAnswer),
+    /// The slots that the calling host may use.
+    SlotGrants(Vec<PoolGrants>),
 }
 
 /// The result of a digest delta, and which document the called host has in force.
--- a/tests/peers_mesh.rs
+++ b/tests/peers_mesh.rs
@@ -70,6 +70,7 @@
             | PeerCall::FleetView
             | PeerCall::Forward(_)
             | PeerCall::Paths(_)
+            | PeerCall::SlotReport(_)
             | PeerCall::StreamOrigin(_)
             | PeerCall::Gossip(_) => {}
             PeerCall::Catalog { .. } => {
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -217,7 +217,7 @@
     fn report(&mut self, tick: usize, now: Duration) {
         for host in (0..HOSTS).filter(|host| (host + tick).is_multiple_of(20)) {
             let name = format!("e{host}");
-            let demands = self.tables[host].slot_demands();
+            let demands = self.tables[host].slot_demands(now);
             self.granted.update_demands(&name, demands, now);
             let loads = self.tables[host].own_loads();
             self.tables[0].update_peer_loads(name.clone(), loads, UsageScope::Host, now);
@@ -288,6 +288,7 @@
             route: tier,
         }),
         slots,
+        refused: 0,
     }
 }
 
@@ -323,6 +324,7 @@
         pool: POOL.into(),
         priority: None,
         slots: 40,
+        refused: 0,
     };
     shares.update("e1", vec![demand(0, 30), demand(2, 10)], now);
     shares.update("e2", vec![demand(2, 60)], now);
@@ -395,6 +397,7 @@
         slots: 8,
         running,
         ungranted_running,
+        slowness_percent: 100,
     }
 }
 
