Slots: requests further back in the queue fill granted slots, cheaper grants at the leader

The first requests in a queue may wait for a faster target than those with free granted slots; up to 24 requests are now tried while granted slots are free. The leader sums the members' loads once per report instead of per target. tests/slot_usage.rs covers pacing, refused demand, hysteresis and the switch.

--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -115,6 +115,19 @@
         })
     }
 
+    /// Returns how many requests of the given hosts run at each target.
+    pub(super) fn running_of<'h>(
+        &self,
+        hosts: impl Iterator<Item = &'h HostName>,
+    ) -> SortedMap<&TargetName, u32> {
+        let mut sums = SortedMap::new();
+        let reports = hosts.filter_map(|host| self.hosts.get(host));
+        for load in reports.flat_map(|report| &report.loads) {
+            *sums.get_or_insert_with(&load.target, || 0) += load.running;
+        }
+        sums
+    }
+
     fn remove_hosts(
         &mut self,
         is_removed: impl Fn(&HostName, &HostLoads) -> bool,
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -35,6 +35,9 @@
 /// Number of waiting requests, for each software version that they need, for which a free slot is
 /// looked for.
 const MAX_PLACED_AT_ONCE: usize = 4;
+/// The same while granted slots are free. The first requests may wait for a faster target than
+/// those with free slots, for which others have the time.
+const MAX_PLACED_IN_GRANTS: usize = 24;
 
 /// The targets and waiting requests of one pool.
 #[derive(Debug, Default)]
@@ -65,6 +68,8 @@
 pub(super) struct HostView<'h> {
     pub(super) own_zone: &'h ZoneName,
     pub(super) position: Option<HostPosition>,
+    /// Whether a free granted slot is filled by a request further back in the queue.
+    pub(super) fills_grants: bool,
     pub(super) now: Duration,
 }
 
@@ -192,6 +197,10 @@
         }
         self.queue.demote_late(host.now);
         let late_may_start = self.has_room_for_late(host.now);
+        let max_placed = match host.fills_grants && self.has_idle_grants(host.now) {
+            true => MAX_PLACED_IN_GRANTS,
+            false => MAX_PLACED_AT_ONCE,
+        };
         // The first request may already have tried the only free target, while a later one has not;
         // or it needs a software version whose targets are full.
         let mut taken: SortedMap<Option<&SoftwareVersion>, usize> = SortedMap::new();
@@ -202,7 +211,7 @@
             .filter(|(_, request, _)| {
                 let count = taken.get_or_insert_with(request.version.as_ref(), || 0);
                 *count += 1;
-                *count <= MAX_PLACED_AT_ONCE
+                *count <= max_placed
             })
             .map(|(ticket, request, late)| (ticket, request.clone(), late))
             .collect();
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -182,17 +182,26 @@
         is_scarce: impl Fn(&str, u32) -> bool,
         now: Duration,
     ) -> Vec<(PoolName, Vec<GrantTarget>)> {
-        let running_of = |host: &str, target: &TargetRuntime| match host == own {
-            true => target.own_running,
-            false => self.peer_loads.load_of(host, &target.record.name).running,
+        let others = || {
+            let others = members.iter();
+            others.filter(|host| *host != receiver && *host != own)
         };
+        let by_others = self.peer_loads.running_of(others());
+        let holds_grants = receiver != own && members.iter().any(|host| host == own);
         let grant_target = |target: &TargetRuntime| {
-            let running = running_of(receiver, target);
-            let others = members.iter().filter(|host| *host != receiver);
-            let by_members: u32 = others.map(|host| running_of(host, target)).sum();
+            let name = &target.record.name;
+            let running = match receiver == own {
+                true => target.own_running,
+                false => self.peer_loads.load_of(receiver, name).running,
+            };
+            let by_own = match holds_grants {
+                true => target.own_running,
+                false => 0,
+            };
+            let by_members = by_others.get(&name).copied().unwrap_or(0) + by_own;
             let all = target.own_running + target.peer_load.running;
             GrantTarget {
-                name: target.record.name.clone(),
+                name: name.clone(),
                 slots: target.record.slots,
                 running,
                 ungranted_running: all.saturating_sub(by_members + running),
@@ -257,6 +266,7 @@
         let host = HostView {
             own_zone: &self.own_zone,
             position: self.host_position,
+            fills_grants: self.slot_reporting.enabled,
             now,
         };
         let pool = self.pools.get_mut(&request.pool)?;
@@ -285,6 +295,7 @@
         let host = HostView {
             own_zone: &self.own_zone,
             position: self.host_position,
+            fills_grants: self.slot_reporting.enabled,
             now,
         };
         let Some(pool) = self.pools.get(&request.pool) else {
@@ -397,6 +408,7 @@
         let host = HostView {
             own_zone: &self.own_zone,
             position: self.host_position,
+            fills_grants: self.slot_reporting.enabled,
             now,
         };
         for (_, pool) in self.pools.iter_mut() {
--- a/src/dispatch/slot_grants.rs
+++ b/src/dispatch/slot_grants.rs
@@ -118,8 +118,6 @@
         let former = self.granted.remove(host);
         let former = former.filter(|_| self.divides_fast);
         let former = former.map_or_else(SortedMap::new, |held| held.grants);
-        self.shares
-            .set_divided(pools.iter().map(|(pool, _)| pool.clone()).collect());
         let mut held = SortedMap::new();
         let mut granted = Vec::new();
         for (pool, targets) in pools {
@@ -147,6 +145,8 @@
                 grants,
             });
         }
+        let divided = granted.iter().map(|granted| granted.pool.clone());
+        self.shares.set_divided(divided.collect());
         if !granted.is_empty() {
             let grants = HostGrants {
                 grants: held,
--- a/src/dispatch/slot_reporting.rs
+++ b/src/dispatch/slot_reporting.rs
@@ -187,6 +187,11 @@
 }
 
 impl PoolEntry {
+    /// Returns whether granted slots are free.
+    pub(super) fn has_idle_grants(&self, now: Duration) -> bool {
+        self.grants(now).is_some() && self.slot_fit(now).idle > 0
+    }
+
     fn slot_fit(&self, now: Duration) -> SlotFit {
         let running = self.running.values().sum();
         let waiting = self.queue.len() as u32;
--- a/tests/slot_usage.rs
+++ b/tests/slot_usage.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cardamomgw::dispatch::AttemptOutcome;
+use cardamomgw::dispatch::GrantTarget;
 use cardamomgw::dispatch::PlacedTarget;
 use cardamomgw::dispatch::PlacementRequest;
 use cardamomgw::dispatch::PoolGrants;
@@ -13,6 +14,7 @@
 use cardamomgw::dispatch::QueueTicket;
 use cardamomgw::dispatch::RequestPriority;
 use cardamomgw::dispatch::SlotDemand;
+use cardamomgw::dispatch::SlotGrant;
 use cardamomgw::dispatch::SlotGrants;
 use cardamomgw::dispatch::TargetLoad;
 use cardamomgw::dispatch::TargetPace;
@@ -927,3 +929,173 @@
 fn two_leaders_leave_no_slots_idle() {
     assert_recovers(Fault::TwoLeaders);
 }
+
+fn placement(tier: u8, prompt_tokens: u64, now: Duration) -> PlacementRequest {
+    PlacementRequest {
+        pool: POOL.into(),
+        priority: priority_of(tier),
+        objective_at: now + Duration::from_millis(600),
+        is_retry: false,
+        prompt_tokens,
+        output_tokens: None,
+        event_gap_objective: None,
+        deadline: now + Duration::from_secs(12),
+        tried: Vec::new(),
+        version: None,
+    }
+}
+
+/// Returns a table with one fast and one slow engine.
+fn two_engine_table(is_fast: bool, now: Duration) -> PoolTable {
+    let mut table = PoolTable::new("za".into());
+    table.set_targets(vec![engine_member(0), engine_member(1)], now);
+    table.set_fast_reports(is_fast);
+    let paces =
+        [(0, EVENT_GAP_MS), (1, EVENT_GAP_MS * SLOWNESS)].map(|(index, gap_ms)| TargetPace {
+            target: engine_member(index).record.incarnation(),
+            gap_ms: gap_ms as f32,
+            age_ms: 0,
+        });
+    table.merge_paces(&paces, now);
+    table
+}
+
+fn grants_at(engine: usize, slots: u32) -> Vec<PoolGrants> {
+    vec![PoolGrants {
+        pool: POOL.into(),
+        slots,
+        late: 0,
+        grants: vec![SlotGrant {
+            target: format!("t{engine:03}"),
+            slots,
+        }],
+    }]
+}
+
+/// Guards against granted slots at a slow engine that stay free because the first requests in the
+/// queue, whose prompts are long, wait for a fast one.
+#[test]
+fn a_free_slot_at_a_slow_engine_goes_to_a_request_that_it_can_serve_in_time() {
+    let now = START;
+    let [placed, placed_before] = [true, false].map(|is_fast| {
+        let mut table = two_engine_table(is_fast, now);
+        table.set_grants(grants_at(1, 1), now);
+        for ticket in 0..6 {
+            table.enqueue(ticket, placement(0, 30_000, now), now);
+        }
+        table.enqueue(6, placement(2, 0, now), now);
+
+        table.assign(now, || 0.5)
+    });
+
+    let tickets: Vec<QueueTicket> = placed.iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(tickets, [6]);
+    assert!(placed_before.is_empty());
+}
+
+/// Guards against a host whose share shrinks because it refuses requests, and against refusals
+/// that count for longer than the burst.
+#[test]
+fn refused_requests_count_as_demand_for_a_second() {
+    let now = START;
+    let refused_of = |is_fast: bool, after: Duration| -> u32 {
+        let mut table = two_engine_table(is_fast, now);
+        for _ in 0..20 {
+            table.record_refusal(&placement(1, 0, now), now);
+        }
+        let demands = table.slot_demands(now + after);
+        demands.iter().map(|demand| demand.refused).sum()
+    };
+
+    assert_eq!(refused_of(true, Duration::ZERO), 20);
+    assert_eq!(refused_of(true, Duration::from_secs(1)), 7);
+    assert_eq!(refused_of(true, Duration::from_secs(5)), 0);
+    assert_eq!(refused_of(false, Duration::ZERO), 0, "switched off");
+}
+
+/// Guards against reports more often than a leader on half a core can answer, and against reports
+/// that tell it nothing new.
+#[test]
+fn a_host_reports_at_once_but_not_more_than_each_20_ms() {
+    let now = START;
+    let after = |millis: u64| now + Duration::from_millis(millis);
+    let mut table = two_engine_table(true, now);
+    table.set_grants(grants_at(0, 1), now);
+    table.place(&placement(0, 0, now), now, 0.5);
+    table.enqueue(1, placement(0, 0, now), now);
+
+    let first = table.take_slot_report(now);
+    table.enqueue(2, placement(0, 0, now), now);
+    let early = table.take_slot_report(after(15));
+    let grown = table.take_slot_report(after(20));
+    let unchanged = table.take_slot_report(after(40));
+    let still_waiting = table.take_slot_report(after(60));
+
+    assert_eq!(first.map(|report| report.demands[0].slots), Some(2));
+    assert_eq!(early, None);
+    assert_eq!(grown.map(|report| report.demands[0].slots), Some(3));
+    assert_eq!(unchanged, None);
+    assert!(still_waiting.is_some());
+}
+
+/// Guards against granted slots that stay at a host without requests until its next gossip.
+#[test]
+fn a_host_reports_slots_that_it_no_longer_uses() {
+    let now = START;
+    let mut table = two_engine_table(true, now);
+    table.set_grants(grants_at(0, 2), now);
+    let placed = table.place(&placement(0, 0, now), now, 0.5);
+    let placed = placed.expect("two slots are granted");
+    table.record_slot_report(now);
+
+    let busy = table.take_slot_report(now);
+    table.record_outcome(POOL, &placed, AttemptOutcome::Succeeded, now);
+    let idle = table.take_slot_report(now);
+
+    assert_eq!(busy, None);
+    assert!(idle.is_some_and(|report| report.loads.is_empty()));
+    assert_eq!(table.idle_granted_slots(now), 2);
+}
+
+/// Guards against messages of hosts that are switched to the former division.
+#[test]
+fn a_host_that_is_switched_off_never_reports() {
+    let now = START;
+    let mut table = two_engine_table(false, now);
+    table.set_grants(grants_at(0, 1), now);
+    table.enqueue(1, placement(0, 0, now), now);
+
+    assert_eq!(table.take_slot_report(now), None);
+}
+
+/// Guards against division that starts and ends with each report around one threshold.
+#[test]
+fn division_ends_at_a_lower_demand_than_it_starts() {
+    let demand = |slots: u32| {
+        vec![SlotDemand {
+            pool: POOL.into(),
+            priority: Some(priority_of(0)),
+            slots,
+            refused: 0,
+        }]
+    };
+    let target = GrantTarget {
+        name: "t000".into(),
+        slots: 100,
+        running: 0,
+        ungranted_running: 0,
+        slowness_percent: 100,
+    };
+    let divided = |is_fast: bool| {
+        let mut granted = SlotGrants::default();
+        granted.set_fast(is_fast);
+        [80, 86, 75, 69, 80, 100].map(|slots| {
+            granted.update_demands("e1", demand(slots), START);
+            let pools = vec![(POOL.to_owned(), vec![target.clone()])];
+            !granted.grant("e1", pools, START).is_empty()
+        })
+    };
+
+    assert_eq!(divided(true), [false, true, true, false, false, true]);
+    assert_eq!(divided(false), [false, false, false, false, false, true]);
+}
