--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -26,7 +26,7 @@
     pub(crate) lost_paths: AtomicU64,
     /// Requests forwarded to peers.
     pub(crate) forwarded: AtomicU64,
-    /// Reports of slot demand that were sent to the leader between two rounds of gossip.
+    /// Reports of slot demand that the leader answered between two rounds of gossip.
     pub(crate) slot_reports: AtomicU64,
     /// Requests that peers forwarded.
     pub(crate) served_for_peers: AtomicU64,
--- a/src/edge/slot_report_exchange.rs
+++ b/src/edge/slot_report_exchange.rs
@@ -72,7 +72,6 @@
     leader: HostName,
     report: SlotReport,
 ) {
-    count(&state.metrics.slot_reports);
     let call = PeerCall::SlotReport(Box::new(report));
     let reply = mesh.call(&leader, call, REPORT_TIMEOUT).await;
     let Ok(PeerReply::SlotGrants(grants)) = reply else {
@@ -81,9 +80,10 @@
         state.queue.lock_table().forget_slot_report();
         return;
     };
-    let table = &state.queue;
-    table.lock_table().set_grants(grants, boot_now());
-    table.assign_waiting();
+    count(&state.metrics.slot_reports);
+    let queue = &state.queue;
+    queue.lock_table().set_grants(grants, boot_now());
+    queue.assign_waiting();
 }
 
 impl EdgeState {
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -277,6 +277,17 @@
         });
     }
 
+    /// Writes a catalog in which the targets are engines.
+    pub(super) fn set_engines(&self, revision: u64) {
+        self.change(revision, |update| {
+            let mut catalog = catalog_of(revision, &["k1"]);
+            for pool in &mut catalog.pools {
+                pool.engine = true;
+            }
+            update.catalog = Some(catalog);
+        });
+    }
+
     fn change(&self, revision: u64, change: impl FnOnce(&mut ViewUpdate)) {
         let mut state = self.state.lock().unwrap();
         let update = state.as_mut().unwrap();
--- a/src/edge/tests/slot_reports.rs
+++ b/src/edge/tests/slot_reports.rs
@@ -1,12 +1,22 @@
 //! Reports of slot demand between two rounds of gossip.
 
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use bincode::config::standard;
 
+use super::edge_fixture::FleetFixture;
+use super::edge_fixture::counter_of;
 use super::edge_fixture::isolated_state;
+use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
+use super::group_partitions::first_group;
+use super::group_partitions::form_groups;
+use super::group_partitions::zones_of_groups;
+use super::raw_target::RawTarget;
+use super::raw_target::write_text;
 use crate::clock::boot_now;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::PoolMember;
@@ -161,3 +171,52 @@
     // Without optimization, on a busy machine.
     assert!(per_report <= Duration::from_millis(10), "{per_report:?}");
 }
+
+/// Guards against reports that do not reach the leader, or grants that do not reach the member,
+/// over the links between hosts.
+#[test]
+fn members_of_a_group_report_when_their_slots_fill_up() {
+    let busy_target = || {
+        RawTarget::spawn(|request, stream| {
+            thread::sleep(Duration::from_millis(150));
+            write_text(stream, &request.answer("200 OK", "fine"));
+            true
+        })
+    };
+    let targets: Vec<RawTarget> = (0..6).map(|_| busy_target()).collect();
+    let fleet = FleetFixture::open_direct(&targets, &zones_of_groups());
+    for host in &fleet.hosts {
+        host.store.set_engines(2);
+    }
+    let (_, members) = first_group();
+    form_groups(&fleet);
+
+    let served: usize = thread::scope(|scope| {
+        let fleet = &fleet;
+        let callers: Vec<_> = (0..32)
+            .map(|caller| {
+                let host = &fleet.hosts[members[caller % 4]];
+                scope.spawn(move || {
+                    let answers = (0..12).map(|number| {
+                        let id = format!("slots{caller}-{number}");
+                        host.call(&request_for("/again/x", &id))
+                    });
+                    answers.filter(|answer| status_of(answer) == 200).count()
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .sum()
+    });
+
+    let reports = members[..4].iter().map(|member| {
+        let metrics = fleet.hosts[*member].metrics();
+        counter_of(&metrics, "cardamomgw_slot_reports_total")
+    });
+    let reports: Vec<u64> = reports.collect();
+    println!("{served} served, reports {reports:?}");
+    assert!(served > 0);
+    assert!(reports.iter().all(|count| *count > 0), "{reports:?}");
+}
