Ranges of targets follow the demand of the groups

Cause: each group has an equal range of targets, whatever its callers ask and however many slow targets it holds. Change: leaders report demand, capacity and range of their group to each other. Each boundary is decided by the leader of the group before it, moves in small steps, and is taken over by the next one. Members get the range with the leader's answer. Ranges are equal where no group nears its capacity, reports are missing or groups change. Off with LoadControl::weights_shards.

--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -10,6 +10,7 @@
 use super::RequestPriority;
 use super::ShardRange;
 use super::output_estimate::OutputEstimate;
+use super::pool_shards::HeldSpan;
 use super::prefill_estimate::PrefillEstimate;
 use super::rate_meter::RateMeter;
 use super::reach_tracker::ReachTracker;
@@ -52,6 +53,8 @@
     pub(super) running: SortedMap<RequestPriority, u32>,
     /// The slots granted to this host, if the pool's slots are divided among hosts.
     pub(super) granted: Option<GrantedSlots>,
+    /// The range of targets that this host's group prefers, if it is not an equal one.
+    pub(super) span: Option<HeldSpan>,
     /// This host's path to the targets.
     pub(super) reach: ReachTracker,
     /// Until when peers are asked for room, as this host's part was used up.
@@ -93,10 +96,12 @@
         let count = targets
             .filter(|target| target.is_registered_ready())
             .count();
+        let span = self.span.map(|held| held.span);
         let mut index = 0;
         for target in &mut self.targets {
             let is_ready = target.is_registered_ready();
-            target.in_shard = is_ready && shard.contains(TargetPosition { index, count });
+            let position = TargetPosition { index, count };
+            target.in_shard = is_ready && shard.contains(position, span);
             index += usize::from(is_ready);
         }
     }
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 pub struct PoolTable {
     own_zone: ZoneName,
-    shard: ShardRange,
+    pub(super) shard: ShardRange,
     pub(super) pools: SortedMap<PoolName, PoolEntry>,
     /// Where each target is; rebuilt whenever targets are added or removed.
     pub(super) locations: TargetLocations,
@@ -129,11 +129,15 @@
         self.mark_shard();
     }
 
-    /// Sets the share of targets that this host's group prefers.
+    /// Sets the share of targets that this host's group prefers. If it changes, ranges are equal
+    /// until the leader sends others.
     pub fn set_group_share(&mut self, share: GroupShare) {
         let shard = ShardRange::new(share);
         if self.shard != shard {
             self.shard = shard;
+            for (_, pool) in self.pools.iter_mut() {
+                pool.span = None;
+            }
             self.mark_shard();
         }
     }
--- a/src/dispatch/slot_grants.rs
+++ b/src/dispatch/slot_grants.rs
@@ -85,6 +85,11 @@
         self.granted.iter().map(|(host, _)| host.clone()).collect()
     }
 
+    /// Returns how many slots the hosts want in each pool.
+    pub fn demand_totals(&self) -> Vec<(PoolName, u32)> {
+        self.shares.totals()
+    }
+
     /// Returns whether the hosts want at least all of a pool's `slots`, so that they are divided.
     pub fn is_scarce(&self, pool: &str, slots: u32) -> bool {
         self.shares.is_scarce(pool, slots)
--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -112,6 +112,19 @@
         })
     }
 
+    /// Returns how many slots the hosts want in each pool.
+    pub(super) fn totals(&self) -> Vec<(PoolName, u32)> {
+        let mut totals: SortedMap<&PoolName, u32> = SortedMap::new();
+        let hosts = self.hosts.values();
+        for demand in hosts.flat_map(|host| &host.demands) {
+            *totals.get_or_insert_with(&demand.pool, || 0) += demand.slots;
+        }
+        let totals = totals.iter();
+        totals
+            .map(|(pool, slots)| (PoolName::clone(pool), *slots))
+            .collect()
+    }
+
     fn demands_in(&self, pool: &str) -> impl Iterator<Item = &SlotDemand> {
         let hosts = self.hosts.values();
         hosts.flat_map(move |demand| demand.in_pool(pool))
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -30,6 +30,7 @@
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
 use crate::dispatch::PoolMember;
+use crate::dispatch::ShardWeights;
 use crate::dispatch::SlotGrants;
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
@@ -113,6 +114,8 @@
     deadlines: Mutex<DeadlineHistory>,
     /// Slots granted to the hosts that report to this one.
     slot_grants: Mutex<SlotGrants>,
+    /// Ranges of targets of this host's group, while it acts as the leader.
+    shard_weights: Mutex<ShardWeights>,
     quota_limiter: Mutex<QuotaLimiter>,
     retry_budget: Mutex<RetryBudget>,
     /// Number of views that are being fetched from peers.
@@ -168,6 +171,7 @@
             skipped_leaders: Mutex::default(),
             deadlines: Mutex::default(),
             slot_grants: Mutex::default(),
+            shard_weights: Mutex::default(),
             gossip_cursors: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             header_names,
@@ -252,6 +256,10 @@
         lock(&self.slot_grants)
     }
 
+    pub(crate) fn shard_weights(&self) -> MutexGuard<'_, ShardWeights> {
+        lock(&self.shard_weights)
+    }
+
     /// Sends what has changed to all peers at once.
     pub(crate) fn gossip_now(&self) {
         self.gossip_schedule().expedite_all();
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::TargetLoad;
 use crate::ids::HostName;
 use crate::members::GossipMessage;
+use crate::members::GroupShare;
 use crate::members::HeartbeatAge;
 use crate::members::HeartbeatDigest;
 use crate::members::LoadVersion;
@@ -189,6 +190,18 @@
                 Some(UsageScope::Fleet) => self.grant_slots(options.receiver, now),
                 _ => Vec::new(),
             },
+            shard_report: match options.scope {
+                Some(UsageScope::Group) if self.weights_shards() => {
+                    self.shard_weights().report(now)
+                }
+                _ => None,
+            },
+            shard_spans: match options.scope {
+                Some(UsageScope::Fleet) if self.weights_shards() => {
+                    self.queue.lock_table().shard_spans()
+                }
+                _ => Vec::new(),
+            },
             streams: match options.scope {
                 Some(UsageScope::Host) => {
                     let since = (!is_new).then_some(since);
@@ -235,6 +248,21 @@
         grants.grant(host, pools, now)
     }
 
+    /// Returns whether ranges of targets follow the demand of the groups.
+    pub(super) fn weights_shards(&self) -> bool {
+        self.settings.load().load_control.weights_shards
+    }
+
+    /// Updates the ranges of targets of this host's group, whose leader it is.
+    pub(super) fn update_shards(&self, share: &GroupShare, now: Duration) {
+        if !self.weights_shards() {
+            return;
+        }
+        let demands = self.slot_grants().demand_totals();
+        let mut weights = self.shard_weights();
+        weights.update(share, &demands, &mut self.queue.lock_table(), now);
+    }
+
     fn own_record(&self) -> MemberRecord {
         let settings = self.settings.load();
         MemberRecord {
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -95,6 +95,9 @@
         sender.state.wait_for_gossip(period).await;
         let role = sender.state.refresh_role();
         sender.state.probe_paths();
+        let mut table = sender.state.queue.lock_table();
+        table.expire_shard_spans(boot_now());
+        drop(table);
         let connected = sender.mesh.connected_peers();
         logger.log_changes(&sender.state, &connected);
         let peers = sender.choose_peers(&role, &connected);
@@ -236,7 +239,7 @@
             false => UsageScope::Host,
         };
         if scope == UsageScope::Group {
-            self.grant_own_slots(now);
+            self.grant_own_slots(&role.layout, now);
         }
         let due = self.state.gossip_schedule().due(peers, version, now);
         let due = due.into_iter();
@@ -248,11 +251,13 @@
         }
     }
 
-    /// Grants this host its part of the shard's slots, like the hosts that report to it.
-    fn grant_own_slots(&self, now: Duration) {
+    /// Updates the shard, and grants this host its part of the slots, like the hosts that report
+    /// to it.
+    fn grant_own_slots(&self, layout: &GroupLayout, now: Duration) {
         let host = self.state.settings.load().host.clone();
         let demands = self.state.queue.lock_table().slot_demands();
         self.state.slot_grants().update_demands(&host, demands, now);
+        self.state.update_shards(&layout.own_share(), now);
         let grants = self.state.grant_slots(&host, now);
         self.state.queue.lock_table().set_grants(grants, now);
     }
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -70,8 +70,14 @@
     if let Some(demands) = message.slot_demands {
         state.slot_grants().update_demands(&host, demands, now);
     }
+    if let Some(report) = message.shard_report {
+        state.shard_weights().merge(report, now);
+    }
     if scope == UsageScope::Fleet {
         let mut table = state.queue.lock_table();
+        if state.weights_shards() {
+            table.set_shard_spans(&message.shard_spans, now);
+        }
         table.set_grants(message.slot_grants, now);
     }
     let report = UsageReport {
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -56,6 +56,8 @@
     let (left_out, dropped) = state.log.lost_lines();
     let (revision, catalog) = state.view.held_versions();
     let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
+    let shard_sizes = state.queue.lock_table().shard_sizes();
+    let shard_targets: usize = shard_sizes.iter().map(|(_, targets)| targets).sum();
     let mut text = state.metrics.render(&[
         ("catalog_version", catalog),
         ("store_era", revision.era),
@@ -63,6 +65,7 @@
         ("evidence_age_ms", age),
         ("view_age_ms", state.view_age_ms().unwrap_or(0)),
         ("members_live", state.live_host_count() as u64),
+        ("shard_targets", shard_targets as u64),
         ("requests_running", state.active_requests() as u64),
         (
             "target_connections_kept",
--- a/src/edge/view_logger.rs
+++ b/src/edge/view_logger.rs
@@ -1,18 +1,27 @@
 //! Logs changes in this host's view of peers and targets.
 
+use std::time::Duration;
+
 use super::edge_state::EdgeState;
 use crate::clock::boot_now;
+use crate::dispatch::PoolSpan;
+use crate::dispatch::ShardSpan;
 use crate::ids::HostName;
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
 use crate::members::MemberState;
 
+/// Shortest time between two lines about changed shards, whose ranges move in steps.
+const SHARD_LOG_PERIOD: Duration = Duration::from_secs(1);
+
 /// The view that was logged last.
 #[derive(Debug, Default)]
 pub(super) struct ViewLogger {
     connected: Vec<HostName>,
     members: Vec<(HostName, MemberState)>,
     suspected: Vec<TargetName>,
+    spans: Vec<PoolSpan>,
+    spans_logged_at: Duration,
 }
 
 impl ViewLogger {
@@ -26,6 +35,7 @@
         }
         self.log_members(state);
         self.log_targets(state);
+        self.log_shards(state);
     }
 
     fn log_members(&mut self, state: &EdgeState) {
@@ -58,6 +68,49 @@
         });
         self.suspected = suspected;
     }
+
+    /// Logs the ranges that changed, on the leader that decided on them.
+    fn log_shards(&mut self, state: &EdgeState) {
+        let now = boot_now();
+        if now.saturating_sub(self.spans_logged_at) < SHARD_LOG_PERIOD {
+            return;
+        }
+        let is_leader = state.shard_weights().is_leading(now);
+        let table = state.queue.lock_table();
+        let spans = table.shard_spans();
+        if !is_leader || spans == self.spans {
+            return;
+        }
+        let sizes = table.shard_sizes();
+        drop(table);
+        for (pool, targets) in sizes {
+            let span = span_in(&spans, &pool);
+            if span == span_in(&self.spans, &pool) {
+                continue;
+            }
+            state.log.write(&DecisionLine::ShardChanged {
+                pool,
+                targets,
+                start: span.map(fraction_of_start),
+                end: span.map(fraction_of_end),
+            });
+        }
+        self.spans = spans;
+        self.spans_logged_at = now;
+    }
+}
+
+fn span_in(spans: &[PoolSpan], pool: &str) -> Option<ShardSpan> {
+    let found = spans.iter().find(|held| held.pool == pool);
+    found.map(|held| held.span)
+}
+
+fn fraction_of_start(span: ShardSpan) -> f64 {
+    f64::from(span.start) / f64::from(ShardSpan::UNITS)
+}
+
+fn fraction_of_end(span: ShardSpan) -> f64 {
+    f64::from(span.end) / f64::from(ShardSpan::UNITS)
 }
 
 /// Returns the members that are in the wanted state now and were not before.
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -180,6 +180,19 @@
         /// Targets that have recovered.
         back: Vec<TargetName>,
     },
+    /// The range of a pool's targets that this host's group prefers changed; written by the
+    /// leader.
+    #[display("the shard of {pool} has {targets} targets")]
+    ShardChanged {
+        /// The pool.
+        pool: PoolName,
+        /// Number of targets in the shard.
+        targets: usize,
+        /// Where the range starts, as a fraction of the targets; absent if ranges are equal.
+        start: Option<f64>,
+        /// Where it ends.
+        end: Option<f64>,
+    },
     /// A target announced a request limit, changed it, or has none any more.
     #[display("{target} accepts {per_second:?} requests per second")]
     TargetLimited {
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -11,7 +11,9 @@
 use crate::dispatch::LeavingTarget;
 use crate::dispatch::PoolGrants;
 use crate::dispatch::PoolReach;
+use crate::dispatch::PoolSpan;
 use crate::dispatch::ReturningTarget;
+use crate::dispatch::ShardReport;
 use crate::dispatch::SlotDemand;
 use crate::dispatch::TargetLimit;
 use crate::dispatch::TargetLoad;
@@ -107,6 +109,10 @@
     pub slot_demands: Option<Vec<SlotDemand>>,
     /// Slots that the receiver may use in pools where slots are scarce; in a leader's answer.
     pub slot_grants: Vec<PoolGrants>,
+    /// Demand and ranges of the sender's group; between leaders.
+    pub shard_report: Option<ShardReport>,
+    /// Ranges of the group that differ from equal ones; in a leader's answer.
+    pub shard_spans: Vec<PoolSpan>,
     /// Recent quota usage by account.
     pub usage: Vec<AccountUsage>,
     /// Unresponsive hosts within the scope.
