--- a/src/dispatch/shard_weights.rs
+++ b/src/dispatch/shard_weights.rs
@@ -18,6 +18,9 @@
 /// Time for which a new leader collects the demands of its members before it reports them. Idle
 /// members report each 400 ms; a total without some of them would shrink the group's range.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(400);
+/// Shortest time between two updates, each of which visits all targets. Gossip may be woken many
+/// times a second.
+const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 /// Period at which boundaries move: that of the reports between leaders, so that each step
 /// takes the result of the last one into account.
 const STEP_PERIOD: Duration = Duration::from_millis(500);
@@ -75,6 +78,21 @@
     pub pools: Vec<PoolShard>,
 }
 
+impl PoolShard {
+    /// Returns whether its figures can be computed with.
+    fn is_valid(&self) -> bool {
+        let is_amount = |amount: f32| amount.is_finite() && amount >= 0.0;
+        let gap = self.shortest_gap_ms.unwrap_or(1.0);
+        let span = self.span;
+        let has_width = span.start < span.end && span.end <= ShardSpan::UNITS;
+        has_width
+            && is_amount(self.demand)
+            && is_amount(self.capacity)
+            && is_amount(gap)
+            && gap > 0.0
+    }
+}
+
 /// The state of one pool at the leader of a group.
 #[derive(Clone, Debug)]
 struct PoolWeight {
@@ -108,7 +126,8 @@
 
 impl ShardWeights {
     /// Merges the report of another leader. If a group has two leaders, the last report counts.
-    pub fn merge(&mut self, report: ShardReport, now: Duration) {
+    pub fn merge(&mut self, mut report: ShardReport, now: Duration) {
+        report.pools.retain(PoolShard::is_valid);
         self.reports.insert(report.group, (report, now));
     }
 
@@ -140,6 +159,10 @@
         now: Duration,
     ) {
         let elapsed = self.updated_at.map(|at| now.saturating_sub(at));
+        let is_recent = elapsed.is_some_and(|elapsed| elapsed < MIN_UPDATE_INTERVAL);
+        if is_recent && self.share == *share {
+            return;
+        }
         let is_new = elapsed.is_none_or(|elapsed| elapsed >= REPORT_TTL);
         if is_new || self.share != *share {
             *self = Self {
--- a/tests/shard_weights.rs
+++ b/tests/shard_weights.rs
@@ -852,6 +852,28 @@
     assert_eq!(leader.targets().len(), ENGINES / (GROUPS + 1));
 }
 
+/// Guards against messages that grow with the number of targets.
+#[test]
+fn reports_have_the_same_size_for_any_number_of_targets() {
+    let size_with = |targets: usize| {
+        let mut leader = LeaderModel::new(1, UNEVEN[1]);
+        let members = (0..targets).map(engine_of_many);
+        leader.table.set_targets(members.collect(), START);
+        leader.update(START);
+        leader.update(START + TICK * 4);
+        let report = leader.weights.report(START + TICK * 4);
+        let report = report.expect("it leads for long enough");
+        let bytes = bincode::serde::encode_to_vec(&report, bincode::config::standard());
+        bytes.expect("it can be encoded").len()
+    };
+
+    let (few, many) = (size_with(112), size_with(6100));
+
+    println!("report of one pool: {few} and {many} bytes");
+    assert_eq!(few, many);
+    assert!(many <= 64, "{many}");
+}
+
 /// Guards against ranges that leave out a target, or differ from those of former versions, where
 /// they are equal.
 #[test]
