Tests of ranges in the messages between hosts

Cause: tests of ShardWeights don't show that messages hold what it needs, nor what the switch does. Change: leaders and a member of three groups exchange messages without a network, with the switch on, off and off at one leader.

--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -24,3 +24,4 @@
 mod stream_versions;
 mod suspect_trials;
 mod target_notices;
+mod weighted_shards;
