--- a/src/dispatch/shard_weights.rs
+++ b/src/dispatch/shard_weights.rs
@@ -25,8 +25,8 @@
 /// takes the result of the last one into account.
 const STEP_PERIOD: Duration = Duration::from_millis(500);
 /// The part of the difference from the computed boundary by which it moves at once. Refused
-/// callers may be overstated in the demand, as each counts for a second, and with a larger part
-/// a boundary would oscillate.
+/// callers may be overstated in the demand, as each counts for a second; with a larger part a
+/// boundary could move past its goal and back.
 const STEP_FRACTION: f64 = 0.5;
 /// The most that a boundary moves at once, relative to an equal range, so that a group keeps at
 /// least three quarters of its targets. Hosts know the loads at targets that they keep.
@@ -353,20 +353,6 @@
             false => 0.0,
         }
     }
-
-    /// Returns the capacity that the group should have, relative to other groups.
-    ///
-    /// It grows with the logarithm of demand above the capacity: the result is the same, as only
-    /// equal ratios of demand to capacity change nothing, but it is approached evenly whatever
-    /// a refused caller counts for.
-    fn weight(&self) -> f64 {
-        let capacity = self.capacity.max(f64::MIN_POSITIVE);
-        let ratio = self.demand / capacity;
-        match ratio > 1.0 {
-            true => capacity * (1.0 + ratio.ln()),
-            false => self.demand,
-        }
-    }
 }
 
 /// The capacity of the targets as a piecewise linear function of the position, computed from
@@ -452,10 +438,13 @@
 }
 
 /// Returns the end of a group's range at which all groups up to it have capacity in proportion
-/// to their weights.
+/// to their demands.
+///
+/// The result is the same whatever a refused caller counts for, as demands of full groups are in
+/// proportion to their capacities only where all refuse the same part of their requests.
 fn boundary_behind(shards: &[GroupShard], group: usize) -> f64 {
     let curve = CapacityCurve::new(shards);
-    let weights = shards.iter().map(GroupShard::weight);
+    let weights = shards.iter().map(|shard| shard.demand);
     let total: f64 = weights.clone().sum();
     let least = MIN_SHARE / shards.len() as f64;
     let shares = weights.map(|weight| (weight / total.max(f64::MIN_POSITIVE)).max(least));
