--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -156,6 +156,19 @@
         (left * refused_here.unwrap_or_default() / refused).ceil() as u32
     }
 
+    /// Returns how many slots the hosts want in each pool.
+    pub(super) fn totals(&self) -> Vec<(PoolName, u32)> {
+        let mut totals: SortedMap<&PoolName, u32> = SortedMap::new();
+        let hosts = self.hosts.values();
+        for demand in hosts.flat_map(|host| &host.demands) {
+            *totals.get_or_insert_with(&demand.pool, || 0) += demand.slots + demand.refused;
+        }
+        let totals = totals.iter();
+        totals
+            .map(|(pool, slots)| (PoolName::clone(pool), *slots))
+            .collect()
+    }
+
     fn demands_in(&self, pool: &str) -> impl Iterator<Item = &SlotDemand> {
         let hosts = self.hosts.values();
         hosts.flat_map(move |demand| demand.in_pool(pool))
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -95,6 +95,9 @@
         sender.state.wait_for_gossip(period).await;
         let role = sender.state.refresh_role();
         sender.state.probe_paths();
+        let mut table = sender.state.queue.lock_table();
+        table.expire_shard_spans(boot_now());
+        drop(table);
         let connected = sender.mesh.connected_peers();
         logger.log_changes(&sender.state, &connected);
         let peers = sender.choose_peers(&role, &connected);
@@ -235,6 +238,7 @@
             false => UsageScope::Host,
         };
         if scope == UsageScope::Group {
+            self.state.update_shards(&role.layout.own_share(), now);
             self.state.grant_own_slots(now);
         }
         let due = self.state.gossip_schedule().due(peers, version, now);
