Dispatch: limits of what a host has outstanding at plain targets

Cause: hosts send to plain targets whose queues are full. Change: src/capacity/ has a window per host and target, adapted by the latency of its own answers and by rejections; below one it is an interval between requests. Requests that find none open wait at the host while they can meet their objective.

--- a/src/dispatch/dispatch_queue.rs
+++ b/src/dispatch/dispatch_queue.rs
@@ -28,6 +28,10 @@
 /// longer than any caller does.
 const MAX_WAITING: usize = 300;
 
+/// Interval at which a request that waits for a limited plain target looks for an opening. Such
+/// requests wait for at most some 100 ms.
+const WINDOW_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The outcome of waiting for a target.
 #[derive(Debug)]
 pub(crate) enum WaitOutcome {
@@ -47,6 +51,8 @@
     table: Mutex<PoolTable>,
     waiters: Mutex<SortedMap<QueueTicket, Sender<PlacedTarget>>>,
     next_ticket: AtomicU64,
+    /// When targets were last assigned because limits had opened, in milliseconds.
+    windows_assigned_ms: AtomicU64,
 }
 
 impl DispatchQueue {
@@ -56,6 +62,7 @@
             table: Mutex::new(PoolTable::new(own_zone)),
             waiters: Mutex::default(),
             next_ticket: AtomicU64::new(0),
+            windows_assigned_ms: AtomicU64::new(0),
         })
     }
 
@@ -101,17 +108,48 @@
             ticket,
             receiver,
         };
-        let waited = timeout(max_wait, queued.receiver.recv()).await;
+        let waited = self.wait(&queued, max_wait).await;
         // The request may have been placed just as the wait timed out.
-        match waited
-            .unwrap_or(Err(RecvError))
-            .or(queued.receiver.try_recv())
-        {
+        match waited.or(queued.receiver.try_recv()) {
             Ok(placed) => WaitOutcome::Placed(Box::new(self.make_guard(pool.clone(), placed))),
             Err(_) => WaitOutcome::TimedOut,
         }
     }
 
+    /// Waits for the target of a queued request. While this host limits what it has outstanding at
+    /// the pool, a limit below one request opens with time, so the requests that wait for it
+    /// assign targets in turn.
+    async fn wait(
+        self: &Arc<Self>,
+        queued: &QueuedRequest<'_>,
+        max_wait: Duration,
+    ) -> Result<PlacedTarget, RecvError> {
+        let end = boot_now() + max_wait;
+        loop {
+            let left = end.saturating_sub(boot_now());
+            let has_window = self.lock_table().has_window(queued.pool);
+            let step = match has_window {
+                true => left.min(WINDOW_INTERVAL),
+                false => left,
+            };
+            match timeout(step, queued.receiver.recv()).await {
+                Ok(received) => return received,
+                Err(_) if step == left => return Err(RecvError),
+                Err(_) => self.assign_windows(),
+            }
+        }
+    }
+
+    /// Assigns targets whose limits have opened, unless another request has just done so.
+    fn assign_windows(self: &Arc<Self>) {
+        let now = boot_now().as_millis() as u64;
+        let last = self.windows_assigned_ms.load(Ordering::Relaxed);
+        if now.saturating_sub(last) >= WINDOW_INTERVAL.as_millis() as u64 / 2 {
+            self.windows_assigned_ms.store(now, Ordering::Relaxed);
+            self.assign_waiting();
+        }
+    }
+
     /// Ends the wait of all requests of a pool, as if it had timed out.
     pub(crate) fn release_waiting(&self, pool: &str) {
         let tickets = self.lock_table().queued_tickets(pool);
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -19,6 +19,7 @@
 use super::target_choice::choose_target;
 use super::target_choice::shortest_first_event;
 use super::target_runtime::TargetRuntime;
+use crate::capacity::ConcurrencyWindow;
 use crate::ids::SoftwareVersion;
 use crate::ids::TargetName;
 use crate::ids::ZoneName;
@@ -32,6 +33,15 @@
 /// are usable, hosts also use targets outside their shard.
 const MIN_USABLE_FRACTION: f64 = 0.5;
 
+/// Factor on the known objective of a pool at each request, so that a shorter one replaces it.
+const OBJECTIVE_DECAY: f64 = 0.99;
+/// Factor on the recent latency that a waiting request leaves for its answer, which may take longer
+/// than the mean.
+const ANSWER_MARGIN: f64 = 1.25;
+/// Time that a returning caller, whose objective has passed, may wait for a plain target. It does
+/// not return again, and its answer still has a part of its value.
+const RETURN_WAIT: Duration = Duration::from_millis(30);
+
 /// Number of waiting requests, for each software version that they need, for which a free slot is
 /// looked for.
 const MAX_PLACED_AT_ONCE: usize = 4;
@@ -54,6 +64,8 @@
     pub(super) granted: Option<GrantedSlots>,
     /// This host's path to the targets.
     pub(super) reach: ReachTracker,
+    /// The longest recent latency objective of the pool's requests.
+    pub(super) objective: Duration,
     /// Until when peers are asked for room, as this host's part was used up.
     pub(super) short_until: Duration,
 }
@@ -167,6 +179,10 @@
         let tokens_ahead = target.tokens_ahead();
         target.record_dispatch(prompt_tokens, host.now);
         self.dispatch_rate.record(host.now);
+        if !request.is_retry {
+            let left = request.objective_at.saturating_sub(host.now);
+            self.objective = left.max(self.objective.mul_f64(OBJECTIVE_DECAY));
+        }
         *self.running.get_or_insert_with(request.priority, || 0) += 1;
         Some(PlacedTarget {
             name: TargetName::clone(&target.record.name),
@@ -219,6 +235,39 @@
         now + shortest_first_event(&self.targets, request, self.prefill) > request.objective_at
     }
 
+    /// Returns whether this host limits what it has outstanding at a target of the pool.
+    pub(super) fn has_window(&self) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.limiting_window().is_some())
+    }
+
+    /// Returns the requests per second that these limits permit.
+    pub(super) fn window_rate(&self) -> f64 {
+        let windows = self
+            .targets
+            .iter()
+            .filter_map(TargetRuntime::limiting_window);
+        windows.filter_map(ConcurrencyWindow::rate).sum()
+    }
+
+    /// Returns until when a request is to be sent to meet its objective, while what this host has
+    /// outstanding is limited. A returning caller, whose objective has passed, is given
+    /// [`RETURN_WAIT`].
+    pub(super) fn window_due(&self, request: &PlacementRequest, now: Duration) -> Option<Duration> {
+        let windows = self
+            .targets
+            .iter()
+            .filter_map(TargetRuntime::limiting_window);
+        let shortest = windows.filter_map(ConcurrencyWindow::latency).min()?;
+        let due = request
+            .objective_at
+            .saturating_sub(shortest.mul_f64(ANSWER_MARGIN));
+        Some(match request.is_retry {
+            true => due.max(now + RETURN_WAIT),
+            false => due,
+        })
+    }
+
     /// Discards what failed connections and silence on a lost path say about the targets.
     pub(super) fn forget_losses(&mut self) {
         for target in &mut self.targets {
--- a/src/dispatch/pool_feedback.rs
+++ b/src/dispatch/pool_feedback.rs
@@ -146,15 +146,25 @@
     }
 
     /// Records the first byte of an answer, `elapsed` after the dispatch.
-    pub fn record_first_event(&mut self, pool: &str, placed: &PlacedTarget, elapsed: Duration) {
+    pub fn record_first_event(
+        &mut self,
+        pool: &str,
+        placed: &PlacedTarget,
+        elapsed: Duration,
+        now: Duration,
+    ) {
         let Some(pool) = self.pools.get_mut(pool) else {
             return;
         };
+        let objective = pool.objective;
         let fastest = shortest_mean_gap(&pool.targets);
         let mut targets = pool.targets.iter_mut();
         let found = targets.find(|target| target.is_assigned(placed));
         if let Some(target) = found {
             target.record_prefill_end(placed.prompt_tokens);
+            if let Some(window) = &mut target.window {
+                window.record_answer(elapsed, target.own_running, objective, now);
+            }
             let tokens = placed.tokens_ahead + placed.prompt_tokens;
             pool.prefill
                 .record(tokens, target.slowness(fastest), elapsed);
@@ -236,12 +246,26 @@
         {
             *running = running.saturating_sub(1);
         }
+        if end == AttemptOutcome::Rejected {
+            self.limit_windows(pool, now);
+        }
         if let Some(target) = self.target_mut(pool, placed) {
             target.record_prefill_end(placed.prompt_tokens);
             target.record_outcome(end, now);
         }
     }
 
+    /// Limits what this host has outstanding at each target of a plain pool, one of which is full.
+    /// A host with few requests would have to be rejected by each of them.
+    fn limit_windows(&mut self, pool: &str, now: Duration) {
+        let targets = self.pools.get_mut(pool).map(|pool| &mut pool.targets);
+        for target in targets.into_iter().flatten() {
+            if let Some(window) = &mut target.window {
+                window.limit(now);
+            }
+        }
+    }
+
     pub(super) fn find_incarnation(
         &mut self,
         target: &TargetIncarnation,
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -71,6 +71,8 @@
     pub(super) peer_reaches: PeerReaches,
     pub(super) reporting: PeerReporting,
     pub(super) host_position: Option<HostPosition>,
+    /// Whether this host limits what it has outstanding at plain targets.
+    adapts_to_targets: bool,
 }
 
 impl PoolTable {
@@ -88,6 +90,7 @@
             peer_reaches: PeerReaches::default(),
             reporting: PeerReporting::All,
             host_position: None,
+            adapts_to_targets: false,
         }
     }
 
@@ -126,6 +129,7 @@
         }
         self.locations = TargetLocations::of(&self.pools);
         self.refresh_statements(now);
+        self.set_window_hosts();
         self.mark_shard();
     }
 
@@ -141,7 +145,36 @@
     /// Sets this host's position among all hosts, which determines its send windows at
     /// rate-limited targets; `None` while unknown.
     pub fn set_host_position(&mut self, position: Option<HostPosition>) {
+        let hosts = |position: Option<HostPosition>| position.map(|position| position.hosts);
+        let has_changed = hosts(self.host_position) != hosts(position);
         self.host_position = position;
+        if has_changed {
+            self.set_window_hosts();
+        }
+    }
+
+    /// Sets whether this host limits what it has outstanding at plain targets by their latency
+    /// and rejections.
+    pub fn set_adapts_to_targets(&mut self, adapts: bool) {
+        if self.adapts_to_targets != adapts {
+            self.adapts_to_targets = adapts;
+            self.set_window_hosts();
+        }
+    }
+
+    /// Returns whether this host limits what it has outstanding at a target of the pool now.
+    pub(crate) fn has_window(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(PoolEntry::has_window)
+    }
+
+    fn set_window_hosts(&mut self) {
+        let hosts = self.host_position.map_or(1, |position| position.hosts);
+        for (_, pool) in self.pools.iter_mut() {
+            let hosts = (self.adapts_to_targets && !pool.engine).then_some(hosts);
+            for target in &mut pool.targets {
+                target.set_window_hosts(hosts);
+            }
+        }
     }
 
     fn mark_shard(&mut self) {
@@ -318,6 +351,7 @@
         let due = request.objective_at.saturating_sub(first);
         let ahead = pool.queue.count_ahead(request.priority, due, now);
         let dispatch_rate = pool.dispatch_rate.per_second(now).max(MIN_DISPATCH_RATE);
+        let dispatch_rate = dispatch_rate.max(pool.window_rate());
         let wait = ahead as f64 / dispatch_rate;
         // Late requests start at a lower rate, as others go first.
         let late_ahead = match due < now {
@@ -344,8 +378,13 @@
         let pool = self
             .pools
             .get_or_insert_with(request.pool.clone(), PoolEntry::default);
-        let first = shortest_first_event(&pool.targets, &request, pool.prefill);
-        let due = request.objective_at.saturating_sub(first);
+        let due = match pool.window_due(&request, now) {
+            Some(due) => due,
+            None => {
+                let first = shortest_first_event(&pool.targets, &request, pool.prefill);
+                request.objective_at.saturating_sub(first)
+            }
+        };
         pool.queue.push(ticket, request, due, now);
     }
 
@@ -359,6 +398,11 @@
         let Some(pool) = self.pools.get(&request.pool) else {
             return false;
         };
+        if let Some(due) = pool.window_due(request, now) {
+            let ahead = pool.queue.count_ahead(request.priority, due, now) + 1;
+            let wait = Duration::from_secs_f64(ahead as f64 / pool.window_rate().max(1.0));
+            return now + wait > due;
+        }
         let is_late = pool.is_late(request, now);
         pool.engine && is_late && !request.is_retry && pool.grants(now).is_some()
     }
@@ -366,6 +410,16 @@
     /// Removes the queued requests that are to be rejected; see [`PoolTable::should_shed`].
     pub fn shed_late(&mut self, now: Duration) -> Vec<QueueTicket> {
         let mut dropped = Vec::new();
+        let plain = self.pools.iter_mut().filter(|(_, pool)| !pool.engine);
+        for (_, pool) in plain.filter(|(_, pool)| pool.queue.len() > 0 && pool.has_window()) {
+            pool.queue.demote_late(now);
+            let late = pool.queue.iter().filter(|(_, _, late)| *late);
+            let tickets: Vec<QueueTicket> = late.map(|(ticket, _, _)| ticket).collect();
+            for ticket in &tickets {
+                pool.queue.remove(*ticket);
+            }
+            dropped.extend(tickets);
+        }
         let pools = self.pools.iter_mut();
         for (_, pool) in pools.filter(|(_, pool)| pool.engine && pool.grants(now).is_some()) {
             pool.queue.demote_late(now);
--- a/src/dispatch/slot_guard.rs
+++ b/src/dispatch/slot_guard.rs
@@ -57,7 +57,7 @@
             None => {
                 table.record_activity(&self.pool, &self.placed, now);
                 let elapsed = now.saturating_sub(self.started_at);
-                table.record_first_event(&self.pool, &self.placed, elapsed);
+                table.record_first_event(&self.pool, &self.placed, elapsed, now);
                 self.placed.prompt_tokens = 0;
             }
             Some(last) => {
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -109,6 +109,7 @@
                 allowed: is_open(target)
                     && is_usable
                     && target.may_send(context.position, context.now)
+                    && target.window_allows(context.now)
                     && !request.tried.contains(&target.record.name),
                 first,
                 output,
@@ -257,7 +258,13 @@
 }
 
 /// Returns the free fraction of a plain service, whose queue holds twice its slots.
+///
+/// While the host limits what it has outstanding there, it is the free fraction of that, and less
+/// at targets that take longer.
 fn plain_free_fraction(target: &TargetRuntime) -> f64 {
+    if let Some(window) = target.limiting_window() {
+        return window.free_fraction(target.own_running).unwrap_or(1.0);
+    }
     let most = f64::from(target.record.slots * 3);
     let taken = f64::from(target.own_running) + 0.3 * f64::from(target.peer_load.running);
     (most - taken).max(0.0) / most.max(1.0)
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -15,6 +15,7 @@
 use super::limit_table::LimitEntry;
 use super::peer_loads::LoadSum;
 use super::request_limit::RequestLimit;
+use crate::capacity::ConcurrencyWindow;
 use crate::catalog::ColdLimit;
 use crate::view::TargetIncarnation;
 use crate::view::TargetPhase;
@@ -71,6 +72,8 @@
     is_unreachable: bool,
     /// Admission while it crashes when it has to reject many requests.
     pub(super) brittle_guard: BrittleGuard,
+    /// What this host may have outstanding there; only for plain targets, if hosts adapt to them.
+    pub(super) window: Option<ConcurrencyWindow>,
 }
 
 /// What losses change.
@@ -106,6 +109,7 @@
             next_silence_probe: Duration::ZERO,
             is_unreachable: false,
             brittle_guard: BrittleGuard::default(),
+            window: None,
         }
     }
 
@@ -218,6 +222,32 @@
             && guard.allows(&self.record.name, usage, position, now)
     }
 
+    /// Returns whether this host may have another request outstanding there. Unlike the bounds of
+    /// [`TargetRuntime::may_send`], the window is not divided among hosts, so that peers have no
+    /// room in theirs either.
+    pub(super) fn window_allows(&self, now: Duration) -> bool {
+        let window = self.window.as_ref();
+        window.is_none_or(|window| window.allows(self.own_running, now))
+    }
+
+    /// Sets how many hosts send to the target, if this host limits what it has outstanding
+    /// there; `None` if it does not.
+    pub(super) fn set_window_hosts(&mut self, hosts: Option<usize>) {
+        let Some(hosts) = hosts else {
+            self.window = None;
+            return;
+        };
+        let slots = self.record.slots;
+        let window = self.window.get_or_insert(ConcurrencyWindow::new(slots));
+        window.set_hosts(hosts);
+    }
+
+    /// Returns the window while it limits.
+    pub(super) fn limiting_window(&self) -> Option<&ConcurrencyWindow> {
+        let window = self.window.as_ref();
+        window.filter(|window| window.window().is_some())
+    }
+
     /// Returns how many more requests this host may start there within its part of the target's
     /// bounds.
     pub(super) fn room(&self, position: Option<HostPosition>, now: Duration) -> u32 {
@@ -317,6 +347,9 @@
             limit.record_dispatch(now);
         }
         self.brittle_guard.record_dispatch(now);
+        if let Some(window) = &mut self.window {
+            window.record_dispatch(self.own_running, now);
+        }
         self.own_running += 1;
         self.pending_prefill_tokens += prompt_tokens;
         self.last_activity_at.get_or_insert(now);
@@ -337,6 +370,9 @@
 
     /// Records the outcome of a request at the target.
     pub(super) fn record_outcome(&mut self, end: AttemptOutcome, now: Duration) {
+        if let (AttemptOutcome::Rejected, Some(window)) = (end, &mut self.window) {
+            window.record_rejection(now);
+        }
         self.own_running = self.own_running.saturating_sub(1);
         if self.own_running == 0 {
             self.last_activity_at = None;
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -524,7 +524,11 @@
             }
         });
         let members = members.collect();
-        self.queue.lock_table().set_targets(members, boot_now());
+        let adapts = self.settings.load().load_control.adapts_to_targets;
+        let mut table = self.queue.lock_table();
+        table.set_adapts_to_targets(adapts);
+        table.set_targets(members, boot_now());
+        drop(table);
         if catalog.is_some() {
             self.is_table_filled.store(true, Ordering::Release);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`roster`]: which hosts hold seats, and how one roster succeeds another.
 //! - [`ConfigTracker`]: which version of a document is in force; versions only increase.
 //! - [`peers`]: the protocol between hosts and the digests that they exchange.
+//! - [`capacity`]: what each target handles well, learned from its answers.
 //! - [`policy`]: scheduling decisions under load, one object per host.
 //! - [`poison`]: which requests crash the targets that run them.
 //!
@@ -30,6 +31,7 @@
 
 mod answers;
 mod backoff;
+pub mod capacity;
 pub mod catalog;
 pub mod claim;
 pub mod cli;
--- a/tests/dispatch_decisions.rs
+++ b/tests/dispatch_decisions.rs
@@ -405,7 +405,7 @@
     let names: Vec<String> = (0..12)
         .filter_map(|index| {
             let placed = table.place(&request, now, f64::from(index) / 12.0)?;
-            table.record_first_event(POOL, &placed, millis(180));
+            table.record_first_event(POOL, &placed, millis(180), now);
             Some(placed.name)
         })
         .collect();
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -197,7 +197,7 @@
     let placed = place(&mut table, at_ms(0)).unwrap();
     pause_target(&mut table, FIRST, at_ms(10));
 
-    table.record_first_event(POOL, &placed, Duration::from_millis(50));
+    table.record_first_event(POOL, &placed, Duration::from_millis(50), at_ms(50));
     table.record_outcome(POOL, &placed, AttemptOutcome::Succeeded, at_ms(50));
     table.record_pause(placed.incarnation(), Duration::from_millis(100), at_ms(60));
     let after_answer = place(&mut table, at_ms(500));
