--- a/src/capacity/concurrency_window.rs
+++ b/src/capacity/concurrency_window.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+use serde::Serialize;
+
 use super::LatencyEstimate;
 
 /// Relative growth of the window per second at no latency. After a short slow phase of a target the
@@ -47,6 +50,21 @@
 /// at least twice its slots.
 const MAX_DEPTH: f64 = 3.0;
 
+/// Why a window began to limit.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WindowCause {
+    /// The latency of the target shows a queue.
+    #[display("latency")]
+    Latency,
+    /// The target rejected a request.
+    #[display("rejection")]
+    Rejection,
+    /// Another target of its pool rejected a request.
+    #[display("rejection by another target")]
+    PoolRejection,
+}
+
 /// The number of requests that one host may have outstanding at one target.
 ///
 /// It limits only while the target rejects requests or its latency shows a queue. A window below
@@ -64,6 +82,9 @@
     window: Option<f64>,
     changed_at: Duration,
     pressed_at: Duration,
+    /// Why it began to limit last, and whether that, or its end, was reported.
+    cause: WindowCause,
+    reported: bool,
     rejected_at: Option<Duration>,
     /// When a request was sent last in the fractional part of the window.
     fraction_used_at: Duration,
@@ -82,6 +103,8 @@
             window: None,
             changed_at: Duration::ZERO,
             pressed_at: Duration::ZERO,
+            cause: WindowCause::Latency,
+            reported: false,
             rejected_at: None,
             fraction_used_at: Duration::ZERO,
             sends: 0.0,
@@ -104,6 +127,18 @@
         self.latency.recent().map(Duration::from_secs_f64)
     }
 
+    /// Returns whether the window began or ceased to limit since the last call.
+    pub fn take_change(&mut self) -> bool {
+        let changed = self.window.is_some() != self.reported;
+        self.reported = self.window.is_some();
+        changed
+    }
+
+    /// Returns why the window began to limit; `None` while it does not.
+    pub fn cause(&self) -> Option<WindowCause> {
+        self.window.map(|_| self.cause)
+    }
+
     /// Returns the requests per second that the window permits; `None` while it does not limit.
     pub fn rate(&self) -> Option<f64> {
         Some(self.window? / self.latency.recent()?)
@@ -165,7 +200,7 @@
         }
         let Some(window) = self.window else {
             if recent > congested * LIMIT_FRACTION {
-                self.start(now);
+                self.start(WindowCause::Latency, now);
             }
             return;
         };
@@ -207,7 +242,9 @@
             return;
         }
         self.rejected_at = Some(now);
-        self.limit(now);
+        if self.window.is_none() {
+            self.start(WindowCause::Rejection, now);
+        }
         let window = self.window.unwrap_or_default();
         self.changed_at = now;
         self.set_window(window * REJECTION_FACTOR);
@@ -217,12 +254,13 @@
     pub fn limit(&mut self, now: Duration) {
         if self.window.is_none() {
             self.pressed_at = now;
-            self.start(now);
+            self.start(WindowCause::PoolRejection, now);
         }
     }
 
     /// Begins to limit, at what the host has outstanding on average.
-    fn start(&mut self, now: Duration) {
+    fn start(&mut self, cause: WindowCause, now: Duration) {
+        self.cause = cause;
         self.changed_at = now;
         self.set_window(self.outstanding(now).max(self.even_share()));
     }
--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -8,4 +8,5 @@
 mod latency_estimate;
 
 pub use concurrency_window::ConcurrencyWindow;
+pub use concurrency_window::WindowCause;
 pub use latency_estimate::LatencyEstimate;
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -235,33 +235,34 @@
         now + shortest_first_event(&self.targets, request, self.prefill) > request.objective_at
     }
 
-    /// Returns whether this host limits what it has outstanding at a target of the pool.
+    /// Returns the limits on what this host has outstanding at targets of the pool; only plain
+    /// targets have them.
+    fn limiting_windows(&self) -> impl Iterator<Item = &ConcurrencyWindow> {
+        let targets = self.targets.iter().filter(|_| !self.engine);
+        targets.filter_map(TargetRuntime::limiting_window)
+    }
+
+    /// Returns whether there are such limits now.
     pub(super) fn has_window(&self) -> bool {
-        let mut targets = self.targets.iter();
-        targets.any(|target| target.limiting_window().is_some())
+        self.limiting_windows().next().is_some()
     }
 
     /// Returns the requests per second that these limits permit.
     pub(super) fn window_rate(&self) -> f64 {
-        let windows = self
-            .targets
-            .iter()
-            .filter_map(TargetRuntime::limiting_window);
-        windows.filter_map(ConcurrencyWindow::rate).sum()
+        self.limiting_windows()
+            .filter_map(ConcurrencyWindow::rate)
+            .sum()
     }
 
     /// Returns until when a request is to be sent to meet its objective, while what this host has
     /// outstanding is limited. A returning caller, whose objective has passed, is given
     /// [`RETURN_WAIT`].
     pub(super) fn window_due(&self, request: &PlacementRequest, now: Duration) -> Option<Duration> {
-        let windows = self
-            .targets
-            .iter()
-            .filter_map(TargetRuntime::limiting_window);
-        let shortest = windows.filter_map(ConcurrencyWindow::latency).min()?;
-        let due = request
-            .objective_at
-            .saturating_sub(shortest.mul_f64(ANSWER_MARGIN));
+        let latencies = self
+            .limiting_windows()
+            .filter_map(ConcurrencyWindow::latency);
+        let answer_time = latencies.min()?.mul_f64(ANSWER_MARGIN);
+        let due = request.objective_at.saturating_sub(answer_time);
         Some(match request.is_retry {
             true => due.max(now + RETURN_WAIT),
             false => due,
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -23,6 +23,7 @@
 use super::target_choice::shortest_first_event;
 use super::target_locations::TargetLocations;
 use super::target_runtime::TargetRuntime;
+use crate::capacity::ConcurrencyWindow;
 use crate::catalog::ColdLimit;
 use crate::ids::HostName;
 use crate::ids::PoolName;
@@ -167,6 +168,26 @@
         self.pools.get(pool).is_some_and(PoolEntry::has_window)
     }
 
+    /// Returns the plain targets at which this host began or ceased to limit what it has
+    /// outstanding since the last call, each with its window.
+    pub(crate) fn take_window_changes(&mut self) -> Vec<(TargetName, ConcurrencyWindow)> {
+        let plain = self.pools.iter_mut().filter(|(_, pool)| !pool.engine);
+        let targets = plain.flat_map(|(_, pool)| &mut pool.targets);
+        let changes = targets.filter_map(|target| {
+            let window = target.window.as_mut()?;
+            let changed = window.take_change();
+            changed.then(|| (target.record.name.clone(), *window))
+        });
+        changes.collect()
+    }
+
+    /// Returns the number of plain targets at which this host limits what it has outstanding.
+    pub(crate) fn window_count(&self) -> usize {
+        let plain = self.pools.values().filter(|pool| !pool.engine);
+        let targets = plain.flat_map(|pool| &pool.targets);
+        targets.filter_map(TargetRuntime::limiting_window).count()
+    }
+
     fn set_window_hosts(&mut self) {
         let hosts = self.host_position.map_or(1, |position| position.hosts);
         for (_, pool) in self.pools.iter_mut() {
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -22,6 +22,10 @@
     pub(crate) leaving_targets: AtomicU64,
     /// Pauses that targets asked for, and their extensions.
     pub(crate) target_pauses: AtomicU64,
+    /// Limits on what this host has outstanding at plain targets that began or ceased.
+    pub(crate) window_changes: AtomicU64,
+    /// Requests that targets rejected without running them.
+    pub(crate) rejected_sends: AtomicU64,
     /// Losses of this host's path to the targets of a pool.
     pub(crate) lost_paths: AtomicU64,
     /// Requests forwarded to peers.
@@ -47,6 +51,8 @@
             ("store_calls_total", &self.store_calls),
             ("targets_leaving_total", &self.leaving_targets),
             ("target_pauses_total", &self.target_pauses),
+            ("target_window_changes_total", &self.window_changes),
+            ("target_rejections_total", &self.rejected_sends),
             ("paths_lost_total", &self.lost_paths),
             ("requests_forwarded_total", &self.forwarded),
             ("requests_for_peers_total", &self.served_for_peers),
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -68,6 +68,10 @@
             "target_connections_kept",
             state.connections.idle_count() as u64,
         ),
+        (
+            "target_windows_limiting",
+            state.queue.lock_table().window_count() as u64,
+        ),
         ("log_lines_left_out_total", left_out),
         ("log_lines_dropped_total", dropped),
     ]);
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -7,6 +7,7 @@
 
 use super::connection_pool::TargetConnection;
 use super::crash_check::is_alive;
+use super::edge_metrics::count;
 use super::request_execution::MIN_TIME_LEFT;
 use super::request_execution::RequestExecution;
 use super::response_relay::BufferedResponse;
@@ -63,6 +64,7 @@
             let cause = format!("not run, status {}", call.head.status);
             self.discard_body(call, &slot).await;
             slot.finish(AttemptOutcome::Rejected);
+            count(&self.state.metrics.rejected_sends);
             if self.state.queue.lock_table().is_brittle(&self.routed.pool) {
                 // Each host would otherwise be rejected there before it learns that there is no
                 // room.
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -240,6 +240,21 @@
         state.apply_change(state.view.remove_expired(boot_now()), None);
         state.connections.close_idle();
         state.queue.lock_table().expire_peer_loads(boot_now());
+        report_windows(&state);
         state.queue.assign_waiting();
     }
 }
+
+/// Logs the plain targets at which limits began or ceased.
+fn report_windows(state: &EdgeState) {
+    let changes = state.queue.lock_table().take_window_changes();
+    for (target, window) in changes {
+        count(&state.metrics.window_changes);
+        state.log.write(&DecisionLine::TargetWindow {
+            target,
+            window: window.window(),
+            latency_ms: window.latency().map(|latency| latency.as_millis() as u64),
+            cause: window.cause(),
+        });
+    }
+}
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use spdlog::Level;
 
+use crate::capacity::WindowCause;
 use crate::errors::ErrorKind;
 use crate::ids::AccountName;
 use crate::ids::CatalogVersion;
@@ -190,6 +191,18 @@
         /// The peer that reported it; absent if it came with an answer of the target.
         peer: Option<HostName>,
     },
+    /// This host began to limit what it has outstanding at a plain target, or no longer does.
+    #[display("{target} may have {window:?} requests of this host outstanding")]
+    TargetWindow {
+        /// The target.
+        target: TargetName,
+        /// The limit; absent when there is none any more. Below one it is a fraction of the time.
+        window: Option<f64>,
+        /// The recent latency of its answers to this host.
+        latency_ms: Option<u64>,
+        /// Why there is a limit; absent when there is none any more.
+        cause: Option<WindowCause>,
+    },
     /// The targets of a pool stated in an answer that they crash after so many rejections in a
     /// second, or no longer do.
     #[display("{pool} tolerates {per_second:?} rejections per second")]
