--- a/src/capacity/concurrency_window.rs
+++ b/src/capacity/concurrency_window.rs
@@ -20,12 +20,19 @@
 const REJECTION_INTERVAL: Duration = Duration::from_millis(100);
 /// The fraction of their objective that requests may spend at a target. The rest is left for the
 /// wait at the host and for those that take longer than the mean.
-const OBJECTIVE_FRACTION: f64 = 0.45;
+const OBJECTIVE_FRACTION: f64 = 0.55;
 /// Bounds of the congested latency, in multiples of the unqueued one. Below the first a target
 /// would idle; at the second its queue has about twice its slots. The unqueued latency is the least
 /// mean of about ten answers, hence about 0.7 of the mean.
 const MIN_CONGESTED_FACTOR: f64 = 1.5;
-const MAX_CONGESTED_FACTOR: f64 = 3.5;
+const MAX_CONGESTED_FACTOR: f64 = 4.5;
+/// Factor on the congested latency at a rejection, the least product of these, and its growth per
+/// second: the queue of the target is full at a lower latency than assumed.
+const DEPTH_FACTOR: f64 = 0.7;
+const MIN_DEPTH: f64 = 0.5;
+const DEPTH_GROWTH: f64 = 0.02;
+/// The same while there is no queue, so that the limit ends some seconds after the load.
+const IDLE_DEPTH_GROWTH: f64 = 0.2;
 /// The fraction of an even share that a window keeps at least while the latency shows a queue. If
 /// a smaller one still does, the unqueued latency is wrong.
 const LEAST_SHARE: f64 = 0.1;
@@ -38,8 +45,8 @@
 const USED_FRACTION: f64 = 0.5;
 /// The fraction of the congested latency at which the window begins to limit, and the fraction
 /// below which the target is not under pressure.
-const LIMIT_FRACTION: f64 = 0.8;
-const PRESSURE_FRACTION: f64 = 0.6;
+const LIMIT_FRACTION: f64 = 0.65;
+const PRESSURE_FRACTION: f64 = 0.5;
 /// Time without pressure after which the window no longer limits.
 const RELEASE_TIME: Duration = Duration::from_secs(2);
 /// The least window, which still measures the target.
@@ -86,6 +93,8 @@
     cause: WindowCause,
     reported: bool,
     rejected_at: Option<Duration>,
+    /// Factor on the congested latency, less than one after rejections.
+    depth: f64,
     /// When a request was sent last in the fractional part of the window.
     fraction_used_at: Duration,
     /// Decaying number of sends, and when it was computed.
@@ -106,6 +115,7 @@
             cause: WindowCause::Latency,
             reported: false,
             rejected_at: None,
+            depth: 1.0,
             fraction_used_at: Duration::ZERO,
             sends: 0.0,
             sent_at: Duration::ZERO,
@@ -193,8 +203,9 @@
             return;
         };
         let base = self.latency.base();
-        let congested = (objective.as_secs_f64() * OBJECTIVE_FRACTION)
-            .clamp(base * MIN_CONGESTED_FACTOR, base * MAX_CONGESTED_FACTOR);
+        let congested =
+            (objective.as_secs_f64() * OBJECTIVE_FRACTION).min(base * MAX_CONGESTED_FACTOR);
+        let congested = (congested * self.depth).max(base * MIN_CONGESTED_FACTOR);
         if recent > congested * PRESSURE_FRACTION {
             self.pressed_at = now;
         }
@@ -210,6 +221,11 @@
         }
         let step = now.saturating_sub(self.changed_at).min(MAX_STEP);
         let seconds = step.as_secs_f64();
+        let depth_growth = match recent < base * MIN_CONGESTED_FACTOR {
+            true => IDLE_DEPTH_GROWTH,
+            false => DEPTH_GROWTH,
+        };
+        self.depth = (self.depth + depth_growth * seconds).min(1.0);
         self.changed_at = now;
         let error = ((congested - recent) / congested).clamp(-1.0, 1.0);
         let outstanding = self.outstanding(now);
@@ -242,6 +258,7 @@
             return;
         }
         self.rejected_at = Some(now);
+        self.depth = (self.depth * DEPTH_FACTOR).max(MIN_DEPTH);
         if self.window.is_none() {
             self.start(WindowCause::Rejection, now);
         }
