--- /dev/null
+++ b/tests/admission_wave.rs
@@ -0,0 +1,538 @@
+//! Simulation of a wave of requests beyond the engines' capacity, in virtual time: which callers
+//! are served in time, served late, or refused.
+
+use std::collections::VecDeque;
+use std::ops::Range;
+use std::time::Duration;
+
+use cardamomgw::dispatch::AttemptOutcome;
+use cardamomgw::dispatch::PlacedTarget;
+use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolMember;
+use cardamomgw::dispatch::PoolTable;
+use cardamomgw::dispatch::QueueTicket;
+use cardamomgw::dispatch::RequestPriority;
+use cardamomgw::dispatch::SlotGrants;
+use cardamomgw::quota::UsageScope;
+use cardamomgw::view::TargetPhase;
+use cardamomgw::view::TargetRecord;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const POOL: &str = "engines";
+const HOSTS: usize = 16;
+const ENGINES: usize = 20;
+const SLOTS: usize = 6;
+/// Every third engine is this many times as slow as the others.
+const SLOWNESS: f64 = 4.4;
+/// Time from the start of a request to its first event on a fast engine.
+const FIRST_EVENT_MS: f64 = 50.0;
+/// Time per output token on a fast engine.
+const TOKEN_MS: f64 = 4.0;
+const TIME_STEP: Duration = Duration::from_millis(5);
+const START: Duration = Duration::from_secs(100);
+const KINDS: usize = 3;
+
+/// A route: its share of the requests and what its callers need.
+#[derive(Clone, Copy)]
+struct RouteModel {
+    share: f64,
+    work_ms: (f64, f64),
+    objective_ms: u64,
+    timeout_ms: u64,
+}
+
+/// The routes of one service, the most urgent first.
+type ServiceModel = [RouteModel; KINDS];
+
+const fn route(share: f64, work_ms: (f64, f64), objective_ms: u64, timeout_ms: u64) -> RouteModel {
+    RouteModel {
+        share,
+        work_ms,
+        objective_ms,
+        timeout_ms,
+    }
+}
+
+const HANBIT: ServiceModel = [
+    route(0.2, (1000.0, 2000.0), 500, 10_000),
+    route(0.3, (600.0, 900.0), 300, 8_000),
+    route(0.5, (100.0, 100.0), 300, 2_500),
+];
+const KUUSIKKO: ServiceModel = [
+    route(0.2, (1000.0, 2000.0), 1_000, 12_000),
+    route(0.3, (600.0, 900.0), 500, 12_000),
+    route(0.5, (100.0, 100.0), 600, 3_000),
+];
+
+/// A caller, who is refused at most twice.
+#[derive(Clone, Copy)]
+struct CallerModel {
+    kind: usize,
+    work_ms: f64,
+    arrived: Duration,
+    /// When it sent the present attempt.
+    sent: Duration,
+    is_return: bool,
+    host: usize,
+}
+
+/// A request at an engine.
+struct EngineRequest {
+    caller: CallerModel,
+    placed: PlacedTarget,
+    /// When its first event and its end are due, once it runs.
+    ends: Option<(Duration, Duration)>,
+}
+
+/// An engine that runs up to [`SLOTS`] requests and queues the others in order of arrival.
+struct EngineModel {
+    slowness: f64,
+    queue: VecDeque<EngineRequest>,
+    running: Vec<EngineRequest>,
+}
+
+/// What became of the callers of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct CallerCounts {
+    callers: u32,
+    in_time: u32,
+    late: u32,
+    refused_once: u32,
+    refused_twice: u32,
+    /// Held for more than an eighth of the objective and then refused.
+    refused_late: u32,
+    /// Not answered before the deadline.
+    unanswered: u32,
+}
+
+impl CallerCounts {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            callers: self.callers + other.callers,
+            in_time: self.in_time + other.in_time,
+            late: self.late + other.late,
+            refused_once: self.refused_once + other.refused_once,
+            refused_twice: self.refused_twice + other.refused_twice,
+            refused_late: self.refused_late + other.refused_late,
+            unanswered: self.unanswered + other.unanswered,
+        }
+    }
+
+    fn share(self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.callers.max(1))
+    }
+
+    fn served(self) -> f64 {
+        self.share(self.in_time + self.late)
+    }
+
+    fn punctual(self) -> f64 {
+        self.share(self.in_time)
+    }
+}
+
+struct WaveSimulation {
+    service: ServiceModel,
+    tables: Vec<PoolTable>,
+    engines: Vec<EngineModel>,
+    granted: SlotGrants,
+    rng: ChaCha8Rng,
+    waiting: Vec<(QueueTicket, CallerModel, Duration)>,
+    returning: Vec<(Duration, CallerModel)>,
+    next_ticket: QueueTicket,
+    /// By kind, and within it the smaller and the larger half of the work.
+    counts: [[CallerCounts; 2]; KINDS],
+    /// When the callers arrive who are counted.
+    wave: Range<Duration>,
+}
+
+fn millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis / 1000.0)
+}
+
+fn engine(index: usize) -> PoolMember {
+    PoolMember {
+        record: TargetRecord {
+            name: format!("t{index}"),
+            pool: POOL.into(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            availability_zone: "za".into(),
+            slots: SLOTS as u32,
+            phase: TargetPhase::Ready,
+            started_at_ms: 0,
+            software_version: String::new(),
+            cold_remaining: Duration::ZERO,
+            revision: 1.into(),
+        },
+        engine: true,
+        cold_limit: None,
+        evacuated: false,
+    }
+}
+
+fn slowness_of(engine: usize) -> f64 {
+    if engine % 3 == 2 { SLOWNESS } else { 1.0 }
+}
+
+/// Returns how many requests of the service the engines can run per second.
+fn capacity(service: &ServiceModel) -> f64 {
+    let speeds = (0..ENGINES).map(|index| 1.0 / slowness_of(index));
+    let mean_work = service
+        .iter()
+        .map(|route| route.share * (route.work_ms.0 + route.work_ms.1) / 2000.0);
+    speeds.sum::<f64>() * SLOTS as f64 / mean_work.sum::<f64>()
+}
+
+/// Returns the table of a host that knows how fast the engines are.
+fn informed_table() -> PoolTable {
+    let mut table = PoolTable::new("za".into());
+    table.set_targets((0..ENGINES).map(engine).collect(), START);
+    for index in 0..ENGINES {
+        let record = engine(index).record;
+        let placed = PlacedTarget {
+            name: record.name,
+            address: record.address,
+            started_at_ms: record.started_at_ms,
+            software_version: String::new(),
+            priority: RequestPriority {
+                account: 0,
+                route: 0,
+            },
+            prompt_tokens: 0,
+            tokens_ahead: 0,
+            output_tokens: Some(200),
+        };
+        for _ in 0..30 {
+            let gap = millis(30.0 * slowness_of(index));
+            table.record_event_gap(POOL, &placed, gap, START);
+        }
+    }
+    for index in 0..ENGINES {
+        let placed = PlacedTarget {
+            name: format!("t{index}"),
+            address: engine(index).record.address,
+            started_at_ms: 0,
+            software_version: String::new(),
+            priority: RequestPriority {
+                account: 0,
+                route: 0,
+            },
+            prompt_tokens: 0,
+            tokens_ahead: 0,
+            output_tokens: Some(200),
+        };
+        table.record_stream_duration(POOL, &placed, millis(200.0 * TOKEN_MS * slowness_of(index)));
+    }
+    table
+}
+
+impl WaveSimulation {
+    fn new(service: ServiceModel, seed: u64) -> Self {
+        let engines = (0..ENGINES).map(|index| EngineModel {
+            slowness: slowness_of(index),
+            queue: VecDeque::new(),
+            running: Vec::new(),
+        });
+        Self {
+            service,
+            tables: (0..HOSTS).map(|_| informed_table()).collect(),
+            engines: engines.collect(),
+            granted: SlotGrants::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            waiting: Vec::new(),
+            returning: Vec::new(),
+            next_ticket: 0,
+            counts: Default::default(),
+            wave: START..START,
+        }
+    }
+
+    /// Plays 2 s of 0.6 times the capacity, then `wave` at `load` times the capacity, then 0.6
+    /// times until the last caller has its answer. Callers of the wave are counted.
+    fn run(&mut self, load: f64, wave: Duration) {
+        let capacity = capacity(&self.service);
+        let from = START + Duration::from_secs(2);
+        let until = from + wave;
+        let end = until + Duration::from_secs(13);
+        self.wave = from..until;
+        let mut now = START;
+        let mut tick = 0;
+        while now < end {
+            let in_wave = (from..until).contains(&now);
+            let rate = capacity * if in_wave { load } else { 0.6 };
+            self.arrive(rate, now);
+            self.come_back(now);
+            self.advance(now);
+            self.expire(now);
+            self.report(tick, now);
+            now += TIME_STEP;
+            tick += 1;
+        }
+    }
+
+    fn arrive(&mut self, per_second: f64, now: Duration) {
+        let mut expected = per_second * TIME_STEP.as_secs_f64();
+        while self.rng.random::<f64>() < expected {
+            expected -= 1.0;
+            let mut draw = self.rng.random::<f64>();
+            let mut kind = 0;
+            while kind + 1 < KINDS && draw >= self.service[kind].share {
+                draw -= self.service[kind].share;
+                kind += 1;
+            }
+            let (least, most) = self.service[kind].work_ms;
+            let caller = CallerModel {
+                kind,
+                work_ms: least + (most - least) * self.rng.random::<f64>(),
+                arrived: now,
+                sent: now,
+                is_return: false,
+                host: self.rng.random_range(0..HOSTS),
+            };
+            self.tally(&caller, |counts| counts.callers += 1);
+            self.submit(caller, now);
+        }
+    }
+
+    fn objective_at(&self, caller: &CallerModel) -> Duration {
+        caller.arrived + Duration::from_millis(self.service[caller.kind].objective_ms)
+    }
+
+    fn deadline(&self, caller: &CallerModel) -> Duration {
+        caller.arrived + Duration::from_millis(self.service[caller.kind].timeout_ms)
+    }
+
+    fn request_of(&self, caller: &CallerModel) -> PlacementRequest {
+        PlacementRequest {
+            pool: POOL.into(),
+            priority: RequestPriority {
+                account: 0,
+                route: caller.kind as u8,
+            },
+            objective_at: self.objective_at(caller),
+            is_retry: caller.is_return,
+            prompt_tokens: 0,
+            output_tokens: Some((caller.work_ms / TOKEN_MS) as u64),
+            event_gap_objective: None,
+            deadline: self.deadline(caller),
+            tried: Vec::new(),
+            version: None,
+        }
+    }
+
+    /// A caller asks a host.
+    fn submit(&mut self, caller: CallerModel, now: Duration) {
+        let request = self.request_of(&caller);
+        let random = self.rng.random::<f64>();
+        let left = request.deadline.saturating_sub(now);
+        let table = &mut self.tables[caller.host];
+        if let Some(placed) = table.place(&request, now, random) {
+            self.send(caller, placed);
+            return;
+        }
+        let wait = match caller.is_return {
+            true => left.mul_f64(0.25),
+            false => left.mul_f64(0.75),
+        };
+        if table.should_shed(&request, now) || table.expected_wait(&request, now) > wait {
+            self.refuse(caller, now);
+            return;
+        }
+        self.next_ticket += 1;
+        table.enqueue(self.next_ticket, request, now);
+        self.waiting.push((self.next_ticket, caller, now + wait));
+    }
+
+    fn refuse(&mut self, caller: CallerModel, now: Duration) {
+        let objective = Duration::from_millis(self.service[caller.kind].objective_ms);
+        let is_late = now > caller.sent + objective / 8;
+        self.tally(&caller, |counts| {
+            counts.refused_late += u32::from(is_late);
+            counts.refused_once += u32::from(!caller.is_return);
+            counts.refused_twice += u32::from(caller.is_return);
+        });
+        if caller.is_return {
+            return;
+        }
+        let left = self.deadline(&caller).saturating_sub(now);
+        let retry_after = left.mul_f64(0.33 * (1.0 - 0.25 * self.rng.random::<f64>()));
+        let back_at = now + retry_after.min(left / 3);
+        let host = match self.rng.random::<f64>() < 0.1 {
+            true => caller.host,
+            false => self.rng.random_range(0..HOSTS),
+        };
+        let caller = CallerModel {
+            sent: back_at,
+            is_return: true,
+            host,
+            ..caller
+        };
+        self.returning.push((back_at, caller));
+    }
+
+    /// Counts an event of a caller of the wave.
+    fn tally(&mut self, caller: &CallerModel, change: impl Fn(&mut CallerCounts)) {
+        if self.wave.contains(&caller.arrived) {
+            let (least, most) = self.service[caller.kind].work_ms;
+            let is_large = caller.work_ms > (least + most) / 2.0;
+            change(&mut self.counts[caller.kind][usize::from(is_large)]);
+        }
+    }
+
+    fn come_back(&mut self, now: Duration) {
+        let due: Vec<(Duration, CallerModel)> = self
+            .returning
+            .extract_if(.., |(back_at, _)| *back_at <= now)
+            .collect();
+        for (_, caller) in due {
+            self.submit(caller, now);
+        }
+    }
+
+    fn send(&mut self, caller: CallerModel, placed: PlacedTarget) {
+        let engine: usize = placed.name[1..].parse().expect("engines are numbered");
+        self.engines[engine].queue.push_back(EngineRequest {
+            caller,
+            placed,
+            ends: None,
+        });
+    }
+
+    /// Ends and starts requests at the engines, and assigns free slots to waiting requests.
+    fn advance(&mut self, now: Duration) {
+        let mut ended = Vec::new();
+        for engine in &mut self.engines {
+            let service = &self.service;
+            let has_ended = |work: &EngineRequest| {
+                let timeout = Duration::from_millis(service[work.caller.kind].timeout_ms);
+                let deadline = work.caller.arrived + timeout;
+                now >= deadline || work.ends.is_some_and(|(_, end)| end <= now)
+            };
+            ended.extend(engine.running.extract_if(.., |work| has_ended(work)));
+            let slowness = engine.slowness;
+            while engine.running.len() < SLOTS {
+                let Some(mut work) = engine.queue.pop_front() else {
+                    break;
+                };
+                let first = now + millis(FIRST_EVENT_MS * slowness);
+                let end = now + millis(work.caller.work_ms * slowness);
+                work.ends = Some((first.min(end), end));
+                engine.running.push(work);
+            }
+            for work in &engine.running {
+                self.tables[work.caller.host].record_activity(POOL, &work.placed, now);
+            }
+        }
+        for work in ended {
+            self.finish(&work, now);
+        }
+        for host in 0..HOSTS {
+            let rng = &mut self.rng;
+            let assigned = self.tables[host].assign(now, || rng.random::<f64>());
+            for (ticket, placed) in assigned {
+                let caller = self.take_waiting(ticket);
+                self.send(caller, placed);
+            }
+            for ticket in self.tables[host].shed_late(now) {
+                let caller = self.take_waiting(ticket);
+                self.refuse(caller, now);
+            }
+        }
+    }
+
+    fn finish(&mut self, work: &EngineRequest, now: Duration) {
+        let caller = work.caller;
+        let (first, end) = work.ends.expect("it runs");
+        let is_answered = end <= now;
+        let outcome = match is_answered {
+            true => AttemptOutcome::Succeeded,
+            false => AttemptOutcome::Cancelled,
+        };
+        let is_in_time = is_answered && first <= self.objective_at(&caller);
+        let table = &mut self.tables[caller.host];
+        table.record_outcome(POOL, &work.placed, outcome, now);
+        self.tally(&caller, |counts| {
+            counts.in_time += u32::from(is_in_time);
+            counts.late += u32::from(is_answered && !is_in_time);
+            counts.unanswered += u32::from(!is_answered);
+        });
+    }
+
+    fn take_waiting(&mut self, ticket: QueueTicket) -> CallerModel {
+        let index = self.waiting.iter().position(|held| held.0 == ticket);
+        let index = index.expect("the ticket is waiting");
+        self.waiting.swap_remove(index).1
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let expired: Vec<(QueueTicket, CallerModel, Duration)> = self
+            .waiting
+            .extract_if(.., |(_, _, until)| now >= *until)
+            .collect();
+        for (ticket, caller, _) in expired {
+            self.tables[caller.host].dequeue(POOL, ticket);
+            self.refuse(caller, now);
+        }
+    }
+
+    /// Exchanges loads, demands and grants; each host reports every 100 ms.
+    fn report(&mut self, tick: usize, now: Duration) {
+        for host in (0..HOSTS).filter(|host| (host + tick).is_multiple_of(20)) {
+            let name = format!("e{host}");
+            let demands = self.tables[host].slot_demands();
+            self.granted.update_demands(&name, demands, now);
+            let loads = self.tables[host].own_loads();
+            self.tables[0].update_peer_loads(name.clone(), loads, UsageScope::Host, now);
+            let others = self.tables[0].loads_excluding(&name);
+            if host > 0 {
+                let leader = "leader".to_owned();
+                self.tables[host].update_peer_loads(leader, others, UsageScope::Fleet, now);
+            }
+            let members = self.granted.hosts();
+            let is_scarce = |pool: &str, slots| self.granted.is_scarce(pool, slots);
+            let pools = self.tables[0].grant_targets(&name, "e0", &members, is_scarce, now);
+            let grants = self.granted.grant(&name, pools, now);
+            self.tables[host].set_grants(grants, now);
+        }
+    }
+
+    fn print(&self, title: &str) {
+        println!("{title}");
+        for (kind, halves) in self.counts.iter().enumerate() {
+            let sum = halves[0].plus(halves[1]);
+            println!(
+                "  kind {kind}: served {:.3} (small {:.3} large {:.3}) in time {:.3}; once {:.3} twice {:.3} held {:.3} unanswered {} of {}",
+                sum.served(),
+                halves[0].served(),
+                halves[1].served(),
+                sum.punctual(),
+                sum.share(sum.refused_once),
+                sum.share(sum.refused_twice),
+                sum.share(sum.refused_late),
+                sum.unanswered,
+                sum.callers,
+            );
+        }
+        let sum = self.counts.iter().flatten();
+        let sum = sum.fold(CallerCounts::default(), |sum, counts| sum.plus(*counts));
+        println!(
+            "  all: served {:.3} in time {:.3} twice {:.3}",
+            sum.served(),
+            sum.punctual(),
+            sum.share(sum.refused_twice)
+        );
+    }
+}
+
+#[test]
+fn measure_wave() {
+    for (name, service) in [("Hanbit", HANBIT), ("Kuusikko", KUUSIKKO)] {
+        for (load, seconds) in [(0.7, 5), (2.0, 5), (2.0, 20)] {
+            let mut wave = WaveSimulation::new(service, 5);
+            wave.run(load, Duration::from_secs(seconds));
+            wave.print(&format!("{name} {load} {seconds} s"));
+        }
+    }
+}
