Admission: one decision on arrival; late requests are queued

While slots are divided, a request that could not be in time was refused, and a queued one was refused as soon as its objective had passed. It is now decided on arrival: in time, late, or refused where the measured rate of starts says that it would start too late. Late placements skip targets at which the output would not end in time.

--- a/benches/log_cost.rs
+++ b/benches/log_cost.rs
@@ -50,6 +50,7 @@
         catalog: 3,
         evidence_age_ms: Some(981),
         waiting: 0,
+        expected_wait_ms: None,
     }
 }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! [`PoolTable`] is deterministic: events and their times are passed in, and it uses neither a
 //! clock nor the network. [`DispatchQueue`] shares one table among the requests of a host.
 
+mod admission_decision;
 mod brittle_guard;
 mod brittle_pools;
 mod cold_start;
@@ -33,6 +34,10 @@
 mod target_locations;
 mod target_runtime;
 
+pub use admission_decision::AdmissionDecision;
+pub use admission_decision::AdmissionRequest;
+pub use admission_decision::RefusalCause;
+pub use admission_decision::decide_admission;
 pub use brittle_pools::TargetRejection;
 pub(crate) use dispatch_queue::DispatchQueue;
 pub(crate) use dispatch_queue::WaitOutcome;
@@ -55,6 +60,8 @@
 pub use pool_reach::PeerReporting;
 pub use pool_reach::ReachingPeer;
 pub use pool_reach::ReportedPaths;
+pub use pool_table::AdmissionTerms;
+pub use pool_table::PoolAdmission;
 pub use pool_table::PoolMember;
 pub use pool_table::PoolTable;
 pub use reach_tracker::PathChange;
--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -9,6 +9,7 @@
 use super::QueueTicket;
 use super::RequestPriority;
 use super::ShardRange;
+use super::admission_decision::START_MARGIN;
 use super::output_estimate::OutputEstimate;
 use super::prefill_estimate::PrefillEstimate;
 use super::rate_meter::RateMeter;
@@ -36,6 +37,13 @@
 /// looked for.
 const MAX_PLACED_AT_ONCE: usize = 4;
 
+/// The least assumed rate at which a host starts requests, per second. A host that started none
+/// lately may have had none to start.
+const MIN_START_RATE: f64 = 4.0;
+/// The least assumed share of late requests among those that start. It is the room that targets
+/// have left after a wave, when three fifths of them are used.
+const LATE_SHARE: f64 = 0.3;
+
 /// The targets and waiting requests of one pool.
 #[derive(Debug, Default)]
 pub(super) struct PoolEntry {
@@ -46,8 +54,8 @@
     pub(super) output: OutputEstimate,
     /// The rate at which this host starts requests at the pool.
     pub(super) dispatch_rate: RateMeter,
-    /// The rate at which it starts requests that can no longer meet their objective.
-    pub(super) late_dispatch_rate: RateMeter,
+    /// The rates at which it starts requests of each priority.
+    pub(super) start_rates: SortedMap<RequestPriority, StartRates>,
     /// Running requests of this host, by priority.
     pub(super) running: SortedMap<RequestPriority, u32>,
     /// The slots granted to this host, if the pool's slots are divided among hosts.
@@ -58,6 +66,14 @@
     pub(super) short_until: Duration,
 }
 
+/// The rates at which a host starts requests of one priority.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StartRates {
+    pub(super) all: RateMeter,
+    /// Of those that can no longer meet their objective.
+    pub(super) late: RateMeter,
+}
+
 /// The host's state that a placement depends on.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HostView<'h> {
@@ -206,7 +222,7 @@
             .collect();
         for (ticket, request, late) in waiting {
             if let Some(placed) = self.place(&request, host, random()) {
-                self.record_start(late, host.now);
+                self.record_start(request.priority, late, host.now);
                 self.queue.remove(ticket);
                 return Some((ticket, placed));
             }
@@ -214,11 +230,67 @@
         None
     }
 
+    /// Returns whether this host may use only some of the slots.
+    pub(super) fn is_scarce(&self, now: Duration) -> bool {
+        self.engine && self.grants(now).is_some()
+    }
+
+    /// Returns when a request must start to meet its objective.
+    pub(super) fn due(&self, request: &PlacementRequest) -> Duration {
+        let first = shortest_first_event(&self.targets, request, self.prefill);
+        request.objective_at.saturating_sub(first)
+    }
+
+    /// Returns how long a request may wait so that the fastest target answers it before its
+    /// deadline; `None` if none does.
+    pub(super) fn start_left(&self, request: &PlacementRequest, now: Duration) -> Option<Duration> {
+        let first = shortest_first_event(&self.targets, request, self.prefill);
+        let output = self.output.predict(request.output_tokens.unwrap_or(0), 1.0);
+        let left = request.deadline.checked_sub(now + first + output)?;
+        Some(left.saturating_sub(START_MARGIN))
+    }
+
+    /// Returns the estimated wait of a request that can be in time.
+    pub(super) fn wait(&self, request: &PlacementRequest, now: Duration) -> Duration {
+        let (ahead, _) = self.queue.count_ahead(request, self.due(request), false);
+        let (rate, _) = self.start_rates(request.priority, now);
+        let wait = ahead as f64 / rate.max(MIN_START_RATE);
+        Duration::from_secs_f64(wait).max(self.pause_left(now))
+    }
+
+    /// Returns the estimated wait of a request that is late when it starts. Requests that can be in
+    /// time go first.
+    pub(super) fn late_wait(&self, request: &PlacementRequest, now: Duration) -> Duration {
+        let due = self.due(request);
+        let (in_time, late) = self.queue.count_ahead(request, due, true);
+        let (rate, late_rate) = self.start_rates(request.priority, now);
+        let late_rate = late_rate
+            .max(rate * LATE_SHARE)
+            .max(MIN_START_RATE * LATE_SHARE);
+        let wait = in_time as f64 / rate.max(MIN_START_RATE) + late as f64 / late_rate;
+        Duration::from_secs_f64(wait).max(self.pause_left(now))
+    }
+
     /// Returns whether a request can no longer meet its objective at any target.
     pub(super) fn is_late(&self, request: &PlacementRequest, now: Duration) -> bool {
         now + shortest_first_event(&self.targets, request, self.prefill) > request.objective_at
     }
 
+    /// Returns the rates at which requests of this priority or more urgent ones start, in events
+    /// per second: all of them, and the late ones.
+    pub(super) fn start_rates(&self, priority: RequestPriority, now: Duration) -> (f64, f64) {
+        let urgent = self
+            .start_rates
+            .iter()
+            .filter(|(held, _)| **held <= priority);
+        urgent.fold((0.0, 0.0), |(all, late), (_, rates)| {
+            (
+                all + rates.all.per_second(now),
+                late + rates.late.per_second(now),
+            )
+        })
+    }
+
     /// Discards what failed connections and silence on a lost path say about the targets.
     pub(super) fn forget_losses(&mut self) {
         for target in &mut self.targets {
@@ -234,9 +306,13 @@
     }
 
     /// Records the start of a request.
-    pub(super) fn record_start(&mut self, late: bool, now: Duration) {
+    pub(super) fn record_start(&mut self, priority: RequestPriority, late: bool, now: Duration) {
+        let rates = self
+            .start_rates
+            .get_or_insert_with(priority, StartRates::default);
+        rates.all.record(now);
         if late {
-            self.late_dispatch_rate.record(now);
+            rates.late.record(now);
         }
         if let Some(granted) = &mut self.granted {
             granted.late_started += u32::from(late);
--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::AdmissionDecision;
+use super::AdmissionRequest;
 use super::GrantTarget;
 use super::HostPosition;
 use super::PeerReporting;
@@ -9,10 +11,12 @@
 use super::PlacementRequest;
 use super::PoolGrants;
 use super::QueueTicket;
+use super::RefusalCause;
 use super::RequestPriority;
 use super::ShardRange;
 use super::SlotDemand;
 use super::TargetLoad;
+use super::decide_admission;
 use super::limit_table::LimitTable;
 use super::notice_table::NoticeTable;
 use super::peer_loads::PeerLoads;
@@ -20,7 +24,6 @@
 use super::pool_entry::HostView;
 use super::pool_entry::PoolEntry;
 use super::pool_reach::PeerReaches;
-use super::target_choice::shortest_first_event;
 use super::target_locations::TargetLocations;
 use super::target_runtime::TargetRuntime;
 use crate::catalog::ColdLimit;
@@ -37,10 +40,30 @@
 /// How long granted slots may be used without renewal, as some reports may be lost.
 const GRANT_LIFETIME: Duration = Duration::from_millis(1000);
 
-/// The least assumed rate at which a host starts requests, per second.
-const MIN_DISPATCH_RATE: f64 = 4.0;
-/// The same for requests that can no longer meet their objective.
-const MIN_LATE_DISPATCH_RATE: f64 = 1.0;
+/// The maximum number of requests per pool that wait at a host. A host's share of the targets
+/// starts about twenty requests per second, so a request with this many ahead of it would wait
+/// longer than any caller does.
+const MAX_WAITING: usize = 300;
+
+/// How a request may be queued.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionTerms {
+    /// Whether answers after the objective are of use to callers.
+    pub late_useful: bool,
+    /// Whether the request was admitted before, and waits on.
+    pub is_admitted: bool,
+    /// How long it may wait where slots are not scarce.
+    pub patience: Duration,
+}
+
+/// What becomes of a request for which no slot is free.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolAdmission {
+    /// Whether it is queued.
+    pub decision: AdmissionDecision,
+    /// The estimated wait.
+    pub wait: Duration,
+}
 
 /// A target with the configuration of its pool.
 #[derive(Clone, Debug)]
@@ -277,7 +300,7 @@
             return None;
         }
         let placed = pool.place(request, host, random)?;
-        pool.record_start(is_late, now);
+        pool.record_start(request.priority, is_late, now);
         Some(placed)
     }
 
@@ -306,7 +329,7 @@
     }
 
     /// Estimates how long a request would wait, from the requests ahead of it and the rate at
-    /// which this host recently started requests at the pool.
+    /// which this host recently started requests of its priority or more urgent ones.
     ///
     /// In a large burst the last requests in the queue would wait until their callers have
     /// left. With this estimate they are rejected at once.
@@ -314,22 +337,58 @@
         let Some(pool) = self.pools.get(&request.pool) else {
             return Duration::ZERO;
         };
-        let first = shortest_first_event(&pool.targets, request, pool.prefill);
-        let due = request.objective_at.saturating_sub(first);
-        let ahead = pool.queue.count_ahead(request.priority, due, now);
-        let dispatch_rate = pool.dispatch_rate.per_second(now).max(MIN_DISPATCH_RATE);
-        let wait = ahead as f64 / dispatch_rate;
-        // Late requests start at a lower rate, as others go first.
-        let late_ahead = match due < now {
-            true => pool.queue.count_late_ahead(request.priority, due),
-            false => 0,
+        match pool.is_late(request, now) {
+            true => pool.late_wait(request, now),
+            false => pool.wait(request, now),
+        }
+    }
+
+    /// Decides about a request for which no slot is free, and which may wait for `terms.patience`
+    /// where slots are not scarce.
+    pub fn admit(
+        &self,
+        request: &PlacementRequest,
+        terms: AdmissionTerms,
+        now: Duration,
+    ) -> PoolAdmission {
+        let Some(pool) = self.pools.get(&request.pool) else {
+            return PoolAdmission {
+                decision: AdmissionDecision::InTime,
+                wait: Duration::ZERO,
+            };
+        };
+        let admission = AdmissionRequest {
+            is_return: request.is_retry,
+            objective_left: pool.due(request).saturating_sub(now),
+            start_left: pool.start_left(request, now),
+            wait: pool.wait(request, now),
+            late_wait: pool.late_wait(request, now),
         };
-        let late_dispatch_rate = pool
-            .late_dispatch_rate
-            .per_second(now)
-            .max(MIN_LATE_DISPATCH_RATE);
-        let wait = wait.max(late_ahead as f64 / late_dispatch_rate);
-        Duration::from_secs_f64(wait).max(pool.pause_left(now))
+        let wait = self.expected_wait(request, now);
+        let decision = match pool.is_scarce(now) {
+            _ if terms.is_admitted => AdmissionDecision::Late,
+            _ if pool.queue.len() >= MAX_WAITING => {
+                AdmissionDecision::Refused(RefusalCause::QueueFull)
+            }
+            true => decide_admission(admission, terms.late_useful),
+            false if wait <= terms.patience => AdmissionDecision::InTime,
+            false => AdmissionDecision::Refused(RefusalCause::NoRoom),
+        };
+        PoolAdmission { decision, wait }
+    }
+
+    /// Returns how long a queued request may wait, given how long it may where slots are not
+    /// scarce.
+    pub fn queue_time(
+        &self,
+        request: &PlacementRequest,
+        patience: Duration,
+        now: Duration,
+    ) -> Duration {
+        let pool = self.pools.get(&request.pool);
+        let scarce = pool.filter(|pool| pool.is_scarce(now));
+        let left = scarce.and_then(|pool| pool.start_left(request, now));
+        left.map_or(patience, |left| left.max(patience))
     }
 
     /// Returns how long all targets of a pool that accept new work still want no requests; zero
@@ -344,42 +403,10 @@
         let pool = self
             .pools
             .get_or_insert_with(request.pool.clone(), PoolEntry::default);
-        let first = shortest_first_event(&pool.targets, &request, pool.prefill);
-        let due = request.objective_at.saturating_sub(first);
+        let due = pool.due(&request);
         pool.queue.push(ticket, request, due, now);
     }
 
-    /// Returns whether a request is to be rejected at once rather than queued: it can no longer
-    /// meet its objective, and the engine slots are divided among requests that can.
-    ///
-    /// In a burst beyond the engines' capacity, callers that are rejected at once can retry
-    /// after the burst and be served late. A retry is queued, because its caller would not
-    /// retry again.
-    pub fn should_shed(&self, request: &PlacementRequest, now: Duration) -> bool {
-        let Some(pool) = self.pools.get(&request.pool) else {
-            return false;
-        };
-        let is_late = pool.is_late(request, now);
-        pool.engine && is_late && !request.is_retry && pool.grants(now).is_some()
-    }
-
-    /// Removes the queued requests that are to be rejected; see [`PoolTable::should_shed`].
-    pub fn shed_late(&mut self, now: Duration) -> Vec<QueueTicket> {
-        let mut dropped = Vec::new();
-        let pools = self.pools.iter_mut();
-        for (_, pool) in pools.filter(|(_, pool)| pool.engine && pool.grants(now).is_some()) {
-            pool.queue.demote_late(now);
-            let late = pool.queue.iter().filter(|(_, _, late)| *late);
-            let shed = late.filter(|(_, request, _)| !request.is_retry);
-            let tickets: Vec<QueueTicket> = shed.map(|(ticket, _, _)| ticket).collect();
-            for ticket in &tickets {
-                pool.queue.remove(*ticket);
-            }
-            dropped.extend(tickets);
-        }
-        dropped
-    }
-
     /// Returns the number of requests that wait for the pool.
     pub fn waiting(&self, pool: &str) -> usize {
         self.pools.get(pool).map_or(0, |pool| pool.queue.len())
--- a/src/dispatch/request_queue.rs
+++ b/src/dispatch/request_queue.rs
@@ -16,6 +16,8 @@
 struct QueueKey {
     late: bool,
     priority: RequestPriority,
+    /// Whether the caller was not refused before. One that returns would not do so again.
+    is_first: bool,
     due: Duration,
     ticket: QueueTicket,
 }
@@ -39,33 +41,24 @@
         self.entries.len()
     }
 
-    /// Returns the number of requests ahead of one with this priority that must be dispatched
-    /// by `due`.
+    /// Returns the numbers of requests ahead of `request`, which must be dispatched by `due` to
+    /// meet its objective: those that can be in time, and those that are late.
     pub(super) fn count_ahead(
         &self,
-        priority: RequestPriority,
+        request: &PlacementRequest,
         due: Duration,
-        now: Duration,
-    ) -> usize {
+        is_late: bool,
+    ) -> (usize, usize) {
         let key = QueueKey {
-            late: due < now,
-            priority,
-            due,
-            ticket: QueueTicket::MAX,
-        };
-        self.entries.partition_point(|held| held.key < key)
-    }
-
-    /// Returns the number of late requests ahead of a late request with this priority.
-    pub(super) fn count_late_ahead(&self, priority: RequestPriority, due: Duration) -> usize {
-        let key = QueueKey {
-            late: true,
-            priority,
+            late: is_late,
+            priority: request.priority,
+            is_first: !request.is_retry,
             due,
             ticket: QueueTicket::MAX,
         };
-        let before = self.entries.iter().filter(|held| held.key < key);
-        before.filter(|held| held.key.late).count()
+        let ahead = self.entries.partition_point(|held| held.key < key);
+        let in_time = self.entries.partition_point(|held| !held.key.late);
+        (ahead.min(in_time), ahead.saturating_sub(in_time))
     }
 
     /// Queues a request that must be dispatched by `due` to meet its objective.
@@ -79,6 +72,7 @@
         let key = QueueKey {
             late: due < now,
             priority: request.priority,
+            is_first: !request.is_retry,
             due,
             ticket,
         };
--- a/src/dispatch/target_choice.rs
+++ b/src/dispatch/target_choice.rs
@@ -135,7 +135,8 @@
         |forecast: &TargetForecast| in_time(forecast) && ends_in_time(forecast) && !forecast.stalls;
     let in_time_and_ending =
         |forecast: &TargetForecast| in_time(forecast) && ends_in_time(forecast);
-    let rules: [&dyn Fn(&TargetForecast) -> bool; 3] = [&meets_all, &in_time_and_ending, &in_time];
+    let rules: [&dyn Fn(&TargetForecast) -> bool; 3] =
+        [&meets_all, &in_time_and_ending, &ends_in_time];
     let rule = rules.into_iter().find(|rule| allowed().any(rule));
     let is_candidate =
         |forecast: &TargetForecast| forecast.allowed && rule.is_none_or(|rule| rule(forecast));
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -83,6 +83,7 @@
                 account: refused.account.as_ref(),
                 tier: None,
                 cost: refused.cost,
+                expected_wait: None,
             };
             return refuse(state, caller, report).await;
         }
@@ -92,6 +93,7 @@
     let mut execution = RequestExecution::new(state, sink, &routed);
     let outcome = execution.serve().await;
     let attempts = execution.attempts();
+    let expected_wait = execution.expected_wait();
     if !matches!(outcome, ExecutionOutcome::Answered) {
         routed.record_end(execution.outcome());
     }
@@ -110,6 +112,7 @@
                 account: routed.account.as_ref().map(|account| &account.name),
                 tier: Some(routed.priority.account),
                 cost: None,
+                expected_wait,
             };
             refuse(state, caller, report).await
         }
@@ -179,6 +182,8 @@
     account: Option<&'r AccountName>,
     tier: Option<TierRank>,
     cost: Option<f64>,
+    /// The estimated wait for a target, if the request was refused for it.
+    expected_wait: Option<std::time::Duration>,
 }
 
 async fn refuse(
@@ -208,6 +213,7 @@
         catalog: state.view.held_versions().1,
         evidence_age_ms: state.evidence_age().map(|age| age.as_millis() as u64),
         waiting,
+        expected_wait_ms: report.expected_wait.map(|wait| wait.as_millis() as u64),
     });
     write_bytes(&caller.stream, &bytes).await.is_ok()
 }
@@ -224,6 +230,7 @@
         account: None,
         tier: None,
         cost: None,
+        expected_wait: None,
     };
     refuse(state, caller, report).await;
 }
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -56,7 +56,7 @@
     let (left_out, dropped) = state.log.lost_lines();
     let (revision, catalog) = state.view.held_versions();
     let age = state.evidence_age().map_or(0, |age| age.as_millis() as u64);
-    let mut text = state.metrics.render(&[
+    let mut gauges = vec![
         ("catalog_version", catalog),
         ("store_era", revision.era),
         ("store_revision", revision.number),
@@ -70,7 +70,9 @@
         ),
         ("log_lines_left_out_total", left_out),
         ("log_lines_dropped_total", dropped),
-    ]);
+    ];
+    gauges.extend(state.queue.admission_counts());
+    let mut text = state.metrics.render(&gauges);
     text.push_str(&state.request_metrics.text()?);
     Ok(text)
 }
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -12,6 +12,7 @@
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
 use super::forward_table::ForwardPermit;
+use super::load_control::LateAnswers;
 use super::request_forwarding::ForwardDecision;
 use super::response_relay::BufferedResponse;
 use super::response_relay::StreamProgress;
@@ -21,6 +22,7 @@
 use crate::catalog::CallKind;
 use crate::clock::boot_now;
 use crate::clock::unix_now;
+use crate::dispatch::AdmissionTerms;
 use crate::dispatch::AttemptOutcome;
 use crate::dispatch::PlacementRequest;
 use crate::dispatch::SlotGuard;
@@ -115,6 +117,10 @@
     pub(super) sent_after: Option<LossCount>,
     /// Whether it was sent as a trial of a rejected part of its prompt.
     pub(super) is_part_trial: bool,
+    /// Whether it was admitted to the queue; it is not refused afterwards for its wait.
+    is_admitted: bool,
+    /// The estimated wait with which it was refused.
+    expected_wait: Option<Duration>,
     /// The last error response of a target, forwarded if no other target does better.
     failure: Option<BufferedResponse>,
 }
@@ -143,6 +149,8 @@
             may_have_run: false,
             sent_after: None,
             is_part_trial: false,
+            is_admitted: false,
+            expected_wait: None,
             failure: None,
         }
     }
@@ -176,6 +184,12 @@
         self.attempts
     }
 
+    /// Returns the estimated wait for a target with which the request was refused, if it was
+    /// refused for that.
+    pub(crate) const fn expected_wait(&self) -> Option<Duration> {
+        self.expected_wait
+    }
+
     /// Returns what is known about a request that got no response from a target.
     pub(crate) const fn outcome(&self) -> RequestOutcome {
         match self.may_have_run {
@@ -251,9 +265,14 @@
         if left <= MIN_TIME_LEFT {
             return Err(WaitEnd::Failed(ErrorKind::DeadlinePassed));
         }
-        let wait_end = now + self.max_queue_wait(left);
+        let patience_end = now + self.max_queue_wait(left);
         loop {
-            let left = wait_end.saturating_sub(boot_now());
+            let now = boot_now();
+            let patience = patience_end.saturating_sub(now);
+            let left = self.queue_time(patience, now);
+            if self.is_admitted && left.is_zero() {
+                return Err(WaitEnd::Failed(ErrorKind::Overloaded));
+            }
             let max_wait = match self.may_use_peer_room() {
                 true => left.min(PEER_ROOM_INTERVAL),
                 false => left,
@@ -261,7 +280,13 @@
             let placement = self.placement();
             let queue = &self.state.queue;
             let caller = &mut self.caller;
-            let placed = async { Some(queue.wait_for_target(placement, max_wait, left).await) };
+            let terms = AdmissionTerms {
+                late_useful: self.state.settings.load().load_control.late_answers
+                    == LateAnswers::Useful,
+                is_admitted: self.is_admitted,
+                patience,
+            };
+            let placed = async { Some(queue.wait_for_target(placement, max_wait, terms).await) };
             let disconnected = async {
                 caller.disconnected().await;
                 None
@@ -270,8 +295,10 @@
                 None => return Err(WaitEnd::CallerLeft),
                 Some(WaitOutcome::Placed(slot)) => return Ok(*slot),
                 Some(WaitOutcome::NoTarget) => return Err(WaitEnd::Failed(ErrorKind::NoTarget)),
-                Some(WaitOutcome::TimedOut) if max_wait < left => {}
-                Some(WaitOutcome::Overloaded | WaitOutcome::TimedOut) => {
+                // Slots may have become scarce, so that it may wait for longer.
+                Some(WaitOutcome::TimedOut) => self.is_admitted = true,
+                Some(WaitOutcome::Overloaded(admission)) => {
+                    self.expected_wait = Some(admission.wait);
                     return Err(WaitEnd::Failed(ErrorKind::Overloaded));
                 }
             }
@@ -281,6 +308,16 @@
         }
     }
 
+    /// Returns how long the request may wait in the queue, given how long it may where slots are
+    /// not scarce.
+    fn queue_time(&self, patience: Duration, now: Duration) -> Duration {
+        if self.routed.forwarded == Some(ForwardCause::PartUsed) && !self.progress.has_started {
+            return patience;
+        }
+        let table = self.state.queue.lock_table();
+        table.queue_time(&self.placement(), patience, now)
+    }
+
     /// Returns the placement criteria of the request.
     pub(super) fn placement(&self) -> PlacementRequest {
         let routed = self.routed;
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -400,6 +400,9 @@
         evidence_age_ms: Option<u64>,
         /// Number of waiting requests of the same pool.
         waiting: usize,
+        /// The estimated wait for a target, in milliseconds, if the request was refused for it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        expected_wait_ms: Option<u64>,
     },
     /// A caller disconnected before its answer was complete.
     #[display("caller disconnected")]
--- a/tests/log_queue.rs
+++ b/tests/log_queue.rs
@@ -53,6 +53,7 @@
         catalog: 7,
         evidence_age_ms: Some(300),
         waiting: 0,
+        expected_wait_ms: None,
     }
 }
 
