Red: sound requests are marked and held when connections are reset

Three tests of a host whose connections to sound targets are reset: one path after the other, for a moment only, and all at once.

--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Changes the path of a host to one target.
+    pub(super) fn set_path(&self, host: usize, target: usize, mode: PathMode) {
+        self.paths[host][target].set_mode(mode).unwrap();
+    }
+
     /// Returns the number of connections that a host has opened to targets.
     pub(super) fn opened_connections(&self, host: usize) -> usize {
         self.paths[host].iter().map(PathLink::accepted).sum()
@@ -393,6 +398,11 @@
         }
     }
 
+    /// Returns the number of recent log lines that contain `text`.
+    pub(super) fn logged(&self, text: &str) -> usize {
+        self.lines.count(text)
+    }
+
     /// Waits until the host has a revision of the target list.
     pub(super) fn wait_revision(&self, number: u64) {
         let started_at = Instant::now();
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -16,6 +16,7 @@
 mod raw_target;
 mod recent_lines;
 mod request_limits;
+mod reset_paths;
 mod response_ends;
 mod responses;
 mod shutdown;
