Losses that a host's own path explains mark no request

Cause: a target that refuses and another one that accepts were taken for a crash, though the paths may be lost one after the other, or be back between the two probes. Of a pool of five plain targets all four others were probed, and then targets of another pool, whose path may be sound. And requests waited for checks that wait for reports of peers, a second at most, then got 502.

Change: a host keeps which targets it lost and whether they were reached since (`LossHistory`). A loss beside those of three other unreachable targets, which ran neither the request nor one with a part of its prompt, does not count. Where fewer were lost, or a probed target just became unreachable, all is probed again 100 ms after the last loss. Targets of another pool are probed only for the single target of a pool. Requests wait for a check only until the probes for comparison fail. A loss alone is confirmed as fast as before, so that a request that crashes targets is known as early. No message between hosts changes.

--- a/src/dispatch/pool_reach.rs
+++ b/src/dispatch/pool_reach.rs
@@ -147,7 +147,7 @@
         now: Duration,
     ) -> Option<PathChange> {
         if let Some(target) = self.locations.find_mut(&mut self.pools, target) {
-            target.set_unreachable(false);
+            target.set_reachable();
         }
         let pool = self.pools.get_mut(pool)?;
         if !pool.reach.record_connect(now) {
@@ -165,7 +165,7 @@
         now: Duration,
     ) -> Option<PathChange> {
         if let Some(target) = self.locations.find_mut(&mut self.pools, target) {
-            target.set_unreachable(true);
+            target.set_unreachable(now);
         }
         let peers_fail = self.peer_reaches.all_fail(pool_name, self.reporting, now);
         let pool = self.pools.get_mut(pool_name)?;
@@ -298,9 +298,9 @@
     }
 
     /// Returns targets whose reachability shows whether another one crashed: those of the same pool,
-    /// as the path to one pool only may be lost, of other zones first; else of other pools. Those in
-    /// `probed` are left out; `random`, between 0 and 1, decides between equal ones, as neighbours in
-    /// the order of targets may have crashed together.
+    /// as the path to one pool only may be lost, of other zones first; of other pools only where it
+    /// has no other. Those in `probed` are left out; `random`, between 0 and 1, decides between equal
+    /// ones, as neighbours in the order of targets may have crashed together.
     pub fn control_targets(
         &self,
         lost: &PlacedTarget,
@@ -319,8 +319,7 @@
             let targets = pool
                 .targets
                 .iter()
-                .filter(|target| target.is_accepting() && target.record.name != lost.name)
-                .filter(|target| !probed.contains(&target.record.name));
+                .filter(|target| target.is_accepting() && target.record.name != lost.name);
             controls.extend(targets.map(|target| {
                 let other_pool = Some(name) != lost_pool;
                 let same_zone = Some(&target.record.availability_zone) == lost_zone;
@@ -339,7 +338,9 @@
         let any_in_pool = controls
             .first()
             .is_some_and(|((other_pool, ..), _)| !other_pool);
-        controls.retain(|((other_pool, ..), _)| !any_in_pool || !other_pool);
+        controls.retain(|((other_pool, ..), probe)| {
+            (!any_in_pool || !other_pool) && !probed.contains(&probe.target.name)
+        });
         let controls = controls.into_iter().take(CONTROL_TARGETS);
         controls.map(|(_, probe)| probe).collect()
     }
@@ -360,6 +361,13 @@
         self.peer_reaches.report_failure(pool, self.reporting, now)
     }
 
+    /// Returns whether no connection to a target was established since one failed before `at`.
+    pub fn is_unreachable_since(&self, target: &TargetName, at: Duration) -> bool {
+        let mut targets = self.pools.values().flat_map(|pool| &pool.targets);
+        let found = targets.find(|held| held.record.name == *target);
+        found.is_some_and(|target| target.is_unreachable_since(at))
+    }
+
     /// Returns whether a target sends nothing for any request of this host and accepts
     /// connections: it may be sound and go on.
     pub fn is_silent(&self, placed: &PlacedTarget, now: Duration) -> bool {
--- a/src/dispatch/target_runtime.rs
+++ b/src/dispatch/target_runtime.rs
@@ -67,8 +67,8 @@
     /// What was known of the target before the first loss since its last success.
     before_losses: Option<TargetMarks>,
     next_silence_probe: Duration,
-    /// Whether the last connection to it could not be established.
-    is_unreachable: bool,
+    /// When the first connection failed since the last one that was established.
+    unreachable_since: Option<Duration>,
     /// Admission while it crashes when it has to reject many requests.
     pub(super) brittle_guard: BrittleGuard,
 }
@@ -104,7 +104,7 @@
             next_backoff: INITIAL_BACKOFF,
             before_losses: None,
             next_silence_probe: Duration::ZERO,
-            is_unreachable: false,
+            unreachable_since: None,
             brittle_guard: BrittleGuard::default(),
         }
     }
@@ -387,14 +387,24 @@
         self.next_backoff = INITIAL_BACKOFF;
     }
 
-    /// Sets whether the last connection to the target could not be established.
-    pub(super) const fn set_unreachable(&mut self, is_unreachable: bool) {
-        self.is_unreachable = is_unreachable;
+    /// Records that a connection to the target was established.
+    pub(super) const fn set_reachable(&mut self) {
+        self.unreachable_since = None;
+    }
+
+    /// Records that a connection to the target could not be established.
+    pub(super) fn set_unreachable(&mut self, now: Duration) {
+        self.unreachable_since.get_or_insert(now);
+    }
+
+    /// Returns whether no connection was established since one failed before `at`.
+    pub(super) fn is_unreachable_since(&self, at: Duration) -> bool {
+        self.unreachable_since.is_some_and(|since| since < at)
     }
 
     /// Returns whether the target sends nothing, and its last connection was established.
     pub(super) fn is_silent(&self, now: Duration) -> bool {
-        self.is_unresponsive(now) && !self.is_unreachable
+        self.is_unresponsive(now) && self.unreachable_since.is_none()
     }
 
     /// Returns whether the target sends nothing, and is to be probed for that now.
--- a/src/edge/path_monitor.rs
+++ b/src/edge/path_monitor.rs
@@ -18,6 +18,7 @@
 use crate::ids::PoolName;
 use crate::ids::TargetName;
 use crate::logs::DecisionLine;
+use crate::poison::MOMENT;
 
 /// Maximum number of targets that are probed to tell a crash from a lost path.
 const MAX_CONTROLS: usize = 8;
@@ -26,6 +27,14 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Which of the targets that were probed for comparison were reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ControlReach {
+    All,
+    Some,
+    None,
+}
+
 impl EdgeState {
     /// Records whether a connection to a target was established.
     pub(crate) fn record_connect(
@@ -97,18 +106,19 @@
         }
     }
 
-    /// Returns whether a target that accepts no connections has crashed, rather than this host
-    /// lost its path to it: another target can be reached, or peers fail at the pool too.
-    pub(crate) async fn confirms_crash(
+    /// Probes other targets than one that was lost at `lost_at`, until one is reached or enough of
+    /// them are not.
+    pub(crate) async fn probe_controls(
         self: &Arc<Self>,
-        pool: &PoolName,
         target: &PlacedTarget,
-    ) -> bool {
+        lost_at: Duration,
+    ) -> ControlReach {
         let started_at = boot_now();
         let mut probed: Vec<TargetName> = Vec::new();
         // Some of them may have crashed too, and refuse connections at once.
         while probed.len() < MAX_CONTROLS && boot_now().saturating_sub(started_at) < REPORT_TIMEOUT
         {
+            let is_first = probed.is_empty();
             let controls = {
                 let table = self.queue.lock_table();
                 table.control_targets(target, &probed, rand::random(), boot_now())
@@ -117,17 +127,36 @@
                 break;
             }
             probed.extend(controls.iter().map(|probe| probe.target.name.clone()));
+            // One that failed long before shows nothing of this moment.
+            let before = lost_at.saturating_sub(MOMENT);
+            let was_lost = |probe: &PathProbe| {
+                let table = self.queue.lock_table();
+                table.is_unreachable_since(&probe.target.name, before)
+            };
+            let known: Vec<bool> = controls.iter().map(was_lost).collect();
             let probes: Vec<_> = controls
                 .into_iter()
                 .map(|probe| task::spawn(probe_target(Arc::clone(self), probe)))
                 .collect();
-            for probe in probes {
-                if probe.await {
-                    return true;
+            let mut reached = 0;
+            let mut has_failed = false;
+            for (probe, was_lost) in probes.into_iter().zip(known) {
+                match probe.await {
+                    true => reached += 1,
+                    false => has_failed |= !was_lost,
                 }
             }
+            match reached {
+                0 => {}
+                _ if is_first && !has_failed => return ControlReach::All,
+                _ => return ControlReach::Some,
+            }
         }
-        // Nothing of the pool is reached from here. If all of it crashed, peers report that soon.
+        ControlReach::None
+    }
+
+    /// Returns whether peers report soon that they fail at the pool's targets too.
+    pub(crate) async fn is_loss_common_soon(&self, pool: &PoolName) -> bool {
         let started_at = boot_now();
         while boot_now().saturating_sub(started_at) < REPORT_TIMEOUT {
             if self.queue.lock_table().is_loss_common(pool, boot_now()) {
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,5 +1,6 @@
 //! Poison requests, and poison parts of prompts: they crash the targets that run them.
 
+mod loss_history;
 mod part_entry;
 mod part_guard;
 mod part_table;
@@ -8,6 +9,10 @@
 mod poison_table;
 mod prompt_part;
 
+pub use loss_history::CauseKey;
+pub use loss_history::LossHistory;
+pub use loss_history::LossScope;
+pub(crate) use loss_history::MOMENT;
 pub use part_entry::PartEntry;
 pub use part_entry::PartLoss;
 pub(crate) use part_guard::PartGuard;
--- a/src/poison/poison_guard.rs
+++ b/src/poison/poison_guard.rs
@@ -7,6 +7,9 @@
 
 use async_std::task;
 
+use super::CauseKey;
+use super::LossHistory;
+use super::LossScope;
 use super::LostRun;
 use super::PoisonEntry;
 use super::PoisonTable;
@@ -36,6 +39,8 @@
     running: Mutex<SortedMap<TargetName, RequestFingerprint>>,
     /// Targets that closed the connection of each request and may have crashed.
     checked: Mutex<SortedMap<RequestFingerprint, Vec<TargetName>>>,
+    /// Connections that this host lost recently.
+    lost: Mutex<LossHistory>,
     /// When this host last ran a trial of each rejected request.
     trials: Mutex<SortedMap<RequestFingerprint, UnixMillis>>,
 }
@@ -94,8 +99,16 @@
         self.mark_changed(fingerprint);
     }
 
-    /// Records that this host checks whether a target crashed that ran the request.
-    pub(crate) fn begin_check(&self, fingerprint: RequestFingerprint, target: &TargetName) {
+    /// Records that a target closed the connection of a request at `lost_at` on the boot clock, and
+    /// that this host checks whether it crashed.
+    pub(crate) fn begin_check(
+        &self,
+        fingerprint: RequestFingerprint,
+        target: &TargetName,
+        causes: Vec<CauseKey>,
+        lost_at: Duration,
+    ) {
+        lock(&self.lost).record(target, causes, lost_at);
         let mut checked = lock(&self.checked);
         let targets = checked.get_or_insert_with(fingerprint, Vec::new);
         targets.push(target.clone());
@@ -116,6 +129,21 @@
         }
     }
 
+    /// Records whether a target that closed a connection accepted another one at `now`.
+    pub(crate) fn record_probe(&self, target: &TargetName, is_alive: bool, now: Duration) {
+        lock(&self.lost).record_probe(target, is_alive, now);
+    }
+
+    /// Returns what else this host lost in the moment in which the request lost the target.
+    pub(crate) fn loss_scope(
+        &self,
+        target: &TargetName,
+        causes: &[CauseKey],
+        lost_at: Duration,
+    ) -> LossScope {
+        lock(&self.lost).scope(target, causes, lost_at)
+    }
+
     /// Returns the number of targets for which it is not known yet whether the request crashed them.
     pub(crate) fn checked_targets(&self, fingerprint: RequestFingerprint) -> usize {
         let checked = lock(&self.checked);
--- a/tests/poison_table.rs
+++ b/tests/poison_table.rs
@@ -1,6 +1,10 @@
 //! Detection of requests that crash targets, over several hosts.
 
+use std::time::Duration;
+
 use cardamomgw::ids::TargetName;
+use cardamomgw::poison::LossHistory;
+use cardamomgw::poison::LossScope;
 use cardamomgw::poison::LostRun;
 use cardamomgw::poison::PoisonTable;
 use cardamomgw::poison::RequestFingerprint;
@@ -260,3 +264,119 @@
     }
     assert_eq!(trial_host(poison(), &[], 0), None);
 }
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(MINUTE_MS + millis)
+}
+
+/// Records the loss of a connection to a target that is unreachable from then on.
+fn lose_target(history: &mut LossHistory, request: RequestFingerprint, number: u32, millis: u64) {
+    history.record(&target(number), vec![request], at(millis));
+    history.record_probe(&target(number), false, at(millis + 30));
+}
+
+fn other_request(number: u32) -> RequestFingerprint {
+    fingerprint_request("harbour", "digest", &number.to_le_bytes())
+}
+
+/// Records the losses of targets by different requests, `interval` milliseconds apart.
+fn lose_all(history: &mut LossHistory, targets: std::ops::Range<u32>, interval: u64) {
+    for number in targets {
+        let millis = u64::from(number) * interval;
+        lose_target(history, other_request(number), number, millis);
+    }
+}
+
+/// Guards against a crash that is not counted because other targets, which are alive, close
+/// connections all the time.
+#[test]
+fn closed_connections_of_targets_that_are_alive_explain_nothing() {
+    let mut history = LossHistory::default();
+    for number in 1..8 {
+        history.record(&target(number), vec![other_request(number)], at(0));
+    }
+    lose_target(&mut history, poison(), 0, 0);
+    let early = history.scope(&target(0), &[poison()], at(0));
+    for number in 1..8 {
+        history.record_probe(&target(number), true, at(30));
+    }
+    let late = history.scope(&target(0), &[poison()], at(0));
+
+    assert_eq!((early, late), (LossScope::Unknown, LossScope::Single));
+}
+
+/// Guards against requests that are marked as the cause of crashes while their host loses its paths,
+/// as for 28 hosts within 60 ms.
+#[test]
+fn a_loss_beside_those_of_several_other_targets_is_none_of_the_request() {
+    let mut history = LossHistory::default();
+    lose_target(&mut history, harmless(), 0, 0);
+    lose_all(&mut history, 1..4, 20);
+
+    assert_eq!(
+        history.scope(&target(0), &[harmless()], at(0)),
+        LossScope::Many
+    );
+}
+
+/// Guards against a crash that is taken for a lost path: of one target, or of two or three at once,
+/// for which the paths are looked at once more.
+#[test]
+fn losses_of_up_to_three_targets_may_be_crashes() {
+    let mut history = LossHistory::default();
+    lose_target(&mut history, poison(), 0, 0);
+    let single = history.scope(&target(0), &[poison()], at(0));
+    lose_all(&mut history, 1..3, 30);
+    let three = history.scope(&target(0), &[poison()], at(0));
+
+    assert_eq!(single, LossScope::Single);
+    assert_eq!(three, LossScope::Several(at(160)));
+}
+
+/// Guards against a request that crashes several targets in copies sent at once, and is excused by
+/// its own crashes.
+#[test]
+fn copies_of_a_request_do_not_excuse_each_other() {
+    let mut history = LossHistory::default();
+    for number in 0..6 {
+        lose_target(&mut history, poison(), number, 0);
+    }
+    lose_target(&mut history, harmless(), 5, 0);
+
+    let copies = history.scope(&target(0), &[poison()], at(0));
+    let beside = history.scope(&target(5), &[harmless()], at(0));
+
+    assert_eq!(copies, LossScope::Several(at(100)));
+    assert_eq!(beside, LossScope::Many);
+}
+
+/// Guards against a part of prompts that crashes several targets at once, in different requests, and
+/// is excused by its own crashes.
+#[test]
+fn requests_with_a_common_part_do_not_excuse_each_other() {
+    let part = 17;
+    let mut history = LossHistory::default();
+    for number in 0..6 {
+        let causes = vec![other_request(number), part];
+        history.record(&target(number), causes, at(0));
+        history.record_probe(&target(number), false, at(30));
+    }
+
+    let scope = history.scope(&target(0), &[other_request(0), part], at(0));
+
+    assert_eq!(scope, LossScope::Several(at(100)));
+}
+
+/// Guards against a request that is sent again and again and crashes a target each time, as each of
+/// its losses is excused by those before.
+#[test]
+fn losses_one_after_the_other_are_not_one_moment() {
+    let mut history = LossHistory::default();
+    lose_all(&mut history, 0..8, 101);
+
+    let last = other_request(7);
+    assert_eq!(
+        history.scope(&target(7), &[last], at(707)),
+        LossScope::Single
+    );
+}
