Check: changes against the version in force, strict and JSON output

Cause: a rollout's effect on callers showed only after it, and scripts had to read text.

`--strict` fails for warnings, `--format json` is for scripts, 200 findings of each kind are listed and the rest counted, repeated names are reported behind schema faults.

--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -28,6 +28,12 @@
         cmd check {
             /// The file to check.
             required file: PathBuf
+            /// The fleet document in force: print what changes against it.
+            optional --against file: PathBuf
+            /// Exit with 1 for warnings too.
+            optional --strict
+            /// The output: text, the default, or json.
+            optional --format name: String
         }
 
         /// Show for each target whether it may serve a request, or the first reason that
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,3 +33,6 @@
 pub use fleet_view::FleetView;
 pub use target_explanation::ExclusionReason;
 pub use target_explanation::TargetExplanation;
+pub(crate) use validation::DocumentChange;
+pub(crate) use validation::compare_documents;
+pub(crate) use validation::duplicate_names;
--- a/src/fleet/validation/mod.rs
+++ b/src/fleet/validation/mod.rs
@@ -7,11 +7,17 @@
 mod reach_warnings;
 mod roster_checks;
 mod target_checks;
+mod untyped_checks;
+mod version_comparison;
 
 use crate::json::DocumentFault;
 
 use super::FleetDocument;
 
+pub(crate) use untyped_checks::duplicate_names;
+pub(crate) use version_comparison::DocumentChange;
+pub(crate) use version_comparison::compare_documents;
+
 /// Returns the faults for which the document is rejected.
 pub(super) fn validate_document(document: &FleetDocument) -> Vec<DocumentFault> {
     let mut faults = Vec::new();
--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -293,3 +293,141 @@
     assert_eq!((found.code, none.code, absent.code), (0, 1, 3));
     assert!(absent.errors.contains("no-such-file"));
 }
+
+const SAMPLE_PATH: &str = "resources/fleet-sample.json";
+
+/// Returns the sample, changed by `edit`, as a file.
+fn edited_sample(name: &str, edit: impl FnOnce(&mut serde_json::Value)) -> String {
+    let mut document = serde_json::from_str(&sample_with("", "")).expect("the sample is JSON");
+    edit(&mut document);
+    write_file(name, &document.to_string())
+}
+
+/// Guards against a rollout whose effect on callers is noticed only by them.
+#[test]
+fn check_reports_the_changes_against_the_version_in_force() {
+    let path = edited_sample("next.json", |document| {
+        document["version"] = 2.into();
+        document["accounts"].as_array_mut().unwrap().remove(0);
+        document["accounts"][0]["requests_per_second"] = 1.into();
+        document["targets"][0]["slots"] = 1.into();
+    });
+
+    let text = run(&["check", &path, "--against", SAMPLE_PATH]);
+    let json = run(&["check", &path, "--against", SAMPLE_PATH, "--format", "json"]);
+
+    assert_eq!((text.code, json.code), (0, 0), "{}", text.output);
+    for change in [
+        "change: version: changed from 1 to 2",
+        "requests_per_second: changed from ",
+        "removed (its token ends: requests with it are refused)",
+        "slots fewer)",
+        "changes: 4",
+    ] {
+        assert!(text.output.contains(change), "{change}: {}", text.output);
+    }
+    let report: serde_json::Value = serde_json::from_str(&json.output).unwrap();
+    assert_eq!(report["changes"]["count"], 4);
+    assert_eq!(report["faults"]["count"], 0);
+}
+
+/// Guards against changes that are reported where there are none.
+#[test]
+fn check_reports_no_change_against_the_same_document() {
+    let check = run(&["check", SAMPLE_PATH, "--against", SAMPLE_PATH]);
+
+    assert!(check.output.contains("changes: 0"), "{}", check.output);
+}
+
+/// Guards against a document with a low version or a damaged one in force that seems ready.
+#[test]
+fn check_reports_a_version_in_force_that_is_not_replaced() {
+    let same = edited_sample("same.json", |document| {
+        document["targets"][0]["slots"] = 1.into();
+    });
+    let broken = write_file("broken-in-force.json", "{\"version\": 1, \"targets\": [");
+
+    let unraised = run(&["check", &same, "--against", SAMPLE_PATH]);
+    let damaged = run(&["check", SAMPLE_PATH, "--against", &broken]);
+
+    assert!(
+        unraised.output.contains("raise the version"),
+        "{}",
+        unraised.output
+    );
+    assert_eq!(damaged.code, 1);
+    assert!(
+        damaged.output.contains("in the version in force:") && damaged.output.contains("line 1"),
+        "{}",
+        damaged.output
+    );
+}
+
+/// Guards against warnings that pass a script, and against flags that it misspells.
+#[test]
+fn check_fails_for_warnings_where_it_is_strict() {
+    let path = edited_sample("warned.json", |document| {
+        document["classes"][0]["targets"] = "service=nothing".into();
+    });
+
+    let lenient = run(&["check", &path]);
+    let strict = run(&["check", &path, "--strict"]);
+    let misspelt = run(&["check", &path, "--format", "yaml"]);
+
+    assert_eq!((lenient.code, strict.code, misspelt.code), (0, 1, 2));
+}
+
+/// Guards against a second run that first shows a repeated name, or against a list without end.
+#[test]
+fn check_reports_repeated_names_behind_other_faults_and_a_bounded_list() {
+    let doubled = edited_sample("doubled.json", |document| {
+        document["targets"][0]["slotz"] = 1.into();
+        document["accounts"][1]["name"] = document["accounts"][0]["name"].clone();
+    });
+    let many = edited_sample("many.json", |document| {
+        let account = document["accounts"][0].clone();
+        let accounts = document["accounts"].as_array_mut().unwrap();
+        accounts.extend(std::iter::repeat_n(account, 500));
+    });
+
+    let doubled = run(&["check", &doubled]);
+    let many = run(&["check", &many]);
+
+    assert!(doubled.output.contains("slotz"), "{}", doubled.output);
+    assert!(
+        doubled.output.contains("accounts[1].name:"),
+        "{}",
+        doubled.output
+    );
+    assert_eq!(many.code, 1);
+    assert!(many.output.contains("fault: and "), "{}", many.output);
+    assert!(many.output.lines().count() < 300);
+}
+
+/// Guards against a document that `check` passes and hosts refuse, or the other way round.
+#[test]
+fn check_and_hosts_agree_on_the_same_documents() {
+    let edits: [(&str, &str, serde_json::Value); 6] = [
+        ("sound", "/limits", serde_json::json!({})),
+        ("slots", "/targets/0/slots", 0.into()),
+        ("deadline", "/classes/0/deadline_ms", 0.into()),
+        ("burst", "/accounts/0/burst", 0.into()),
+        ("selector", "/targets/0/accepts", "tier in (0".into()),
+        ("type", "/classes/0/tier", "first".into()),
+    ];
+    for (name, pointer, value) in edits {
+        let path = edited_sample(&format!("agree-{name}.json"), |document| {
+            let (parent, field) = pointer.rsplit_once('/').unwrap();
+            document.pointer_mut(parent).unwrap()[field] = value;
+        });
+        let text = std::fs::read_to_string(&path).unwrap();
+        let parsed = cardamomgw::fleet::parse_document(&text);
+        let hosts_accept = parsed
+            .and_then(cardamomgw::fleet::FleetView::compile)
+            .is_ok();
+
+        let check = run(&["check", &path]);
+
+        assert_eq!(check.code == 0, hosts_accept, "{name}: {}", check.output);
+    }
+}
