--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -223,7 +223,12 @@
     fn set_window_hosts(&mut self) {
         let hosts = self.host_position.map_or(1, |position| position.hosts);
         for (_, pool) in self.pools.iter_mut() {
-            let hosts = (self.adapts_to_targets && !pool.engine).then_some(hosts);
+            // With fewer hosts than slots the loads that peers report are enough, and a host that is
+            // short of processor time would take its own delay for a queue at the target.
+            let targets = pool.targets.iter();
+            let slots: usize = targets.map(|target| target.record.slots as usize).sum();
+            let is_crowded = self.adapts_to_targets && !pool.engine && hosts > slots;
+            let hosts = is_crowded.then_some(hosts);
             for target in &mut pool.targets {
                 target.set_window_hosts(hosts);
             }
