--- a/src/dispatch/pool_entry.rs
+++ b/src/dispatch/pool_entry.rs
@@ -57,8 +57,8 @@
 /// The same for requests of one priority, of which a wave may leave none in time.
 const MIN_OWN_RATE: f64 = 0.1;
 /// The least assumed rate at which late requests start, per second. Few start during a wave, and
-/// many after it. In `tests/admission_wave.rs`, 1.2 leaves 0.01 to 0.02 of the callers unserved that
-/// 1.8 serves, and with 2.5 half as many again are refused after a long wait.
+/// many after it. A lower rate refuses callers that could be served, a higher one queues callers
+/// that are refused after a long wait.
 const MIN_LATE_RATE: f64 = 1.8;
 /// The same where slots are not scarce, so that targets have room for late requests.
 const MIN_UNDIVIDED_LATE_RATE: f64 = 1.0;
--- a/src/edge/load_control.rs
+++ b/src/edge/load_control.rs
@@ -6,9 +6,8 @@
     /// Callers still use them, so that a request that would be late is queued.
     Useful,
     /// Callers have mostly turned elsewhere, so that a first attempt that would be late is refused.
-    /// In `tests/admission_wave.rs` this serves more callers, and more of them in time, also where a
-    /// late answer keeps a third of its value: slots are left to requests that can be in time, and
-    /// those who come back find room after the wave.
+    /// Slots are left to requests that can be in time, and callers that return find room after the
+    /// overload, so that more of them are served.
     #[default]
     Useless,
 }
