--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -38,13 +38,13 @@
 }
 
 
-def choose_subnet(addresses=(1, 10, 11, 12, 13, 14, 15, 16, 17)):
-    """Returns the prefix of a loopback subnet whose ports are free."""
+def choose_subnet():
+    """Returns the prefix of a loopback subnet; the ports of this module are free there."""
     ports = [FRONT_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORTS[0], RUNNER_PORT, STORE_PORT]
-    while True:
+    for _ in range(100):
         prefix = "127.%d.%d" % (random.randrange(40, 240), random.randrange(1, 250))
         try:
-            for last in addresses:
+            for last in [1, *range(10, 18), *range(101, 113)]:
                 for port in ports:
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -52,6 +52,7 @@
             return prefix
         except OSError:
             continue
+    raise RuntimeError("no loopback subnet has free ports")
 
 
 async def read_head(reader):
@@ -231,33 +232,6 @@
         return await self.work(self, attempt, headers, body, writer)
 
 
-async def plain_work(runner, attempt, headers, body, writer):
-    """A plain service: 15 ms of work and a body of 800 bytes."""
-    await asyncio.sleep(0.015)
-    answer = (attempt.encode() + b" done ").ljust(800, b".")
-    writer.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n"
-                 b"Content-Length: %d\r\n\r\n" % (attempt.encode(), attempt.encode(), len(answer))
-                 + answer)
-    await writer.drain()
-    return True
-
-
-async def stream_work(runner, attempt, headers, body, writer):
-    """A model runner: a first event after 60 ms, and three more."""
-    await asyncio.sleep(0.06)
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\n"
-                 b"X-Response-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
-                 % (attempt.encode(), attempt.encode()))
-    for number in range(1, 5):
-        event = b"id: %d\ndata: %s %d\n\n" % (number, attempt.encode(), number)
-        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-        await writer.drain()
-        await asyncio.sleep(0.02)
-    writer.write(b"0\r\n\r\n")
-    await writer.drain()
-    return True
-
-
 class Host:
     """One process of the deploy file's role, on its own loopback address."""
 
