Settings: startup and runtime settings are separate types

A reload replaced all settings of a host, also those that the process reads only once: its name, availability zone and addresses. The gossip then announced a name or an address that the listeners and links don't use. The state of a host now holds StartupSettings as they were at the start, and only RuntimeSettings are replaced.

No change of behaviour where the file changes runtime settings only.

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -97,24 +97,29 @@
         dependencies: EdgeDependencies,
         log: DecisionLog,
     ) -> io::Result<Self> {
-        let settings = dependencies.settings;
+        let EdgeSettings { startup, runtime } = dependencies.settings.clone();
         let requests = RequestMetrics::open().map_err(io::Error::other)?;
-        let state = EdgeState::new(settings.clone(), dependencies.header_names, log, requests);
+        let state = EdgeState::new(
+            dependencies.settings,
+            dependencies.header_names,
+            log,
+            requests,
+        );
         let identity = PeerIdentity {
-            host: settings.host.clone(),
+            host: startup.host.clone(),
             key: PEER_KEY.to_vec(),
         };
         let service = Arc::new(GossipService::new(Arc::clone(&state)));
-        let peers = PeerListener::bind(settings.peer_address, identity.clone(), service).await?;
-        let seeds = settings.seeds.iter().copied();
-        let seeds = seeds.filter(|seed| *seed != settings.peer_address);
+        let peers = PeerListener::bind(startup.peer_address, identity.clone(), service).await?;
+        let seeds = runtime.seeds.iter().copied();
+        let seeds = seeds.filter(|seed| *seed != startup.peer_address);
         let mesh = PeerMesh::spawn(identity, seeds.collect());
         state.set_mesh(Arc::clone(&mesh));
-        let max_callers = (settings.max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize;
+        let max_callers = (runtime.max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize;
         let addresses = EdgeAddresses {
-            caller: listen(&state, settings.caller_address, max_callers, serve_caller).await?,
-            ready: listen(&state, settings.ready_address, max_callers, serve_readiness).await?,
-            metrics: match settings.metrics_address {
+            caller: listen(&state, startup.caller_address, max_callers, serve_caller).await?,
+            ready: listen(&state, startup.ready_address, max_callers, serve_readiness).await?,
+            metrics: match startup.metrics_address {
                 Some(address) => Some(listen(&state, address, max_callers, serve_metrics).await?),
                 None => None,
             },
@@ -146,7 +151,7 @@
     /// reloads the settings.
     pub(crate) async fn run(self, mut signals: ProcessSignals) {
         self.state.log.write(&DecisionLine::Started {
-            host: self.state.settings.load().host.clone(),
+            host: self.state.startup.host.clone(),
             program: env!("CARGO_PKG_VERSION"),
             caller_address: self.addresses.caller,
             ready_address: self.addresses.ready,
--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -11,8 +11,16 @@
 use crate::quota::QuotaTolerance;
 use crate::quota::RetryBounds;
 
+/// The settings file of a host.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct EdgeSettings {
+    pub(crate) startup: StartupSettings,
+    pub(crate) runtime: RuntimeSettings,
+}
+
+/// Settings that the process reads once. A changed one takes effect at the next start.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct StartupSettings {
     /// The host's name, unique among its peers.
     pub(crate) host: HostName,
     pub(crate) availability_zone: ZoneName,
@@ -24,6 +32,11 @@
     pub(crate) peer_address: SocketAddr,
     /// Where metrics are scraped.
     pub(crate) metrics_address: Option<SocketAddr>,
+}
+
+/// Settings that take effect when they are reloaded.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct RuntimeSettings {
     /// Addresses of some peers; may be out of date.
     pub(crate) seeds: Vec<SocketAddr>,
     /// Available processor time, in thousandths of a core.
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -21,6 +21,8 @@
 use super::deadline_history::DeadlineHistory;
 use super::edge_metrics::EdgeMetrics;
 use super::edge_settings::EdgeSettings;
+use super::edge_settings::RuntimeSettings;
+use super::edge_settings::StartupSettings;
 use super::fleet_role::FleetRole;
 use super::fleet_role::PeerFleetSize;
 use super::forward_table::ForwardTable;
@@ -75,7 +77,8 @@
 ///
 /// A guard returned by an accessor must not be held across an await.
 pub(crate) struct EdgeState {
-    pub(crate) settings: ArcSwap<EdgeSettings>,
+    pub(crate) startup: StartupSettings,
+    pub(crate) runtime: ArcSwap<RuntimeSettings>,
     pub(crate) header_names: HeaderNames,
     pub(crate) incarnation: IncarnationId,
     /// Start of the process, on the boot clock.
@@ -149,21 +152,22 @@
         log: DecisionLog,
         request_metrics: Arc<RequestMetrics>,
     ) -> Arc<Self> {
-        let tolerance = settings.bounds.quota_tolerance;
+        let EdgeSettings { startup, runtime } = settings;
+        let tolerance = runtime.bounds.quota_tolerance;
         let started = boot_now();
         // Until peers are discovered, the configured seeds are the minimum number of
         // hosts.
-        let seeds = settings.seeds.iter();
-        let others = seeds.filter(|seed| **seed != settings.peer_address);
+        let seeds = runtime.seeds.iter();
+        let others = seeds.filter(|seed| **seed != startup.peer_address);
         let hosts = others.count() + 1;
         Arc::new(Self {
-            queue: DispatchQueue::new(settings.availability_zone.clone()),
+            queue: DispatchQueue::new(startup.availability_zone.clone()),
             has_answer: AtomicBool::new(hosts == 1),
             is_informed: AtomicBool::new(hosts == 1),
             table_refresh: Mutex::default(),
             is_table_filled: AtomicBool::new(false),
-            members: Mutex::new(MemberTable::new(settings.host.clone())),
-            gossip_schedule: Mutex::new(GossipSchedule::new(settings.host.clone())),
+            members: Mutex::new(MemberTable::new(startup.host.clone())),
+            gossip_schedule: Mutex::new(GossipSchedule::new(startup.host.clone())),
             role: ArcSwap::default(),
             peer_fleet_size: Mutex::default(),
             reporting_hosts: Mutex::default(),
@@ -173,7 +177,8 @@
             slot_grants: Mutex::default(),
             shard_weights: Mutex::default(),
             gossip_cursors: Mutex::default(),
-            settings: ArcSwap::from_pointee(settings),
+            startup,
+            runtime: ArcSwap::from_pointee(runtime),
             header_names,
             incarnation: rand::random(),
             started,
@@ -346,21 +351,21 @@
 
     /// Takes a retry from the retry budget of all hosts; returns whether one was left.
     pub(crate) fn try_retry(&self, pool: &str) -> bool {
-        let bounds = self.settings.load().bounds.retry_bounds();
+        let bounds = self.runtime.load().bounds.retry_bounds();
         let hosts = self.members().size();
         lock(&self.retry_budget).try_retry(pool, bounds, hosts, boot_now())
     }
 
     /// Returns whether the retry budget of all hosts permits another retry.
     pub(crate) fn can_retry(&self, pool: &str) -> bool {
-        let bounds = self.settings.load().bounds.retry_bounds();
+        let bounds = self.runtime.load().bounds.retry_bounds();
         let hosts = self.members().size();
         lock(&self.retry_budget).can_retry(pool, bounds, hosts, boot_now())
     }
 
     /// Counts a request towards the retry budget of its pool.
     pub(crate) fn record_request(&self, pool: &str) {
-        let bounds = self.settings.load().bounds.retry_bounds();
+        let bounds = self.runtime.load().bounds.retry_bounds();
         lock(&self.retry_budget).record_request(pool, bounds, boot_now());
     }
 
@@ -387,7 +392,7 @@
     /// that have been revoked since. The age is measured on the boot clock, which also
     /// advances during a suspension.
     pub(crate) fn has_fresh_keys(&self) -> bool {
-        let bound = self.settings.load().bounds.max_key_age;
+        let bound = self.runtime.load().bounds.max_key_age;
         match (bound, self.evidence_age()) {
             (None, age) => age.is_some(),
             (Some(bound), Some(age)) => age + EVIDENCE_MARGIN < bound,
@@ -397,7 +402,7 @@
 
     /// Returns whether the view is recent enough to report a route or key as unknown.
     pub(crate) fn can_confirm_absence(&self) -> bool {
-        let bound = self.settings.load().bounds.max_configuration_delay;
+        let bound = self.runtime.load().bounds.max_configuration_delay;
         self.evidence_age().is_some_and(|age| age < bound * 2)
     }
 
@@ -436,9 +441,8 @@
 
     /// Returns the number of live hosts whose names sort before this one's.
     pub(crate) fn own_rank(&self) -> usize {
-        let settings = self.settings.load();
         let names = self.members().live_names(boot_now());
-        names.partition_point(|name| *name < settings.host)
+        names.partition_point(|name| *name < self.startup.host)
     }
 
     /// Refuses all requests from now on.
@@ -532,7 +536,7 @@
             }
         });
         let members = members.collect();
-        let adapts = self.settings.load().load_control.adapts_to_targets;
+        let adapts = self.runtime.load().load_control.adapts_to_targets;
         let mut table = self.queue.lock_table();
         table.set_adapts_to_targets(adapts);
         table.set_targets(members, boot_now());
--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -137,10 +137,10 @@
     }
 
     fn compute_role(&self, current: &FleetRole, now: Duration) -> FleetRole {
-        let settings = self.settings.load();
+        let settings = self.runtime.load();
         let own = LayoutHost {
-            availability_zone: settings.availability_zone.clone(),
-            host: settings.host.clone(),
+            availability_zone: self.startup.availability_zone.clone(),
+            host: self.startup.host.clone(),
             capacity: settings.capacity,
         };
         let mut members = self.members();
@@ -216,7 +216,7 @@
         if role.watches || role.may_watch && self.acts_as_leader(&role) {
             return StoreAccess::Watch;
         }
-        let delay = self.settings.load().bounds.max_target_delay;
+        let delay = self.runtime.load().bounds.max_target_delay;
         let rank = role.read_rank as f64 / MAX_READ_RANK as f64;
         let bound = delay.mul_f64(POLL_AGE_RATIO + POLL_RANK_RATIO * rank);
         let age = self.view.view_age(boot_now());
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -241,19 +241,19 @@
 
     /// Grants a host of the group its part of the shard's slots.
     pub(crate) fn grant_slots(&self, host: &str, now: Duration) -> Vec<PoolGrants> {
-        let settings = self.settings.load();
+        let own = &self.startup.host;
         let mut grants = self.slot_grants();
         let members = grants.hosts();
         let table = self.queue.lock_table();
         let is_scarce = |pool: &str, slots| grants.is_scarce(pool, slots);
-        let pools = table.grant_targets(host, &settings.host, &members, is_scarce, now);
+        let pools = table.grant_targets(host, own, &members, is_scarce, now);
         drop(table);
         grants.grant(host, pools, now)
     }
 
     /// Returns whether ranges of targets follow the demand of the groups.
     pub(super) fn weights_shards(&self) -> bool {
-        self.settings.load().load_control.weights_shards
+        self.runtime.load().load_control.weights_shards
     }
 
     /// Updates the ranges of targets of this host's group, whose leader it is.
@@ -267,12 +267,11 @@
     }
 
     fn own_record(&self) -> MemberRecord {
-        let settings = self.settings.load();
         MemberRecord {
-            host: settings.host.clone(),
-            availability_zone: settings.availability_zone.clone(),
-            address: settings.peer_address,
-            capacity: settings.capacity,
+            host: self.startup.host.clone(),
+            availability_zone: self.startup.availability_zone.clone(),
+            address: self.startup.peer_address,
+            capacity: self.runtime.load().capacity,
             incarnation: self.incarnation,
             age_ms: 0,
             leaving: self.is_leaving(),
@@ -353,7 +352,7 @@
     /// Returns heartbeats of this host and of those that report to it.
     fn reporter_heartbeats(&self, now: Duration) -> Vec<HeartbeatAge> {
         let own = HeartbeatAge {
-            host: hash_host(&self.settings.load().host),
+            host: hash_host(&self.startup.host),
             age_ms: 0,
         };
         let mut heartbeats = vec![own];
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -170,7 +170,6 @@
         connected_to: &mut Vec<HostName>,
     ) {
         let now = boot_now();
-        let settings = self.state.settings.load();
         let mut wanted = match role.layout.is_grouped() {
             true => self.group_connections(role),
             false if role.is_joining => Vec::new(),
@@ -183,7 +182,7 @@
         let offset = (now.as_millis() / DEAD_PROBE_PERIOD.as_millis()) as usize * DEAD_HOST_PROBES;
         wanted.extend(members.dead_names(offset, DEAD_HOST_PROBES, now));
         wanted.extend(peers.iter().map(|peer| peer.host.clone()));
-        wanted.retain(|host| *host != settings.host);
+        wanted.retain(|host| *host != self.state.startup.host);
         wanted.sort();
         wanted.dedup();
         let is_peer = |host: &str| {
--- a/src/edge/path_exchange.rs
+++ b/src/edge/path_exchange.rs
@@ -80,12 +80,12 @@
         if !self.needs_peers() {
             return Vec::new();
         }
-        let settings = self.settings.load();
+        let own = &self.startup;
         let members = self.members();
         let mut live = members.live_names(now);
-        let rank = |host: &HostName| hash_host(&format!("{host} {}", settings.host));
+        let rank = |host: &HostName| hash_host(&format!("{host} {}", own.host));
         live.sort_by_cached_key(rank);
-        let is_near = |host: &HostName| members.zone_of(host) == Some(&settings.availability_zone);
+        let is_near = |host: &HostName| members.zone_of(host) == Some(&own.availability_zone);
         let (near, far): (Vec<_>, Vec<_>) = live.into_iter().partition(is_near);
         let near = near.into_iter().take(FORWARD_PEERS_PER_ZONE);
         near.chain(far.into_iter().take(FORWARD_PEERS_ELSEWHERE))
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -282,7 +282,7 @@
             let queue = &self.state.queue;
             let caller = &mut self.caller;
             let terms = AdmissionTerms {
-                late_useful: self.state.settings.load().load_control.late_answers
+                late_useful: self.state.runtime.load().load_control.late_answers
                     == LateAnswers::Useful,
                 is_admitted: self.is_admitted,
                 patience,
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -194,7 +194,6 @@
         let table = state.queue.lock_table();
         let mut peers = table.reaching_peers(&self.routed.pool, &connected, now);
         drop(table);
-        let own_zone = state.settings.load().availability_zone.clone();
         let members = state.members();
         peers.retain(|peer| members.is_alive(&peer.host, now));
         let candidates = peers.into_iter().map(|mut peer| {
@@ -202,7 +201,7 @@
             // A host that is leaving still serves for a while; any other one is preferred.
             peer.is_certain &= members.is_live(&peer.host, now);
             PeerCandidate {
-                same_zone: members.zone_of(&peer.host) == Some(&own_zone),
+                same_zone: members.zone_of(&peer.host) == Some(&state.startup.availability_zone),
                 peer,
             }
         });
--- a/src/edge/settings_controller.rs
+++ b/src/edge/settings_controller.rs
@@ -45,8 +45,8 @@
 fn reload(state: &EdgeState, loader: &dyn SettingsLoader) {
     match loader.load() {
         Ok(settings) => {
-            let changed = **state.settings.load() != settings;
-            state.settings.store(Arc::new(settings));
+            let changed = **state.runtime.load() != settings.runtime;
+            state.runtime.store(Arc::new(settings.runtime));
             state.log.write(&DecisionLine::SettingsReloaded { changed });
         }
         Err(faults) => {
--- a/src/edge/shutdown_controller.rs
+++ b/src/edge/shutdown_controller.rs
@@ -64,7 +64,7 @@
 
 /// Starts the shutdown; returns when no request is active or the grace period is over.
 pub(crate) async fn shut_down(state: &Arc<EdgeState>) {
-    let grace = state.settings.load().bounds.shutdown_grace;
+    let grace = state.runtime.load().bounds.shutdown_grace;
     let limit = grace.saturating_sub(EXIT_MARGIN);
     state.begin_leaving();
     state.log.write(&DecisionLine::Leaving {
--- a/src/edge/slot_report_exchange.rs
+++ b/src/edge/slot_report_exchange.rs
@@ -41,7 +41,7 @@
         };
         task::sleep(period).await;
         let role = state.role();
-        let enabled = state.settings.load().load_control.divides_slots_fast
+        let enabled = state.runtime.load().load_control.divides_slots_fast
             && role.is_grouped_member()
             && !state.is_leaving();
         state.slot_grants().set_fast(enabled);
@@ -103,10 +103,10 @@
 
     /// Grants this host its part of the shard's slots, like the hosts that report to it.
     pub(super) fn grant_own_slots(&self, now: Duration) {
-        let host = self.settings.load().host.clone();
+        let host = &self.startup.host;
         let demands = self.queue.lock_table().slot_demands(now);
-        self.slot_grants().update_demands(&host, demands, now);
-        let grants = self.grant_slots(&host, now);
+        self.slot_grants().update_demands(host, demands, now);
+        let grants = self.grant_slots(host, now);
         self.queue.lock_table().set_grants(grants, now);
     }
 
--- a/src/edge/suspect_filter.rs
+++ b/src/edge/suspect_filter.rs
@@ -92,7 +92,7 @@
 
     /// Returns all hosts that serve, with this one first.
     fn serving_hosts(&self) -> Vec<HostName> {
-        let mut hosts = vec![self.settings.load().host.clone()];
+        let mut hosts = vec![self.startup.host.clone()];
         hosts.extend(self.members().live_names(boot_now()));
         hosts
     }
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -33,7 +33,9 @@
 use crate::edge::EdgeSettings;
 use crate::edge::HeaderNames;
 use crate::edge::LoadControl;
+use crate::edge::RuntimeSettings;
 use crate::edge::SettingsLoader;
+use crate::edge::StartupSettings;
 use crate::edge::edge_host::EdgeDependencies;
 use crate::edge::edge_state::EdgeState;
 use crate::ids::StoreRevision;
@@ -157,13 +159,11 @@
                 ..ManualStore::default()
             };
             store.write(1, &reached, &["k1"]);
-            let settings = EdgeSettings {
-                host: format!("e{}", index + 1),
-                availability_zone: (*zone).into(),
-                peer_address: addresses[index],
-                seeds: addresses.clone(),
-                ..settings_with(EdgeBounds::default())
-            };
+            let mut settings = settings_with(EdgeBounds::default());
+            settings.startup.host = format!("e{}", index + 1);
+            settings.startup.availability_zone = (*zone).into();
+            settings.startup.peer_address = addresses[index];
+            settings.runtime.seeds = addresses.clone();
             fixture.hosts.push(EdgeFixture::open_as(store, settings));
             fixture.paths.push(paths);
         }
@@ -368,13 +368,9 @@
     pub(super) fn open_alone(targets: &[RawTarget]) -> Self {
         let store = ManualStore::default();
         store.write(1, targets, &["k1"]);
-        let fixture = Self::open_as(
-            store,
-            EdgeSettings {
-                seeds: vec![([127, 0, 0, 1], 1).into()],
-                ..settings_with(EdgeBounds::default())
-            },
-        );
+        let mut settings = settings_with(EdgeBounds::default());
+        settings.runtime.seeds = vec![([127, 0, 0, 1], 1).into()];
+        let fixture = Self::open_as(store, settings);
         fixture.wait_ready(true);
         fixture
     }
@@ -519,9 +515,14 @@
 
 /// Returns the state of a host without connections.
 pub(super) fn isolated_state(bounds: EdgeBounds) -> Arc<EdgeState> {
+    isolated_state_of(settings_with(bounds))
+}
+
+/// Returns the state of a host with the given settings and without connections.
+pub(super) fn isolated_state_of(settings: EdgeSettings) -> Arc<EdgeState> {
     let log = DecisionLog::open_on(LineQueue::spawn(std::io::sink())).unwrap();
     let requests = RequestMetrics::open().unwrap();
-    EdgeState::new(settings_with(bounds), header_names(), log, requests)
+    EdgeState::new(settings, header_names(), log, requests)
 }
 
 /// Returns a catalog with the given number of additional routes.
@@ -538,19 +539,23 @@
     catalog
 }
 
-fn settings_with(bounds: EdgeBounds) -> EdgeSettings {
+pub(super) fn settings_with(bounds: EdgeBounds) -> EdgeSettings {
     EdgeSettings {
-        host: "e1".into(),
-        availability_zone: "za".into(),
-        caller_address: any_address(),
-        ready_address: any_address(),
-        peer_address: any_address(),
-        metrics_address: Some(any_address()),
-        seeds: Vec::new(),
-        capacity: 1000,
-        max_descriptors: 1000,
-        bounds,
-        load_control: LoadControl::default(),
+        startup: StartupSettings {
+            host: "e1".into(),
+            availability_zone: "za".into(),
+            caller_address: any_address(),
+            ready_address: any_address(),
+            peer_address: any_address(),
+            metrics_address: Some(any_address()),
+        },
+        runtime: RuntimeSettings {
+            seeds: Vec::new(),
+            capacity: 1000,
+            max_descriptors: 1000,
+            bounds,
+            load_control: LoadControl::default(),
+        },
     }
 }
 
--- a/src/edge/tests/weighted_shards.rs
+++ b/src/edge/tests/weighted_shards.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::edge_fixture::isolated_state;
+use super::edge_fixture::isolated_state_of;
+use super::edge_fixture::settings_with;
 use crate::clock::boot_now;
 use crate::dispatch::PoolMember;
 use crate::dispatch::PoolSpan;
 use crate::dispatch::SlotDemand;
 use crate::edge::EdgeBounds;
-use crate::edge::EdgeSettings;
 use crate::edge::edge_state::EdgeState;
 use crate::edge::gossip_builder::MessageOptions;
 use crate::edge::gossip_merge::merge_message;
@@ -57,11 +57,10 @@
 }
 
 fn host_of(group: usize, weights_shards: bool) -> Arc<EdgeState> {
-    let state = isolated_state(EdgeBounds::default());
-    let mut settings = EdgeSettings::clone(&state.settings.load());
-    settings.host = format!("e{group}");
-    settings.load_control.weights_shards = weights_shards;
-    state.settings.store(Arc::new(settings));
+    let mut settings = settings_with(EdgeBounds::default());
+    settings.startup.host = format!("e{group}");
+    settings.runtime.load_control.weights_shards = weights_shards;
+    let state = isolated_state_of(settings);
     let mut table = state.queue.lock_table();
     table.set_targets((0..TARGETS).map(engine).collect(), boot_now());
     table.set_group_share(share_of(group));
--- a/src/edge/watch_controller.rs
+++ b/src/edge/watch_controller.rs
@@ -161,7 +161,7 @@
     if !state.role().layout.is_grouped() {
         return wait;
     }
-    let delay = state.settings.load().bounds.max_target_delay;
+    let delay = state.runtime.load().bounds.max_target_delay;
     wait.min(delay.mul_f64(ZONE_WAIT_RATIO))
 }
 
@@ -204,7 +204,7 @@
 /// first.
 fn may_read_store(state: &EdgeState) -> bool {
     let has_view = state.view.catalog().is_some() && state.view.revision().is_known();
-    let has_seeds = !state.settings.load().seeds.is_empty();
+    let has_seeds = !state.runtime.load().seeds.is_empty();
     if has_view || !has_seeds {
         return true;
     }
