Log: names of changed settings, and the seeds that a host's links use

`settings-reloaded` said only that something changed. It names the settings that take effect now and those that wait for the next start. `seeds-changed` shows which addresses the links look for peers at, so that a reload that is lost, one that is not applied to the links, and links that fail can be told apart.

--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -48,6 +48,57 @@
     pub(crate) load_control: LoadControl,
 }
 
+impl StartupSettings {
+    /// Returns the names of the settings that differ.
+    pub(crate) fn differences(&self, other: &Self) -> Vec<&'static str> {
+        let Self {
+            host,
+            availability_zone,
+            caller_address,
+            ready_address,
+            peer_address,
+            metrics_address,
+        } = self;
+        names_of(&[
+            ("host", *host != other.host),
+            (
+                "availability_zone",
+                *availability_zone != other.availability_zone,
+            ),
+            ("caller_address", *caller_address != other.caller_address),
+            ("ready_address", *ready_address != other.ready_address),
+            ("peer_address", *peer_address != other.peer_address),
+            ("metrics_address", *metrics_address != other.metrics_address),
+        ])
+    }
+}
+
+impl RuntimeSettings {
+    /// Returns the names of the settings that differ.
+    pub(crate) fn differences(&self, other: &Self) -> Vec<&'static str> {
+        let Self {
+            seeds,
+            capacity,
+            max_descriptors,
+            bounds,
+            load_control,
+        } = self;
+        names_of(&[
+            ("seeds", *seeds != other.seeds),
+            ("capacity", *capacity != other.capacity),
+            ("max_descriptors", *max_descriptors != other.max_descriptors),
+            ("bounds", *bounds != other.bounds),
+            ("load_control", *load_control != other.load_control),
+        ])
+    }
+}
+
+/// Returns the names of the settings that are marked as different.
+fn names_of(settings: &[(&'static str, bool)]) -> Vec<&'static str> {
+    let different = settings.iter().filter(|(_, differs)| *differs);
+    different.map(|(name, _)| *name).collect()
+}
+
 /// Service levels that the host must keep.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct EdgeBounds {
--- a/src/edge/settings_controller.rs
+++ b/src/edge/settings_controller.rs
@@ -40,14 +40,16 @@
     }
 }
 
-/// Reloads and applies the settings. Addresses are bound once at the start of the
-/// process, so changed addresses take effect at the next start.
+/// Reloads the settings and applies those that may change while the process runs.
 fn reload(state: &EdgeState, loader: &dyn SettingsLoader) {
     match loader.load() {
         Ok(settings) => {
-            let changed = **state.runtime.load() != settings.runtime;
+            let changed = settings.runtime.differences(&state.runtime.load());
             state.runtime.store(Arc::new(settings.runtime));
-            state.log.write(&DecisionLine::SettingsReloaded { changed });
+            state.log.write(&DecisionLine::SettingsReloaded {
+                changed,
+                at_next_start: settings.startup.differences(&state.startup),
+            });
         }
         Err(faults) => {
             let fault = faults.first().map(ToString::to_string);
--- a/src/edge/view_logger.rs
+++ b/src/edge/view_logger.rs
@@ -1,5 +1,6 @@
 //! Logs changes in this host's view of peers and targets.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::edge_state::EdgeState;
@@ -18,6 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ViewLogger {
     connected: Vec<HostName>,
+    seeds: Vec<SocketAddr>,
     members: Vec<(HostName, MemberState)>,
     suspected: Vec<TargetName>,
     ejected: Vec<TargetName>,
@@ -34,12 +36,24 @@
                 connected: connected.to_vec(),
             });
         }
+        self.log_seeds(state);
         self.log_members(state);
         self.log_targets(state);
         self.log_ejections(state);
         self.log_shards(state);
     }
 
+    fn log_seeds(&mut self, state: &EdgeState) {
+        let seeds = state.mesh().map(|mesh| mesh.seeds()).unwrap_or_default();
+        if seeds == self.seeds {
+            return;
+        }
+        state.log.write(&DecisionLine::SeedsChanged {
+            seeds: seeds.clone(),
+        });
+        self.seeds = seeds;
+    }
+
     fn log_members(&mut self, state: &EdgeState) {
         let members = state.members().states(boot_now());
         if members == self.members {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -53,8 +53,16 @@
     /// The settings were reloaded.
     #[display("settings reloaded")]
     SettingsReloaded {
-        /// Whether they differ from the previous ones.
-        changed: bool,
+        /// The settings that differ from the previous ones and take effect now.
+        changed: Vec<&'static str>,
+        /// The settings that differ from those of the start and take effect at the next one.
+        at_next_start: Vec<&'static str>,
+    },
+    /// The addresses at which the host looks for peers are others than before.
+    #[display("seeds changed")]
+    SeedsChanged {
+        /// Addresses from the settings to which links are maintained.
+        seeds: Vec<SocketAddr>,
     },
     /// The reloaded settings were refused; the previous ones stay in force.
     #[display("settings refused: {fault}")]
--- a/src/peers/peer_mesh.rs
+++ b/src/peers/peer_mesh.rs
@@ -94,6 +94,14 @@
         self.keeps_seeds.load(Ordering::Acquire)
     }
 
+    /// Returns the addresses from the settings to which connections are maintained.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        match self.keeps_seeds() {
+            true => self.seeds.clone(),
+            false => Vec::new(),
+        }
+    }
+
     fn reuse_or_spawn(
         &self,
         before: &[Arc<PeerLink>],
