Reloaded seeds reach the links to peers

Cause: PeerMesh kept the seeds of the start. The log on the former logic shows settings-reloaded with "seeds" at each host and no seeds-changed after it.

Each round of gossip now compares the seeds of the links with the settings in force. This works since a host that knows no peer has nothing but seeds to find one, and one connection is enough to learn of all hosts. Links to known hosts are kept by name, so that no forwarded request is cut.

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -111,9 +111,7 @@
         };
         let service = Arc::new(GossipService::new(Arc::clone(&state)));
         let peers = PeerListener::bind(startup.peer_address, identity.clone(), service).await?;
-        let seeds = runtime.seeds.iter().copied();
-        let seeds = seeds.filter(|seed| *seed != startup.peer_address);
-        let mesh = PeerMesh::spawn(identity, seeds.collect());
+        let mesh = PeerMesh::spawn(identity, state.other_seeds());
         state.set_mesh(Arc::clone(&mesh));
         let max_callers = (runtime.max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize;
         let addresses = EdgeAddresses {
@@ -147,6 +145,12 @@
         })
     }
 
+    /// Lets the host reload its settings.
+    pub(super) fn request_reload(&self) {
+        // A reload that is already queued covers this one as well.
+        self.reload.try_send(()).ok();
+    }
+
     /// Runs until SIGTERM or SIGINT and the graceful shutdown that follows. SIGHUP
     /// reloads the settings.
     pub(crate) async fn run(self, mut signals: ProcessSignals) {
@@ -158,8 +162,7 @@
             metrics_address: self.addresses.metrics,
         });
         while signals.next().await == ProcessSignal::HangUp {
-            // A reload that is already queued covers this signal as well.
-            self.reload.try_send(()).ok();
+            self.request_reload();
         }
         shut_down(&self.state).await;
     }
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests and controllers of a host.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -157,9 +158,7 @@
         let started = boot_now();
         // Until peers are discovered, the configured seeds are the minimum number of
         // hosts.
-        let seeds = runtime.seeds.iter();
-        let others = seeds.filter(|seed| **seed != startup.peer_address);
-        let hosts = others.count() + 1;
+        let hosts = other_seeds(&startup, &runtime).len() + 1;
         Arc::new(Self {
             queue: DispatchQueue::new(startup.availability_zone.clone()),
             has_answer: AtomicBool::new(hosts == 1),
@@ -203,6 +202,11 @@
         })
     }
 
+    /// Returns the addresses at which other hosts may be found.
+    pub(crate) fn other_seeds(&self) -> Vec<SocketAddr> {
+        other_seeds(&self.startup, &self.runtime.load())
+    }
+
     /// Sets the links to peers; they are set once.
     pub(crate) fn set_mesh(&self, mesh: Arc<PeerMesh>) {
         self.mesh.set(mesh).ok();
@@ -561,6 +565,12 @@
     }
 }
 
+/// Returns the seeds without this host's own address.
+fn other_seeds(startup: &StartupSettings, runtime: &RuntimeSettings) -> Vec<SocketAddr> {
+    let seeds = runtime.seeds.iter().copied();
+    seeds.filter(|seed| *seed != startup.peer_address).collect()
+}
+
 fn target_names(targets: &[TargetIncarnation]) -> Vec<TargetName> {
     targets.iter().map(|target| target.name.clone()).collect()
 }
--- a/src/edge/gossip_controller.rs
+++ b/src/edge/gossip_controller.rs
@@ -190,14 +190,19 @@
             found.is_ok() || !role.layout.is_grouped()
         };
         self.state.gossip_schedule().retain(is_peer, now);
+        // In a large fleet each seed would have a connection to every host.
         let needs_seeds = !role.layout.is_grouped() || role.is_joining || peers.is_empty();
-        if wanted == *connected_to && self.mesh.keeps_seeds() == needs_seeds {
+        let seeds = match needs_seeds {
+            true => self.state.other_seeds(),
+            false => Vec::new(),
+        };
+        if wanted == *connected_to && *self.mesh.seeds() == seeds {
             return;
         }
         let address_of = |host: &HostName| Some((host.clone(), members.address_of(host)?));
         let addresses: Vec<_> = wanted.iter().filter_map(address_of).collect();
         drop(members);
-        self.mesh.keep_seeds(needs_seeds);
+        self.mesh.set_seeds(seeds);
         self.mesh.set_peers(&addresses);
         *connected_to = wanted;
     }
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -91,7 +91,8 @@
     pub(super) ready_address: SocketAddr,
     metrics_address: SocketAddr,
     lines: RecentLines,
-    _host: EdgeHost,
+    loader: ManualLoader,
+    host: EdgeHost,
 }
 
 impl Drop for EdgeFixture {
@@ -105,6 +106,8 @@
 /// Hosts that are each other's peers, and their paths to the targets.
 pub(super) struct FleetFixture {
     pub(super) hosts: Vec<EdgeFixture>,
+    /// Where the hosts listen for each other.
+    pub(super) addresses: Vec<SocketAddr>,
     /// The paths of each host, in the order of the targets.
     paths: Vec<Vec<PathLink>>,
     _large: Option<MutexGuard<'static, ()>>,
@@ -114,17 +117,41 @@
     /// Starts hosts in the given availability zones, and waits until they have found each other.
     pub(super) fn open(targets: &[RawTarget], zones: &[&str]) -> Self {
         let open_path = |target: &RawTarget| PathLink::open(target.address).unwrap();
-        Self::open_over(zones, || targets.iter().map(open_path).collect(), targets)
+        let fleet = Self::open_over(
+            zones,
+            None,
+            || targets.iter().map(open_path).collect(),
+            targets,
+        );
+        fleet.wait_connected();
+        fleet.wait_own_paths();
+        fleet
     }
 
     /// Starts hosts that connect to the targets themselves: behind a path, one that has crashed
     /// would still accept connections.
     pub(super) fn open_direct(targets: &[RawTarget], zones: &[&str]) -> Self {
-        Self::open_over(zones, Vec::new, targets)
+        let fleet = Self::open_over(zones, None, Vec::new, targets);
+        fleet.wait_connected();
+        fleet
+    }
+
+    /// Starts hosts that look for each other at `seeds`, without waiting until they have met.
+    pub(super) fn open_with_seeds(
+        targets: &[RawTarget],
+        zones: &[&str],
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let fleet = Self::open_over(zones, Some(seeds), Vec::new, targets);
+        for host in &fleet.hosts {
+            host.wait_ready(true);
+        }
+        fleet
     }
 
     fn open_over(
         zones: &[&str],
+        seeds: Option<&[SocketAddr]>,
         open_paths: impl Fn() -> Vec<PathLink>,
         targets: &[RawTarget],
     ) -> Self {
@@ -141,6 +168,7 @@
             .collect();
         let mut fixture = Self {
             hosts: Vec::new(),
+            addresses: addresses.clone(),
             paths: Vec::new(),
             _large: (zones.len() >= LARGE_FLEET)
                 .then(|| LARGE_FLEETS.lock().unwrap_or_else(PoisonError::into_inner)),
@@ -163,12 +191,10 @@
             settings.startup.host = format!("e{}", index + 1);
             settings.startup.availability_zone = (*zone).into();
             settings.startup.peer_address = addresses[index];
-            settings.runtime.seeds = addresses.clone();
+            settings.runtime.seeds = seeds.unwrap_or(&addresses).to_vec();
             fixture.hosts.push(EdgeFixture::open_as(store, settings));
             fixture.paths.push(paths);
         }
-        fixture.wait_connected();
-        fixture.wait_own_paths();
         fixture
     }
 
@@ -198,7 +224,8 @@
         self.paths[host].iter().map(PathLink::accepted).sum()
     }
 
-    fn wait_connected(&self) {
+    /// Waits until all hosts have met.
+    pub(super) fn wait_connected(&self) {
         let wanted = format!("cardamomgw_members_live {}\n", self.hosts.len());
         let started_at = Instant::now();
         for host in &self.hosts {
@@ -336,15 +363,17 @@
     }
 }
 
-struct FixedLoader(EdgeSettings);
+/// Settings that the test changes.
+#[derive(Clone)]
+struct ManualLoader(Arc<Mutex<EdgeSettings>>);
 
-impl SettingsLoader for FixedLoader {
+impl SettingsLoader for ManualLoader {
     fn load(&self) -> Result<EdgeSettings, Vec<DocumentFault>> {
-        Ok(self.0.clone())
+        Ok(self.0.lock().unwrap().clone())
     }
 
     fn path(&self) -> &Path {
-        Path::new("fixed")
+        Path::new("manual")
     }
 }
 
@@ -385,10 +414,11 @@
     }
 
     fn open_as(store: ManualStore, settings: EdgeSettings) -> Self {
+        let loader = ManualLoader(Arc::new(Mutex::new(settings.clone())));
         let dependencies = EdgeDependencies {
             header_names: header_names(),
             source: Arc::new(store.clone()),
-            loader: Arc::new(FixedLoader(settings.clone())),
+            loader: Arc::new(loader.clone()),
             settings,
         };
         let lines = RecentLines::default();
@@ -401,10 +431,17 @@
             ready_address: addresses.ready,
             metrics_address: addresses.metrics.unwrap(),
             lines,
-            _host: host,
+            loader,
+            host,
         }
     }
 
+    /// Changes the settings and signals the host to reload them.
+    pub(super) fn reload(&self, change: impl FnOnce(&mut EdgeSettings)) {
+        change(&mut self.loader.0.lock().unwrap());
+        self.host.request_reload();
+    }
+
     /// Returns the number of recent log lines that contain `text`.
     pub(super) fn logged(&self, text: &str) -> usize {
         self.lines.count(text)
@@ -412,10 +449,14 @@
 
     /// Waits until the host has a revision of the target list.
     pub(super) fn wait_revision(&self, number: u64) {
+        self.wait_logged(&format!(r#""revision":{{"era":0,"number":{number}}}"#));
+    }
+
+    /// Waits until the host has logged a line that contains `text`.
+    pub(super) fn wait_logged(&self, text: &str) {
         let started_at = Instant::now();
-        let revision = format!(r#""revision":{{"era":0,"number":{number}}}"#);
-        while self.lines.count(&revision) == 0 {
-            assert!(started_at.elapsed() < VIEW_TIMEOUT, "{revision}");
+        while self.lines.count(text) == 0 {
+            assert!(started_at.elapsed() < VIEW_TIMEOUT, "{text}");
             std::thread::sleep(Duration::from_millis(20));
         }
     }
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -19,6 +19,7 @@
 mod reset_paths;
 mod response_ends;
 mod responses;
+mod settings_reload;
 mod shutdown;
 mod slot_reports;
 mod store_access;
--- /dev/null
+++ b/src/edge/tests/settings_reload.rs
@@ -0,0 +1,96 @@
+//! Settings that change while a host runs.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::sync::mpsc::Sender;
+
+use standins::PathMode;
+
+use super::edge_fixture::FleetFixture;
+use super::edge_fixture::request_for;
+use super::raw_target::RawTarget;
+use super::raw_target::event_chunk;
+use super::raw_target::write_text;
+
+const ZONES: [&str; 3] = ["za", "zb", "zc"];
+
+/// A target that answers with a stream of two events, and sends the second when it is told to.
+fn held_target() -> (RawTarget, Sender<()>) {
+    let (release, released) = mpsc::channel();
+    let released = Mutex::new(released);
+    let target = RawTarget::spawn(move |request, stream| {
+        write_text(stream, &request.stream_head());
+        write_text(stream, &event_chunk(1));
+        released.lock().unwrap().recv().ok();
+        write_text(stream, &event_chunk(2));
+        write_text(stream, "0\r\n\r\n");
+        true
+    });
+    (target, release)
+}
+
+/// An address at which no host listens.
+fn stale_seed() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+/// Reads until the response contains `end`.
+fn read_until(caller: &mut TcpStream, answer: &mut String, end: &str) {
+    let mut chunk = [0; 4096];
+    while !answer.contains(end) {
+        let count = caller.read(&mut chunk).unwrap();
+        assert!(count > 0, "{answer}");
+        answer.push_str(&String::from_utf8_lossy(&chunk[..count]));
+    }
+}
+
+impl FleetFixture {
+    /// Changes the seeds of all hosts, and waits until their links use them.
+    fn reload_seeds(&self, seeds: &[SocketAddr]) {
+        for (host, own) in self.hosts.iter().zip(&self.addresses) {
+            host.reload(|settings| settings.runtime.seeds = seeds.to_vec());
+            let others: Vec<_> = seeds.iter().filter(|seed| *seed != own).collect();
+            let others = serde_json::to_string(&others).unwrap();
+            host.wait_logged(&format!(r#""event":"seeds-changed","seeds":{others}"#));
+        }
+    }
+}
+
+/// Guards against hosts that keep looking for peers at the seeds of their start, so that hosts
+/// which started with stale ones never meet and each lets a request crash targets for itself.
+#[test]
+fn hosts_with_stale_seeds_meet_after_a_reload() {
+    let (target, _release) = held_target();
+    let fleet = FleetFixture::open_with_seeds(&[target], &ZONES, &[stale_seed()]);
+
+    fleet.reload_seeds(&fleet.addresses[..1]);
+
+    fleet.wait_connected();
+}
+
+/// Guards against a forwarded request that is cut when a reload takes away the seed by which its
+/// host found the peer.
+#[test]
+fn a_forwarded_stream_outlasts_the_seeds_of_its_host() {
+    let (target, release) = held_target();
+    let fleet = FleetFixture::open(&[target], &ZONES);
+    fleet.set_paths(0, PathMode::Refusing);
+    let mut caller = fleet.hosts[0].connect();
+    let request = request_for("/long/x", "id1").replace("2000", "10000");
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    read_until(&mut caller, &mut answer, "data: e1");
+
+    fleet.reload_seeds(&[stale_seed()]);
+    fleet.reload_seeds(&[]);
+    fleet.reload_seeds(&fleet.addresses[..1]);
+
+    release.send(()).unwrap();
+    read_until(&mut caller, &mut answer, "0\r\n\r\n");
+    assert!(answer.contains("data: e2"), "{answer}");
+    fleet.wait_connected();
+}
--- a/src/edge/view_logger.rs
+++ b/src/edge/view_logger.rs
@@ -1,6 +1,7 @@
 //! Logs changes in this host's view of peers and targets.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::edge_state::EdgeState;
@@ -19,7 +20,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ViewLogger {
     connected: Vec<HostName>,
-    seeds: Vec<SocketAddr>,
+    seeds: Arc<Vec<SocketAddr>>,
     members: Vec<(HostName, MemberState)>,
     suspected: Vec<TargetName>,
     ejected: Vec<TargetName>,
@@ -49,7 +50,7 @@
             return;
         }
         state.log.write(&DecisionLine::SeedsChanged {
-            seeds: seeds.clone(),
+            seeds: seeds.to_vec(),
         });
         self.seeds = seeds;
     }
--- a/src/peers/peer_mesh.rs
+++ b/src/peers/peer_mesh.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -24,10 +22,9 @@
 /// never delays a call to another one. Dropping the mesh closes them.
 pub struct PeerMesh {
     identity: Arc<PeerIdentity>,
-    seeds: Vec<SocketAddr>,
+    /// Addresses to which connections are maintained without knowing the host there.
+    seeds: ArcSwap<Vec<SocketAddr>>,
     links: ArcSwap<Vec<Arc<PeerLink>>>,
-    /// Whether connections to the seeds are maintained.
-    keeps_seeds: AtomicBool,
     /// Serialises replacements of the links; never locked by a call.
     change: Mutex<()>,
 }
@@ -38,9 +35,8 @@
     pub fn spawn(identity: PeerIdentity, seeds: Vec<SocketAddr>) -> Arc<Self> {
         let mesh = Self {
             identity: Arc::new(identity),
-            seeds,
+            seeds: ArcSwap::from_pointee(seeds),
             links: ArcSwap::default(),
-            keeps_seeds: AtomicBool::new(true),
             change: Mutex::new(()),
         };
         mesh.set_peers(&[]);
@@ -48,8 +44,7 @@
     }
 
     /// Replaces the named peers: the seats of the roster without this host. Connections
-    /// to unchanged peers are kept, and so are those to seeds that are no seat's address,
-    /// unless [`PeerMesh::keep_seeds`] was turned off.
+    /// to unchanged peers are kept, and so are those to seeds that are no seat's address.
     pub fn set_peers(&self, peers: &[(HostName, SocketAddr)]) {
         let _change = self.change.lock().unwrap_or_else(PoisonError::into_inner);
         let before = self.links.load_full();
@@ -63,8 +58,7 @@
             .filter(|(host, _)| *host == self.identity.host)
             .map(|(_, address)| *address)
             .collect();
-        let keeps_seeds = self.keeps_seeds.load(Ordering::Acquire);
-        for seed in self.seeds.iter().filter(|_| keeps_seeds) {
+        for seed in self.seeds.load().iter() {
             let named = wanted.iter().any(|(address, _)| address == seed);
             if !named && !own.contains(seed) {
                 wanted.push((*seed, None));
@@ -82,24 +76,15 @@
         self.links.store(Arc::new(after));
     }
 
-    /// Sets whether connections to the seeds are maintained, as of the next
-    /// [`PeerMesh::set_peers`]. In a large fleet each seed would have a connection to every
-    /// host.
-    pub fn keep_seeds(&self, keeps: bool) {
-        self.keeps_seeds.store(keeps, Ordering::Release);
+    /// Replaces the seeds, as of the next [`PeerMesh::set_peers`]. A connection to a former one
+    /// is kept only if its host is among the peers.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds.store(Arc::new(seeds));
     }
 
-    /// Returns whether connections to the seeds are maintained.
-    pub fn keeps_seeds(&self) -> bool {
-        self.keeps_seeds.load(Ordering::Acquire)
-    }
-
-    /// Returns the addresses from the settings to which connections are maintained.
-    pub fn seeds(&self) -> Vec<SocketAddr> {
-        match self.keeps_seeds() {
-            true => self.seeds.clone(),
-            false => Vec::new(),
-        }
+    /// Returns the addresses to which connections are maintained without knowing the host there.
+    pub fn seeds(&self) -> Arc<Vec<SocketAddr>> {
+        self.seeds.load_full()
     }
 
     fn reuse_or_spawn(
