A reloaded quota tolerance takes effect

QuotaLimiter copied the tolerance (window, overage, slack) at the host's start, so that a reload that lowered it changed nothing while settings-reloaded said so. It is replaced now, and usage that was counted stays counted in the new window.

Before: a_reloaded_quota_tolerance_limits_requests failed (a request beyond the new limit was admitted). After: it passes, as do the tests of quota_limiter and quota_groups.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -207,6 +207,13 @@
         other_seeds(&self.startup, &self.runtime.load())
     }
 
+    /// Puts reloaded settings in force.
+    pub(crate) fn apply_settings(&self, settings: RuntimeSettings) {
+        let tolerance = settings.bounds.quota_tolerance;
+        self.runtime.store(Arc::new(settings));
+        self.quota_limiter().set_tolerance(tolerance, boot_now());
+    }
+
     /// Sets the links to peers; they are set once.
     pub(crate) fn set_mesh(&self, mesh: Arc<PeerMesh>) {
         self.mesh.set(mesh).ok();
--- a/src/edge/settings_controller.rs
+++ b/src/edge/settings_controller.rs
@@ -45,7 +45,7 @@
     match loader.load() {
         Ok(settings) => {
             let changed = settings.runtime.differences(&state.runtime.load());
-            state.runtime.store(Arc::new(settings.runtime));
+            state.apply_settings(settings.runtime);
             state.log.write(&DecisionLine::SettingsReloaded {
                 changed,
                 at_next_start: settings.startup.differences(&state.startup),
--- a/src/edge/tests/settings_reload.rs
+++ b/src/edge/tests/settings_reload.rs
@@ -7,14 +7,25 @@
 use std::sync::Mutex;
 use std::sync::mpsc;
 use std::sync::mpsc::Sender;
+use std::time::Duration;
 
 use standins::PathMode;
 
 use super::edge_fixture::FleetFixture;
+use super::edge_fixture::isolated_state;
 use super::edge_fixture::request_for;
 use super::raw_target::RawTarget;
 use super::raw_target::event_chunk;
 use super::raw_target::write_text;
+use crate::catalog::ClientAccount;
+use crate::catalog::TokenRate;
+use crate::clock::boot_now;
+use crate::edge::EdgeBounds;
+use crate::edge::RuntimeSettings;
+use crate::quota::PriorityClass;
+use crate::quota::QuotaDecision;
+use crate::quota::QuotaRequest;
+use crate::quota::QuotaTolerance;
 
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
 
@@ -94,3 +105,47 @@
     assert!(answer.contains("data: e2"), "{answer}");
     fleet.wait_connected();
 }
+
+/// Guards against quotas that keep the tolerance of the host's start.
+#[test]
+fn a_reloaded_quota_tolerance_limits_requests() {
+    let bounds = |slack: f64| EdgeBounds {
+        quota_tolerance: QuotaTolerance {
+            window: Duration::from_secs(8),
+            overage: 0.25,
+            slack,
+        },
+        ..EdgeBounds::default()
+    };
+    let account = ClientAccount {
+        name: "acme".into(),
+        keys: Vec::new(),
+        tier: None,
+        quota: Some(TokenRate {
+            per_second: 10.0,
+            burst: 10.0,
+        }),
+        plain_tokens: 1,
+        counts_tokens: true,
+    };
+    let state = isolated_state(bounds(100_000.0));
+    let request = QuotaRequest {
+        priority_class: PriorityClass {
+            tier: 0,
+            metered: true,
+        },
+        cost: 1000.0,
+    };
+    let admits = |now: Duration| {
+        let mut limiter = state.quota_limiter();
+        limiter.try_consume(&account, request, now, 0.0) == QuotaDecision::Admitted
+    };
+    let now = boot_now();
+    assert!(admits(now));
+
+    let mut settings = RuntimeSettings::clone(&state.runtime.load());
+    settings.bounds = bounds(0.0);
+    state.apply_settings(settings);
+
+    assert!(!admits(now + Duration::from_secs(20)));
+}
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Replaces the tolerance. Usage that was counted stays counted.
+    pub fn set_tolerance(&mut self, tolerance: QuotaTolerance, now: Duration) {
+        if self.tolerance == tolerance {
+            return;
+        }
+        self.tolerance = tolerance;
+        for (_, state) in self.accounts.iter_mut() {
+            state.window = state.window.resized(tolerance.window, now);
+            state.plan = None;
+        }
+    }
+
     /// Sets whether hosts report through group leaders. Usage counted from earlier reports
     /// stays counted and is not counted again from later ones.
     pub fn set_grouped(&mut self, grouped: bool, now: Duration) {
--- a/src/quota/usage_window.rs
+++ b/src/quota/usage_window.rs
@@ -34,6 +34,17 @@
         }
     }
 
+    /// Returns the usage in a window of another length.
+    pub(super) fn resized(&self, window: Duration, now: Duration) -> Self {
+        let mut resized = Self::new(window);
+        for back in (0..WINDOW_BUCKETS).rev() {
+            let start = self.bucket_start(back);
+            let end = now.min(start + self.bucket);
+            resized.add_between(self.used[WINDOW_BUCKETS - 1 - back], start, end, now);
+        }
+        resized
+    }
+
     /// Adds usage at the current time.
     pub(super) fn add(&mut self, amount: f64, now: Duration) {
         self.advance(now);
@@ -42,16 +53,23 @@
 
     /// Adds usage spread evenly over the time since `from`.
     pub(super) fn add_since(&mut self, amount: f64, from: Duration, now: Duration) {
+        if now.saturating_sub(from) <= self.bucket {
+            return self.add(amount, now);
+        }
+        self.add_between(amount, from, now, now);
+    }
+
+    /// Adds usage spread evenly over the time between `from` and `until`.
+    fn add_between(&mut self, amount: f64, from: Duration, until: Duration, now: Duration) {
         self.advance(now);
-        let length = now.saturating_sub(from);
-        if length <= self.bucket {
-            self.used[WINDOW_BUCKETS - 1] += amount;
+        let length = until.saturating_sub(from).as_secs_f64();
+        if length <= 0.0 {
             return;
         }
         for back in 0..WINDOW_BUCKETS {
-            let end = now.min(self.bucket_start(back) + self.bucket);
+            let end = until.min(self.bucket_start(back) + self.bucket);
             let start = from.max(self.bucket_start(back));
-            let share = end.saturating_sub(start).as_secs_f64() / length.as_secs_f64();
+            let share = end.saturating_sub(start).as_secs_f64() / length;
             self.used[WINDOW_BUCKETS - 1 - back] += amount * share;
         }
     }
--- a/tests/quota_limiter.rs
+++ b/tests/quota_limiter.rs
@@ -559,3 +559,37 @@
         unresponsive_share: 0.0,
     }]
 }
+
+/// Guards against an account that may use its quota once more when the window of the tolerance
+/// changes.
+#[test]
+fn a_changed_window_keeps_the_usage_that_was_counted() {
+    let account = account_with(10.0, 100.0);
+    let mut limiter = single_limiter(Duration::ZERO);
+    let mut now = LONG_UPTIME;
+    while admits(&mut limiter, &account, now) {
+        now += Duration::from_millis(1);
+    }
+
+    limiter.set_tolerance(
+        QuotaTolerance {
+            window: WINDOW * 2,
+            overage: 0.25,
+            slack: 1000.0,
+        },
+        now,
+    );
+
+    let again = (0..100).filter(|_| admits(&mut limiter, &account, now));
+    let again = again.count() as f64 * 10.0;
+    let (shorter, longer) = (
+        window_limit(10.0, 100.0),
+        (10.0 * 16.0 + 100.0) * 1.25 + 1000.0,
+    );
+    assert!(again <= longer - shorter, "{again}");
+}
+
+fn admits(limiter: &mut QuotaLimiter, account: &ClientAccount, now: Duration) -> bool {
+    let decision = limiter.try_consume(account, urgent_request(10.0), now, 0.0);
+    decision == QuotaDecision::Admitted
+}
