A reload switches adaptive-targets at once

The switch was read when the list of targets changed, and a reload reported it as changed. It is set by the reload now.

Before: a_reload_switches_limits_at_plain_targets failed. After: it passes.

--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -195,6 +195,11 @@
         }
     }
 
+    /// Returns whether limits at plain targets are in use.
+    pub const fn adapts_to_targets(&self) -> bool {
+        self.adapts_to_targets
+    }
+
     /// Returns whether this host limits what it has outstanding at a target of the pool now.
     pub(crate) fn has_window(&self, pool: &str) -> bool {
         self.pools.get(pool).is_some_and(PoolEntry::has_window)
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -159,8 +159,11 @@
         // Until peers are discovered, the configured seeds are the minimum number of
         // hosts.
         let hosts = other_seeds(&startup, &runtime).len() + 1;
+        let queue = DispatchQueue::new(startup.availability_zone.clone());
+        let adapts = runtime.load_control.adapts_to_targets;
+        queue.lock_table().set_adapts_to_targets(adapts);
         Arc::new(Self {
-            queue: DispatchQueue::new(startup.availability_zone.clone()),
+            queue,
             has_answer: AtomicBool::new(hosts == 1),
             is_informed: AtomicBool::new(hosts == 1),
             table_refresh: Mutex::default(),
@@ -210,7 +213,9 @@
     /// Puts reloaded settings in force.
     pub(crate) fn apply_settings(&self, settings: RuntimeSettings) {
         let tolerance = settings.bounds.quota_tolerance;
+        let adapts = settings.load_control.adapts_to_targets;
         self.runtime.store(Arc::new(settings));
+        self.queue.lock_table().set_adapts_to_targets(adapts);
         self.quota_limiter().set_tolerance(tolerance, boot_now());
     }
 
@@ -547,9 +552,7 @@
             }
         });
         let members = members.collect();
-        let adapts = self.runtime.load().load_control.adapts_to_targets;
         let mut table = self.queue.lock_table();
-        table.set_adapts_to_targets(adapts);
         table.set_targets(members, boot_now());
         drop(table);
         if catalog.is_some() {
--- a/src/edge/tests/settings_reload.rs
+++ b/src/edge/tests/settings_reload.rs
@@ -149,3 +149,17 @@
 
     assert!(!admits(now + Duration::from_secs(20)));
 }
+
+/// Guards against limits at plain targets that stay until the list of targets changes.
+#[test]
+fn a_reload_switches_limits_at_plain_targets() {
+    let state = isolated_state(EdgeBounds::default());
+    for adapts in [true, false, true] {
+        let mut settings = RuntimeSettings::clone(&state.runtime.load());
+        settings.load_control.adapts_to_targets = adapts;
+
+        state.apply_settings(settings);
+
+        assert_eq!(state.queue.lock_table().adapts_to_targets(), adapts);
+    }
+}
