A reloaded descriptor limit bounds caller connections

The listeners copied the limit at the host's start. They read it for each accepted connection now.

Before: a_reloaded_descriptor_limit_bounds_caller_connections failed (a connection beyond the new limit was served). After: it passes.

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -97,7 +97,7 @@
         dependencies: EdgeDependencies,
         log: DecisionLog,
     ) -> io::Result<Self> {
-        let EdgeSettings { startup, runtime } = dependencies.settings.clone();
+        let startup = dependencies.settings.startup.clone();
         let requests = RequestMetrics::open().map_err(io::Error::other)?;
         let state = EdgeState::new(
             dependencies.settings,
@@ -113,12 +113,11 @@
         let peers = PeerListener::bind(startup.peer_address, identity.clone(), service).await?;
         let mesh = PeerMesh::spawn(identity, state.other_seeds());
         state.set_mesh(Arc::clone(&mesh));
-        let max_callers = (runtime.max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize;
         let addresses = EdgeAddresses {
-            caller: listen(&state, startup.caller_address, max_callers, serve_caller).await?,
-            ready: listen(&state, startup.ready_address, max_callers, serve_readiness).await?,
+            caller: listen(&state, startup.caller_address, serve_caller).await?,
+            ready: listen(&state, startup.ready_address, serve_readiness).await?,
             metrics: match startup.metrics_address {
-                Some(address) => Some(listen(&state, address, max_callers, serve_metrics).await?),
+                Some(address) => Some(listen(&state, address, serve_metrics).await?),
                 None => None,
             },
         };
@@ -168,12 +167,10 @@
     }
 }
 
-/// Serves each connection accepted at `address` in its own task, up to `max_open` at a
-/// time.
+/// Serves each connection accepted at `address` in its own task, up to [`max_callers`] at a time.
 async fn listen<F, S>(
     state: &Arc<EdgeState>,
     address: SocketAddr,
-    max_open: usize,
     serve: F,
 ) -> io::Result<SocketAddr>
 where
@@ -191,7 +188,7 @@
                 continue;
             };
             // Closed before anything was read, so the caller knows that no request ran.
-            if open.load(Ordering::Relaxed) >= max_open {
+            if open.load(Ordering::Relaxed) >= max_callers(&state) {
                 continue;
             }
             open.fetch_add(1, Ordering::Relaxed);
@@ -205,3 +202,8 @@
     });
     Ok(address)
 }
+
+/// Returns the number of connections that may be open at one address.
+fn max_callers(state: &EdgeState) -> usize {
+    (state.runtime.load().max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize
+}
--- a/src/edge/tests/settings_reload.rs
+++ b/src/edge/tests/settings_reload.rs
@@ -11,6 +11,7 @@
 
 use standins::PathMode;
 
+use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::FleetFixture;
 use super::edge_fixture::isolated_state;
 use super::edge_fixture::request_for;
@@ -163,3 +164,22 @@
         assert_eq!(state.queue.lock_table().adapts_to_targets(), adapts);
     }
 }
+
+/// Guards against a limit on caller connections that stays that of the host's start.
+#[test]
+fn a_reloaded_descriptor_limit_bounds_caller_connections() {
+    let (target, _release) = held_target();
+    let host = EdgeFixture::open(&[target]);
+    let request = "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n";
+    let mut first = host.connect();
+    first.write_all(request.as_bytes()).unwrap();
+    read_until(&mut first, &mut String::new(), "\r\n\r\n");
+
+    // 0.6 of the descriptors are for callers.
+    host.reload(|settings| settings.runtime.max_descriptors = 2);
+    host.wait_logged(r#""changed":["max_descriptors"]"#);
+
+    let mut second = host.connect();
+    second.write_all(request.as_bytes()).ok();
+    assert_eq!(second.read(&mut [0; 64]).unwrap_or(0), 0);
+}
