A starting host goes by the seeds in force, not by those of its start

A host whose settings named only itself took itself for informed for good, and for the whole fleet in its quotas, also if a reload named others within its first seconds.

Before: a_starting_host_that_learns_of_seeds_is_not_informed failed. After: it passes.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -156,16 +156,14 @@
         let EdgeSettings { startup, runtime } = settings;
         let tolerance = runtime.bounds.quota_tolerance;
         let started = boot_now();
-        // Until peers are discovered, the configured seeds are the minimum number of
-        // hosts.
-        let hosts = other_seeds(&startup, &runtime).len() + 1;
+        let hosts = assumed_hosts(&startup, &runtime);
         let queue = DispatchQueue::new(startup.availability_zone.clone());
         let adapts = runtime.load_control.adapts_to_targets;
         queue.lock_table().set_adapts_to_targets(adapts);
         Arc::new(Self {
             queue,
-            has_answer: AtomicBool::new(hosts == 1),
-            is_informed: AtomicBool::new(hosts == 1),
+            has_answer: AtomicBool::new(false),
+            is_informed: AtomicBool::new(false),
             table_refresh: Mutex::default(),
             is_table_filled: AtomicBool::new(false),
             members: Mutex::new(MemberTable::new(startup.host.clone())),
@@ -216,7 +214,10 @@
         let adapts = settings.load_control.adapts_to_targets;
         self.runtime.store(Arc::new(settings));
         self.queue.lock_table().set_adapts_to_targets(adapts);
-        self.quota_limiter().set_tolerance(tolerance, boot_now());
+        let hosts = assumed_hosts(&self.startup, &self.runtime.load());
+        let mut limiter = self.quota_limiter();
+        limiter.set_tolerance(tolerance, boot_now());
+        limiter.assume_hosts(hosts, boot_now());
     }
 
     /// Sets the links to peers; they are set once.
@@ -239,7 +240,9 @@
     /// Returns whether this host knows which requests and targets its peers avoid, or has waited
     /// long enough for their answer.
     pub(crate) fn is_informed(&self) -> bool {
-        self.is_informed.load(Ordering::Acquire) || self.uptime() >= INFORM_TIMEOUT
+        self.is_informed.load(Ordering::Acquire)
+            || self.uptime() >= INFORM_TIMEOUT
+            || self.other_seeds().is_empty()
     }
 
     /// Returns whether requests wait for the answer of a connected peer before the first is sent.
@@ -248,7 +251,7 @@
             true => self.uptime() < CONNECT_WAIT,
             false => self.uptime() < ANSWER_WAIT,
         };
-        !self.has_answer.load(Ordering::Acquire) && is_soon()
+        !self.has_answer.load(Ordering::Acquire) && is_soon() && !self.other_seeds().is_empty()
     }
 
     fn uptime(&self) -> Duration {
@@ -581,6 +584,11 @@
     seeds.filter(|seed| *seed != startup.peer_address).collect()
 }
 
+/// Returns the least number of hosts until peers are known.
+fn assumed_hosts(startup: &StartupSettings, runtime: &RuntimeSettings) -> usize {
+    other_seeds(startup, runtime).len() + 1
+}
+
 fn target_names(targets: &[TargetIncarnation]) -> Vec<TargetName> {
     targets.iter().map(|target| target.name.clone()).collect()
 }
--- a/src/edge/tests/settings_reload.rs
+++ b/src/edge/tests/settings_reload.rs
@@ -183,3 +183,17 @@
     second.write_all(request.as_bytes()).ok();
     assert_eq!(second.read(&mut [0; 64]).unwrap_or(0), 0);
 }
+
+/// Guards against a host that takes itself for the whole fleet, and so for informed, when its
+/// settings name others soon after its start.
+#[test]
+fn a_starting_host_that_learns_of_seeds_is_not_informed() {
+    let state = isolated_state(EdgeBounds::default());
+    assert!(state.is_informed());
+
+    let mut settings = RuntimeSettings::clone(&state.runtime.load());
+    settings.seeds = vec![stale_seed()];
+    state.apply_settings(settings);
+
+    assert!(!state.is_informed());
+}
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Sets the least number of hosts that a host assumes which has just started.
+    pub fn assume_hosts(&mut self, hosts: usize, now: Duration) {
+        if now.saturating_sub(self.started_at) < REPORT_TIMEOUT {
+            self.hosts = self.hosts.max(hosts);
+        }
+    }
+
     /// Charges a request to the account's quota if the quota allows it. `random` is uniform
     /// between 0 and 1.
     pub fn try_consume(
