A host follows the store to a reloaded address

The adapter's client copied the store's address at the start; a host whose store had moved would have missed every change and, without fresh evidence, refused all callers with keys. The address is a runtime setting now, and reads at the former one end at once.

Before: a_host_follows_the_store_to_another_address failed (version 3 for 10 s).

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -126,12 +126,16 @@
             Arc::clone(&state),
             Arc::clone(&dependencies.source),
         ));
-        task::spawn(follow_store(Arc::clone(&state), dependencies.source));
+        task::spawn(follow_store(
+            Arc::clone(&state),
+            Arc::clone(&dependencies.source),
+        ));
         task::spawn(run_gossip(Arc::clone(&state), Arc::clone(&mesh)));
         task::spawn(run_slot_reports(Arc::clone(&state), Arc::clone(&mesh)));
         task::spawn(follow_settings(
             Arc::clone(&state),
             dependencies.loader,
+            dependencies.source,
             reload_requests,
         ));
         task::spawn(expire_stale(Arc::clone(&state)));
--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -39,6 +39,8 @@
 pub(crate) struct RuntimeSettings {
     /// Addresses of some peers; may be out of date.
     pub(crate) seeds: Vec<SocketAddr>,
+    /// Where the store of configuration and targets is.
+    pub(crate) store_address: SocketAddr,
     /// Available processor time, in thousandths of a core.
     pub(crate) capacity: u32,
     /// Limit on open file descriptors of the process.
@@ -78,6 +80,7 @@
     pub(crate) fn differences(&self, other: &Self) -> Vec<&'static str> {
         let Self {
             seeds,
+            store_address,
             capacity,
             max_descriptors,
             bounds,
@@ -85,6 +88,7 @@
         } = self;
         names_of(&[
             ("seeds", *seeds != other.seeds),
+            ("store_address", *store_address != other.store_address),
             ("capacity", *capacity != other.capacity),
             ("max_descriptors", *max_descriptors != other.max_descriptors),
             ("bounds", *bounds != other.bounds),
--- a/src/edge/settings_controller.rs
+++ b/src/edge/settings_controller.rs
@@ -11,6 +11,7 @@
 use super::edge_settings::SettingsLoader;
 use super::edge_state::EdgeState;
 use crate::logs::DecisionLine;
+use crate::view::FleetSource;
 
 /// Period at which the file is checked. Changes must take effect within two seconds even
 /// without a signal.
@@ -21,6 +22,7 @@
 pub(crate) async fn follow_settings(
     state: Arc<EdgeState>,
     loader: Arc<dyn SettingsLoader>,
+    source: Arc<dyn FleetSource>,
     reload_requests: Receiver<()>,
 ) {
     let mut last_version = file_version(loader.path());
@@ -36,15 +38,16 @@
             continue;
         }
         last_version = version;
-        reload(&state, loader.as_ref());
+        reload(&state, loader.as_ref(), source.as_ref());
     }
 }
 
 /// Reloads the settings and applies those that may change while the process runs.
-fn reload(state: &EdgeState, loader: &dyn SettingsLoader) {
+fn reload(state: &EdgeState, loader: &dyn SettingsLoader, source: &dyn FleetSource) {
     match loader.load() {
         Ok(settings) => {
             let changed = settings.runtime.differences(&state.runtime.load());
+            source.set_address(settings.runtime.store_address);
             state.apply_settings(settings.runtime);
             state.log.write(&DecisionLine::SettingsReloaded {
                 changed,
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -334,6 +334,8 @@
 }
 
 impl FleetSource for ManualStore {
+    fn set_address(&self, _address: SocketAddr) {}
+
     fn read_all(&self) -> SourceFuture<'_> {
         Box::pin(async { self.read() })
     }
@@ -592,6 +594,7 @@
         },
         runtime: RuntimeSettings {
             seeds: Vec::new(),
+            store_address: any_address(),
             capacity: 1000,
             max_descriptors: 1000,
             bounds,
--- a/src/view/fleet_source.rs
+++ b/src/view/fleet_source.rs
@@ -1,6 +1,7 @@
 //! Interface to the store of routes and targets.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -45,6 +46,9 @@
 
 /// Read-only access to the store of routes and targets.
 pub trait FleetSource: Send + Sync + 'static {
+    /// Sets where the store is. Reads in progress at another address fail at once.
+    fn set_address(&self, address: SocketAddr);
+
     /// Reads everything.
     fn read_all(&self) -> SourceFuture<'_>;
 
--- a/tests/process_edge.rs
+++ b/tests/process_edge.rs
@@ -16,12 +16,15 @@
 mod soak_host;
 
 use std::fs::File;
+use std::io::Read;
 use std::io::Write;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use platform_standin::ConfigSpec;
 use platform_standin::StoreServer;
 use rustix::fs::CWD;
 use rustix::fs::FileType;
@@ -50,6 +53,40 @@
     )
 }
 
+/// Returns the metrics of a host; empty while it does not serve them.
+fn read_metrics(host: &SoakHost) -> String {
+    let mut text = String::new();
+    if let Ok(mut stream) = TcpStream::connect(host.settings.metrics_address()) {
+        let request = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).ok();
+        stream.read_to_string(&mut text).ok();
+    }
+    text
+}
+
+/// Waits until a host has a version of the configuration.
+fn wait_for_version(host: &SoakHost, version: u64) {
+    let started_at = Instant::now();
+    let line = format!("cardamomgw_catalog_version {version}\n");
+    while !read_metrics(host).contains(&line) {
+        assert!(started_at.elapsed() < START_TIMEOUT, "{line}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Returns a store with a version of the configuration.
+fn store_with(version: u64) -> StoreServer {
+    let store = StoreServer::new();
+    let config = ConfigSpec {
+        version,
+        service_pool: "desk".into(),
+        engine_pool: "llm".into(),
+        ..ConfigSpec::default()
+    };
+    store.write(ConfigSpec::KEY, Some(&config.document()));
+    store
+}
+
 /// Waits until the host serves, and stops it.
 fn assert_serves_and_stops(host: &mut SoakHost) {
     let started_at = Instant::now();
@@ -101,3 +138,20 @@
 
     assert_serves_and_stops(&mut host);
 }
+
+/// Guards against a host that reads the store at the address of its start for good: it would miss
+/// every change, and refuse all callers with keys.
+#[test]
+fn a_host_follows_the_store_to_another_address() {
+    let former = store_with(3);
+    let mut host = open_host(2, &former);
+    host.start();
+    wait_for_version(&host, 3);
+
+    // The file changes without a signal.
+    host.settings.store = store_with(7).spawn(Arc::new(|target| target));
+    host.write_settings(false);
+
+    wait_for_version(&host, 7);
+    assert_serves_and_stops(&mut host);
+}
