Settings are compared by their content, not by the file's time

A file that was written twice within the resolution of its time, cut off at the moment of a signal, or changed between the start's read and the first check was not read again until its time or length changed.

--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -1,7 +1,6 @@
 //! Settings of one host, independent of the platform's file format.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use super::LoadControl;
@@ -164,7 +163,4 @@
     ///
     /// All faults that were found. The previous settings stay in effect.
     fn load(&self) -> Result<EdgeSettings, Vec<DocumentFault>>;
-
-    /// Returns the path of the settings file, which is also watched for changes.
-    fn path(&self) -> &Path;
 }
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -5,7 +5,6 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -365,17 +364,14 @@
     }
 }
 
-/// Settings that the test changes.
+/// Settings that the test changes; `None` while they can't be read.
 #[derive(Clone)]
-struct ManualLoader(Arc<Mutex<EdgeSettings>>);
+struct ManualLoader(Arc<Mutex<Option<EdgeSettings>>>);
 
 impl SettingsLoader for ManualLoader {
     fn load(&self) -> Result<EdgeSettings, Vec<DocumentFault>> {
-        Ok(self.0.lock().unwrap().clone())
-    }
-
-    fn path(&self) -> &Path {
-        Path::new("manual")
+        let settings = self.0.lock().unwrap().clone();
+        settings.ok_or_else(|| vec![DocumentFault::new(".", "truncated")])
     }
 }
 
@@ -416,7 +412,7 @@
     }
 
     fn open_as(store: ManualStore, settings: EdgeSettings) -> Self {
-        let loader = ManualLoader(Arc::new(Mutex::new(settings.clone())));
+        let loader = ManualLoader(Arc::new(Mutex::new(Some(settings.clone()))));
         let dependencies = EdgeDependencies {
             header_names: header_names(),
             source: Arc::new(store.clone()),
@@ -440,10 +436,27 @@
 
     /// Changes the settings and signals the host to reload them.
     pub(super) fn reload(&self, change: impl FnOnce(&mut EdgeSettings)) {
-        change(&mut self.loader.0.lock().unwrap());
+        self.change_settings(change);
         self.host.request_reload();
     }
 
+    /// Changes the settings without a signal.
+    pub(super) fn change_settings(&self, change: impl FnOnce(&mut EdgeSettings)) {
+        change(self.loader.0.lock().unwrap().as_mut().unwrap());
+    }
+
+    /// Cuts the settings off and signals the host; returns the settings.
+    pub(super) fn cut_settings(&self) -> EdgeSettings {
+        let settings = self.loader.0.lock().unwrap().take().unwrap();
+        self.host.request_reload();
+        settings
+    }
+
+    /// Completes the settings without a signal.
+    pub(super) fn restore_settings(&self, settings: EdgeSettings) {
+        *self.loader.0.lock().unwrap() = Some(settings);
+    }
+
     /// Returns the number of recent log lines that contain `text`.
     pub(super) fn logged(&self, text: &str) -> usize {
         self.lines.count(text)
--- a/src/edge/tests/settings_reload.rs
+++ b/src/edge/tests/settings_reload.rs
@@ -197,3 +197,49 @@
 
     assert!(!state.is_informed());
 }
+
+/// Guards against settings that were cut off at the moment of the signal and are not read again
+/// when they are complete.
+#[test]
+fn settings_that_were_cut_off_are_read_when_they_are_complete() {
+    let (target, _release) = held_target();
+    let host = EdgeFixture::open(&[target]);
+
+    let mut settings = host.cut_settings();
+    host.wait_logged(r#""event":"settings-refused""#);
+    settings.runtime.capacity += 1;
+    host.restore_settings(settings);
+
+    host.wait_logged(r#""changed":["capacity"]"#);
+    assert_eq!(host.logged(r#""event":"settings-refused""#), 1);
+}
+
+/// Guards against a change that comes right after a reload and is missed, as the file's time and
+/// length are those that were read before.
+#[test]
+fn a_second_change_without_a_signal_takes_effect() {
+    let (target, _release) = held_target();
+    let host = EdgeFixture::open(&[target]);
+    host.reload(|settings| settings.runtime.capacity += 1);
+    host.wait_logged(r#""changed":["capacity"]"#);
+
+    host.change_settings(|settings| settings.runtime.seeds = vec![stale_seed()]);
+
+    host.wait_logged(r#""changed":["seeds"]"#);
+}
+
+/// Guards against a changed address or name that takes effect in part, or of which no line says
+/// that it waits for the next start.
+#[test]
+fn settings_of_the_start_are_named_and_stay() {
+    let (target, _release) = held_target();
+    let host = EdgeFixture::open(&[target]);
+
+    host.reload(|settings| {
+        settings.startup.host = "other".into();
+        settings.startup.peer_address = stale_seed();
+        settings.runtime.capacity += 1;
+    });
+
+    host.wait_logged(r#""changed":["capacity"],"at_next_start":["host","peer_address"]"#);
+}
