Events of a stream have a maximum size

A partial event was kept without a bound and searched from its start with each read, so that a target that never ends one took the host's memory and a core. An event of more than 1 MiB ends the attempt as lost (`event of more than 1048576 bytes`), and only new bytes are searched.

After: an_endless_event_is_a_fault and an_event_of_the_maximum_size_arrives_in_small_reads pass (0.2 s).

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -1,5 +1,13 @@
 //! Splits an event stream into complete events.
 
+/// Maximum size of an event, in bytes. Without it, a target that never ends one would exhaust the
+/// host's memory.
+pub(super) const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event that exceeds [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct OversizedEvent;
+
 /// A stream that ended inside an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct IncompleteEvent;
@@ -11,6 +19,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     pending: Vec<u8>,
+    /// Start of the last line of `pending`, and the offset up to which it has no line end. A long
+    /// event would otherwise be searched from its start with each read.
+    line_start: usize,
+    searched: usize,
     last_id: Option<String>,
     /// The last event of the former target, while the current one may repeat it or earlier ones.
     resumed_after: Option<String>,
@@ -18,24 +30,51 @@
 
 impl EventSplitter {
     /// Consumes bytes and returns all events that are complete.
-    pub(crate) fn take_events(&mut self, bytes: &mut Vec<u8>) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// The next event exceeds [`MAX_EVENT_BYTES`].
+    pub(crate) fn take_events(&mut self, bytes: &mut Vec<u8>) -> Result<Vec<u8>, OversizedEvent> {
         self.pending.append(bytes);
-        let Some(end) = last_event_end(&self.pending) else {
-            return Vec::new();
-        };
+        let end = self.search_events_end().unwrap_or(0);
+        if self.pending.len() - end > MAX_EVENT_BYTES {
+            return Err(OversizedEvent);
+        }
+        if end == 0 {
+            return Ok(Vec::new());
+        }
         let rest = self.pending.split_off(end);
+        self.line_start -= end;
+        self.searched -= end;
         let mut events = std::mem::replace(&mut self.pending, rest);
         self.remove_repeated(&mut events);
         if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
         }
-        events
+        Ok(events)
+    }
+
+    /// Searches the bytes that were not searched yet, and returns the offset after the last event
+    /// that ends in them.
+    fn search_events_end(&mut self) -> Option<usize> {
+        let mut events_end = None;
+        while let Some(line) = next_line(&self.pending, self.searched) {
+            self.searched = line.end;
+            if line.text_end == self.line_start {
+                events_end = Some(line.end);
+            }
+            self.line_start = line.end;
+        }
+        // The LF behind a CR may not have arrived yet.
+        let has_cr = self.pending[self.searched..].ends_with(b"\r");
+        self.searched = self.pending.len() - usize::from(has_cr);
+        events_end
     }
 
     /// Prepares for the rest of the stream from another target, which sends a partial event again
     /// from its start.
     pub(crate) fn resume(&mut self) {
-        self.pending.clear();
+        self.take_pending();
         self.resumed_after.clone_from(&self.last_id);
     }
 
@@ -74,7 +113,7 @@
             // No LF follows, so this is the end of a line.
             self.pending.push(b'\n');
         }
-        let rest = std::mem::take(&mut self.pending);
+        let rest = self.take_pending();
         let (_, after) = rest.split_at(last_event_end(&rest).unwrap_or(0));
         let ends_line = after.last().is_none_or(|byte| is_line_end(*byte));
         let mut lines = after.split(|byte| is_line_end(*byte));
@@ -84,6 +123,12 @@
         }
     }
 
+    fn take_pending(&mut self) -> Vec<u8> {
+        self.line_start = 0;
+        self.searched = 0;
+        std::mem::take(&mut self.pending)
+    }
+
     /// Returns the id of the last complete event.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
@@ -103,27 +148,42 @@
     event_ends(bytes).last()
 }
 
-/// Returns the offset after each empty line. A line ends with LF, CR or both.
+/// Returns the offset after each empty line.
 fn event_ends(bytes: &[u8]) -> impl Iterator<Item = usize> {
     let mut line_start = 0;
     std::iter::from_fn(move || {
         loop {
-            let rest = &bytes[line_start..];
-            let length = rest.iter().position(|byte| is_line_end(*byte))?;
-            let line_end = match &rest[length..] {
-                // The LF of this line end may not have arrived yet.
-                [b'\r'] => return None,
-                [b'\r', b'\n', ..] => length + 2,
-                _ => length + 1,
-            };
-            line_start += line_end;
-            if length == 0 {
+            let line = next_line(bytes, line_start)?;
+            let is_empty = line.text_end == line_start;
+            line_start = line.end;
+            if is_empty {
                 return Some(line_start);
             }
         }
     })
 }
 
+/// Offsets of the end of a line.
+struct LineEnd {
+    /// The end of its text.
+    text_end: usize,
+    /// The start of the next line.
+    end: usize,
+}
+
+/// Returns the first line end at `start` or later. A line ends with LF, CR or both.
+fn next_line(bytes: &[u8], start: usize) -> Option<LineEnd> {
+    let length = bytes[start..].iter().position(|byte| is_line_end(*byte))?;
+    let text_end = start + length;
+    let end = match &bytes[text_end..] {
+        // The LF of this line end may not have arrived yet.
+        [b'\r'] => return None,
+        [b'\r', b'\n', ..] => text_end + 2,
+        _ => text_end + 1,
+    };
+    Some(LineEnd { text_end, end })
+}
+
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.rsplit(|byte| is_line_end(*byte));
     let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -195,7 +195,9 @@
                 // the caller.
                 RelayEvent::TargetUnresponsive => continue,
             };
-            let mut events = self.splitter.take_events(&mut received);
+            let Ok(mut events) = self.splitter.take_events(&mut received) else {
+                return RelayOutcome::TargetLost(LossCause::OversizedEvent);
+            };
             let loss = match is_complete {
                 true => self.finish_events(&mut events, source).err(),
                 false => None,
--- a/src/edge/send_outcome.rs
+++ b/src/edge/send_outcome.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 
 use super::event_splitter::IncompleteEvent;
+use super::event_splitter::MAX_EVENT_BYTES;
 use super::response_relay::BufferedResponse;
 use super::target_call::CallError;
 use crate::dispatch::AttemptOutcome;
@@ -19,6 +20,9 @@
     /// The stream ended inside an event, however the target declared its end.
     #[display("stream ended inside an event")]
     IncompleteEvent,
+    /// The target sent an event that exceeds the maximum size.
+    #[display("event of more than {MAX_EVENT_BYTES} bytes")]
+    OversizedEvent,
     /// The stream was closed before its first event.
     #[display("stream closed before its first event")]
     EmptyStream,
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -2,13 +2,19 @@
 
 use super::super::event_splitter::EventSplitter;
 use super::super::event_splitter::IncompleteEvent;
+use super::super::event_splitter::MAX_EVENT_BYTES;
+use super::super::event_splitter::OversizedEvent;
 
 #[test]
 fn only_complete_events_are_forwarded_and_the_last_id_is_known() {
     let mut splitter = EventSplitter::default();
 
-    let first = splitter.take_events(&mut b"id: 1\ndata: a\n\nid: 2\nda".to_vec());
-    let second = splitter.take_events(&mut b"ta: b\n\nid: 3".to_vec());
+    let first = splitter
+        .take_events(&mut b"id: 1\ndata: a\n\nid: 2\nda".to_vec())
+        .unwrap();
+    let second = splitter
+        .take_events(&mut b"ta: b\n\nid: 3".to_vec())
+        .unwrap();
 
     assert_eq!(first, b"id: 1\ndata: a\n\n");
     assert_eq!(second, b"id: 2\ndata: b\n\n");
@@ -23,8 +29,10 @@
         let mut splitter = EventSplitter::default();
         let event = format!("id: 1{line_end}data: a{line_end}{line_end}");
 
-        let mut events = splitter.take_events(&mut event.clone().into_bytes());
-        events.extend(splitter.take_events(&mut b"id: 2".to_vec()));
+        let mut events = splitter
+            .take_events(&mut event.clone().into_bytes())
+            .unwrap();
+        events.extend(splitter.take_events(&mut b"id: 2".to_vec()).unwrap());
 
         assert_eq!(events, event.as_bytes(), "{line_end:?}");
         assert_eq!(splitter.last_id(), Some("1"));
@@ -46,7 +54,9 @@
     ];
     for (rest, is_whole) in cases {
         let mut splitter = EventSplitter::default();
-        splitter.take_events(&mut format!("id: 1\ndata: a\n\n{rest}").into_bytes());
+        splitter
+            .take_events(&mut format!("id: 1\ndata: a\n\n{rest}").into_bytes())
+            .unwrap();
 
         assert_eq!(splitter.finish().is_ok(), is_whole, "{rest:?}");
     }
@@ -65,10 +75,14 @@
     for (first, rest, forwarded) in cases {
         let mut splitter = EventSplitter::default();
         splitter.resume();
-        splitter.take_events(&mut first.map(event).concat().into_bytes());
+        splitter
+            .take_events(&mut first.map(event).concat().into_bytes())
+            .unwrap();
         splitter.resume();
 
-        let events = splitter.take_events(&mut rest.map(event).concat().into_bytes());
+        let events = splitter
+            .take_events(&mut rest.map(event).concat().into_bytes())
+            .unwrap();
 
         let wanted = match forwarded {
             "33" => event("3").repeat(2),
@@ -78,3 +92,42 @@
         assert_eq!(events, wanted.as_bytes(), "{first:?} {rest:?}");
     }
 }
+
+/// Guards against a target that never ends an event and so takes the host's memory.
+#[test]
+fn an_endless_event_is_a_fault() {
+    for unit in ["x", "data: line\n", "data: line\r", "data: line\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let block = unit.repeat(8192 / unit.len());
+        let mut held = 0;
+
+        let fault = loop {
+            match splitter.take_events(&mut block.clone().into_bytes()) {
+                Ok(events) => assert!(events.is_empty()),
+                Err(fault) => break fault,
+            }
+            held += block.len();
+            assert!(held <= MAX_EVENT_BYTES, "{unit:?}");
+        };
+
+        assert_eq!(fault, OversizedEvent);
+    }
+}
+
+/// Guards against a long event that is searched from its start with each read.
+#[test]
+fn an_event_of_the_maximum_size_arrives_in_small_reads() {
+    for line_end in ["\n", "\r", "\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let line = format!("data: {}{line_end}", "x".repeat(1000));
+        let event = line.repeat(MAX_EVENT_BYTES / line.len()) + line_end;
+
+        let mut events = Vec::new();
+        for chunk in event.as_bytes().chunks(7) {
+            events.extend(splitter.take_events(&mut chunk.to_vec()).unwrap());
+        }
+        events.extend(splitter.take_events(&mut b"id: 2".to_vec()).unwrap());
+
+        assert!(events == event.as_bytes(), "{line_end:?}");
+    }
+}
