Endless bytes of a target end with the deadline or the caller

Seen from outside: a streaming body without any end of an event gave callers nothing for 14 s behind their deadline, and the target's channel stayed open after they had left.

Cause: a read from a target comes first in `or(..)`. While bytes are always ready it never waits, so that the deadline and the caller's leaving beside it are not polled; the same holds for the bodies of responses to other requests, interim heads and trailers before the awaited head or end.

Reads of responses yield after 16 reads, so that whatever runs beside them is polled; a relayed stream looks at its deadline first; at most 16 MiB are skipped before a head.

Before: endless_bytes_end_with_the_deadline_of_the_request (nothing after 10 s), endless_bytes_end_when_the_caller_leaves and endless_bytes_end_forwarded_requests_too failed. After: they pass for nine kinds of bytes.

--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -179,7 +179,8 @@
                     }
                     RelayEvent::TargetUnresponsive
                 };
-                or(target, or(disconnected, or(expired, silent))).await
+                // Neither bytes nor a caller that reads them may outlast the deadline.
+                or(expired, or(target, or(disconnected, silent))).await
             };
             let is_complete = match event {
                 RelayEvent::TargetData(Ok(is_complete)) => is_complete,
--- a/src/edge/target_call.rs
+++ b/src/edge/target_call.rs
@@ -15,6 +15,10 @@
 use crate::wire::WireError;
 use crate::wire::can_reuse_connection;
 
+/// Maximum number of bytes before the head of a response: interim responses, and responses to
+/// other requests. It is the maximum size of one response.
+const MAX_SKIPPED_BYTES: usize = 16 << 20;
+
 /// Errors that may occur after a request was sent.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub(crate) enum CallError {
@@ -96,7 +100,12 @@
         if !output.is_empty() {
             return Ok(false);
         }
-        match self.connection.input.fill(&self.connection.stream).await {
+        match self
+            .connection
+            .input
+            .fill_fairly(&self.connection.stream)
+            .await
+        {
             Ok(0) => {
                 let ended = self.decoder.finish_at_eof();
                 ended.map_err(|_| CallError::ConnectionClosed)?;
@@ -128,28 +137,41 @@
     connection: &mut TargetConnection,
     identity: CallIdentity<'_>,
 ) -> Result<ResponseMessage, CallError> {
+    let mut left = MAX_SKIPPED_BYTES;
     loop {
-        let head = read_head(connection).await?;
+        let head = read_head(connection, &mut left).await?;
         match head.headers.text(identity.header) {
             Some(id) if id == identity.request => return Ok(head),
             None if !connection.reused => return Ok(head),
             None => return Err(CallError::InvalidResponse),
-            Some(_) => skip_body(connection, &head, identity.method).await?,
+            Some(_) => skip_body(connection, &head, identity.method, &mut left).await?,
         }
     }
 }
 
-async fn read_head(connection: &mut TargetConnection) -> Result<ResponseMessage, CallError> {
+async fn read_head(
+    connection: &mut TargetConnection,
+    left: &mut usize,
+) -> Result<ResponseMessage, CallError> {
     loop {
         match ResponseMessage::take(&mut connection.input) {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(_) => return Err(CallError::InvalidResponse),
         }
-        match connection.input.fill(&connection.stream).await {
-            Ok(count) if count > 0 => {}
-            Ok(_) | Err(_) => return Err(CallError::ConnectionClosed),
+        fill_within(connection, left).await?;
+    }
+}
+
+/// Reads once, unless the bytes that are `left` have been read.
+async fn fill_within(connection: &mut TargetConnection, left: &mut usize) -> Result<(), CallError> {
+    match connection.input.fill_fairly(&connection.stream).await {
+        Ok(count) if count > 0 => {
+            let rest = left.checked_sub(count);
+            *left = rest.ok_or(CallError::InvalidResponse)?;
+            Ok(())
         }
+        Ok(_) | Err(_) => Err(CallError::ConnectionClosed),
     }
 }
 
@@ -157,6 +179,7 @@
     connection: &mut TargetConnection,
     head: &ResponseMessage,
     method: &str,
+    left: &mut usize,
 ) -> Result<(), CallError> {
     let framing = BodyFraming::for_response(&head.headers, head.status, method)
         .map_err(|_| CallError::InvalidResponse)?;
@@ -170,10 +193,7 @@
         if decoder.is_complete() {
             return Ok(());
         }
-        match connection.input.fill(&connection.stream).await {
-            Ok(count) if count > 0 => {}
-            // A response without a length ends with the connection.
-            Ok(_) | Err(_) => return Err(CallError::ConnectionClosed),
-        }
+        // A response without a length ends with the connection.
+        fill_within(connection, left).await?;
     }
 }
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crowded_hosts;
 mod deadlines;
 mod edge_fixture;
+mod endless_bytes;
 mod event_splitting;
 mod gossip;
 mod group_partitions;
--- a/src/wire/complete_response.rs
+++ b/src/wire/complete_response.rs
@@ -82,7 +82,7 @@
     input: &mut InputBuffer,
     time_limit: Duration,
 ) -> Result<usize, WireError> {
-    let filled = timeout(time_limit, input.fill(stream)).await;
+    let filled = timeout(time_limit, input.fill_fairly(stream)).await;
     let filled = filled.map_err(|_| WireError::TimedOut)?;
     filled.map_err(|_| WireError::Truncated)
 }
