Responses that a host holds share a memory limit

Buffered answers had a limit of 16 MiB each, so that many endless ones at once took the memory of the host. Together they take 32 MiB now, with the events of streams that are not complete; the first 64 KiB of each response don't count.

Before: endless_bodies_do_not_exhaust_the_memory_of_a_host failed (403,844 KB for 24 requests; 96 MB allowed). After: it passes.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -30,6 +30,7 @@
 use super::gossip_builder::GossipCursors;
 use super::gossip_builder::is_starting_up;
 use super::header_names::HeaderNames;
+use super::response_relay::RESPONSE_MEMORY;
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
 use crate::dispatch::PoolMember;
@@ -38,6 +39,7 @@
 use crate::ids::HostName;
 use crate::ids::IncarnationId;
 use crate::ids::TargetName;
+use crate::limits::ByteBudget;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
 use crate::members::GossipSchedule;
@@ -96,6 +98,8 @@
     /// Whether the dispatch table was filled with the pools of a catalog.
     is_table_filled: AtomicBool,
     pub(crate) connections: ConnectionPool,
+    /// Memory for parts of responses that can't be forwarded yet.
+    pub(crate) response_memory: Arc<ByteBudget>,
     pub(crate) poison: PoisonGuard,
     pub(crate) parts: PartGuard,
     streams: Mutex<StreamDirectory>,
@@ -184,6 +188,7 @@
             started,
             view: SharedView::default(),
             connections: ConnectionPool::default(),
+            response_memory: ByteBudget::new(RESPONSE_MEMORY),
             poison: PoisonGuard::default(),
             parts: PartGuard::default(),
             streams: Mutex::default(),
--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Returns the memory of the event that is not complete, in bytes.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     fn take_pending(&mut self) -> Vec<u8> {
         self.line_start = 0;
         self.searched = 0;
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -136,7 +136,11 @@
             state,
             caller,
             routed,
-            progress: StreamProgress::new(routed.request.arrived, Arc::clone(&routed.series)),
+            progress: StreamProgress::new(
+                routed.request.arrived,
+                Arc::clone(&routed.series),
+                &state.response_memory,
+            ),
             attempts: 0,
             framing: None,
             tried: Vec::new(),
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -336,20 +336,22 @@
 
     async fn deliver_forwarded(&mut self, source: &mut ResponseSource) -> SendOutcome {
         let left = self.routed.deadline.saturating_sub(boot_now());
+        let memory = &self.state.response_memory;
         let collected = async {
-            match timeout(left, collect_body(source)).await {
-                Ok(Ok(body)) => Ok(body),
+            match timeout(left, collect_body(source, memory)).await {
+                Ok(Ok(collected)) => Ok(collected),
                 Ok(Err(error)) => Err(SendOutcome::Lost(error.into())),
                 Err(_) => Err(SendOutcome::DeadlineExceeded),
             }
         };
         let body = cancel_on_disconnect(&mut self.caller, self.routed.kind, collected).await;
         match body {
-            Ok(body) => {
+            Ok((body, permit)) => {
                 let response = BufferedResponse {
                     head: source.head().clone(),
                     body,
                     declared: source.declared(),
+                    _permit: permit,
                 };
                 match self.progress.has_started {
                     true => SendOutcome::Lost(LossCause::NotResumed(response.head.status)),
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -15,6 +15,8 @@
 use super::target_call::CallError;
 use crate::clock::boot_now;
 use crate::dispatch::SlotGuard;
+use crate::limits::ByteBudget;
+use crate::limits::BytePermit;
 use crate::metrics::RequestSeries;
 use crate::wire::BodyFraming;
 use crate::wire::RequestMessage;
@@ -24,6 +26,14 @@
 /// bytes. A larger one would take the memory of all other requests.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
+/// Limit on the memory in which all requests together hold parts of responses that can't be
+/// forwarded yet, in bytes: a quarter of what a host may use.
+pub(super) const RESPONSE_MEMORY: usize = 32 << 20;
+
+/// Size up to which a response does not count towards [`RESPONSE_MEMORY`], in bytes, so that large
+/// ones don't take the place of small ones.
+const FREE_BYTES: usize = 64 << 10;
+
 /// A response whose body was received.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
@@ -31,6 +41,8 @@
     pub(crate) body: Vec<u8>,
     /// How the target declared the end of the body.
     pub(crate) declared: BodyFraming,
+    /// The memory of the body.
+    pub(crate) _permit: BytePermit,
 }
 
 /// Result of relaying a stream.
@@ -61,6 +73,8 @@
 #[derive(Debug)]
 pub(crate) struct StreamProgress {
     splitter: EventSplitter,
+    /// The memory of the event that is not complete.
+    permit: BytePermit,
     /// Whether anything was written to the caller.
     pub(crate) has_started: bool,
     first_at: Option<Duration>,
@@ -115,9 +129,14 @@
 
 impl StreamProgress {
     /// Starts the response of a request that arrived at `arrived` on the boot clock.
-    pub(crate) fn new(arrived: Duration, series: Arc<RequestSeries>) -> Self {
+    pub(crate) fn new(
+        arrived: Duration,
+        series: Arc<RequestSeries>,
+        memory: &Arc<ByteBudget>,
+    ) -> Self {
         Self {
             splitter: EventSplitter::default(),
+            permit: memory.empty_permit(),
             has_started: false,
             first_at: None,
             last_at: arrived,
@@ -199,6 +218,9 @@
             let Ok(mut events) = self.splitter.take_events(&mut received) else {
                 return RelayOutcome::TargetLost(LossCause::OversizedEvent);
             };
+            if !hold_bytes(&mut self.permit, self.splitter.pending_bytes()) {
+                return RelayOutcome::TargetLost(LossCause::NoMemory);
+            }
             let loss = match is_complete {
                 true => self.finish_events(&mut events, source).err(),
                 false => None,
@@ -290,18 +312,31 @@
 ///
 /// # Errors
 ///
-/// The body is truncated, malformed or too large.
-pub(crate) async fn collect_body(source: &mut ResponseSource) -> Result<Vec<u8>, CallError> {
+/// The body is truncated, malformed or too large, or the responses that are held take too much
+/// memory.
+pub(crate) async fn collect_body(
+    source: &mut ResponseSource,
+    memory: &Arc<ByteBudget>,
+) -> Result<(Vec<u8>, BytePermit), CallError> {
     let mut body = Vec::new();
+    let mut permit = memory.empty_permit();
     let mut chunk = Vec::new();
     loop {
         let is_complete = source.read_body(&mut chunk).await?;
         body.append(&mut chunk);
-        if is_complete {
-            return Ok(body);
-        }
         if body.len() > MAX_BUFFERED_BYTES {
             return Err(CallError::InvalidResponse);
         }
+        if !hold_bytes(&mut permit, body.capacity()) {
+            return Err(CallError::NoMemory);
+        }
+        if is_complete {
+            return Ok((body, permit));
+        }
     }
 }
+
+/// Reserves the memory of a part of a response; returns whether it may be held.
+fn hold_bytes(permit: &mut BytePermit, bytes: usize) -> bool {
+    permit.resize(bytes.saturating_sub(FREE_BYTES))
+}
--- a/src/edge/send_outcome.rs
+++ b/src/edge/send_outcome.rs
@@ -23,6 +23,9 @@
     /// The target sent an event that exceeds the maximum size.
     #[display("event of more than {MAX_EVENT_BYTES} bytes")]
     OversizedEvent,
+    /// The host's memory for responses is used up.
+    #[display("no memory for the response")]
+    NoMemory,
     /// The stream was closed before its first event.
     #[display("stream closed before its first event")]
     EmptyStream,
@@ -79,7 +82,9 @@
         match self {
             Self::Delivered { status } if *status >= 500 => AttemptOutcome::Failed,
             Self::Delivered { .. } => AttemptOutcome::Succeeded,
-            Self::CallerDisconnected | Self::DeadlineExceeded => AttemptOutcome::Cancelled,
+            Self::CallerDisconnected | Self::DeadlineExceeded | Self::Lost(LossCause::NoMemory) => {
+                AttemptOutcome::Cancelled
+            }
             Self::NotRun(_) => AttemptOutcome::Rejected,
             Self::Lost(LossCause::Unresponsive) => AttemptOutcome::Unresponsive,
             Self::Lost(_) | Self::TargetFailure(_) => AttemptOutcome::Failed,
@@ -98,6 +103,7 @@
         match error {
             CallError::ConnectionClosed => Self::ConnectionClosed,
             CallError::InvalidResponse => Self::InvalidResponse,
+            CallError::NoMemory => Self::NoMemory,
         }
     }
 }
--- a/src/edge/target_call.rs
+++ b/src/edge/target_call.rs
@@ -28,6 +28,9 @@
     /// The response is malformed or belongs to another request.
     #[display("invalid response")]
     InvalidResponse,
+    /// The host's memory for responses is used up.
+    #[display("no memory for the response")]
+    NoMemory,
 }
 
 /// Identifies the request and its response.
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -245,14 +245,16 @@
         slot: &mut SlotGuard,
     ) -> Result<BufferedResponse, SendOutcome> {
         let left = self.routed.deadline.saturating_sub(boot_now());
+        let memory = &self.state.response_memory;
         let collected = async {
-            match timeout(left, collect_body(source)).await {
-                Ok(Ok(body)) => Ok(body),
+            match timeout(left, collect_body(source, memory)).await {
+                Ok(Ok(collected)) => Ok(collected),
                 Ok(Err(error)) => Err(SendOutcome::Lost(error.into())),
                 Err(_) => Err(SendOutcome::DeadlineExceeded),
             }
         };
-        let body = cancel_on_disconnect(&mut self.caller, self.routed.kind, collected).await?;
+        let collected = cancel_on_disconnect(&mut self.caller, self.routed.kind, collected).await?;
+        let (body, permit) = collected;
         slot.record_event();
         if source.leaves_end_open() {
             slot.release(match source.head().status {
@@ -267,6 +269,7 @@
             head: source.head().clone(),
             body,
             declared: source.declared(),
+            _permit: permit,
         })
     }
 
@@ -297,7 +300,8 @@
     /// Reads the rest of a refusal so that the connection can be reused.
     async fn discard_body(&self, call: TargetCall, slot: &SlotGuard) {
         let mut source = ResponseSource::Target(call);
-        let collected = timeout(DISCARD_TIMEOUT, collect_body(&mut source)).await;
+        let memory = &self.state.response_memory;
+        let collected = timeout(DISCARD_TIMEOUT, collect_body(&mut source, memory)).await;
         if matches!(collected, Ok(Ok(_)))
             && let ResponseSource::Target(call) = source
             && let Some((connection, head)) = call.into_reusable()
--- a/tests/process_edge.rs
+++ b/tests/process_edge.rs
@@ -18,14 +18,18 @@
 use std::fs::File;
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use platform_standin::ConfigSpec;
 use platform_standin::StoreServer;
+use platform_standin::TargetSpec;
 use rustix::fs::CWD;
 use rustix::fs::FileType;
 use rustix::fs::Mode;
@@ -81,7 +85,7 @@
         version,
         service_pool: "desk".into(),
         engine_pool: "llm".into(),
-        ..ConfigSpec::default()
+        accounts: vec![("steady".into(), "k1".into(), 0.0)],
     };
     store.write(ConfigSpec::KEY, Some(&config.document()));
     store
@@ -155,3 +159,69 @@
     wait_for_version(&host, 7);
     assert_serves_and_stops(&mut host);
 }
+
+/// Number of requests that get endless bodies at the same time.
+const ENDLESS_BODIES: usize = 24;
+
+/// Starts a target that answers each request with a body without end.
+fn spawn_endless_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            thread::spawn(move || {
+                let mut request = [0; 4096];
+                if stream.read(&mut request).is_ok_and(|count| count > 0) {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").ok();
+                    while stream.write_all(&[b'x'; 64 << 10]).is_ok() {}
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against endless bodies that together take more memory than the host has.
+#[test]
+fn endless_bodies_do_not_exhaust_the_memory_of_a_host() {
+    let store = store_with(3);
+    let target = TargetSpec {
+        name: "t1".into(),
+        pool: "desk".into(),
+        address: spawn_endless_target(),
+        leaving: false,
+        slots: ENDLESS_BODIES as u32,
+        version: "v1".into(),
+        born_ms: 1,
+    };
+    store.write(&target.key(), Some(&target.document()));
+    let mut host = open_host(3, &store);
+    host.start();
+    wait_for_version(&host, 3);
+    let address = host.settings.caller_address();
+
+    let answers: Vec<String> = thread::scope(|scope| {
+        let calls: Vec<_> = (0..ENDLESS_BODIES)
+            .map(|number| {
+                scope.spawn(move || {
+                    let mut caller = TcpStream::connect(address).unwrap();
+                    let request = format!(
+                        "POST /book/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: id{number}\r\n\
+                         X-Request-Deadline-Ms: 3000\r\nAuthorization: Token k1\r\n\
+                         Connection: close\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    caller.write_all(request.as_bytes()).unwrap();
+                    let mut answer = String::new();
+                    caller.read_to_string(&mut answer).unwrap();
+                    answer
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+
+    for answer in answers {
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    }
+    assert_serves_and_stops(&mut host);
+}
