serve: an answer ends at its deadline, whatever bytes come

The time limit of an answer of serve held for each pause only, and not at all while bytes were always ready, so that endless interim heads gave a caller nothing in 10 s, and a trickle or endless comments of a stream held a slot for as long as they came.

The whole answer has until the deadline and two seconds more, as its head had; reads yield, as in the edge; a stream that is cut there cancels the engine's work without keeping its caller.

--- a/src/gateway/host_state.rs
+++ b/src/gateway/host_state.rs
@@ -45,6 +45,8 @@
     pub(crate) digests: Arc<DigestController>,
     /// The memory budget for request bodies.
     pub(crate) body_budget: Arc<ByteBudget>,
+    /// Limit on the memory of answers that are not complete.
+    pub(crate) answer_budget: Arc<ByteBudget>,
     /// Answers in progress and completed ones that are kept for resends.
     pub(crate) answers: Arc<AnswerCache>,
     /// The connections to the peers.
--- a/src/gateway/relay_filter.rs
+++ b/src/gateway/relay_filter.rs
@@ -33,11 +33,14 @@
 
 /// Timeout for sending a request.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long an answer is awaited after the deadline. A late answer is more useful to the
-/// caller than `unknown`.
+/// How long an answer and its end are awaited after the deadline. A late answer is more useful to
+/// the caller than `unknown`.
 const LATE_ANSWER_WAIT: Duration = Duration::from_secs(2);
 /// Maximum size of an answer that is buffered before it is passed on.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
+/// Size up to which an answer does not count towards the host's memory for answers, so that large
+/// ones don't take the place of small ones.
+const FREE_BYTES: usize = 64 << 10;
 /// How long a run continues without a reader, so that the caller can resend.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Request headers for the gateway that aren't sent to targets.
@@ -171,6 +174,9 @@
     if error == ExchangeError::Malformed {
         return Err(ErrorKind::TargetFault);
     }
+    if answer_timeout(run).is_zero() {
+        return Err(kind_of(error));
+    }
     let mut relay = StreamRelay::open(run, ticket, target);
     match relay.resume().await {
         Ok(answer) => {
@@ -209,10 +215,15 @@
 /// `unknown` and not a truncated message.
 async fn relay_buffered(run: &RequestRun, mut answer: TargetAnswer) -> Result<(), ErrorKind> {
     let mut body = Vec::new();
-    let timeout = answer_timeout(run);
-    while let Some(chunk) = answer.next_chunk(timeout).await.map_err(kind_of)? {
+    let mut permit = run.host.answer_budget.empty_permit();
+    while let Some(chunk) = answer
+        .next_chunk(answer_timeout(run))
+        .await
+        .map_err(kind_of)?
+    {
         body.extend_from_slice(&chunk);
-        if body.len() > MAX_BUFFERED_BYTES {
+        let counted = body.capacity().saturating_sub(FREE_BYTES);
+        if body.len() > MAX_BUFFERED_BYTES || !permit.resize(counted) {
             return Err(ErrorKind::TargetFault);
         }
     }
@@ -264,11 +275,9 @@
     or(async { Some(work.await) }, abandoned).await
 }
 
-/// Returns how long the target may send nothing, before the head of its answer and within
-/// the answer.
-fn answer_timeout(run: &RequestRun) -> Duration {
-    let left = run.request.deadline.saturating_sub(boot_now());
-    left + LATE_ANSWER_WAIT
+/// Returns how much longer the rest of the answer is awaited.
+pub(super) fn answer_timeout(run: &RequestRun) -> Duration {
+    (run.request.deadline + LATE_ANSWER_WAIT).saturating_sub(boot_now())
 }
 
 fn is_stream(head: &AnswerHead) -> bool {
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -20,6 +20,7 @@
 use crate::stream::StreamGuard;
 
 use super::RequestRun;
+use super::relay_filter::answer_timeout;
 use super::relay_filter::check_answer;
 use super::relay_filter::done_head;
 use super::relay_filter::kind_of;
@@ -33,7 +34,8 @@
 const SILENCE_TIMEOUT_GAPS: u32 = 64;
 /// How many times in a row a stream is resumed without a new token in between.
 const MAX_RESUMES: usize = 3;
-/// Timeout for each step of a resumption: connecting, sending and reading the head.
+/// Timeout for each step of a resumption or a cancellation: connecting, sending and reading the
+/// head.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Relays one token stream into the buffer.
@@ -72,7 +74,10 @@
             let before = self.guard.next_offset();
             let relayed = unless_abandoned(run, self.relay_chunks(&mut answer)).await;
             match relayed {
-                None => return self.cancel().await,
+                None => return self.cancel(ErrorKind::HolderLost).await,
+                Some(Err(_)) if answer_timeout(run).is_zero() => {
+                    return self.cancel(ErrorKind::TargetSilent).await;
+                }
                 Some(Ok(())) => {
                     run.buffer.put_end(AnswerEnd::Complete);
                     return Ok(());
@@ -96,7 +101,8 @@
     pub(crate) async fn resume(&mut self) -> Result<TargetAnswer, ExchangeError> {
         self.guard.resume();
         let query = format!("from={}", self.guard.next_offset());
-        let answer = self.ask_engine("GET", Some(query)).await?;
+        let limit = RESUME_TIMEOUT.min(answer_timeout(self.run));
+        let answer = self.ask_engine("GET", Some(query), limit).await?;
         match answer.head.status {
             200 => Ok(answer),
             _ => Err(ExchangeError::Truncated),
@@ -104,7 +110,15 @@
     }
 
     async fn relay_chunks(&mut self, answer: &mut TargetAnswer) -> Result<(), ExchangeError> {
-        while let Some(chunk) = answer.next_chunk(self.silence_timeout()).await? {
+        loop {
+            let left = answer_timeout(self.run);
+            if left.is_zero() {
+                return Err(ExchangeError::TimedOut);
+            }
+            let limit = self.silence_timeout().min(left);
+            let Some(chunk) = answer.next_chunk(limit).await? else {
+                break;
+            };
             let relayed = self
                 .guard
                 .accept(&chunk)
@@ -122,16 +136,19 @@
         }
     }
 
-    /// Cancels the engine's work on a stream that has no reader.
-    async fn cancel(&mut self) -> Result<(), ErrorKind> {
-        self.ask_engine("DELETE", None).await.ok();
-        Err(ErrorKind::HolderLost)
+    /// Cancels the engine's work on a stream that is not relayed any more.
+    async fn cancel(&mut self, kind: ErrorKind) -> Result<(), ErrorKind> {
+        // Its caller doesn't wait for the engine.
+        self.run.buffer.put_end(AnswerEnd::Truncated(kind));
+        self.ask_engine("DELETE", None, RESUME_TIMEOUT).await.ok();
+        Err(kind)
     }
 
     async fn ask_engine(
         &self,
         method: &str,
         query: Option<String>,
+        limit: Duration,
     ) -> Result<TargetAnswer, ExchangeError> {
         let address = self
             .run
@@ -139,15 +156,15 @@
             .view()
             .and_then(|view| engine_address(&view, self.target))
             .ok_or(ExchangeError::Unreachable)?;
-        let connection = TargetConnection::open(address, RESUME_TIMEOUT).await?;
+        let connection = TargetConnection::open(address, limit).await?;
         let head = RequestHead {
             method: method.to_string(),
             path: format!("/v1/streams/{}", self.run.request.id),
             query,
             headers: HeaderMap::new(),
         };
-        let exchange = connection.send(&head, Vec::new(), RESUME_TIMEOUT).await?;
-        exchange.read_answer(RESUME_TIMEOUT).await
+        let exchange = connection.send(&head, Vec::new(), limit).await?;
+        exchange.read_answer(limit).await
     }
 
     fn silence_timeout(&self) -> Duration {
--- a/src/http/head_buffer.rs
+++ b/src/http/head_buffer.rs
@@ -4,6 +4,7 @@
 use async_std::net::TcpStream;
 
 use crate::errors::ErrorKind;
+use crate::wire::ReadPacing;
 
 /// Maximum size of a head, in bytes. `async-h1` refuses 8 KiB and more.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
@@ -15,6 +16,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeadBuffer {
     bytes: Vec<u8>,
+    pacing: ReadPacing,
 }
 
 impl HeadBuffer {
@@ -74,6 +76,7 @@
     }
 
     async fn read_more(&mut self, stream: &mut TcpStream) -> Result<bool, ErrorKind> {
+        self.pacing.pace().await;
         let mut chunk = [0; READ_BYTES];
         let count = stream
             .read(&mut chunk)
--- a/src/http/target_exchange.rs
+++ b/src/http/target_exchange.rs
@@ -30,6 +30,7 @@
 use super::request_head::collect_headers;
 use super::socket_options::set_socket_options;
 use crate::errors::ErrorKind;
+use crate::wire::ReadPacing;
 
 /// Size of one read of an answer's body, in bytes.
 const READ_BYTES: usize = 8192;
@@ -71,6 +72,7 @@
     body: Body,
     framing: MessageFraming,
     received: u64,
+    pacing: ReadPacing,
 }
 
 impl TargetConnection {
@@ -168,6 +170,7 @@
             body: response.take_body(),
             framing,
             received: 0,
+            pacing: ReadPacing::default(),
         })
     }
 
@@ -204,6 +207,7 @@
         if self.head.length == Some(self.received) {
             return Ok(None);
         }
+        self.pacing.pace().await;
         let mut chunk = vec![0; READ_BYTES];
         let read = timeout(limit, self.body.read(&mut chunk)).await;
         let count = read
--- a/src/wire/input_buffer.rs
+++ b/src/wire/input_buffer.rs
@@ -4,21 +4,19 @@
 
 use async_std::net::TcpStream;
 use futures_lite::AsyncReadExt;
-use futures_lite::future::yield_now;
+
+use super::ReadPacing;
 
 /// Size of one read from a socket, in bytes: holds about a hundred events of a stream,
 /// or a complete prompt of the usual size.
 const READ_BYTES: usize = 8 << 10;
 
-/// Number of reads after which [`InputBuffer::fill_fairly`] lets other tasks run.
-const READS_BETWEEN_YIELDS: u32 = 16;
-
 /// Bytes that were read from a connection and not yet consumed by a message.
 #[derive(Debug, Default)]
 pub(crate) struct InputBuffer {
     bytes: Vec<u8>,
     start: usize,
-    reads: u32,
+    pacing: ReadPacing,
 }
 
 impl InputBuffer {
@@ -64,18 +62,11 @@
 
     /// Reads like [`InputBuffer::fill`], and now and then yields before that.
     ///
-    /// A connection on which bytes are always ready would otherwise keep its task from waiting, so
-    /// that a deadline or a disconnected caller beside the read is never looked at.
-    ///
     /// # Errors
     ///
     /// Those of [`InputBuffer::fill`].
     pub(crate) async fn fill_fairly(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        self.reads += 1;
-        if self.reads >= READS_BETWEEN_YIELDS {
-            self.reads = 0;
-            yield_now().await;
-        }
+        self.pacing.pace().await;
         self.fill(stream).await
     }
 
