serve: the time limit of a load report holds for the whole of it

The limit held for each pause, so that a target that trickles a report without end kept a connection for each poll, one a second.

Before: endless_load_reports_end_before_the_next_polls failed (4 of 4 open). After: it passes.

--- a/src/controllers/target_controller.rs
+++ b/src/controllers/target_controller.rs
@@ -8,6 +8,7 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 use serde::Deserialize;
 use serde::Serialize;
@@ -280,7 +281,14 @@
     }
 }
 
+/// Reads a target's report. The limit is on the whole of it: one that never ends would otherwise
+/// keep a connection for each poll.
 async fn fetch_report(target: &FleetTarget) -> Result<ReportBody, ExchangeError> {
+    let report = timeout(REPORT_TIMEOUT, read_report(target)).await;
+    report.unwrap_or(Err(ExchangeError::TimedOut))
+}
+
+async fn read_report(target: &FleetTarget) -> Result<ReportBody, ExchangeError> {
     let connection = TargetConnection::open(target.address, REPORT_TIMEOUT).await?;
     let head = RequestHead {
         method: "GET".to_string(),
--- a/tests/process_endless.rs
+++ b/tests/process_endless.rs
@@ -167,3 +167,40 @@
     let latest = DEADLINE + LATE_ANSWER_WAIT + END_DELAY;
     assert!(elapsed <= latest, "{answer:?}: ended after {elapsed:?}");
 }
+
+/// Number of polls of a target after which its connections are counted.
+const POLLS: usize = 4;
+
+/// Guards against status polls of a target that trickles that never end, each with a connection.
+#[async_std::test]
+async fn endless_load_reports_end_before_the_next_polls() {
+    let plan = FleetPlan {
+        hosts: 1,
+        engines: 1,
+        services: 0,
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(plan).await;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    fleet.edit(|document| document.targets[0].address = address);
+
+    let open: Arc<AtomicUsize> = Arc::default();
+    for _ in 0..POLLS {
+        let (mut stream, _) = listener.accept().unwrap();
+        let sending = Arc::clone(&open);
+        sending.fetch_add(1, Ordering::AcqRel);
+        thread::spawn(move || {
+            stream.read(&mut [0; 8192]).ok();
+            stream.write_all(PLAIN_HEAD.as_bytes()).ok();
+            while stream.write_all(b"1\r\n \r\n").is_ok() {
+                thread::sleep(Duration::from_millis(50));
+            }
+            sending.fetch_sub(1, Ordering::AcqRel);
+        });
+    }
+
+    // A report has 0.8 s, and one is polled each second.
+    let open = open.load(Ordering::Acquire);
+    assert!(open <= 2, "{open} of {POLLS}");
+}
