A host that has met no peer rejects a request after one crash

Cause: a host without peers took itself for informed after 3 s, though nobody had answered.

Before: a_host_that_has_met_no_peer_rejects_a_request_after_one_crash failed.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -65,8 +65,9 @@
 /// renew theirs every 1.2 s and lose it after three missed renewals.
 const RETURN_PAUSE: Duration = Duration::from_secs(6);
 
-/// Time after its start for which a host that no peer has answered rejects a request after one
-/// crash instead of two: its peers may know of another crash, and be paused or cut off.
+/// Time after its start for which a host rejects a request after one crash instead of two, unless a
+/// peer has answered that is not starting itself: its peers may know of another crash, and be paused
+/// or cut off.
 const INFORM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after its start for which requests wait for the first link to a peer, and for a connected
 /// peer's answer, which takes a few milliseconds.
@@ -243,13 +244,18 @@
     }
 
     /// Returns whether this host knows which requests and targets its peers avoid, or has waited
-    /// long enough for their answer.
+    /// long enough for their answer. A host that has met none may be one of many that have not.
     pub(crate) fn is_informed(&self) -> bool {
         self.is_informed.load(Ordering::Acquire)
-            || self.uptime() >= INFORM_TIMEOUT
+            || self.has_met_peer() && self.uptime() >= INFORM_TIMEOUT
             || self.other_seeds().is_empty()
     }
 
+    /// Returns whether this host has learned of another one since its start.
+    fn has_met_peer(&self) -> bool {
+        self.has_answer.load(Ordering::Acquire) || self.members().size() > 1
+    }
+
     /// Returns whether requests wait for the answer of a connected peer before the first is sent.
     pub(crate) fn awaits_peers(&self) -> bool {
         let is_soon = || match self.connected_peers().is_empty() {
--- a/src/edge/tests/settings_reload.rs
+++ b/src/edge/tests/settings_reload.rs
@@ -15,17 +15,15 @@
 use super::edge_fixture::FleetFixture;
 use super::edge_fixture::isolated_state;
 use super::edge_fixture::request_for;
+use super::quota_fixture::limited_account;
+use super::quota_fixture::request_of;
 use super::raw_target::RawTarget;
 use super::raw_target::event_chunk;
 use super::raw_target::write_text;
-use crate::catalog::ClientAccount;
-use crate::catalog::TokenRate;
 use crate::clock::boot_now;
 use crate::edge::EdgeBounds;
 use crate::edge::RuntimeSettings;
-use crate::quota::PriorityClass;
 use crate::quota::QuotaDecision;
-use crate::quota::QuotaRequest;
 use crate::quota::QuotaTolerance;
 
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
@@ -118,25 +116,9 @@
         },
         ..EdgeBounds::default()
     };
-    let account = ClientAccount {
-        name: "acme".into(),
-        keys: Vec::new(),
-        tier: None,
-        quota: Some(TokenRate {
-            per_second: 10.0,
-            burst: 10.0,
-        }),
-        plain_tokens: 1,
-        counts_tokens: true,
-    };
+    let account = limited_account();
     let state = isolated_state(bounds(100_000.0));
-    let request = QuotaRequest {
-        priority_class: PriorityClass {
-            tier: 0,
-            metered: true,
-        },
-        cost: 1000.0,
-    };
+    let request = request_of(1000.0);
     let admits = |now: Duration| {
         let mut limiter = state.quota_limiter();
         limiter.try_consume(&account, request, now, 0.0) == QuotaDecision::Admitted
