Quotas and retries of a host that has met no peer are divided by its seeds

Before: a_host_that_has_met_no_peer_grants_its_part_of_a_quota (104 of 125 tokens) and a_host_that_has_met_no_peer_uses_its_part_of_the_retries (30 of 30) failed. After: both pass; a host with three seeds grants a quarter.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -251,6 +251,15 @@
             || self.other_seeds().is_empty()
     }
 
+    /// Returns the number of hosts among which bounds are divided, where `known` are known: those
+    /// behind the seeds at least, until one was met.
+    pub(crate) fn least_hosts(&self, known: usize) -> usize {
+        match self.has_met_peer() {
+            true => known,
+            false => known.max(assumed_hosts(&self.startup, &self.runtime.load())),
+        }
+    }
+
     /// Returns whether this host has learned of another one since its start.
     fn has_met_peer(&self) -> bool {
         self.has_answer.load(Ordering::Acquire) || self.members().size() > 1
@@ -382,14 +391,16 @@
     /// Takes a retry from the retry budget of all hosts; returns whether one was left.
     pub(crate) fn try_retry(&self, pool: &str) -> bool {
         let bounds = self.runtime.load().bounds.retry_bounds();
-        let hosts = self.members().size();
+        let known = self.members().size();
+        let hosts = self.least_hosts(known);
         lock(&self.retry_budget).try_retry(pool, bounds, hosts, boot_now())
     }
 
     /// Returns whether the retry budget of all hosts permits another retry.
     pub(crate) fn can_retry(&self, pool: &str) -> bool {
         let bounds = self.runtime.load().bounds.retry_bounds();
-        let hosts = self.members().size();
+        let known = self.members().size();
+        let hosts = self.least_hosts(known);
         lock(&self.retry_budget).can_retry(pool, bounds, hosts, boot_now())
     }
 
--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -117,9 +117,8 @@
         }
         let role = Arc::new(self.compute_role(&current, now));
         self.set_role(Arc::clone(&role));
+        self.update_quota_hosts(now);
         let mut limiter = self.quota_limiter();
-        limiter.set_grouped(role.layout.is_grouped(), now);
-        limiter.set_host_count(role.layout.host_count(), now);
         let members = self.members();
         let total = members.size().max(1);
         let unseen = total - 1 - members.recently_seen_count(now).min(total - 1);
@@ -136,6 +135,15 @@
         role
     }
 
+    /// Updates the hosts among which quotas are divided.
+    pub(super) fn update_quota_hosts(&self, now: Duration) {
+        let role = self.role();
+        let hosts = self.least_hosts(role.layout.host_count());
+        let mut limiter = self.quota_limiter();
+        limiter.set_grouped(role.layout.is_grouped(), now);
+        limiter.set_host_count(hosts, now);
+    }
+
     fn compute_role(&self, current: &FleetRole, now: Duration) -> FleetRole {
         let settings = self.runtime.load();
         let own = LayoutHost {
--- a/src/edge/tests/unmet_hosts.rs
+++ b/src/edge/tests/unmet_hosts.rs
@@ -6,12 +6,18 @@
 use super::super::edge_state::EdgeState;
 use super::edge_fixture::isolated_state_of;
 use super::edge_fixture::settings_with;
+use super::quota_fixture::limited_account;
+use super::quota_fixture::request_of;
+use crate::clock::boot_now;
 use crate::clock::unix_now;
 use crate::edge::EdgeBounds;
 use crate::poison::LostRun;
+use crate::quota::QuotaDecision;
+use crate::quota::QuotaTolerance;
 
 /// Number of seeds, all of them down.
 const SEEDS: u8 = 3;
+const QUOTA_WINDOW: Duration = Duration::from_secs(8);
 
 /// A host that started a minute ago and has met no peer.
 fn unmet_host(seeds: u8, bounds: EdgeBounds) -> Arc<EdgeState> {
@@ -42,3 +48,60 @@
     state.record_answer(Duration::ZERO);
     assert!(!state.is_refused(1));
 }
+
+/// Returns the tokens that a host grants in a window of the quota.
+fn granted_tokens(state: &EdgeState) -> f64 {
+    let account = limited_account();
+    let started_at = boot_now();
+    let mut granted = 0.0;
+    for step in 0..QUOTA_WINDOW.as_millis() as u64 / 10 {
+        let now = started_at + Duration::from_millis(step * 10);
+        state.update_quota_hosts(now);
+        let mut limiter = state.quota_limiter();
+        // Spread evenly over 0 to 1.
+        let random = (step as f64 * 0.618).fract();
+        let decision = limiter.try_consume(&account, request_of(1.0), now, random);
+        granted += f64::from(u8::from(decision == QuotaDecision::Admitted));
+    }
+    granted
+}
+
+/// Guards against hosts that each grant the whole quota of an account, as each takes itself for the
+/// whole fleet.
+#[test]
+fn a_host_that_has_met_no_peer_grants_its_part_of_a_quota() {
+    let bounds = EdgeBounds {
+        quota_tolerance: QuotaTolerance {
+            window: QUOTA_WINDOW,
+            overage: 0.25,
+            slack: 0.0,
+        },
+        ..EdgeBounds::default()
+    };
+
+    let alone = granted_tokens(&unmet_host(0, bounds));
+    let unmet = granted_tokens(&unmet_host(SEEDS, bounds));
+
+    let hosts = f64::from(SEEDS) + 1.0;
+    assert!(unmet <= alone / hosts * 1.25, "{unmet} of {alone}");
+    assert!(unmet >= alone / hosts * 0.5, "{unmet} of {alone}");
+}
+
+/// Guards against hosts that each use the retry budget of the whole fleet.
+#[test]
+fn a_host_that_has_met_no_peer_uses_its_part_of_the_retries() {
+    let bounds = EdgeBounds {
+        retry_slack: 40.0,
+        ..EdgeBounds::default()
+    };
+    let retries = |seeds: u8| {
+        let state = unmet_host(seeds, bounds);
+        (0..100).filter(|_| state.try_retry("p")).count()
+    };
+
+    let (alone, unmet) = (retries(0), retries(SEEDS));
+    assert!(
+        unmet > 0 && unmet * usize::from(SEEDS) < alone,
+        "{unmet} of {alone}"
+    );
+}
