A host's peers are looked up before the table of suspects is locked

The order of locks no longer depends on whether the host has met a peer. The test of endless bodies takes header names from the platform's stand-in.

--- a/src/edge/suspect_filter.rs
+++ b/src/edge/suspect_filter.rs
@@ -42,9 +42,10 @@
     /// Returns whether a request is rejected because it crashes targets: after two crashes, or for a
     /// while after one if this host does not know what its peers reject.
     pub(crate) fn is_refused(&self, fingerprint: RequestFingerprint) -> bool {
+        let is_informed = self.is_informed();
         let table = self.poison.table();
         table.is_refused(fingerprint)
-            || !self.is_informed() && table.was_lost_lately(fingerprint, unix_now())
+            || !is_informed && table.was_lost_lately(fingerprint, unix_now())
     }
 
     /// Returns whether crash checks that have not ended decide whether a request is rejected.
@@ -53,8 +54,7 @@
         if checked == 0 || self.is_refused(fingerprint) {
             return false;
         }
-        let table = self.poison.table();
-        !self.is_informed() || table.is_refused_after(fingerprint, checked)
+        !self.is_informed() || self.poison.table().is_refused_after(fingerprint, checked)
     }
 
     /// Returns why a request is rejected as one that crashes targets, by itself or by a part of its
--- a/tests/process_edge.rs
+++ b/tests/process_edge.rs
@@ -30,6 +30,7 @@
 use platform_standin::ConfigSpec;
 use platform_standin::StoreServer;
 use platform_standin::TargetSpec;
+use platform_standin::headers;
 use rustix::fs::CWD;
 use rustix::fs::FileType;
 use rustix::fs::Mode;
@@ -206,9 +207,12 @@
                 scope.spawn(move || {
                     let mut caller = TcpStream::connect(address).unwrap();
                     let request = format!(
-                        "POST /book/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: id{number}\r\n\
-                         X-Request-Deadline-Ms: 3000\r\nAuthorization: Token k1\r\n\
-                         Connection: close\r\nContent-Length: 0\r\n\r\n"
+                        "POST /book/x HTTP/1.1\r\nHost: soak.example\r\n{}: id{number}\r\n\
+                         {}: 3000\r\nAuthorization: {} k1\r\n\
+                         Connection: close\r\nContent-Length: 0\r\n\r\n",
+                        headers::REQUEST_ID,
+                        headers::DEADLINE_MS,
+                        headers::KEY_SCHEME
                     );
                     caller.write_all(request.as_bytes()).unwrap();
                     let mut answer = String::new();
