Log line quota-used: what a host knows of an account's usage

Callers saw nothing of it; operators could not tell usage that was lost from usage that one host admitted.

--- a/src/edge/view_logger.rs
+++ b/src/edge/view_logger.rs
@@ -16,6 +16,14 @@
 /// Shortest time between two lines about changed shards, whose ranges move in steps.
 const SHARD_LOG_PERIOD: Duration = Duration::from_secs(1);
 
+/// Logs what this host knows of the accounts near their quota.
+fn log_quotas(state: &EdgeState) {
+    let snapshots = state.quota_limiter().due_snapshots(boot_now());
+    for snapshot in snapshots {
+        state.log.write(&DecisionLine::QuotaUsed { snapshot });
+    }
+}
+
 /// The view that was logged last.
 #[derive(Debug, Default)]
 pub(super) struct ViewLogger {
@@ -42,6 +50,7 @@
         self.log_targets(state);
         self.log_ejections(state);
         self.log_shards(state);
+        log_quotas(state);
     }
 
     fn log_seeds(&mut self, state: &EdgeState) {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -17,6 +17,7 @@
 use crate::ids::TargetName;
 use crate::ids::ZoneName;
 use crate::peers::ForwardCause;
+use crate::quota::QuotaSnapshot;
 
 /// A decision about a request, or a change of the process's view of its environment.
 ///
@@ -180,6 +181,13 @@
         /// Number of serving hosts, including this one; quotas are divided among them.
         hosts: usize,
     },
+    /// An account is near its quota; once a second, at each host that serves it.
+    #[display("{} tokens of {} are used of the quota", snapshot.known, snapshot.account)]
+    QuotaUsed {
+        /// The usage that this host knows of.
+        #[serde(flatten)]
+        snapshot: QuotaSnapshot,
+    },
     /// Targets became suspected, because they are unreachable or unresponsive, or recovered;
     /// suspected targets get no new requests.
     #[display("suspected targets changed")]
--- a/src/quota/account_state.rs
+++ b/src/quota/account_state.rs
@@ -54,6 +54,8 @@
     /// Amount available when the plan was made, minus what this host has admitted since.
     pub(super) available: f64,
     pub(super) overdraft: f64,
+    /// What may be used within a window.
+    pub(super) usable: f64,
     /// This host's even share of the quota in a window.
     pub(super) even_share: f64,
     pub(super) demands: Vec<ClassDemand>,
@@ -64,6 +66,8 @@
 #[derive(Debug)]
 pub(super) struct AccountState {
     pub(super) window: UsageWindow,
+    /// What this host admitted.
+    pub(super) own_window: UsageWindow,
     pub(super) demand: DemandTracker,
     pub(super) own_total: f64,
     /// Counted usage of hosts that report here directly.
@@ -94,6 +98,7 @@
     pub(super) fn new(window: Duration, started_at: Duration) -> Self {
         Self {
             window: UsageWindow::new(window),
+            own_window: UsageWindow::new(window),
             demand: DemandTracker::new(started_at),
             own_total: 0.0,
             direct_total: 0.0,
@@ -127,6 +132,7 @@
         }
         self.surge_guard.record_admission(request.cost);
         self.window.add(request.cost, now);
+        self.own_window.add(request.cost, now);
         self.own_total += request.cost;
         QuotaDecision::Admitted
     }
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -60,6 +60,8 @@
     regrouped_at: Option<Duration>,
     pub(super) group_totals: Option<UsageTotals>,
     pub(super) fleet_totals: Option<UsageTotals>,
+    /// When the accounts near their quota were logged.
+    pub(super) logged_at: Duration,
 }
 
 impl QuotaLimiter {
@@ -75,6 +77,7 @@
             regrouped_at: None,
             group_totals: None,
             fleet_totals: None,
+            logged_at: now,
         }
     }
 
@@ -86,6 +89,7 @@
         self.tolerance = tolerance;
         for (_, state) in self.accounts.iter_mut() {
             state.window = state.window.resized(tolerance.window, now);
+            state.own_window = state.own_window.resized(tolerance.window, now);
             state.plan = None;
         }
     }
@@ -366,11 +370,13 @@
         let responsive = (1.0 - unresponsive).max(0.0);
         let per_second = rate.per_second * responsive + rate_correction(available, rate);
         let window = self.tolerance.window.as_secs_f64();
+        let usable = rate.burst + rate.per_second * window;
         state.plan = Some(AdmissionPlan {
             created_at: now,
             available,
             overdraft: rate.overdraft,
-            even_share: (rate.burst + rate.per_second * window) / self.hosts.max(1) as f64,
+            usable,
+            even_share: usable / self.hosts.max(1) as f64,
             fractions: share_by_priority(per_second, &demands),
             demands,
         });
--- a/src/quota/usage_window.rs
+++ b/src/quota/usage_window.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Returns the usage within the last window.
+    pub(super) fn total(&mut self, now: Duration) -> f64 {
+        self.advance(now);
+        self.used.iter().sum()
+    }
+
     /// Returns the amount available now: the minimum over all periods that end now and lie
     /// within the window. It is negative if too much was used.
     ///
--- a/tests/quota_limiter.rs
+++ b/tests/quota_limiter.rs
@@ -550,6 +550,28 @@
     fleet.assert_within_limit(&account);
 }
 
+/// Guards against logs from which usage that was lost can't be told from usage that was admitted.
+#[test]
+fn an_account_near_its_quota_is_logged_once_a_second() {
+    let account = account_with(1000.0, 1000.0);
+    let mut limiter = limiter_among(2, Duration::ZERO);
+    let now = Duration::from_secs(20);
+    limiter.apply_host_usage("e2".into(), 1, millis(900), usage_report(8500.0), now);
+    limiter.try_consume(&account, urgent_request(10.0), now, 0.0);
+
+    let logged = limiter.due_snapshots(now + millis(10));
+    let again = limiter.due_snapshots(now + millis(20));
+
+    let [snapshot] = &logged[..] else {
+        panic!("{logged:?}");
+    };
+    assert_eq!(snapshot.account, "acme");
+    assert!(snapshot.known >= 8500.0, "{snapshot:?}");
+    assert!(snapshot.admitted <= 10.0, "{snapshot:?}");
+    assert_eq!((snapshot.reported, snapshot.oldest_report_ms), (2, 10));
+    assert!(again.is_empty(), "{again:?}");
+}
+
 /// Report of a peer without current demand.
 fn usage_report(total: f64) -> Vec<AccountUsage> {
     vec![AccountUsage {
