Quotas: usage is counted by origin and bucket, so that it outlasts its reporter

What callers saw: while leaders of groups restart by turns, an account at four times its quota got up to 1.45 times the tolerated amount of a window, and one within its quota had up to one request in nine rejected.

Cause: usage and demand were held as differences of running totals of whoever reported. Each change of a leader lost or repeated what lay between the last report of the former and the first of the new one, and with the former report went its demand.

Now each request belongs to the ledger of one origin (UsageLedger). Members hand usage over until a leader has acknowledged it, reports give usage by origin and bucket, so that repeated, late and relayed ones count once, and reported demand holds until reports of all hosts have arrived over the new path. A restarted host learns the usage of the whole window.

--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -165,6 +165,8 @@
         let queue = DispatchQueue::new(startup.availability_zone.clone());
         let adapts = runtime.load_control.adapts_to_targets;
         queue.lock_table().set_adapts_to_targets(adapts);
+        let incarnation = rand::random();
+        let limiter = QuotaLimiter::new(tolerance, hosts, started);
         Arc::new(Self {
             queue,
             has_answer: AtomicBool::new(false),
@@ -185,7 +187,7 @@
             startup,
             runtime: ArcSwap::from_pointee(runtime),
             header_names,
-            incarnation: rand::random(),
+            incarnation,
             started,
             view: SharedView::default(),
             connections: ConnectionPool::default(),
@@ -196,7 +198,7 @@
             log,
             metrics: EdgeMetrics::default(),
             request_metrics,
-            quota_limiter: Mutex::new(QuotaLimiter::new(tolerance, hosts, started)),
+            quota_limiter: Mutex::new(limiter.with_incarnation(incarnation)),
             retry_budget: Mutex::default(),
             view_fetches: AtomicUsize::new(0),
             leaving_since: AtomicU64::new(0),
--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -119,6 +119,7 @@
         self.set_role(Arc::clone(&role));
         self.update_quota_hosts(now);
         let mut limiter = self.quota_limiter();
+        limiter.remove_expired(now);
         let members = self.members();
         let total = members.size().max(1);
         let unseen = total - 1 - members.recently_seen_count(now).min(total - 1);
--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -18,6 +18,8 @@
 use crate::members::MemberRecord;
 use crate::members::hash_host;
 use crate::quota::AccountUsage;
+use crate::quota::FormerUsage;
+use crate::quota::ReportBasis;
 use crate::quota::UnresponsiveHosts;
 use crate::quota::UsageScope;
 use crate::sorted::SortedMap;
@@ -94,6 +96,15 @@
     heartbeats: usize,
 }
 
+/// Quota usage in a message.
+#[derive(Debug, Default)]
+struct SentUsage {
+    accounts: Vec<AccountUsage>,
+    unresponsive: UnresponsiveHosts,
+    former: Vec<FormerUsage>,
+    basis: ReportBasis,
+}
+
 impl GossipCursors {
     /// Sets the current loads and returns their version.
     fn update_loads(&mut self, loads: &[TargetLoad]) -> LoadVersion {
@@ -149,7 +160,7 @@
             .since
             .unwrap_or(now.saturating_sub(DEFAULT_CHANGE_WINDOW));
         let (revision, catalog) = self.view.held_versions();
-        let (usage, unresponsive) = self.usage_for(options, (!is_new).then_some(since), now);
+        let usage = self.usage_for(options, options.since, now);
         let table = self.queue.lock_table();
         let limits = table.changed_limits(is_new, since, now);
         let brittle = table.changed_brittle(is_new, since, now);
@@ -212,8 +223,10 @@
                 }
                 _ => Vec::new(),
             },
-            usage,
-            unresponsive,
+            usage: usage.accounts,
+            unresponsive: usage.unresponsive,
+            former_usage: usage.former,
+            usage_basis: usage.basis,
             limits,
             brittle,
             rejections,
@@ -283,16 +296,28 @@
         options: MessageOptions<'_>,
         since: Option<Duration>,
         now: Duration,
-    ) -> (Vec<AccountUsage>, UnresponsiveHosts) {
+    ) -> SentUsage {
         let mut limiter = self.quota_limiter();
-        match options.scope {
-            None => (Vec::new(), UnresponsiveHosts::default()),
-            Some(UsageScope::Host) => {
-                let usage = limiter.own_usage(since, now);
-                (usage, UnresponsiveHosts::default())
-            }
-            Some(UsageScope::Group) => limiter.group_usage(since, now),
-            Some(UsageScope::Fleet) => limiter.fleet_usage(options.receiver, since, now),
+        let Some(scope) = options.scope else {
+            return SentUsage::default();
+        };
+        let receiver = options.receiver;
+        let (accounts, unresponsive) = match scope {
+            UsageScope::Host => (
+                limiter.own_usage(receiver, since, now),
+                UnresponsiveHosts::default(),
+            ),
+            UsageScope::Group => limiter.group_usage(receiver, since, now),
+            UsageScope::Fleet => limiter.fleet_usage(receiver, since, now),
+        };
+        SentUsage {
+            accounts,
+            unresponsive,
+            former: match scope {
+                UsageScope::Host | UsageScope::Group => limiter.former_usage(receiver, now),
+                UsageScope::Fleet => Vec::new(),
+            },
+            basis: limiter.basis(now),
         }
     }
 
--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -82,12 +82,12 @@
     }
     let report = UsageReport {
         incarnation: message.own.incarnation,
-        uptime: Duration::from_millis(message.uptime_ms),
+        basis: message.usage_basis,
         scope,
         hosts: match scope {
             UsageScope::Host => 1,
             UsageScope::Group => message.heartbeats.len(),
-            UsageScope::Fleet => usize::from(message.hosts).saturating_sub(1),
+            UsageScope::Fleet => usize::from(message.usage_basis.hosts).saturating_sub(1),
         },
         covered: match scope {
             UsageScope::Host => vec![crate::members::hash_host(&host)],
@@ -95,6 +95,7 @@
             UsageScope::Fleet => Vec::new(),
         },
         accounts: message.usage,
+        former: message.former_usage,
         unresponsive: message.unresponsive,
     };
     let mut limiter = state.quota_limiter();
--- a/src/members/gossip_message.rs
+++ b/src/members/gossip_message.rs
@@ -27,6 +27,8 @@
 use crate::poison::PartEntry;
 use crate::poison::PoisonEntry;
 use crate::quota::AccountUsage;
+use crate::quota::FormerUsage;
+use crate::quota::ReportBasis;
 use crate::quota::UnresponsiveHosts;
 use crate::quota::UsageScope;
 use crate::streams::VersionStreams;
@@ -115,6 +117,10 @@
     pub shard_spans: Vec<PoolSpan>,
     /// Recent quota usage by account.
     pub usage: Vec<AccountUsage>,
+    /// Usage that hosts counted which no longer report it; to a peer that is new to the sender.
+    pub former_usage: Vec<FormerUsage>,
+    /// What the reported usage is based on.
+    pub usage_basis: ReportBasis,
     /// Unresponsive hosts within the scope.
     pub unresponsive: UnresponsiveHosts,
     /// Changed request limits announced by targets.
--- a/src/quota/account_state.rs
+++ b/src/quota/account_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::demand_tracker::DemandTracker;
+use super::demand_tracker::FormerDemand;
 use super::peer_usage::AccountUsage;
 use super::peer_usage::PeerAccount;
 use super::peer_usage::UsageScope;
@@ -11,7 +12,7 @@
 use super::quota_tolerance::QuotaRate;
 use super::quota_tolerance::QuotaTransition;
 use super::surge_guard::SurgeGuard;
-use super::usage_window::UsageWindow;
+use super::usage_ledger::UsageLedger;
 
 /// Weight of a peer's newest report in its smoothed demand share, which covers several
 /// seconds of reports.
@@ -56,7 +57,7 @@
     pub(super) overdraft: f64,
     /// What may be used within a window.
     pub(super) usable: f64,
-    /// This host's even share of the quota in a window.
+    /// This host's even share of it.
     pub(super) even_share: f64,
     pub(super) demands: Vec<ClassDemand>,
     /// Admitted fractions, 0 to 1, in the order of `demands`.
@@ -65,17 +66,12 @@
 
 #[derive(Debug)]
 pub(super) struct AccountState {
-    pub(super) window: UsageWindow,
-    /// What this host admitted.
-    pub(super) own_window: UsageWindow,
+    pub(super) ledger: UsageLedger,
     pub(super) demand: DemandTracker,
-    pub(super) own_total: f64,
-    /// Counted usage of hosts that report here directly.
-    pub(super) direct_total: f64,
-    /// Counted usage of all other hosts, from aggregated reports.
-    pub(super) relayed_total: f64,
     /// Sum of the demand that peers reported, in tokens per second.
     peer_demand: f64,
+    /// Demand in reports that others are about to replace.
+    pub(super) former_demand: FormerDemand,
     /// Shares of the requests that reach unresponsive hosts, as last reported for the group and
     /// for the fleet.
     pub(super) group_unresponsive_share: f64,
@@ -97,13 +93,10 @@
 impl AccountState {
     pub(super) fn new(window: Duration, started_at: Duration) -> Self {
         Self {
-            window: UsageWindow::new(window),
-            own_window: UsageWindow::new(window),
+            ledger: UsageLedger::new(window),
             demand: DemandTracker::new(started_at),
-            own_total: 0.0,
-            direct_total: 0.0,
-            relayed_total: 0.0,
             peer_demand: 0.0,
+            former_demand: FormerDemand::default(),
             group_unresponsive_share: 0.0,
             fleet_unresponsive_share: 0.0,
             own_changed_at: None,
@@ -131,29 +124,10 @@
             plan.available -= request.cost;
         }
         self.surge_guard.record_admission(request.cost);
-        self.window.add(request.cost, now);
-        self.own_window.add(request.cost, now);
-        self.own_total += request.cost;
+        self.ledger.consume(request.cost, now);
         QuotaDecision::Admitted
     }
 
-    /// Adds a peer's usage since `since`, limited to the part after this host started.
-    pub(super) fn add_peer_usage(
-        &mut self,
-        used: f64,
-        since: Duration,
-        started_at: Duration,
-        now: Duration,
-    ) {
-        if since >= started_at {
-            return self.window.add_since(used, since, now);
-        }
-        let length = now.saturating_sub(since).as_secs_f64();
-        let uptime = now.saturating_sub(started_at).as_secs_f64();
-        self.window
-            .add_since(used * uptime / length.max(0.001), started_at, now);
-    }
-
     /// Applies the demand that a peer reported; returns the peer's smoothed share of the
     /// fleet's demand.
     pub(super) fn update_demand(
@@ -209,11 +183,17 @@
         !self.demand.demands(now).is_empty()
     }
 
+    /// Returns the usage of all hosts within the last window, as far as known.
+    pub(super) fn known_usage(&self, now: Duration) -> f64 {
+        let recent = self.ledger.recent(now);
+        recent.last().copied().unwrap_or_default()
+    }
+
     /// Returns the demand on all hosts as far as known, in tokens per second.
     pub(super) fn known_demand(&mut self, now: Duration) -> f64 {
         let own = self.demand.demands(now);
         let own: f64 = own.iter().map(|demand| demand.per_second).sum();
-        own + self.peer_demand
+        own + self.peer_demand.max(self.former_demand.total())
     }
 
     /// Returns when the account last changed at the hosts of a scope.
--- a/src/quota/demand_tracker.rs
+++ b/src/quota/demand_tracker.rs
@@ -73,6 +73,41 @@
     }
 }
 
+/// Demand in reports that have been replaced, such as those of a former leader. It holds until
+/// reports have arrived from all hosts over the new one.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FormerDemand {
+    /// Sorted by priority class.
+    demands: Vec<ClassDemand>,
+}
+
+impl FormerDemand {
+    /// Keeps the demand of reports that will be replaced, unless it is smaller than what is kept.
+    pub(super) fn keep(&mut self, demands: Vec<ClassDemand>) {
+        self.demands = self.larger(demands);
+    }
+
+    /// Forgets it, as all hosts have reported.
+    pub(super) fn clear(&mut self) {
+        self.demands.clear();
+    }
+
+    /// Returns the sum over all priority classes, in tokens per second.
+    pub(super) fn total(&self) -> f64 {
+        self.demands.iter().map(|demand| demand.per_second).sum()
+    }
+
+    /// Returns this demand or the reported one, whichever is larger. Few hosts may have reported
+    /// to a new leader yet.
+    pub(super) fn larger(&self, reported: Vec<ClassDemand>) -> Vec<ClassDemand> {
+        let sum: f64 = reported.iter().map(|demand| demand.per_second).sum();
+        match self.total() > sum {
+            true => self.demands.clone(),
+            false => reported,
+        }
+    }
+}
+
 /// Returns the factor by which a demand without new requests decays within `elapsed`.
 pub(super) fn decay_factor(elapsed: Duration) -> f64 {
     (-elapsed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -5,19 +5,24 @@
 
 mod account_state;
 mod demand_tracker;
+mod host_clock;
 mod peer_usage;
 mod priority_split;
 mod quota_limiter;
 mod quota_snapshot;
 mod quota_tolerance;
+mod report_merge;
 mod retry_budget;
 mod surge_guard;
+mod usage_ledger;
 mod usage_totals;
 mod usage_window;
 
 pub use account_state::QuotaDecision;
 pub use account_state::QuotaRequest;
 pub use peer_usage::AccountUsage;
+pub use peer_usage::FormerUsage;
+pub use peer_usage::ReportBasis;
 pub use peer_usage::UnresponsiveHosts;
 pub use peer_usage::UsageReport;
 pub use peer_usage::UsageScope;
@@ -28,3 +33,4 @@
 pub use quota_tolerance::QuotaTolerance;
 pub use retry_budget::RetryBounds;
 pub use retry_budget::RetryBudget;
+pub use usage_window::UsageBuckets;
--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -8,6 +8,7 @@
 use super::demand_tracker::MIN_RATE;
 use super::demand_tracker::decay_factor;
 use super::priority_split::ClassDemand;
+use super::usage_window::UsageBuckets;
 use crate::ids::AccountName;
 use crate::ids::IncarnationId;
 
@@ -25,8 +26,15 @@
 pub struct AccountUsage {
     /// The account.
     pub account: AccountName,
-    /// Admitted cost since the reporting host started.
-    pub total: f64,
+    /// What the reporting host was the first to count: what it admitted, and what was reported
+    /// to it as a leader.
+    pub counted: UsageBuckets,
+    /// What it knows that others counted; in a report on the fleet.
+    pub relayed: UsageBuckets,
+    /// What a member of a group admitted and no leader has acknowledged.
+    pub pending: UsageBuckets,
+    /// The part of the same buckets that a leader acknowledged.
+    pub handed_over: UsageBuckets,
     /// Current demand, sorted by priority class.
     pub demands: Vec<ClassDemand>,
     /// Share of the account's requests that reach the report's unresponsive hosts, 0 to 1.
@@ -53,13 +61,37 @@
     pub age_ms: u32,
 }
 
+/// Usage that a host counted which may not report it any more.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FormerUsage {
+    /// Incarnation of the host that counted it.
+    pub origin: IncarnationId,
+    /// Time on that host's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Usage by account.
+    pub accounts: Vec<(AccountName, UsageBuckets)>,
+}
+
+/// What a usage report says about itself.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReportBasis {
+    /// Time on the reporting host's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Length of its buckets, in milliseconds.
+    pub bucket_ms: u32,
+    /// For how long it has known the usage of the fleet, in milliseconds.
+    pub known_ms: u32,
+    /// Number of hosts, including itself, whose reports it includes.
+    pub hosts: u16,
+}
+
 /// A usage report of a peer.
 #[derive(Clone, Debug)]
 pub struct UsageReport {
     /// Incarnation of the reporting host.
     pub incarnation: IncarnationId,
-    /// Time since the reporting host started.
-    pub uptime: Duration,
+    /// What it is based on.
+    pub basis: ReportBasis,
     /// Which hosts it covers.
     pub scope: UsageScope,
     /// Name hashes of the covered hosts; empty for the whole fleet.
@@ -68,6 +100,8 @@
     pub hosts: usize,
     /// Usage, sorted by account.
     pub accounts: Vec<AccountUsage>,
+    /// Usage that hosts counted before they stopped or left their role.
+    pub former: Vec<FormerUsage>,
     /// Unresponsive hosts among those covered.
     pub unresponsive: UnresponsiveHosts,
 }
@@ -80,8 +114,8 @@
     pub(super) listed_at: Duration,
     /// Smoothed share of the fleet's demand that arrives at this peer, 0 to 1.
     pub(super) share: f64,
-    /// Usage of this peer that the local window already includes.
-    pub(super) counted: f64,
+    /// Since when its reports list the account.
+    pub(super) listed_since: Duration,
 }
 
 /// Last report of a peer.
@@ -93,6 +127,10 @@
     pub(super) hosts: usize,
     pub(super) unresponsive: UnresponsiveHosts,
     pub(super) received_at: Duration,
+    /// When the first report of this incarnation and scope was received.
+    pub(super) met_at: Duration,
+    /// For how long it had known the usage of the fleet.
+    pub(super) known: Duration,
     /// Whether it announced its shutdown.
     pub(super) departed: bool,
     /// Fraction of its hosts without a recent heartbeat anywhere, 0 to 1.
@@ -105,25 +143,40 @@
     /// Creates a host's report about itself.
     pub fn of_host(
         incarnation: IncarnationId,
-        uptime: Duration,
+        basis: ReportBasis,
         accounts: Vec<AccountUsage>,
     ) -> Self {
         Self {
             incarnation,
-            uptime,
+            basis,
             scope: UsageScope::Host,
             covered: Vec::new(),
             hosts: 1,
             accounts,
+            former: Vec::new(),
             unresponsive: UnresponsiveHosts::default(),
         }
     }
 }
 
 impl AccountUsage {
-    /// Returns whether the account was ever used or has demand.
+    /// Creates a report of no usage and no demand.
+    pub fn of_account(account: &AccountName) -> Self {
+        Self {
+            account: account.clone(),
+            counted: UsageBuckets::default(),
+            relayed: UsageBuckets::default(),
+            pending: UsageBuckets::default(),
+            handed_over: UsageBuckets::default(),
+            demands: Vec::new(),
+            unresponsive_share: 0.0,
+        }
+    }
+
+    /// Returns whether it reports usage or demand.
     pub(super) fn is_used(&self) -> bool {
-        self.total > 0.0 || !self.demands.is_empty()
+        let reported = [&self.counted, &self.relayed, &self.pending];
+        !self.demands.is_empty() || reported.iter().any(|buckets| !buckets.is_empty())
     }
 
     /// Returns the total demand over all priority classes, in tokens per second.
@@ -150,12 +203,22 @@
         find_account(&self.accounts, name)
     }
 
+    /// Returns whether it reports as this incarnation and for this scope.
+    pub(super) fn has_role(&self, incarnation: IncarnationId, scope: UsageScope) -> bool {
+        self.incarnation == incarnation && self.scope == scope
+    }
+
     /// Returns whether its hosts may be consuming quota: they have not announced a shutdown,
     /// and their last report is not too old.
     pub(super) fn may_consume(&self, now: Duration) -> bool {
         !self.departed && now.saturating_sub(self.received_at) < ESTIMATE_PERIOD
     }
 
+    /// Returns whether its last report is recent and it has not announced its shutdown.
+    pub(super) fn is_reporting(&self, now: Duration) -> bool {
+        !self.departed && !self.is_unresponsive(now)
+    }
+
     /// Returns whether its last report is older than the timeout for its scope.
     pub(super) fn is_unresponsive(&self, now: Duration) -> bool {
         let timeout = match self.scope {
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -4,23 +4,23 @@
 
 use super::account_state::AccountState;
 use super::account_state::AdmissionPlan;
-use super::account_state::PUBLISH_PERIOD;
 use super::account_state::QuotaDecision;
 use super::account_state::QuotaRequest;
 use super::account_state::rate_correction;
 use super::demand_tracker::add_demand;
-use super::peer_usage::AccountUsage;
-use super::peer_usage::PeerAccount;
+use super::host_clock::HostClock;
 use super::peer_usage::PeerUsage;
 use super::peer_usage::REPORT_TIMEOUT;
-use super::peer_usage::UsageReport;
+use super::peer_usage::ReportBasis;
 use super::peer_usage::UsageScope;
-use super::peer_usage::omitted_accounts;
 use super::priority_split::share_by_priority;
 use super::quota_tolerance::QuotaRate;
 use super::quota_tolerance::QuotaTolerance;
 use super::quota_tolerance::QuotaTransition;
+use super::report_merge::UsageHandover;
 use super::usage_totals::UsageTotals;
+use super::usage_window::available;
+use super::usage_window::bucket_length;
 use crate::catalog::ClientAccount;
 use crate::ids::AccountName;
 use crate::ids::HostName;
@@ -38,6 +38,12 @@
 /// ages are relayed over two hops, a few per message.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(3000);
 
+/// Fraction of the hosts whose reports cover the fleet; some hosts are always starting.
+const COVERED_FRACTION: f64 = 0.9;
+
+/// Time for which reports of all hosts are taken as such without another look at all peers.
+const COVERAGE_TTL: Duration = Duration::from_millis(50);
+
 /// Fleet-wide quotas of accounts.
 ///
 /// Each host knows its own usage and demand and those that its peers reported. While enough
@@ -55,9 +61,17 @@
     pub(super) accounts: SortedMap<AccountName, AccountState>,
     pub(super) peers: SortedMap<HostName, PeerUsage>,
     /// Whether hosts report through group leaders.
-    grouped: bool,
-    /// When `grouped` last changed.
-    regrouped_at: Option<Duration>,
+    pub(super) grouped: bool,
+    /// This host's own incarnation.
+    pub(super) incarnation: IncarnationId,
+    /// When the reports of peers last covered all hosts.
+    covered_at: Option<Duration>,
+    /// Since when the usage of all hosts is known.
+    known_since: Duration,
+    /// Clocks of the hosts that counted usage.
+    pub(super) clocks: SortedMap<IncarnationId, HostClock>,
+    /// What was last reported to a leader.
+    pub(super) handover: Option<UsageHandover>,
     pub(super) group_totals: Option<UsageTotals>,
     pub(super) fleet_totals: Option<UsageTotals>,
     /// When the accounts near their quota were logged.
@@ -74,13 +88,23 @@
             accounts: SortedMap::new(),
             peers: SortedMap::new(),
             grouped: false,
-            regrouped_at: None,
+            incarnation: 0,
+            covered_at: None,
+            known_since: now,
+            clocks: SortedMap::new(),
+            handover: None,
             group_totals: None,
             fleet_totals: None,
             logged_at: now,
         }
     }
 
+    /// Sets the incarnation under which this host reports.
+    pub const fn with_incarnation(mut self, incarnation: IncarnationId) -> Self {
+        self.incarnation = incarnation;
+        self
+    }
+
     /// Replaces the tolerance. Usage that was counted stays counted.
     pub fn set_tolerance(&mut self, tolerance: QuotaTolerance, now: Duration) {
         if self.tolerance == tolerance {
@@ -88,8 +112,7 @@
         }
         self.tolerance = tolerance;
         for (_, state) in self.accounts.iter_mut() {
-            state.window = state.window.resized(tolerance.window, now);
-            state.own_window = state.own_window.resized(tolerance.window, now);
+            state.ledger.resize(tolerance.window, now);
             state.plan = None;
         }
     }
@@ -101,8 +124,7 @@
             return;
         }
         self.grouped = grouped;
-        self.regrouped_at = Some(now);
-        self.remove_peers(|_| true);
+        self.remove_peers(|_, _| true, now);
     }
 
     /// Sets the number of known hosts, including this one. Hosts that never reported are
@@ -182,154 +204,81 @@
         }
     }
 
-    /// Applies the usage that a host reported about itself; `uptime` is the time since it
-    /// started.
-    pub fn apply_host_usage(
-        &mut self,
-        host: HostName,
-        incarnation: IncarnationId,
-        uptime: Duration,
-        usage: Vec<AccountUsage>,
-        now: Duration,
-    ) {
-        self.apply_report(host, UsageReport::of_host(incarnation, uptime, usage), now);
+    /// Returns the state of an account, which is created if it is new.
+    pub(super) fn account_mut(&mut self, account: &AccountName) -> &mut AccountState {
+        let window = self.tolerance.window;
+        let start = self.started_at;
+        self.accounts
+            .get_or_insert_with(account.clone(), || AccountState::new(window, start))
     }
 
-    /// Applies a peer's report.
-    pub fn apply_report(&mut self, host: HostName, report: UsageReport, now: Duration) {
-        let UsageReport {
-            incarnation,
-            uptime,
-            ..
-        } = report;
-        let known = self.peers.remove(&host);
-        let same_incarnation = known
-            .as_ref()
-            .filter(|peer| peer.incarnation == incarnation && peer.scope == report.scope);
-        let is_first = (self.grouped || self.has_just_regrouped(now)) && same_incarnation.is_none();
-        let is_new_host = report.scope == UsageScope::Host && uptime <= REPORT_TIMEOUT;
-        // The usage is already counted from another peer's report: a leader that has just started
-        // reports that of hosts that have not.
-        let is_already_counted =
-            is_first && !is_new_host && now.saturating_sub(self.started_at) > REPORT_TIMEOUT;
-        // Other leaders counted this usage from the report of a former leader.
-        let is_already_reported = is_first && uptime > REPORT_TIMEOUT;
-        let is_direct = report.scope == UsageScope::Host;
-        self.remove_covered(report.scope);
-        let mut accounts: Vec<PeerAccount> = Vec::with_capacity(report.accounts.len());
-        for usage in report.accounts {
-            let previous = known.as_ref().and_then(|peer| peer.account(&usage.account));
-            let counted = same_incarnation.and(previous);
-            let window = self.tolerance.window;
-            let start = self.started_at;
-            let state = self
-                .accounts
-                .get_or_insert_with(usage.account.clone(), || AccountState::new(window, start));
-            // Usage between two reports is counted at the time of the later one. If it were
-            // spread evenly, part of a surge would leave the window too early. After a gap,
-            // or in a host's first report, the usage cannot all be recent, so it is spread, as
-            // is the usage of accounts that this host does not serve, which is reported less
-            // often.
-            let is_periodic = report.scope == UsageScope::Fleet && !state.is_served(now);
-            let since = match (same_incarnation, counted) {
-                (Some(peer), _) if peer.is_unresponsive(now) => peer.received_at,
-                (Some(_), Some(previous)) if is_periodic => {
-                    previous.listed_at.max(now.saturating_sub(PUBLISH_PERIOD))
-                }
-                (None, _) if uptime > REPORT_TIMEOUT => now.saturating_sub(uptime),
-                _ => now,
-            };
-            let used = usage.total - counted.map_or(0.0, |previous| previous.usage.total);
-            let used = match is_already_counted {
-                true => 0.0,
-                false => used.max(0.0),
-            };
-            state.add_peer_usage(used, since, start, now);
-            let used = match is_already_reported {
-                true => 0.0,
-                false => used,
-            };
-            match is_direct {
-                true => {
-                    state.direct_total += used;
-                    state.direct_changed_at = Some(now);
-                }
-                false => {
-                    state.relayed_total += used;
-                    state.relayed_changed_at = Some(now);
-                }
-            }
-            let share = state.update_demand(previous, &usage, now);
-            let counted = previous.map_or(0.0, |previous| previous.counted) + used;
-            accounts.push(PeerAccount {
-                usage,
-                listed_at: now,
-                share,
-                counted,
-            });
+    /// Updates since when this host knows the usage of all hosts.
+    pub(super) fn update_coverage(&mut self, now: Duration) {
+        let is_fresh = |at: Duration| now.saturating_sub(at) < COVERAGE_TTL;
+        if self.covered_at.is_some_and(is_fresh) {
+            return;
         }
-        for mut account in omitted_accounts(known.as_ref(), &accounts) {
-            let Some(state) = self.accounts.get_mut(&account.usage.account) else {
-                continue;
-            };
-            match same_incarnation {
-                Some(peer) => {
-                    // The fleet's usage of accounts that this host does not serve is reported
-                    // less often.
-                    let is_due = is_direct
-                        || report.scope == UsageScope::Group
-                        || state.is_served(now)
-                        || now.saturating_sub(account.listed_at) > PUBLISH_PERIOD;
-                    if is_due {
-                        let elapsed = now.saturating_sub(peer.received_at);
-                        state.decay_demand(&mut account, elapsed, now);
-                    }
-                    accounts.push(account);
-                }
-                None => state.subtract_peer_demand(&account),
+        let reporting = || self.peers.values().filter(|peer| peer.is_reporting(now));
+        let known = reporting().map(|peer| peer.known).max();
+        let counted = reporting().map(|peer| peer.hosts).sum::<usize>() + 1;
+        if (counted as f64) < COVERED_FRACTION * self.hosts as f64 {
+            if !self.was_just_covered(now) {
+                self.forget_former_demand();
             }
+            return;
         }
-        accounts.sort_by(|left, right| left.usage.account.cmp(&right.usage.account));
-        let peer = PeerUsage {
-            incarnation,
-            scope: report.scope,
-            covered: report.covered,
-            hosts: report.hosts.max(1),
-            unresponsive: report.unresponsive,
-            received_at: now,
-            departed: false,
-            unseen: 1.0,
-            accounts,
-        };
-        self.peers.insert(host, peer);
-        let peers = self.peers.len();
+        self.forget_former_demand();
+        self.covered_at = Some(now);
+        let since = now.saturating_sub(known.unwrap_or_default());
+        self.known_since = self.known_since.min(since);
+    }
+
+    fn forget_former_demand(&mut self) {
         for (_, state) in self.accounts.iter_mut() {
-            state.record_report(peers, now);
+            state.former_demand.clear();
         }
     }
 
-    /// Removes the reports that a report of this scope supersedes. A leader's report on the
-    /// fleet covers all other hosts, and an earlier report of a leader covers the hosts that
-    /// now report here directly.
-    fn remove_covered(&mut self, scope: UsageScope) {
-        self.remove_peers(|peer| scope == UsageScope::Fleet || peer.scope == UsageScope::Fleet);
+    /// Removes what is older than a window.
+    pub fn remove_expired(&mut self, now: Duration) {
+        let oldest = 2 * self.tolerance.window;
+        self.clocks.retain(|_, clock| !clock.is_older(oldest, now));
+        let clocks = &self.clocks;
+        for (_, state) in self.accounts.iter_mut() {
+            let time_of = |host: IncarnationId| clocks.get(&host).map(|clock| clock.now(now));
+            state.ledger.remove_expired(time_of, now);
+        }
     }
 
-    fn remove_peers(&mut self, is_removed: impl Fn(&PeerUsage) -> bool) {
-        let removed = self.peers.values().filter(|peer| is_removed(peer));
-        for account in removed.flat_map(|peer| &peer.accounts) {
-            if let Some(state) = self.accounts.get_mut(&account.usage.account) {
-                state.subtract_peer_demand(account);
-            }
+    /// Returns the number of other hosts whose usage the reports of peers include.
+    pub(super) fn counted_hosts(&self, now: Duration) -> usize {
+        let peers = self.peers.values().filter(|peer| peer.may_consume(now));
+        peers.map(|peer| peer.hosts).sum()
+    }
+
+    /// Returns the length of the buckets in reports, in milliseconds.
+    pub(super) fn bucket_ms(&self) -> u32 {
+        bucket_length(self.tolerance.window).as_millis() as u32
+    }
+
+    /// Returns what a report of this host is based on.
+    pub fn basis(&self, now: Duration) -> ReportBasis {
+        let known = now
+            .saturating_sub(self.known_since)
+            .min(self.tolerance.window);
+        ReportBasis {
+            clock_ms: now.as_millis() as u64,
+            bucket_ms: self.bucket_ms(),
+            known_ms: known.as_millis() as u32,
+            hosts: (self.counted_hosts(now) + 1).min(usize::from(u16::MAX)) as u16,
         }
-        self.peers.retain(|_, peer| !is_removed(peer));
     }
 
-    /// Returns whether the reporting path changed recently, so that some hosts may not have
-    /// reported over the new one yet.
-    fn has_just_regrouped(&self, now: Duration) -> bool {
-        let regrouped_at = self.regrouped_at;
-        regrouped_at.is_some_and(|at| now.saturating_sub(at) < HEARTBEAT_TIMEOUT)
+    /// Returns whether reports of all hosts arrived recently. Hosts that are missing now may
+    /// report over another leader.
+    fn was_just_covered(&self, now: Duration) -> bool {
+        let covered_at = self.covered_at;
+        covered_at.is_some_and(|at| now.saturating_sub(at) < HEARTBEAT_TIMEOUT)
     }
 
     /// Marks a host that announced its shutdown and will use no more quota. Its past usage
@@ -352,10 +301,10 @@
         let Some(state) = self.accounts.get_mut(name) else {
             return;
         };
-        let available = state
-            .window
-            .available(rate, self.started_at, now, estimated);
-        let mut demands = state.demand.demands(now);
+        let recent = state.ledger.recent(now);
+        let bucket = bucket_length(self.tolerance.window);
+        let available = available(&recent, bucket, rate, self.known_since, now, estimated);
+        let mut demands = Vec::new();
         for peer in self
             .peers
             .values()
@@ -366,6 +315,10 @@
                 add_demand(&mut demands, *demand);
             }
         }
+        let mut demands = state.former_demand.larger(demands);
+        for demand in state.demand.demands(now) {
+            add_demand(&mut demands, demand);
+        }
         let unresponsive: f64 = unresponsive.iter().map(|(share, _)| share).sum();
         let responsive = (1.0 - unresponsive).max(0.0);
         let per_second = rate.per_second * responsive + rate_correction(available, rate);
@@ -385,17 +338,14 @@
     /// Returns the shares of an account's requests that reach unresponsive hosts, each with the
     /// time since their last report. Hosts that never reported count since this host started.
     fn unresponsive_shares(&self, name: &str, now: Duration) -> Vec<(f64, Duration)> {
-        let counted: usize = self
-            .peers
-            .values()
-            .filter(|peer| peer.may_consume(now))
-            .map(|peer| peer.hosts)
-            .sum();
+        let counted = self.counted_hosts(now);
         let hosts = self.hosts.max(counted + 1) as f64;
         let mut shares = self.unresponsive_peer_shares(name, hosts, UsageScope::Fleet, now);
         let unreported = self.hosts.saturating_sub(counted + 1) as f64;
-        if unreported > 0.0 && !self.has_just_regrouped(now) {
-            shares.push((unreported / hosts, now.saturating_sub(self.started_at)));
+        let is_blind = counted == 0 && now.saturating_sub(self.started_at) < REPORT_TIMEOUT;
+        if unreported > 0.0 && !is_blind && !self.was_just_covered(now) {
+            let since = self.covered_at.unwrap_or(self.started_at);
+            shares.push((unreported / hosts, now.saturating_sub(since)));
         }
         shares
     }
--- a/src/quota/quota_snapshot.rs
+++ b/src/quota/quota_snapshot.rs
@@ -54,7 +54,7 @@
             .iter()
             .map(|peer| now.saturating_sub(peer.received_at));
         let oldest = ages.max().unwrap_or_default();
-        let recent = reporting.iter().filter(|peer| !peer.is_unresponsive(now));
+        let recent = reporting.iter().filter(|peer| peer.is_reporting(now));
         let reported = recent.map(|peer| peer.hosts).sum::<usize>() + 1;
         let peers = reporting.len();
         let uptime = now.saturating_sub(self.started_at);
@@ -80,7 +80,7 @@
         if !self.is_served(now) {
             return None;
         }
-        let known = self.window.total(now);
+        let known = self.known_usage(now);
         let demand = self.known_demand(now);
         let plan = self.plan.as_ref()?;
         if known < LOGGED_FRACTION * plan.usable {
@@ -88,7 +88,7 @@
         }
         Some(QuotaSnapshot {
             account: account.clone(),
-            admitted: self.own_window.total(now),
+            admitted: self.ledger.own_total(now),
             known,
             usable: plan.usable,
             available: plan.available,
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -68,7 +68,6 @@
 /// Simulated fleet of grouped hosts. The first live host of each group is its leader.
 pub(crate) struct GroupFleet {
     pub(crate) settings: FleetSettings,
-    start: Duration,
     pub(crate) limiters: Vec<QuotaLimiter>,
     pub(crate) dead: Vec<usize>,
     /// Restarted hosts, the time of their last start, and the number of their starts since.
@@ -110,14 +109,14 @@
 impl GroupFleet {
     /// Starts all hosts at `start`, each with the full number of hosts.
     pub(crate) fn new(settings: FleetSettings, start: Duration) -> Self {
-        let limiter = |_| {
-            let mut limiter = QuotaLimiter::new(tolerance_of(settings), settings.hosts, start);
+        let limiter = |host| {
+            let mut limiter = QuotaLimiter::new(tolerance_of(settings), settings.hosts, start)
+                .with_incarnation(incarnation_of(host, 0));
             limiter.set_grouped(true, start);
             limiter
         };
         Self {
             settings,
-            start,
             limiters: (0..settings.hosts).map(limiter).collect(),
             dead: Vec::new(),
             restarted: BTreeMap::new(),
@@ -136,7 +135,8 @@
             .get(&host)
             .map_or(0, |(_, restarts)| *restarts);
         self.restarted.insert(host, (now, restarts + 1));
-        let mut limiter = QuotaLimiter::new(tolerance_of(settings), settings.hosts, now);
+        let mut limiter = QuotaLimiter::new(tolerance_of(settings), settings.hosts, now)
+            .with_incarnation(incarnation_of(host, restarts + 1));
         limiter.set_grouped(true, now);
         self.limiters[host] = limiter;
         self.dead.retain(|dead| *dead != host);
@@ -249,6 +249,7 @@
             let live = settings.hosts - self.dead.len();
             for limiter in &mut self.limiters {
                 limiter.set_host_count(live, now);
+                limiter.remove_expired(now);
                 limiter.set_unseen_hosts(time_since_seen, 1.0, now);
             }
         }
@@ -261,10 +262,15 @@
         let since = std::mem::replace(reports, [Some(now), reports[0]])[1];
         let limiter = &mut self.limiters[from];
         let (accounts, unresponsive) = match scope {
-            UsageScope::Host => (limiter.own_usage(since, now), Default::default()),
-            UsageScope::Group => limiter.group_usage(since, now),
+            UsageScope::Host => (limiter.own_usage(&receiver, since, now), Default::default()),
+            UsageScope::Group => limiter.group_usage(&receiver, since, now),
             UsageScope::Fleet => limiter.fleet_usage(&receiver, since, now),
         };
+        let former = match scope {
+            UsageScope::Host | UsageScope::Group => limiter.former_usage(&receiver, now),
+            UsageScope::Fleet => Vec::new(),
+        };
+        let basis = limiter.basis(now);
         let group = from / GROUP_HOSTS * GROUP_HOSTS..(from / GROUP_HOSTS + 1) * GROUP_HOSTS;
         let reported_at = &self.reported_at;
         let members = group.filter(|host| {
@@ -276,21 +282,21 @@
             UsageScope::Group => members.map(|host| hash_host(&name_of(host))).collect(),
             UsageScope::Fleet => Vec::new(),
         };
-        let (started_at, restarts) = self
+        let restarts = self
             .restarted
             .get(&from)
-            .copied()
-            .unwrap_or((self.start, 0));
+            .map_or(0, |(_, restarts)| *restarts);
         let report = UsageReport {
             incarnation: incarnation_of(from, restarts),
-            uptime: now.saturating_sub(started_at),
+            basis,
             scope,
             hosts: match scope {
-                UsageScope::Fleet => self.settings.hosts - 1 - self.dead.len(),
+                UsageScope::Fleet => usize::from(basis.hosts).saturating_sub(1),
                 UsageScope::Host | UsageScope::Group => covered.len(),
             },
             covered,
             accounts,
+            former,
             unresponsive,
         };
         self.limiters[to].apply_report(name_of(from), report, now);
--- a/tests/quota_groups.rs
+++ b/tests/quota_groups.rs
@@ -182,13 +182,17 @@
         },
         cost: 1000.0,
     };
+    let basis = limiter.basis(seconds(105));
+    limiter.apply_host_usage("e1".into(), 2, basis, Vec::new(), seconds(105));
     for index in 0..200 {
         limiter.try_consume(&account_of(index), request, seconds(110), 0.5);
     }
     limiter.try_consume(&account_of(7), request, seconds(111), 0.5);
 
-    let all = limiter.group_usage(None, seconds(111)).0;
-    let changed = limiter.group_usage(Some(seconds(111)), seconds(111)).0;
+    let all = limiter.group_usage("e1", None, seconds(111)).0;
+    let changed = limiter
+        .group_usage("e1", Some(seconds(111)), seconds(111))
+        .0;
 
     assert_eq!(all.len(), 200);
     assert_eq!(changed.len(), 1);
--- a/tests/quota_limiter.rs
+++ b/tests/quota_limiter.rs
@@ -11,11 +11,15 @@
 use cardamomgw::quota::QuotaLimiter;
 use cardamomgw::quota::QuotaRequest;
 use cardamomgw::quota::QuotaTolerance;
+use cardamomgw::quota::ReportBasis;
+use cardamomgw::quota::UsageBuckets;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 const WINDOW: Duration = Duration::from_secs(8);
+/// Length of a window's buckets.
+const BUCKET: Duration = Duration::from_millis(500);
 /// Uptime of a host that started long ago.
 const LONG_UPTIME: Duration = Duration::from_secs(1000);
 
@@ -127,17 +131,19 @@
     }
 
     /// Sends a host's report to another host: the accounts that changed since its previous one.
-    fn report(&mut self, from: usize, to: usize, uptime: Duration, now: Duration) {
+    fn report(&mut self, from: usize, to: usize, now: Duration) {
         let since = self.reported_at.insert((from, to), now);
-        let usage = self.limiters[from].own_usage(since, now);
-        self.limiters[to].apply_host_usage(format!("e{from}"), 1, uptime, usage, now);
+        let usage = self.limiters[from].own_usage(&format!("e{to}"), since, now);
+        let basis = self.limiters[from].basis(now);
+        let incarnation = 1 + from as u64;
+        self.limiters[to].apply_host_usage(format!("e{from}"), incarnation, basis, usage, now);
     }
 
     /// Sends the report of each host in a group to all others in it.
-    fn report_all(&mut self, group: &[usize], uptime: Duration, now: Duration) {
+    fn report_all(&mut self, group: &[usize], now: Duration) {
         for from in group {
             for to in group.iter().filter(|to| *to != from) {
-                self.report(*from, *to, uptime, now);
+                self.report(*from, *to, now);
             }
         }
     }
@@ -181,7 +187,7 @@
             fleet.send_load(host, &account, 1300.0, 10.0, now);
         }
         if step % 10 == 0 {
-            fleet.report_all(&group, LONG_UPTIME, now);
+            fleet.report_all(&group, now);
         }
     }
 
@@ -199,7 +205,7 @@
         let host = step as usize % 3;
         let decision = fleet.limiters[host].try_consume(&account, urgent_request(95.0), now, 0.999);
         assert_eq!(decision, QuotaDecision::Admitted, "at {now:?}");
-        fleet.report_all(&group, LONG_UPTIME, now);
+        fleet.report_all(&group, now);
     }
 }
 
@@ -220,7 +226,7 @@
             rejected += usize::from(!fleet.send(host, &account, urgent_request(size), now));
         }
         if step % 10 == 0 {
-            fleet.report_all(&SIX_HOSTS, LONG_UPTIME, now);
+            fleet.report_all(&SIX_HOSTS, now);
         }
     }
 
@@ -241,7 +247,7 @@
             fleet.send_load(host, &account, 1700.0, cost, now);
         }
         if step % 10 == 0 {
-            fleet.report_all(&SIX_HOSTS, LONG_UPTIME, now);
+            fleet.report_all(&SIX_HOSTS, now);
         }
     }
 
@@ -288,7 +294,7 @@
             }
         }
         if step % 10 == 0 {
-            fleet.report_all(&SIX_HOSTS, LONG_UPTIME, now);
+            fleet.report_all(&SIX_HOSTS, now);
         }
     }
 
@@ -317,7 +323,7 @@
                 fleet.send_load(host, &account, 700.0, 10.0, now);
             }
             if step % 10 == 0 {
-                fleet.report_all(&group, now - start, now);
+                fleet.report_all(&group, now);
             }
         }
     }
@@ -345,7 +351,7 @@
             }
         }
         if step % 10 == 0 && step >= 50 {
-            fleet.report_all(&SIX_HOSTS, now - start, now);
+            fleet.report_all(&SIX_HOSTS, now);
         }
     }
 
@@ -378,10 +384,22 @@
     let mut limiter = single_limiter(Duration::ZERO);
     let start = Duration::from_secs(20);
     limiter.try_consume(&account, urgent_request(10.0), start, 0.5);
-    limiter.apply_host_usage("e2".into(), 1, LONG_UPTIME, usage_report(0.0), start);
+    limiter.apply_host_usage(
+        "e2".into(),
+        2,
+        basis_at(start),
+        usage_report(0.0, start),
+        start,
+    );
 
     for _ in 0..5 {
-        limiter.apply_host_usage("e2".into(), 1, LONG_UPTIME, usage_report(500.0), start);
+        limiter.apply_host_usage(
+            "e2".into(),
+            2,
+            basis_at(start),
+            usage_report(500.0, start),
+            start,
+        );
         limiter.mark_departed("e2");
     }
 
@@ -401,7 +419,7 @@
         fleet.send_load(0, &account, 300.0, 10.0, now);
         fleet.send_load(1, &account, 300.0, 10.0, now);
         if step % 10 == 0 {
-            fleet.report_all(&[0, 1], LONG_UPTIME, now);
+            fleet.report_all(&[0, 1], now);
         }
     }
     let cut = Duration::from_secs(22);
@@ -433,7 +451,7 @@
         }
         if step % 10 == 0 {
             let group: &[usize] = if now >= cut { &connected } else { &SIX_HOSTS };
-            fleet.report_all(group, LONG_UPTIME, now);
+            fleet.report_all(group, now);
         }
     }
 
@@ -453,16 +471,19 @@
 fn usage_during_a_partition_counts_at_the_time_of_use() {
     let account = account_with(1000.0, 1000.0);
     let mut limiter = single_limiter(Duration::ZERO);
+    let before = Duration::from_secs(20);
     limiter.apply_host_usage(
         "e2".into(),
-        1,
-        LONG_UPTIME,
-        usage_report(0.0),
-        Duration::from_secs(20),
+        2,
+        basis_at(before),
+        usage_report(0.0, before),
+        before,
     );
 
     let healed = Duration::from_secs(40);
-    limiter.apply_host_usage("e2".into(), 1, LONG_UPTIME, usage_report(10_000.0), healed);
+    // 10,000 tokens, evenly over the 20 s of the partition.
+    let usage = bucket_report(UsageBuckets::new(bucket_at(healed), vec![250.0; 16]));
+    limiter.apply_host_usage("e2".into(), 2, basis_at(healed), usage, healed);
 
     let decision = limiter.try_consume(&account, urgent_request(100.0), healed, 0.999);
     assert_eq!(decision, QuotaDecision::Admitted);
@@ -478,7 +499,13 @@
     limiter.try_consume(&account, urgent_request(10.0), start, 0.5);
 
     let met = start + millis(800);
-    limiter.apply_host_usage("e2".into(), 1, millis(900), usage_report(3000.0), met);
+    limiter.apply_host_usage(
+        "e2".into(),
+        2,
+        basis_at(met),
+        usage_report(3000.0, met),
+        met,
+    );
 
     let decision = limiter.try_consume(&account, urgent_request(500.0), met, 0.5);
     assert_eq!(decision, QuotaDecision::Rejected);
@@ -501,7 +528,7 @@
         for from in 0..hosts {
             for to in 0..hosts {
                 if from != to && (from * 7 + to) as u64 % 100 == step % 100 {
-                    fleet.report(from, to, LONG_UPTIME, now);
+                    fleet.report(from, to, now);
                 }
             }
         }
@@ -541,7 +568,7 @@
         for from in 0..60 {
             for to in 0..60 {
                 if from != to && (from * 7 + to) as u64 % 100 == step % 100 {
-                    fleet.report(from, to, now - start, now);
+                    fleet.report(from, to, now);
                 }
             }
         }
@@ -550,13 +577,20 @@
     fleet.assert_within_limit(&account);
 }
 
+/// Report of a peer without current demand.
 /// Guards against logs from which usage that was lost can't be told from usage that was admitted.
 #[test]
 fn an_account_near_its_quota_is_logged_once_a_second() {
     let account = account_with(1000.0, 1000.0);
     let mut limiter = limiter_among(2, Duration::ZERO);
     let now = Duration::from_secs(20);
-    limiter.apply_host_usage("e2".into(), 1, millis(900), usage_report(8500.0), now);
+    limiter.apply_host_usage(
+        "e2".into(),
+        2,
+        basis_at(now),
+        usage_report(8500.0, now),
+        now,
+    );
     limiter.try_consume(&account, urgent_request(10.0), now, 0.0);
 
     let logged = limiter.due_snapshots(now + millis(10));
@@ -572,13 +606,29 @@
     assert!(again.is_empty(), "{again:?}");
 }
 
-/// Report of a peer without current demand.
-fn usage_report(total: f64) -> Vec<AccountUsage> {
+/// Returns what a host that started long ago bases a report on.
+fn basis_at(now: Duration) -> ReportBasis {
+    ReportBasis {
+        clock_ms: now.as_millis() as u64,
+        bucket_ms: BUCKET.as_millis() as u32,
+        known_ms: WINDOW.as_millis() as u32,
+        hosts: 1,
+    }
+}
+
+fn bucket_at(now: Duration) -> u64 {
+    (now.as_millis() / BUCKET.as_millis()) as u64
+}
+
+/// Returns a report of usage within the current bucket.
+fn usage_report(used: f32, now: Duration) -> Vec<AccountUsage> {
+    bucket_report(UsageBuckets::new(bucket_at(now), vec![used]))
+}
+
+fn bucket_report(counted: UsageBuckets) -> Vec<AccountUsage> {
     vec![AccountUsage {
-        account: "acme".into(),
-        total,
-        demands: Vec::new(),
-        unresponsive_share: 0.0,
+        counted,
+        ..AccountUsage::of_account(&"acme".into())
     }]
 }
 
