Quotas: usage since the last reports is estimated from their age

Cause: a host took what others had used since they last reported for unused, and dated reported usage at the time of the report instead. Both errors have the size of the delay, so hosts admitted too much until reports came in and too little behind them. A host without any report admitted all that it was asked for up to its even share of a window.

Now reports say how old the usage is that they include, usage counts at its own time, and what hosts may have used since is estimated from the known demand, at most the quota's rate (UsageGap). Until reports of all hosts have arrived, a host that has just started keeps to twice its even share of what has accrued since. TrackedWindow lists the buckets that changed, now that usage is added to earlier ones.

--- a/src/edge/gossip_builder.rs
+++ b/src/edge/gossip_builder.rs
@@ -317,7 +317,7 @@
                 UsageScope::Host | UsageScope::Group => limiter.former_usage(receiver, now),
                 UsageScope::Fleet => Vec::new(),
             },
-            basis: limiter.basis(now),
+            basis: limiter.basis(scope, now),
         }
     }
 
--- a/src/quota/host_clock.rs
+++ b/src/quota/host_clock.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+/// Local time minus another host's time, in nanoseconds.
+pub(super) type ClockOffset = i64;
+
 /// Clock of another host.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HostClock {
-    /// Local time minus that host's time, in nanoseconds.
-    pub(super) offset: i64,
-    /// Time on that host's clock in its newest report.
-    pub(super) time: Duration,
+    pub(super) offset: ClockOffset,
     /// When that report was received.
     pub(super) updated_at: Duration,
 }
--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -83,6 +83,8 @@
     pub known_ms: u32,
     /// Number of hosts, including itself, whose reports it includes.
     pub hosts: u16,
+    /// Mean age of the usage of these hosts, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// A usage report of a peer.
@@ -131,6 +133,8 @@
     pub(super) met_at: Duration,
     /// For how long it had known the usage of the fleet.
     pub(super) known: Duration,
+    /// Mean age of the usage in its last report.
+    pub(super) age: Duration,
     /// Whether it announced its shutdown.
     pub(super) departed: bool,
     /// Fraction of its hosts without a recent heartbeat anywhere, 0 to 1.
@@ -214,6 +218,11 @@
         !self.departed && now.saturating_sub(self.received_at) < ESTIMATE_PERIOD
     }
 
+    /// Returns the mean age of what is known of its hosts' usage.
+    pub(super) fn usage_age(&self, now: Duration) -> Duration {
+        self.age + now.saturating_sub(self.received_at)
+    }
+
     /// Returns whether its last report is recent and it has not announced its shutdown.
     pub(super) fn is_reporting(&self, now: Duration) -> bool {
         !self.departed && !self.is_unresponsive(now)
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -41,6 +41,10 @@
 /// Fraction of the hosts whose reports cover the fleet; some hosts are always starting.
 const COVERED_FRACTION: f64 = 0.9;
 
+/// Factor by which a host may exceed its even share of what has accrued since a start of the
+/// fleet, as requests arrive unevenly.
+const UNEVEN_FACTOR: f64 = 2.0;
+
 /// Time for which reports of all hosts are taken as such without another look at all peers.
 const COVERAGE_TTL: Duration = Duration::from_millis(50);
 
@@ -261,8 +265,8 @@
         bucket_length(self.tolerance.window).as_millis() as u32
     }
 
-    /// Returns what a report of this host is based on.
-    pub fn basis(&self, now: Duration) -> ReportBasis {
+    /// Returns what a report of this host for a scope is based on.
+    pub fn basis(&self, scope: UsageScope, now: Duration) -> ReportBasis {
         let known = now
             .saturating_sub(self.known_since)
             .min(self.tolerance.window);
@@ -271,14 +275,33 @@
             bucket_ms: self.bucket_ms(),
             known_ms: known.as_millis() as u32,
             hosts: (self.counted_hosts(now) + 1).min(usize::from(u16::MAX)) as u16,
+            age_ms: self.mean_age(scope, now).as_millis() as u32,
         }
     }
 
     /// Returns whether reports of all hosts arrived recently. Hosts that are missing now may
     /// report over another leader.
     fn was_just_covered(&self, now: Duration) -> bool {
-        let covered_at = self.covered_at;
-        covered_at.is_some_and(|at| now.saturating_sub(at) < HEARTBEAT_TIMEOUT)
+        self.last_coverage(now).is_some()
+    }
+
+    /// Returns the time since reports of all hosts arrived, if it is short.
+    pub(super) fn last_coverage(&self, now: Duration) -> Option<Duration> {
+        let elapsed = self.covered_at.map(|at| now.saturating_sub(at));
+        elapsed.filter(|elapsed| *elapsed < HEARTBEAT_TIMEOUT)
+    }
+
+    /// Returns the part of a window that this host may use of an account before it knows the
+    /// demand elsewhere. Until reports of all hosts have arrived, the usage before its start is
+    /// not known either, and no more counts than what has accrued since.
+    fn even_share(&self, usable: f64, rate: QuotaRate, now: Duration) -> f64 {
+        let uptime = now.saturating_sub(self.started_at);
+        let is_known = self.covered_at.is_some() || uptime >= REPORT_TIMEOUT || self.hosts <= 1;
+        let amount = match is_known {
+            true => usable,
+            false => usable.min(UNEVEN_FACTOR * rate.per_second * uptime.as_secs_f64()),
+        };
+        amount / self.hosts.max(1) as f64
     }
 
     /// Marks a host that announced its shutdown and will use no more quota. Its past usage
@@ -292,14 +315,19 @@
     /// Computes which fraction of each priority class of an account is admitted.
     fn refresh_plan(&mut self, name: &str, rate: QuotaRate, now: Duration) {
         let unresponsive = self.unresponsive_shares(name, now);
+        let gaps = self.usage_gaps(now);
+        let usable = rate.burst + rate.per_second * self.tolerance.window.as_secs_f64();
+        let even_share = self.even_share(usable, rate, now);
+        let Some(state) = self.accounts.get_mut(name) else {
+            return;
+        };
+        let used_per_second = state.known_demand(now).min(rate.per_second);
         let estimated = |period: Duration| -> f64 {
             let used = unresponsive
                 .iter()
                 .map(|(share, age)| share * period.min(*age).as_secs_f64());
-            used.sum::<f64>() * rate.per_second
-        };
-        let Some(state) = self.accounts.get_mut(name) else {
-            return;
+            let unreported = gaps.iter().map(|gap| gap.seconds(period));
+            used.sum::<f64>() * rate.per_second + unreported.sum::<f64>() * used_per_second
         };
         let recent = state.ledger.recent(now);
         let bucket = bucket_length(self.tolerance.window);
@@ -322,14 +350,12 @@
         let unresponsive: f64 = unresponsive.iter().map(|(share, _)| share).sum();
         let responsive = (1.0 - unresponsive).max(0.0);
         let per_second = rate.per_second * responsive + rate_correction(available, rate);
-        let window = self.tolerance.window.as_secs_f64();
-        let usable = rate.burst + rate.per_second * window;
         state.plan = Some(AdmissionPlan {
             created_at: now,
             available,
             overdraft: rate.overdraft,
             usable,
-            even_share: usable / self.hosts.max(1) as f64,
+            even_share,
             fractions: share_by_priority(per_second, &demands),
             demands,
         });
--- a/src/quota/quota_snapshot.rs
+++ b/src/quota/quota_snapshot.rs
@@ -7,6 +7,7 @@
 use super::QuotaLimiter;
 use super::account_state::AccountState;
 use super::peer_usage::PeerUsage;
+use super::peer_usage::UsageScope;
 use crate::ids::AccountName;
 
 /// Period at which the accounts near their quota are logged.
@@ -37,6 +38,8 @@
     pub peers: usize,
     /// Age of the oldest of their last reports, in milliseconds.
     pub oldest_report_ms: u64,
+    /// Mean age of what is known of all hosts' usage, in milliseconds.
+    pub mean_age_ms: u64,
     /// Time since this host started, in milliseconds.
     pub uptime_ms: u64,
 }
@@ -57,6 +60,7 @@
         let recent = reporting.iter().filter(|peer| peer.is_reporting(now));
         let reported = recent.map(|peer| peer.hosts).sum::<usize>() + 1;
         let peers = reporting.len();
+        let mean_age = self.mean_age(UsageScope::Fleet, now);
         let uptime = now.saturating_sub(self.started_at);
         let hosts = self.hosts;
         let accounts = self.accounts.iter_mut();
@@ -66,6 +70,7 @@
             snapshot.reported = reported;
             snapshot.peers = peers;
             snapshot.oldest_report_ms = oldest.as_millis() as u64;
+            snapshot.mean_age_ms = mean_age.as_millis() as u64;
             snapshot.uptime_ms = uptime.as_millis() as u64;
             Some(snapshot)
         });
@@ -97,6 +102,7 @@
             reported: 0,
             peers: 0,
             oldest_report_ms: 0,
+            mean_age_ms: 0,
             uptime_ms: 0,
         })
     }
--- a/src/quota/report_merge.rs
+++ b/src/quota/report_merge.rs
@@ -5,6 +5,7 @@
 use super::QuotaLimiter;
 use super::account_state::PUBLISH_PERIOD;
 use super::demand_tracker::add_demand;
+use super::host_clock::ClockOffset;
 use super::host_clock::HostClock;
 use super::peer_usage::AccountUsage;
 use super::peer_usage::PeerAccount;
@@ -14,7 +15,6 @@
 use super::peer_usage::UsageScope;
 use super::peer_usage::omitted_accounts;
 use super::priority_split::ClassDemand;
-use super::usage_ledger::ReportClock;
 use super::usage_window::UsageBuckets;
 use crate::ids::AccountName;
 use crate::ids::HostName;
@@ -48,9 +48,10 @@
         let same_role = known
             .as_ref()
             .filter(|peer| peer.has_role(report.incarnation, report.scope));
-        let clock = self.update_clock(&report, same_role, now);
+        let time = Duration::from_millis(report.basis.clock_ms);
+        let offset = self.set_clock(report.incarnation, time, now);
         self.merge_former(&report, now);
-        let mut accounts = self.merge_accounts(&mut report, known.as_ref(), clock, now);
+        let mut accounts = self.merge_accounts(&mut report, known.as_ref(), offset, now);
         self.acknowledge_handover(&host, report.scope);
         let omitted = self.carry_omitted(&report, known.as_ref(), &accounts, now);
         accounts.extend(omitted);
@@ -65,6 +66,7 @@
             received_at: now,
             met_at,
             known: Duration::from_millis(u64::from(report.basis.known_ms)),
+            age: Duration::from_millis(u64::from(report.basis.age_ms)),
             departed: false,
             unseen: 1.0,
             accounts,
@@ -82,7 +84,7 @@
         &mut self,
         report: &mut UsageReport,
         known: Option<&PeerUsage>,
-        clock: ReportClock,
+        offset: ClockOffset,
         now: Duration,
     ) -> Vec<PeerAccount> {
         let is_readable = report.basis.bucket_ms == self.bucket_ms();
@@ -92,17 +94,13 @@
         for usage in reported {
             let grouped = self.grouped;
             let state = self.account_mut(&usage.account);
-            let clock = match scope == UsageScope::Fleet && !state.is_served(now) {
-                true => clock.at_own_times(),
-                false => clock,
-            };
             if is_readable {
                 let ledger = &mut state.ledger;
                 let (own, handed_over) = (&usage.pending, &usage.handed_over);
-                ledger.count_member(origin, own, handed_over, clock, grouped, now);
-                ledger.merge_origin(origin, &usage.counted, clock, now);
+                ledger.count_member(origin, own, handed_over, offset, grouped, now);
+                ledger.merge_origin(origin, &usage.counted, offset, now);
                 if scope == UsageScope::Fleet {
-                    ledger.merge_view(origin, &usage.counted, &usage.relayed, clock, now);
+                    ledger.merge_view(origin, &usage.counted, &usage.relayed, offset, now);
                 }
             }
             match scope == UsageScope::Host {
@@ -158,39 +156,22 @@
         carried
     }
 
-    /// Updates what is known of the clock of a reporting host; returns how its report is dated.
-    fn update_clock(
-        &mut self,
-        report: &UsageReport,
-        previous: Option<&PeerUsage>,
-        now: Duration,
-    ) -> ReportClock {
-        let time = Duration::from_millis(report.basis.clock_ms);
-        let (offset, last) = self.set_clock(report.incarnation, time, now);
-        let is_recent = previous.is_some_and(|peer| !peer.is_unresponsive(now));
-        ReportClock {
-            offset,
-            previous: last.filter(|_| is_recent),
-        }
-    }
-
-    /// Records the time on another host's clock; returns the offset and the time recorded before.
+    /// Records the time on another host's clock; returns the offset.
     fn set_clock(
         &mut self,
         incarnation: IncarnationId,
         time: Duration,
         now: Duration,
-    ) -> (i64, Option<Duration>) {
+    ) -> ClockOffset {
         let offset = now.as_nanos() as i64 - time.as_nanos() as i64;
         let held = self.clocks.get(&incarnation).copied();
         let clock = HostClock {
             // The report with the shortest delay is the most exact.
             offset: held.map_or(offset, |held| held.offset.min(offset)),
-            time,
             updated_at: now,
         };
         self.clocks.insert(incarnation, clock);
-        (clock.offset, held.map(|held| held.time))
+        clock.offset
     }
 
     /// Applies what hosts counted before they stopped or left their role.
@@ -202,16 +183,12 @@
             let time = Duration::from_millis(former.clock_ms);
             let offset = match self.clocks.get(&former.origin) {
                 Some(clock) => clock.offset,
-                None => self.set_clock(former.origin, time, now).0,
-            };
-            let clock = ReportClock {
-                offset,
-                previous: None,
+                None => self.set_clock(former.origin, time, now),
             };
             for (account, counted) in &former.accounts {
                 let state = self.account_mut(account);
                 let ledger = &mut state.ledger;
-                ledger.merge_origin(former.origin, counted, clock, now);
+                ledger.merge_origin(former.origin, counted, offset, now);
                 state.relayed_changed_at = Some(now);
             }
         }
--- a/src/quota/usage_ledger.rs
+++ b/src/quota/usage_ledger.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::host_clock::ClockOffset;
+use super::tracked_window::TrackedWindow;
 use super::usage_window::BucketNumber;
 use super::usage_window::UsageBuckets;
 use super::usage_window::UsageWindow;
@@ -10,41 +12,6 @@
 use crate::ids::IncarnationId;
 use crate::sorted::SortedMap;
 
-/// When and how the usage in a report is dated.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ReportClock {
-    /// Local time minus the reporting host's time, in nanoseconds.
-    pub(super) offset: i64,
-    /// Time of the previous report on the reporting host's clock. What was used since then
-    /// counts at the time of the report: at its own time, it would leave the window before as
-    /// recent usage has been reported. `None` dates all usage at its own time.
-    pub(super) previous: Option<Duration>,
-}
-
-impl ReportClock {
-    /// Dates all usage at its own time.
-    pub(super) const fn at_own_times(self) -> Self {
-        Self {
-            previous: None,
-            ..self
-        }
-    }
-
-    /// Returns when usage in a bucket of the reporting host counts here.
-    fn counted_at(self, number: BucketNumber, bucket: Duration, now: Duration) -> Duration {
-        let start = start_of(number, bucket);
-        if self
-            .previous
-            .is_some_and(|previous| start + bucket > previous)
-        {
-            return now;
-        }
-        let middle = start + bucket / 2;
-        let nanos = (middle.as_nanos() as i64).saturating_add(self.offset);
-        Duration::from_nanos(nanos.max(0) as u64).min(now)
-    }
-}
-
 /// What a leader reported about all hosts.
 #[derive(Clone, Debug)]
 struct LeaderView {
@@ -73,16 +40,14 @@
     /// The part of it that this host or a leader counted.
     handed_over: UsageWindow,
     /// What this host was the first to count: its own usage, and that of hosts that report to it.
-    counted: UsageWindow,
+    counted: TrackedWindow,
     /// What other origins counted.
-    relayed: UsageWindow,
+    relayed: TrackedWindow,
     /// What each host that reports here admitted, by its buckets.
     members: SortedMap<IncarnationId, UsageWindow>,
     /// What each other origin counted, by its buckets.
     origins: SortedMap<IncarnationId, UsageWindow>,
     views: SortedMap<IncarnationId, LeaderView>,
-    /// When usage was last added to earlier buckets.
-    backdated_at: Option<Duration>,
 }
 
 impl UsageLedger {
@@ -91,13 +56,12 @@
         Self {
             window,
             own: empty.clone(),
-            handed_over: empty.clone(),
-            counted: empty.clone(),
-            relayed: empty,
+            handed_over: empty,
+            counted: TrackedWindow::new(window),
+            relayed: TrackedWindow::new(window),
             members: SortedMap::new(),
             origins: SortedMap::new(),
             views: SortedMap::new(),
-            backdated_at: None,
         }
     }
 
@@ -107,18 +71,15 @@
         let views = self.views.values().map(|view| &view.window);
         if let Some(view) = views.max_by(|left, right| left.total(now).total_cmp(&right.total(now)))
         {
-            for (number, used) in view.buckets_since(None).iter() {
-                self.relayed.raise(number, used - self.counted.used(number));
+            for (number, used) in view.buckets().iter() {
+                let relayed = used - self.counted.used(number);
+                self.relayed.raise(number, relayed, now);
             }
         }
-        for held in [
-            &mut self.own,
-            &mut self.handed_over,
-            &mut self.counted,
-            &mut self.relayed,
-        ] {
-            *held = held.resized(window, now);
-        }
+        self.own = self.own.resized(window, now);
+        self.handed_over = self.handed_over.resized(window, now);
+        self.counted = self.counted.resized(window, now);
+        self.relayed = self.relayed.resized(window, now);
         self.members = SortedMap::new();
         self.origins = SortedMap::new();
         self.views = SortedMap::new();
@@ -131,7 +92,7 @@
 
     /// Counts the own usage that was not handed over to a leader.
     pub(super) fn count_own(&mut self, now: Duration) {
-        for (number, amount) in self.own.buckets_since(None).iter() {
+        for (number, amount) in self.own.buckets().iter() {
             let added = self.handed_over.raise(number, amount);
             if added > 0.0 {
                 let at = start_of(number, self.own.bucket());
@@ -143,7 +104,7 @@
     /// Returns the own usage that no leader has acknowledged, as the usage of each bucket and the
     /// part of it that was acknowledged.
     pub(super) fn pending(&self) -> (UsageBuckets, UsageBuckets) {
-        let mut own = self.own.buckets_since(None);
+        let mut own = self.own.buckets();
         let is_pending = |(number, used): (BucketNumber, f64)| {
             used - self.handed_over.used(number) > used * f64::from(f32::EPSILON)
         };
@@ -172,24 +133,18 @@
 
     /// Returns what this host was the first to count, since a time or in the whole window.
     pub(super) fn counted_since(&self, since: Option<Duration>) -> UsageBuckets {
-        self.counted.buckets_since(self.reported_since(since))
+        self.counted.changed_since(since)
     }
 
     /// Returns what other origins counted, since a time or in the whole window.
     pub(super) fn relayed_since(&self, since: Option<Duration>) -> UsageBuckets {
-        self.relayed.buckets_since(self.reported_since(since))
-    }
-
-    /// Returns from when on buckets have changed since a report; `None` if any may have.
-    fn reported_since(&self, since: Option<Duration>) -> Option<Duration> {
-        since.filter(|since| self.backdated_at.is_none_or(|at| at < *since))
+        self.relayed.changed_since(since)
     }
 
     /// Returns what another origin counted, in the whole window.
     pub(super) fn origin(&self, origin: IncarnationId) -> UsageBuckets {
         let held = self.origins.get(&origin);
-        held.map(|held| held.buckets_since(None))
-            .unwrap_or_default()
+        held.map(|held| held.buckets()).unwrap_or_default()
     }
 
     /// Counts what a host admitted that reports here, less what others have acknowledged.
@@ -199,7 +154,7 @@
         member: IncarnationId,
         own: &UsageBuckets,
         handed_over: &UsageBuckets,
-        clock: ReportClock,
+        offset: ClockOffset,
         is_first: bool,
         now: Duration,
     ) {
@@ -221,16 +176,9 @@
         for (number, amount) in own.iter() {
             let added = seen.raise(number, amount);
             if added > 0.0 {
-                counted.add_at(added, clock.counted_at(number, bucket, now), now);
+                counted.add_at(added, counted_at(number, bucket, offset, now), now);
             }
         }
-        self.record_report(clock, now);
-    }
-
-    fn record_report(&mut self, clock: ReportClock, now: Duration) {
-        if clock.previous.is_none() {
-            self.backdated_at = Some(now);
-        }
     }
 
     /// Applies what another origin counted.
@@ -238,7 +186,7 @@
         &mut self,
         origin: IncarnationId,
         counted: &UsageBuckets,
-        clock: ReportClock,
+        offset: ClockOffset,
         now: Duration,
     ) {
         if counted.is_empty() {
@@ -252,11 +200,10 @@
         for (number, amount) in counted.iter() {
             let added = seen.raise(number, amount);
             if added > 0.0 {
-                let at = clock.counted_at(number, bucket, now);
+                let at = counted_at(number, bucket, offset, now);
                 self.relayed.add_at(added, at, now);
             }
         }
-        self.record_report(clock, now);
     }
 
     /// Applies what a leader reported about all hosts.
@@ -265,7 +212,7 @@
         leader: IncarnationId,
         counted: &UsageBuckets,
         relayed: &UsageBuckets,
-        clock: ReportClock,
+        offset: ClockOffset,
         now: Duration,
     ) {
         let bucket = self.own.bucket();
@@ -277,7 +224,7 @@
         });
         let mut add = |number, added| {
             if added > 0.0 {
-                let at = clock.counted_at(number, bucket, now);
+                let at = counted_at(number, bucket, offset, now);
                 view.window.add_at(added, at, now);
             }
         };
@@ -329,3 +276,15 @@
         self.views.retain(|_, view| !view.window.is_empty(now));
     }
 }
+
+/// Returns when usage in a bucket of a reporting host counts here.
+fn counted_at(
+    number: BucketNumber,
+    bucket: Duration,
+    offset: ClockOffset,
+    now: Duration,
+) -> Duration {
+    let middle = start_of(number, bucket) + bucket / 2;
+    let nanos = (middle.as_nanos() as ClockOffset).saturating_add(offset);
+    Duration::from_nanos(nanos.max(0) as u64).min(now)
+}
--- a/src/quota/usage_window.rs
+++ b/src/quota/usage_window.rs
@@ -1,5 +1,6 @@
 //! Usage over the last window, by time.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -153,15 +154,21 @@
         sums
     }
 
-    /// Returns the buckets that began after `since` or contain it, down to the oldest with usage;
-    /// all if `since` is `None`.
-    pub(super) fn buckets_since(&self, since: Option<Duration>) -> UsageBuckets {
+    /// Returns the numbers of the buckets, the oldest first.
+    pub(super) fn numbers(&self) -> RangeInclusive<BucketNumber> {
         let oldest = self
             .newest
             .saturating_sub(WINDOW_BUCKETS as BucketNumber - 1);
-        let oldest = since.map_or(oldest, |since| {
-            bucket_number(since, self.bucket).max(oldest)
-        });
+        oldest..=self.newest
+    }
+
+    /// Returns all buckets, down to the oldest with usage.
+    pub(super) fn buckets(&self) -> UsageBuckets {
+        self.buckets_from(*self.numbers().start())
+    }
+
+    /// Returns the buckets from `oldest` on, down to the oldest with usage.
+    pub(super) fn buckets_from(&self, oldest: BucketNumber) -> UsageBuckets {
         let numbers = (oldest..=self.newest).rev();
         let mut used: Vec<f32> = numbers.map(|number| self.used(number) as f32).collect();
         let count = used
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -270,7 +270,7 @@
             UsageScope::Host | UsageScope::Group => limiter.former_usage(&receiver, now),
             UsageScope::Fleet => Vec::new(),
         };
-        let basis = limiter.basis(now);
+        let basis = limiter.basis(scope, now);
         let group = from / GROUP_HOSTS * GROUP_HOSTS..(from / GROUP_HOSTS + 1) * GROUP_HOSTS;
         let reported_at = &self.reported_at;
         let members = group.filter(|host| {
--- a/tests/quota_groups.rs
+++ b/tests/quota_groups.rs
@@ -8,6 +8,7 @@
 use cardamomgw::quota::PriorityClass;
 use cardamomgw::quota::QuotaLimiter;
 use cardamomgw::quota::QuotaRequest;
+use cardamomgw::quota::UsageScope;
 use quota_fleet::BUSY_FLEET;
 use quota_fleet::FleetSettings;
 use quota_fleet::GROUP_HOSTS;
@@ -182,7 +183,7 @@
         },
         cost: 1000.0,
     };
-    let basis = limiter.basis(seconds(105));
+    let basis = limiter.basis(UsageScope::Host, seconds(105));
     limiter.apply_host_usage("e1".into(), 2, basis, Vec::new(), seconds(105));
     for index in 0..200 {
         limiter.try_consume(&account_of(index), request, seconds(110), 0.5);
--- a/tests/quota_limiter.rs
+++ b/tests/quota_limiter.rs
@@ -6,6 +6,7 @@
 use cardamomgw::catalog::ClientAccount;
 use cardamomgw::catalog::TokenRate;
 use cardamomgw::quota::AccountUsage;
+use cardamomgw::quota::ClassDemand;
 use cardamomgw::quota::PriorityClass;
 use cardamomgw::quota::QuotaDecision;
 use cardamomgw::quota::QuotaLimiter;
@@ -13,6 +14,7 @@
 use cardamomgw::quota::QuotaTolerance;
 use cardamomgw::quota::ReportBasis;
 use cardamomgw::quota::UsageBuckets;
+use cardamomgw::quota::UsageScope;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -134,7 +136,7 @@
     fn report(&mut self, from: usize, to: usize, now: Duration) {
         let since = self.reported_at.insert((from, to), now);
         let usage = self.limiters[from].own_usage(&format!("e{to}"), since, now);
-        let basis = self.limiters[from].basis(now);
+        let basis = self.limiters[from].basis(UsageScope::Host, now);
         let incarnation = 1 + from as u64;
         self.limiters[to].apply_host_usage(format!("e{from}"), incarnation, basis, usage, now);
     }
@@ -577,7 +579,6 @@
     fleet.assert_within_limit(&account);
 }
 
-/// Report of a peer without current demand.
 /// Guards against logs from which usage that was lost can't be told from usage that was admitted.
 #[test]
 fn an_account_near_its_quota_is_logged_once_a_second() {
@@ -606,6 +607,32 @@
     assert!(again.is_empty(), "{again:?}");
 }
 
+/// Guards against hosts that take what peers have not reported yet for unused.
+#[test]
+fn usage_since_the_last_reports_counts() {
+    let account = account_with(1000.0, 1000.0);
+    let now = Duration::from_secs(20);
+    let demand = ClassDemand {
+        priority_class: urgent_request(10.0).priority_class,
+        per_second: 4000.0,
+    };
+
+    let available = [0, 1000].map(|age_ms| {
+        let mut limiter = limiter_among(2, Duration::ZERO);
+        let basis = ReportBasis {
+            age_ms,
+            ..basis_at(now)
+        };
+        let mut usage = usage_report(8500.0, Duration::from_secs(15));
+        usage[0].demands.push(demand);
+        limiter.apply_host_usage("e2".into(), 2, basis, usage, now);
+        limiter.try_consume(&account, urgent_request(10.0), now, 0.0);
+        limiter.due_snapshots(now)[0].available
+    });
+
+    assert!(available[1] < available[0] - 400.0, "{available:?}");
+}
+
 /// Returns what a host that started long ago bases a report on.
 fn basis_at(now: Duration) -> ReportBasis {
     ReportBasis {
@@ -613,6 +640,7 @@
         bucket_ms: BUCKET.as_millis() as u32,
         known_ms: WINDOW.as_millis() as u32,
         hosts: 1,
+        age_ms: 0,
     }
 }
 
