Tests of paths wait until hosts use their own paths

By the log of a failed run, the host got the list of targets from its peer 1 ms after its own, and with it the address of the peer's path; its next watch of its store returned 253 ms later, and the test had waited for 200 ms. So four requests went over the peer's path, which was open. The fixture now waits until three watches have returned since the hosts met, so that one that began after it was applied. In a real fleet all hosts have the same addresses.

--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -10,6 +10,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -55,6 +56,8 @@
 const PEER_PORT: u16 = 7600;
 /// Interval at which a host behind paths of its own reads its store.
 const PATH_INTERVAL: Duration = Duration::from_millis(100);
+/// Watches of its store after which a host has applied the first that began after hosts had met.
+const OWN_WATCHES: usize = 3;
 /// Number of hosts from which on a fleet is large, and held while one runs: several at once take so
 /// much time from each other that requests time out.
 const LARGE_FLEET: usize = 16;
@@ -71,6 +74,8 @@
     state: StoreState,
     /// Longest time that a host waits for a change; `None` for as long as it wants.
     max_wait: Option<Duration>,
+    /// Number of watches that have returned.
+    watches: Arc<AtomicUsize>,
 }
 
 /// What a caller received on a connection.
@@ -201,8 +206,17 @@
     /// the list of targets from a peer has the addresses of the peer's paths until it reads its own
     /// store.
     pub(super) fn wait_own_paths(&self) {
-        if self.paths.iter().any(|paths| !paths.is_empty()) {
-            std::thread::sleep(2 * PATH_INTERVAL);
+        if self.paths.iter().all(Vec::is_empty) {
+            return;
+        }
+        let stores = || self.hosts.iter().map(|host| &host.store);
+        let seen: Vec<usize> = stores().map(ManualStore::watches).collect();
+        let started_at = Instant::now();
+        for (store, seen) in stores().zip(seen) {
+            while store.watches() < seen + OWN_WATCHES {
+                assert!(started_at.elapsed() < VIEW_TIMEOUT, "no watch of the store");
+                std::thread::sleep(Duration::from_millis(5));
+            }
         }
     }
 
@@ -257,6 +271,11 @@
 }
 
 impl ManualStore {
+    /// Returns the number of watches that have returned.
+    fn watches(&self) -> usize {
+        self.watches.load(Ordering::Acquire)
+    }
+
     /// Makes the store unavailable.
     pub(super) fn set_unavailable(&self) {
         *self.state.lock().unwrap() = None;
@@ -356,6 +375,7 @@
             loop {
                 let update = self.read()?;
                 if update.revision > after || started_at.elapsed() >= wait {
+                    self.watches.fetch_add(1, Ordering::AcqRel);
                     return Ok(update);
                 }
                 task::sleep(Duration::from_millis(10)).await;
