Quotas: a starting fleet limits only accounts whose demand exceeds the quota

Cause: until reports of all hosts arrive, each host kept to its part of what had accrued, whatever the demand.

--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -293,11 +293,14 @@
 
     /// Returns the part of a window that this host may use of an account before it knows the
     /// demand elsewhere. Until reports of all hosts have arrived, the usage before its start is
-    /// not known either, and no more counts than what has accrued since.
-    fn even_share(&self, usable: f64, rate: QuotaRate, now: Duration) -> f64 {
+    /// not known either. If the demand known so far, scaled to all hosts, exceeds the quota, no
+    /// more counts than what has accrued since.
+    fn even_share(&self, usable: f64, demand: f64, rate: QuotaRate, now: Duration) -> f64 {
         let uptime = now.saturating_sub(self.started_at);
         let is_known = self.covered_at.is_some() || uptime >= REPORT_TIMEOUT || self.hosts <= 1;
-        let amount = match is_known {
+        let known_hosts = self.counted_hosts(now) + 1;
+        let scale = self.hosts.max(known_hosts) as f64 / known_hosts as f64;
+        let amount = match is_known || demand * scale <= rate.per_second {
             true => usable,
             false => usable.min(UNEVEN_FACTOR * rate.per_second * uptime.as_secs_f64()),
         };
@@ -317,11 +320,13 @@
         let unresponsive = self.unresponsive_shares(name, now);
         let gaps = self.usage_gaps(now);
         let usable = rate.burst + rate.per_second * self.tolerance.window.as_secs_f64();
-        let even_share = self.even_share(usable, rate, now);
+        let state = self.accounts.get_mut(name);
+        let demand = state.map_or(0.0, |state| state.known_demand(now));
+        let even_share = self.even_share(usable, demand, rate, now);
         let Some(state) = self.accounts.get_mut(name) else {
             return;
         };
-        let used_per_second = state.known_demand(now).min(rate.per_second);
+        let used_per_second = demand.min(rate.per_second);
         let estimated = |period: Duration| -> f64 {
             let used = unresponsive
                 .iter()
