--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -25,6 +25,12 @@
 /// Fraction by which an account may exceed its quota in a window.
 pub(crate) const OVERAGE: f64 = 0.25;
 pub(crate) const RATE: f64 = 100_000.0;
+/// Time without reports after which members of a group turn to another leader.
+const FAILOVER_TIME: Duration = Duration::from_secs(2);
+/// Time without a heartbeat after which a host counts as dead.
+const DEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Smallest fraction of the hosts with which the fleet keeps its groups.
+const GROUPED_FRACTION: f64 = 0.75;
 
 /// Size of a fleet, its account's quota, and how often its hosts report.
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +76,10 @@
     pub(crate) settings: FleetSettings,
     pub(crate) limiters: Vec<QuotaLimiter>,
     pub(crate) dead: Vec<usize>,
+    /// Hosts that reach no other host, though callers reach them, and since when.
+    cut: Vec<usize>,
+    cut_at: Duration,
+    grouped: bool,
     /// Restarted hosts, the time of their last start, and the number of their starts since.
     restarted: BTreeMap<usize, (Duration, u64)>,
     pub(crate) rng: ChaCha8Rng,
@@ -119,6 +129,9 @@
             settings,
             limiters: (0..settings.hosts).map(limiter).collect(),
             dead: Vec::new(),
+            cut: Vec::new(),
+            cut_at: start,
+            grouped: true,
             restarted: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(11),
             admitted: Vec::new(),
@@ -152,10 +165,45 @@
         self.dead.push(host);
     }
 
-    pub(crate) fn leader_of(&self, group: usize) -> usize {
+    /// Cuts hosts off from all others.
+    pub(crate) fn cut_off(&mut self, hosts: &[usize], now: Duration) {
+        self.cut = hosts.to_vec();
+        self.cut_at = now;
+    }
+
+    /// Connects the hosts that are cut off.
+    pub(crate) fn reconnect(&mut self, now: Duration) {
+        self.cut.clear();
+        self.update_layout(now);
+    }
+
+    /// Tells the hosts which others live, as their members do.
+    fn update_layout(&mut self, now: Duration) {
+        let hosts = self.settings.hosts;
+        let is_noticed = now.saturating_sub(self.cut_at) >= DEAD_TIMEOUT;
+        let missing = match is_noticed {
+            true => self.cut.len(),
+            false => 0,
+        };
+        let live = hosts - missing;
+        self.grouped = live as f64 >= GROUPED_FRACTION * hosts as f64;
+        for host in 0..hosts {
+            let is_alone = is_noticed && self.cut.contains(&host);
+            let (live, grouped) = match is_alone {
+                true => (1, false),
+                false => (live, self.grouped),
+            };
+            let limiter = &mut self.limiters[host];
+            limiter.set_grouped(grouped, now);
+            limiter.set_host_count(live, now);
+        }
+    }
+
+    pub(crate) fn leader_of(&self, group: usize, now: Duration) -> usize {
+        let is_skipped = now.saturating_sub(self.cut_at) >= FAILOVER_TIME;
         let mut hosts = group * GROUP_HOSTS..(group + 1) * GROUP_HOSTS;
         hosts
-            .find(|host| !self.dead.contains(host))
+            .find(|host| !self.dead.contains(host) && !(is_skipped && self.cut.contains(host)))
             .expect("a group has a live host")
     }
 
@@ -215,8 +263,15 @@
     fn exchange_reports(&mut self, now: Duration) {
         let tick = (now.as_millis() / STEP.as_millis()) as usize;
         let settings = self.settings;
+        if !self.cut.is_empty() {
+            self.update_layout(now);
+        }
+        if !self.grouped {
+            self.exchange_all(tick, now);
+            return;
+        }
         for host in 0..settings.hosts {
-            let leader = self.leader_of(host / GROUP_HOSTS);
+            let leader = self.leader_of(host / GROUP_HOSTS, now);
             if host == leader
                 || self.dead.contains(&host)
                 || !(host + tick).is_multiple_of(settings.member_steps)
@@ -229,33 +284,59 @@
         let groups = settings.hosts / GROUP_HOSTS;
         let is_due = |group: &usize| (group + tick).is_multiple_of(settings.leader_steps);
         for group in (0..groups).filter(is_due) {
-            let from = self.leader_of(group);
+            let from = self.leader_of(group, now);
             for other in (0..groups).filter(|other| *other != group) {
-                let to = self.leader_of(other);
+                let to = self.leader_of(other, now);
                 self.send_report(from, to, UsageScope::Group, now);
                 self.send_report(to, from, UsageScope::Group, now);
             }
         }
         if tick.is_multiple_of(50) {
-            let dead: Vec<u32> = self
-                .dead
-                .iter()
-                .map(|host| hash_host(&name_of(*host)))
-                .collect();
-            let time_since_seen = |host: u32| match dead.contains(&host) {
-                true => None,
-                false => Some(Duration::from_millis(500)),
+            self.update_liveness(now);
+        }
+    }
+
+    /// Tells all hosts how many live, and which of them were not seen for long.
+    fn update_liveness(&mut self, now: Duration) {
+        let live = self.settings.hosts - self.dead.len();
+        let hash = |host: &usize| hash_host(&name_of(*host));
+        let dead: Vec<u32> = self.dead.iter().map(hash).collect();
+        let cut: Vec<u32> = self.cut.iter().map(hash).collect();
+        let cut_for = now.saturating_sub(self.cut_at);
+        for (host, limiter) in self.limiters.iter_mut().enumerate() {
+            let is_cut = self.cut.contains(&host);
+            let time_since_seen = |host: u32| match (dead.contains(&host), cut.contains(&host)) {
+                (true, _) => None,
+                (false, false) if !is_cut => Some(Duration::from_millis(500)),
+                _ => Some(cut_for),
             };
-            let live = settings.hosts - self.dead.len();
-            for limiter in &mut self.limiters {
+            if self.cut.is_empty() {
                 limiter.set_host_count(live, now);
-                limiter.remove_expired(now);
-                limiter.set_unseen_hosts(time_since_seen, 1.0, now);
             }
+            limiter.remove_expired(now);
+            limiter.set_unseen_hosts(time_since_seen, 1.0, now);
+        }
+    }
+
+    /// Lets each host whose turn it is exchange reports with all others.
+    fn exchange_all(&mut self, tick: usize, now: Duration) {
+        let settings = self.settings;
+        let is_due = |host: &usize| (host + tick).is_multiple_of(settings.member_steps);
+        for from in (0..settings.hosts).filter(is_due) {
+            for to in (0..settings.hosts).filter(|to| *to != from) {
+                self.send_report(from, to, UsageScope::Host, now);
+                self.send_report(to, from, UsageScope::Host, now);
+            }
+        }
+        if tick.is_multiple_of(50) {
+            self.update_liveness(now);
         }
     }
 
     fn send_report(&mut self, from: usize, to: usize, scope: UsageScope, now: Duration) {
+        if self.cut.contains(&from) || self.cut.contains(&to) {
+            return;
+        }
         let receiver = name_of(to);
         // As in the protocol, a report repeats what the previous one listed, which may be lost.
         let reports = self.reported_at.entry((from, to)).or_default();
--- /dev/null
+++ b/tests/quota_partitions.rs
@@ -0,0 +1,87 @@
+//! Quotas while hosts of a grouped fleet are cut off from the others, in simulated time.
+
+mod quota_fleet;
+
+use std::time::Duration;
+
+use cardamomgw::catalog::TokenRate;
+use quota_fleet::FleetSettings;
+use quota_fleet::GroupFleet;
+use quota_fleet::WINDOW;
+use quota_fleet::window_limit;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Number of cuts, and of hosts that each cuts off.
+const CUTS: usize = 4;
+const CUT_HOSTS: usize = 10;
+/// How long a cut lasts, and the time between two.
+const CUT_TIME: Duration = Duration::from_secs(12);
+const PAUSE: Duration = Duration::from_millis(200);
+const SEEDS: std::ops::Range<u64> = 1..7;
+
+/// A fleet that is too small for groups without the hosts that are cut off.
+const SMALL_FLEET: FleetSettings = FleetSettings {
+    hosts: 30,
+    quota: TokenRate {
+        per_second: 250_000.0,
+        burst: 0.0,
+    },
+    slack: 140_000.0,
+    cost: 2500.0,
+    member_steps: 10,
+    leader_steps: 25,
+};
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Cuts other hosts off from all others each time, while callers send `load` times the quota to
+/// all hosts.
+fn run_cuts_by_turns(load: f64, seed: u64, start: Duration) -> GroupFleet {
+    let mut fleet = GroupFleet::new(SMALL_FLEET, start);
+    fleet.rng = ChaCha8Rng::seed_from_u64(seed);
+    let per_second = load * SMALL_FLEET.quota.per_second;
+    let mut now = start + seconds(10);
+    fleet.run(start, now, per_second);
+    for turn in 0..CUTS {
+        let hosts = (0..CUT_HOSTS).map(|index| (3 * index + turn) % SMALL_FLEET.hosts);
+        fleet.cut_off(&hosts.collect::<Vec<usize>>(), now);
+        fleet.run(now, now + CUT_TIME, per_second);
+        now += CUT_TIME;
+        fleet.reconnect(now);
+        fleet.run(now, now + PAUSE, per_second);
+        now += PAUSE;
+    }
+    fleet
+}
+
+/// Guards against hosts that take the hosts on their side of a cut for the whole fleet.
+#[test]
+fn hosts_cut_off_by_turns_keep_the_quota() {
+    for load in [2.0, 4.0] {
+        for seed in SEEDS {
+            let start = seconds(100);
+
+            let fleet = run_cuts_by_turns(load, seed, start);
+
+            let largest = fleet.largest_window(start + WINDOW);
+            let limit = window_limit(SMALL_FLEET);
+            assert!(
+                largest <= limit,
+                "load {load}, seed {seed}: {largest} of {limit}"
+            );
+        }
+    }
+}
+
+/// Guards against rejections within the quota while hosts are cut off.
+#[test]
+fn an_account_within_its_quota_is_served_while_hosts_are_cut_off() {
+    let fleet = run_cuts_by_turns(0.95, 1, seconds(100));
+
+    let total = fleet.admitted.len() + fleet.rejected;
+    let rejected = fleet.rejected;
+    assert!(rejected * 100 < total, "{rejected} of {total}");
+}
