Quotas: each side of a partition keeps to its part of the quota

Causes, by the simulated fleet's windows and what each host knew (quota-used): - A fleet that leaves its groups as hosts die, and a host that is alone, dropped the reports of former peers, and with them the share that counted as used by silent hosts. Each side then divided the quota among its live hosts. Hosts that fell silent without announcing a shutdown now count among those that divide the quota, 30 s at most. - Each side used the whole burst and surplus. Both are divided now as the rate is. - Shares of silent peers were smoothed from a time when few hosts had reported, so those of both sides did not add up to one. Now the demand of each peer and of this host is smoothed, and the share is its part of the sum. The first reports of a leader give no such share. - Demand kept from former reports outlived them on a host that gets no reports, which then rejected nearly all requests. It holds for 3 s, together with the part it belongs to. - A minority took itself for a covered fleet, and a leader counted all hosts that had ever reported to it.

--- a/src/edge/gossip_merge.rs
+++ b/src/edge/gossip_merge.rs
@@ -86,7 +86,7 @@
         scope,
         hosts: match scope {
             UsageScope::Host => 1,
-            UsageScope::Group => message.heartbeats.len(),
+            UsageScope::Group => usize::from(message.usage_basis.hosts),
             UsageScope::Fleet => usize::from(message.usage_basis.hosts).saturating_sub(1),
         },
         covered: match scope {
--- a/src/quota/account_state.rs
+++ b/src/quota/account_state.rs
@@ -14,9 +14,9 @@
 use super::surge_guard::SurgeGuard;
 use super::usage_ledger::UsageLedger;
 
-/// Weight of a peer's newest report in its smoothed demand share, which covers several
-/// seconds of reports.
-const SHARE_SMOOTHING: f64 = 0.05;
+/// Weight of a peer's newest report in its smoothed demand, which covers several seconds of
+/// reports.
+const DEMAND_SMOOTHING: f64 = 0.05;
 /// Time over which excess usage is compensated. It is short compared to a window, so that
 /// no window is exceeded, and long compared to the delay of peer reports, so that hosts do
 /// not oscillate together.
@@ -57,7 +57,9 @@
     pub(super) overdraft: f64,
     /// What may be used within a window.
     pub(super) usable: f64,
-    /// This host's even share of it.
+    /// Part of the quota that belongs to the responsive hosts, 0 to 1.
+    pub(super) part: f64,
+    /// This host's even share of what may be used.
     pub(super) even_share: f64,
     pub(super) demands: Vec<ClassDemand>,
     /// Admitted fractions, 0 to 1, in the order of `demands`.
@@ -70,6 +72,9 @@
     pub(super) demand: DemandTracker,
     /// Sum of the demand that peers reported, in tokens per second.
     peer_demand: f64,
+    /// Demand on this host, smoothed over as many reports as that of a peer, in tokens per
+    /// second.
+    pub(super) smoothed_demand: Option<f64>,
     /// Demand in reports that others are about to replace.
     pub(super) former_demand: FormerDemand,
     /// Shares of the requests that reach unresponsive hosts, as last reported for the group and
@@ -96,7 +101,8 @@
             ledger: UsageLedger::new(window),
             demand: DemandTracker::new(started_at),
             peer_demand: 0.0,
-            former_demand: FormerDemand::default(),
+            smoothed_demand: None,
+            former_demand: FormerDemand::NONE,
             group_unresponsive_share: 0.0,
             fleet_unresponsive_share: 0.0,
             own_changed_at: None,
@@ -128,39 +134,35 @@
         QuotaDecision::Admitted
     }
 
-    /// Applies the demand that a peer reported; returns the peer's smoothed share of the
-    /// fleet's demand.
+    /// Applies the demand that one of `peers` reported; returns the peer's smoothed demand, in
+    /// tokens per second.
     pub(super) fn update_demand(
         &mut self,
         previous: Option<&PeerAccount>,
         usage: &AccountUsage,
+        peers: usize,
         now: Duration,
     ) -> f64 {
         if let Some(previous) = previous {
             self.subtract_peer_demand(previous);
         }
         self.peer_demand += usage.demand();
-        let share = usage.demand() / self.known_demand(now).max(1.0);
-        match previous {
-            Some(previous) => smooth_share(previous.share, share),
-            None => share,
-        }
+        let own = self.own_demand(now);
+        let step = DEMAND_SMOOTHING / peers.max(1) as f64;
+        self.smoothed_demand = Some(smooth(self.smoothed_demand, own, step));
+        let smoothed = previous.map(|previous| previous.smoothed_demand);
+        smooth(smoothed, usage.demand(), DEMAND_SMOOTHING)
     }
 
-    /// Updates the demand and the share of a peer whose report, `elapsed` after its previous one,
-    /// omits the account.
-    pub(super) fn decay_demand(
-        &mut self,
-        account: &mut PeerAccount,
-        elapsed: Duration,
-        now: Duration,
-    ) {
+    /// Updates the demand of a peer whose report, `elapsed` after its previous one, omits the
+    /// account.
+    pub(super) fn decay_demand(&mut self, account: &mut PeerAccount, elapsed: Duration) {
         self.subtract_peer_demand(account);
         account.decay(elapsed);
         let demand = account.usage.demand();
         self.peer_demand += demand;
-        let share = demand / self.known_demand(now).max(1.0);
-        account.share = smooth_share(account.share, share);
+        let smoothed = Some(account.smoothed_demand);
+        account.smoothed_demand = smooth(smoothed, demand, DEMAND_SMOOTHING);
     }
 
     /// Records that one of `peers` reported, whether or not its report lists the account.
@@ -191,9 +193,13 @@
 
     /// Returns the demand on all hosts as far as known, in tokens per second.
     pub(super) fn known_demand(&mut self, now: Duration) -> f64 {
-        let own = self.demand.demands(now);
-        let own: f64 = own.iter().map(|demand| demand.per_second).sum();
-        own + self.peer_demand.max(self.former_demand.total())
+        self.own_demand(now) + self.peer_demand.max(self.former_demand.total(now))
+    }
+
+    /// Returns the demand on this host, in tokens per second.
+    fn own_demand(&mut self, now: Duration) -> f64 {
+        let demands = self.demand.demands(now);
+        demands.iter().map(|demand| demand.per_second).sum()
     }
 
     /// Returns when the account last changed at the hosts of a scope.
@@ -238,6 +244,6 @@
     surplus / time.as_secs_f64()
 }
 
-fn smooth_share(previous: f64, share: f64) -> f64 {
-    previous + SHARE_SMOOTHING * (share - previous)
+fn smooth(previous: Option<f64>, value: f64, step: f64) -> f64 {
+    previous.map_or(value, |previous| previous + step * (value - previous))
 }
--- a/src/quota/demand_tracker.rs
+++ b/src/quota/demand_tracker.rs
@@ -4,6 +4,7 @@
 
 use super::priority_split::ClassDemand;
 use super::priority_split::PriorityClass;
+use super::quota_limiter::HEARTBEAT_TIMEOUT;
 
 /// Time constant of the decay: a surge shows within a second, and a single large
 /// request does not look like one.
@@ -75,39 +76,67 @@
 
 /// Demand in reports that have been replaced, such as those of a former leader. It holds until
 /// reports have arrived from all hosts over the new one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct FormerDemand {
     /// Sorted by priority class.
     demands: Vec<ClassDemand>,
+    /// Part of the quota that the reporting hosts had, 0 to 1.
+    part: f64,
+    /// When the reports were replaced.
+    kept_at: Duration,
 }
 
 impl FormerDemand {
+    pub(super) const NONE: Self = Self {
+        demands: Vec::new(),
+        part: 1.0,
+        kept_at: Duration::ZERO,
+    };
+
     /// Keeps the demand of reports that will be replaced, unless it is smaller than what is kept.
-    pub(super) fn keep(&mut self, demands: Vec<ClassDemand>) {
-        self.demands = self.larger(demands);
+    /// `part` is the part of the quota that the reporting hosts have, 0 to 1.
+    pub(super) fn keep(&mut self, demands: Vec<ClassDemand>, part: f64, now: Duration) {
+        if sum_of(&demands) >= self.total(now) {
+            *self = Self {
+                demands,
+                part,
+                kept_at: now,
+            };
+        }
     }
 
     /// Forgets it, as all hosts have reported.
     pub(super) fn clear(&mut self) {
-        self.demands.clear();
+        *self = Self::NONE;
     }
 
     /// Returns the sum over all priority classes, in tokens per second.
-    pub(super) fn total(&self) -> f64 {
-        self.demands.iter().map(|demand| demand.per_second).sum()
+    pub(super) fn total(&self, now: Duration) -> f64 {
+        match now.saturating_sub(self.kept_at) < HEARTBEAT_TIMEOUT {
+            true => sum_of(&self.demands),
+            false => 0.0,
+        }
     }
 
-    /// Returns this demand or the reported one, whichever is larger. Few hosts may have reported
-    /// to a new leader yet.
-    pub(super) fn larger(&self, reported: Vec<ClassDemand>) -> Vec<ClassDemand> {
-        let sum: f64 = reported.iter().map(|demand| demand.per_second).sum();
-        match self.total() > sum {
-            true => self.demands.clone(),
-            false => reported,
+    /// Returns this demand and the part of the quota for it if it is larger than the reported
+    /// demand and its part. Few hosts may have reported to a new leader yet.
+    pub(super) fn larger(
+        &self,
+        reported: Vec<ClassDemand>,
+        part: f64,
+        now: Duration,
+    ) -> (Vec<ClassDemand>, f64) {
+        match self.total(now) > sum_of(&reported) {
+            true => (self.demands.clone(), self.part.min(part)),
+            false => (reported, part),
         }
     }
 }
 
+fn sum_of(demands: &[ClassDemand]) -> f64 {
+    demands.iter().map(|demand| demand.per_second).sum()
+}
+
 /// Returns the factor by which a demand without new requests decays within `elapsed`.
 pub(super) fn decay_factor(elapsed: Duration) -> f64 {
     (-elapsed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -14,6 +14,7 @@
 mod report_age;
 mod report_merge;
 mod retry_budget;
+mod silent_hosts;
 mod surge_guard;
 mod tracked_window;
 mod usage_ledger;
--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -19,7 +19,7 @@
 const AGGREGATE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// How long the usage of an unresponsive peer is estimated. A host that is away for longer has
 /// been replaced or serves no callers.
-const ESTIMATE_PERIOD: Duration = Duration::from_secs(30);
+pub(super) const ESTIMATE_PERIOD: Duration = Duration::from_secs(30);
 
 /// Usage of one account in a report.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -108,14 +108,14 @@
     pub unresponsive: UnresponsiveHosts,
 }
 
-/// An account in a peer's last report, with the peer's share of its requests.
+/// An account in a peer's last report.
 #[derive(Clone, Debug)]
 pub(super) struct PeerAccount {
     pub(super) usage: AccountUsage,
     /// When a report last listed the account.
     pub(super) listed_at: Duration,
-    /// Smoothed share of the fleet's demand that arrives at this peer, 0 to 1.
-    pub(super) share: f64,
+    /// Demand at this peer over several seconds, in tokens per second.
+    pub(super) smoothed_demand: f64,
     /// Since when its reports list the account.
     pub(super) listed_since: Duration,
 }
@@ -218,6 +218,12 @@
         !self.departed && now.saturating_sub(self.received_at) < ESTIMATE_PERIOD
     }
 
+    /// Returns whether it knows the demand at its hosts. A new leader has heard of few at first.
+    pub(super) fn knows_demand(&self) -> bool {
+        let reported_for = self.received_at.saturating_sub(self.met_at);
+        self.scope == UsageScope::Host || reported_for >= REPORT_TIMEOUT
+    }
+
     /// Returns the mean age of what is known of its hosts' usage.
     pub(super) fn usage_age(&self, now: Duration) -> Duration {
         self.age + now.saturating_sub(self.received_at)
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -18,6 +18,7 @@
 use super::quota_tolerance::QuotaTolerance;
 use super::quota_tolerance::QuotaTransition;
 use super::report_merge::UsageHandover;
+use super::silent_hosts::SilentHosts;
 use super::usage_totals::UsageTotals;
 use super::usage_window::available;
 use super::usage_window::bucket_length;
@@ -36,7 +37,7 @@
 
 /// Age of a host's last heartbeat above which the host counts as unresponsive. Heartbeat
 /// ages are relayed over two hops, a few per message.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(3000);
+pub(super) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(3000);
 
 /// Fraction of the hosts whose reports cover the fleet; some hosts are always starting.
 const COVERED_FRACTION: f64 = 0.9;
@@ -60,8 +61,10 @@
     tolerance: QuotaTolerance,
     /// When this host started.
     pub(super) started_at: Duration,
-    /// Largest possible number of hosts, including this one.
+    /// Largest possible number of live hosts, including this one.
     pub(super) hosts: usize,
+    /// Hosts that are not live and may be serving callers.
+    pub(super) silent: SilentHosts,
     pub(super) accounts: SortedMap<AccountName, AccountState>,
     pub(super) peers: SortedMap<HostName, PeerUsage>,
     /// Whether hosts report through group leaders.
@@ -89,6 +92,7 @@
             tolerance,
             started_at: now,
             hosts,
+            silent: SilentHosts::NONE,
             accounts: SortedMap::new(),
             peers: SortedMap::new(),
             grouped: false,
@@ -142,6 +146,13 @@
         }
     }
 
+    /// Sets when the hosts were last seen that do not count as live and did not announce a
+    /// shutdown. Their share counts as used for a while, as they may be cut off from this host
+    /// only.
+    pub fn set_silent_hosts(&mut self, last_seen: &[Duration], now: Duration) {
+        self.silent = SilentHosts::since(last_seen, now);
+    }
+
     /// Sets the least number of hosts that a host assumes which has just started.
     pub fn assume_hosts(&mut self, hosts: usize, now: Duration) {
         if now.saturating_sub(self.started_at) < REPORT_TIMEOUT {
@@ -225,7 +236,8 @@
         let reporting = || self.peers.values().filter(|peer| peer.is_reporting(now));
         let known = reporting().map(|peer| peer.known).max();
         let counted = reporting().map(|peer| peer.hosts).sum::<usize>() + 1;
-        if (counted as f64) < COVERED_FRACTION * self.hosts as f64 {
+        let is_minority = 2 * counted < self.sharing_hosts(now);
+        if is_minority || (counted as f64) < COVERED_FRACTION * self.hosts as f64 {
             if !self.was_just_covered(now) {
                 self.forget_former_demand();
             }
@@ -260,6 +272,19 @@
         peers.map(|peer| peer.hosts).sum()
     }
 
+    /// Returns the number of hosts, including this one, among which quotas are divided.
+    pub(super) fn sharing_hosts(&self, now: Duration) -> usize {
+        let known = self.hosts + self.silent.count;
+        known.max(self.counted_hosts(now) + 1)
+    }
+
+    /// Returns the number of hosts that no report of a peer includes, and how many of them are
+    /// silent.
+    pub(super) fn unreported_hosts(&self, now: Duration) -> (usize, usize) {
+        let unreported = self.sharing_hosts(now) - self.counted_hosts(now) - 1;
+        (unreported, self.silent.count.min(unreported))
+    }
+
     /// Returns the length of the buckets in reports, in milliseconds.
     pub(super) fn bucket_ms(&self) -> u32 {
         bucket_length(self.tolerance.window).as_millis() as u32
@@ -270,11 +295,13 @@
         let known = now
             .saturating_sub(self.known_since)
             .min(self.tolerance.window);
+        let peers = self.peers_of(scope).filter(|peer| peer.may_consume(now));
+        let hosts = peers.map(|peer| peer.hosts).sum::<usize>() + 1;
         ReportBasis {
             clock_ms: now.as_millis() as u64,
             bucket_ms: self.bucket_ms(),
             known_ms: known.as_millis() as u32,
-            hosts: (self.counted_hosts(now) + 1).min(usize::from(u16::MAX)) as u16,
+            hosts: hosts.min(usize::from(u16::MAX)) as u16,
             age_ms: self.mean_age(scope, now).as_millis() as u32,
         }
     }
@@ -297,14 +324,14 @@
     /// more counts than what has accrued since.
     fn even_share(&self, usable: f64, demand: f64, rate: QuotaRate, now: Duration) -> f64 {
         let uptime = now.saturating_sub(self.started_at);
-        let is_known = self.covered_at.is_some() || uptime >= REPORT_TIMEOUT || self.hosts <= 1;
-        let known_hosts = self.counted_hosts(now) + 1;
-        let scale = self.hosts.max(known_hosts) as f64 / known_hosts as f64;
+        let hosts = self.sharing_hosts(now) as f64;
+        let is_known = self.covered_at.is_some() || uptime >= REPORT_TIMEOUT || hosts <= 1.0;
+        let scale = hosts / (self.counted_hosts(now) + 1) as f64;
         let amount = match is_known || demand * scale <= rate.per_second {
             true => usable,
             false => usable.min(UNEVEN_FACTOR * rate.per_second * uptime.as_secs_f64()),
         };
-        amount / self.hosts.max(1) as f64
+        amount / hosts
     }
 
     /// Marks a host that announced its shutdown and will use no more quota. Its past usage
@@ -334,32 +361,40 @@
             let unreported = gaps.iter().map(|gap| gap.seconds(period));
             used.sum::<f64>() * rate.per_second + unreported.sum::<f64>() * used_per_second
         };
-        let recent = state.ledger.recent(now);
-        let bucket = bucket_length(self.tolerance.window);
-        let available = available(&recent, bucket, rate, self.known_since, now, estimated);
-        let mut demands = Vec::new();
+        let mut reported = Vec::new();
         for peer in self
             .peers
             .values()
             .filter(|peer| !peer.is_unresponsive(now))
         {
-            let reported = peer.account(name).map(|account| &account.usage.demands);
-            for demand in reported.into_iter().flatten() {
-                add_demand(&mut demands, *demand);
+            let account = peer.account(name).map(|account| &account.usage.demands);
+            for demand in account.into_iter().flatten() {
+                add_demand(&mut reported, *demand);
             }
         }
-        let mut demands = state.former_demand.larger(demands);
+        let lost: f64 = unresponsive.iter().map(|(share, _)| share).sum();
+        let (mut demands, part) = state
+            .former_demand
+            .larger(reported, (1.0 - lost).max(0.0), now);
         for demand in state.demand.demands(now) {
             add_demand(&mut demands, demand);
         }
-        let unresponsive: f64 = unresponsive.iter().map(|(share, _)| share).sum();
-        let responsive = (1.0 - unresponsive).max(0.0);
-        let per_second = rate.per_second * responsive + rate_correction(available, rate);
+        // Each side of a partition may use its part of the burst only.
+        let shared = QuotaRate {
+            burst: rate.burst * part,
+            reserved: rate.reserved * part,
+            ..rate
+        };
+        let recent = state.ledger.recent(now);
+        let bucket = bucket_length(self.tolerance.window);
+        let available = available(&recent, bucket, shared, self.known_since, now, estimated);
+        let per_second = rate.per_second * part + rate_correction(available, shared);
         state.plan = Some(AdmissionPlan {
             created_at: now,
             available,
             overdraft: rate.overdraft,
             usable,
+            part,
             even_share,
             fractions: share_by_priority(per_second, &demands),
             demands,
@@ -367,16 +402,22 @@
     }
 
     /// Returns the shares of an account's requests that reach unresponsive hosts, each with the
-    /// time since their last report. Hosts that never reported count since this host started.
+    /// time since their last report. Hosts that never reported count since this host started,
+    /// and silent ones since they were last seen.
     fn unresponsive_shares(&self, name: &str, now: Duration) -> Vec<(f64, Duration)> {
-        let counted = self.counted_hosts(now);
-        let hosts = self.hosts.max(counted + 1) as f64;
+        let hosts = self.sharing_hosts(now) as f64;
         let mut shares = self.unresponsive_peer_shares(name, hosts, UsageScope::Fleet, now);
-        let unreported = self.hosts.saturating_sub(counted + 1) as f64;
-        let is_blind = counted == 0 && now.saturating_sub(self.started_at) < REPORT_TIMEOUT;
-        if unreported > 0.0 && !is_blind && !self.was_just_covered(now) {
+        let (unreported, silent) = self.unreported_hosts(now);
+        if silent > 0 {
+            let age = now.saturating_sub(self.silent.last_seen);
+            shares.push((silent as f64 / hosts, age));
+        }
+        let others = (unreported - silent) as f64;
+        let is_blind =
+            self.counted_hosts(now) == 0 && now.saturating_sub(self.started_at) < REPORT_TIMEOUT;
+        if others > 0.0 && !is_blind && !self.was_just_covered(now) {
             let since = self.covered_at.unwrap_or(self.started_at);
-            shares.push((unreported / hosts, now.saturating_sub(since)));
+            shares.push((others / hosts, now.saturating_sub(since)));
         }
         shares
     }
@@ -390,12 +431,20 @@
         now: Duration,
     ) -> Vec<(f64, Duration)> {
         let mut shares = Vec::new();
+        let all = self.smoothed_demand(name).max(f64::MIN_POSITIVE);
+        // The demand at hosts that no report includes is taken for the average.
+        let reported = (hosts - self.unreported_hosts(now).0 as f64) / hosts;
         for peer in self.peers_of(scope).filter(|peer| peer.may_consume(now)) {
             let account = peer.account(name);
             if peer.is_unresponsive(now) {
-                let demanded = account.map_or(0.0, |account| account.share);
-                let even = EVEN_FRACTION * peer.hosts as f64 / hosts;
-                let share = (even + (1.0 - EVEN_FRACTION) * demanded) * peer.unseen;
+                let demanded =
+                    account.map_or(0.0, |account| reported * account.smoothed_demand / all);
+                let even_fraction = match peer.knows_demand() {
+                    true => EVEN_FRACTION,
+                    false => 1.0,
+                };
+                let even = even_fraction * peer.hosts as f64 / hosts;
+                let share = (even + (1.0 - even_fraction) * demanded) * peer.unseen;
                 shares.push((share, now.saturating_sub(peer.received_at)));
             } else if peer.unresponsive.hosts > 0 {
                 let demanded = account.map_or(0.0, |account| account.usage.unresponsive_share);
@@ -410,6 +459,16 @@
         shares
     }
 
+    /// Returns an account's demand at this host and its peers over several seconds, in tokens per
+    /// second.
+    fn smoothed_demand(&self, name: &str) -> f64 {
+        let state = self.accounts.get(name);
+        let own = state.and_then(|state| state.smoothed_demand);
+        let peers = self.peers.values().filter_map(|peer| peer.account(name));
+        let reported: f64 = peers.map(|account| account.smoothed_demand).sum();
+        own.unwrap_or_default() + reported
+    }
+
     /// Returns the peers whose usage is included in a report of this scope.
     pub(super) fn peers_of(&self, scope: UsageScope) -> impl Iterator<Item = &PeerUsage> {
         let peers = self.peers.values();
--- a/src/quota/quota_snapshot.rs
+++ b/src/quota/quota_snapshot.rs
@@ -30,8 +30,12 @@
     pub available: f64,
     /// Requested tokens per second on all hosts, as known here.
     pub demand: f64,
+    /// Part of the quota that belongs to the hosts whose reports arrive, 0 to 1.
+    pub part: f64,
     /// Number of hosts among which the quota is divided.
     pub hosts: usize,
+    /// Number of them that fell silent and may still be serving callers.
+    pub silent: usize,
     /// Number of hosts, including this one, that recent reports of peers cover.
     pub reported: usize,
     /// Number of peers that report here.
@@ -62,11 +66,13 @@
         let peers = reporting.len();
         let mean_age = self.mean_age(UsageScope::Fleet, now);
         let uptime = now.saturating_sub(self.started_at);
-        let hosts = self.hosts;
+        let hosts = self.sharing_hosts(now);
+        let silent = self.silent.count;
         let accounts = self.accounts.iter_mut();
         let snapshots = accounts.filter_map(|(account, state)| {
             let mut snapshot = state.snapshot(account, now)?;
             snapshot.hosts = hosts;
+            snapshot.silent = silent;
             snapshot.reported = reported;
             snapshot.peers = peers;
             snapshot.oldest_report_ms = oldest.as_millis() as u64;
@@ -98,7 +104,9 @@
             usable: plan.usable,
             available: plan.available,
             demand,
+            part: plan.part,
             hosts: 0,
+            silent: 0,
             reported: 0,
             peers: 0,
             oldest_report_ms: 0,
--- a/src/quota/report_age.rs
+++ b/src/quota/report_age.rs
@@ -40,8 +40,7 @@
     /// Returns the gaps between the reports of all other hosts and now. Unresponsive hosts are
     /// left out.
     pub(super) fn usage_gaps(&self, now: Duration) -> Vec<UsageGap> {
-        let counted = self.counted_hosts(now);
-        let hosts = self.hosts.max(counted + 1) as f64;
+        let hosts = self.sharing_hosts(now) as f64;
         let peers = self.peers.values().filter(|peer| peer.is_reporting(now));
         let mut gaps: Vec<UsageGap> = peers
             .map(|peer| UsageGap {
@@ -49,12 +48,12 @@
                 age: peer.usage_age(now),
             })
             .collect();
-        let unreported = self.hosts.saturating_sub(counted + 1) as f64;
+        let (unreported, silent) = self.unreported_hosts(now);
         if let Some(since) = self.last_coverage(now)
-            && unreported > 0.0
+            && unreported > silent
         {
             gaps.push(UsageGap {
-                share: unreported / hosts,
+                share: (unreported - silent) as f64 / hosts,
                 age: self.mean_age(UsageScope::Fleet, now) + since,
             });
         }
--- a/src/quota/report_merge.rs
+++ b/src/quota/report_merge.rs
@@ -92,7 +92,7 @@
         let reported = std::mem::take(&mut report.accounts);
         let mut accounts = Vec::with_capacity(reported.len());
         for usage in reported {
-            let grouped = self.grouped;
+            let (grouped, peers) = (self.grouped, self.peers.len() + 1);
             let state = self.account_mut(&usage.account);
             if is_readable {
                 let ledger = &mut state.ledger;
@@ -108,14 +108,14 @@
                 false => state.relayed_changed_at = Some(now),
             }
             let previous = known.and_then(|peer| peer.account(&usage.account));
-            let share = state.update_demand(previous, &usage, now);
+            let smoothed_demand = state.update_demand(previous, &usage, peers, now);
             let listed_since = previous
                 .filter(|_| known.is_some_and(|peer| peer.has_role(origin, scope)))
                 .map(|account| account.listed_since);
             accounts.push(PeerAccount {
                 usage,
                 listed_at: now,
-                share,
+                smoothed_demand,
                 listed_since: listed_since.unwrap_or(now),
             });
         }
@@ -147,7 +147,7 @@
                 || now.saturating_sub(account.listed_at) > PUBLISH_PERIOD;
             if is_due {
                 let elapsed = now.saturating_sub(peer.received_at);
-                state.decay_demand(&mut account, elapsed, now);
+                state.decay_demand(&mut account, elapsed);
             }
             if !account.usage.demands.is_empty() {
                 carried.push(account);
@@ -267,7 +267,8 @@
         }
         for (account, demands) in demands.iter() {
             if let Some(state) = self.accounts.get_mut(account) {
-                state.former_demand.keep(demands.clone());
+                let part = state.plan.as_ref().map_or(1.0, |plan| plan.part);
+                state.former_demand.keep(demands.clone(), part, now);
             }
         }
     }
--- a/src/quota/usage_totals.rs
+++ b/src/quota/usage_totals.rs
@@ -212,7 +212,7 @@
         }
         let unresponsive = self.unresponsive_hosts(scope, now);
         if unresponsive.hosts > 0 {
-            let hosts = self.hosts.max(1) as f64;
+            let hosts = self.sharing_hosts(now) as f64;
             let even = EVEN_FRACTION * f64::from(unresponsive.hosts) / hosts;
             for usage in &mut usages {
                 let shares = self.unresponsive_peer_shares(&usage.account, hosts, scope, now);
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -85,6 +85,7 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) admitted: Vec<(Duration, f64)>,
     pub(crate) rejected: usize,
+    pub(crate) trace: Vec<(Duration, f64, bool, bool)>,
     /// When each host last reported to each other, and the time before.
     reported_at: BTreeMap<(usize, usize), [Option<Duration>; 2]>,
 }
@@ -136,6 +137,7 @@
             rng: ChaCha8Rng::seed_from_u64(11),
             admitted: Vec::new(),
             rejected: 0,
+            trace: Vec::new(),
             reported_at: BTreeMap::new(),
         }
     }
@@ -196,14 +198,16 @@
             let limiter = &mut self.limiters[host];
             limiter.set_grouped(grouped, now);
             limiter.set_host_count(live, now);
+            limiter.set_silent_hosts(&vec![self.cut_at; hosts - live], now);
         }
     }
 
     pub(crate) fn leader_of(&self, group: usize, now: Duration) -> usize {
-        let is_skipped = now.saturating_sub(self.cut_at) >= FAILOVER_TIME;
+        let is_replaced = now.saturating_sub(self.cut_at) >= FAILOVER_TIME;
+        let is_skipped = |host: &usize| is_replaced && self.cut.contains(host);
         let mut hosts = group * GROUP_HOSTS..(group + 1) * GROUP_HOSTS;
         hosts
-            .find(|host| !self.dead.contains(host) && !(is_skipped && self.cut.contains(host)))
+            .find(|host| !self.dead.contains(host) && !is_skipped(host))
             .expect("a group has a live host")
     }
 
@@ -239,8 +243,15 @@
         };
         let spread = self.rng.random::<f64>();
         match self.limiters[host].try_consume(&account, request, now, spread) {
-            QuotaDecision::Admitted => self.admitted.push((now, cost)),
-            QuotaDecision::Rejected => self.rejected += 1,
+            QuotaDecision::Admitted => {
+                self.trace.push((now, cost, self.cut.contains(&host), true));
+                self.admitted.push((now, cost))
+            }
+            QuotaDecision::Rejected => {
+                self.trace
+                    .push((now, cost, self.cut.contains(&host), false));
+                self.rejected += 1
+            }
         }
     }
 
@@ -373,7 +384,8 @@
             scope,
             hosts: match scope {
                 UsageScope::Fleet => usize::from(basis.hosts).saturating_sub(1),
-                UsageScope::Host | UsageScope::Group => covered.len(),
+                UsageScope::Host => 1,
+                UsageScope::Group => usize::from(basis.hosts),
             },
             covered,
             accounts,
