--- a/src/quota/demand_tracker.rs
+++ b/src/quota/demand_tracker.rs
@@ -75,7 +75,7 @@
 }
 
 /// Demand in reports that have been replaced, such as those of a former leader. It holds until
-/// reports have arrived from all hosts over the new one.
+/// reports have arrived from all hosts over the new one, [`HEARTBEAT_TIMEOUT`] at most.
 #[derive(Clone, Debug)]
 pub(super) struct FormerDemand {
     /// Sorted by priority class.
