Quotas: members that report to another leader count once

Cause, by quota-used: while groups form, leaders change, and a leader counted hosts that had reported to it for 30 s more. Now an unresponsive peer counts by those of its hosts that no host has seen, and silent hosts are those beyond the ones that count as unresponsive.

The cases of tests/quota_restarts.rs are unchanged.

--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -218,6 +218,16 @@
         !self.departed && now.saturating_sub(self.received_at) < ESTIMATE_PERIOD
     }
 
+    /// Returns the number of its hosts that may be consuming quota. Those of an unresponsive peer
+    /// that were seen elsewhere report to another leader.
+    pub(super) fn counted_hosts(&self, now: Duration) -> usize {
+        match (self.may_consume(now), self.is_unresponsive(now)) {
+            (false, _) => 0,
+            (true, false) => self.hosts,
+            (true, true) => (self.hosts as f64 * self.unseen).round() as usize,
+        }
+    }
+
     /// Returns whether it knows the demand at its hosts. A new leader has heard of few at first.
     pub(super) fn knows_demand(&self) -> bool {
         let reported_for = self.received_at.saturating_sub(self.met_at);
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -18,6 +18,7 @@
 use super::quota_tolerance::QuotaTolerance;
 use super::quota_tolerance::QuotaTransition;
 use super::report_merge::UsageHandover;
+use super::silent_hosts::MissingHosts;
 use super::silent_hosts::SilentHosts;
 use super::usage_totals::UsageTotals;
 use super::usage_window::available;
@@ -268,8 +269,8 @@
 
     /// Returns the number of other hosts whose usage the reports of peers include.
     pub(super) fn counted_hosts(&self, now: Duration) -> usize {
-        let peers = self.peers.values().filter(|peer| peer.may_consume(now));
-        peers.map(|peer| peer.hosts).sum()
+        let peers = self.peers.values();
+        peers.map(|peer| peer.counted_hosts(now)).sum()
     }
 
     /// Returns the number of hosts, including this one, among which quotas are divided.
@@ -278,11 +279,15 @@
         known.max(self.counted_hosts(now) + 1)
     }
 
-    /// Returns the number of hosts that no report of a peer includes, and how many of them are
-    /// silent.
-    pub(super) fn unreported_hosts(&self, now: Duration) -> (usize, usize) {
+    /// Returns the numbers of hosts that no report of a peer includes.
+    pub(super) fn missing_hosts(&self, now: Duration) -> MissingHosts {
+        let unresponsive = self.unresponsive_hosts(UsageScope::Fleet, now).hosts;
+        let silent = self.silent.count.saturating_sub(usize::from(unresponsive));
         let unreported = self.sharing_hosts(now) - self.counted_hosts(now) - 1;
-        (unreported, self.silent.count.min(unreported))
+        MissingHosts {
+            silent,
+            live: unreported.saturating_sub(silent),
+        }
     }
 
     /// Returns the length of the buckets in reports, in milliseconds.
@@ -295,8 +300,8 @@
         let known = now
             .saturating_sub(self.known_since)
             .min(self.tolerance.window);
-        let peers = self.peers_of(scope).filter(|peer| peer.may_consume(now));
-        let hosts = peers.map(|peer| peer.hosts).sum::<usize>() + 1;
+        let peers = self.peers_of(scope);
+        let hosts = peers.map(|peer| peer.counted_hosts(now)).sum::<usize>() + 1;
         ReportBasis {
             clock_ms: now.as_millis() as u64,
             bucket_ms: self.bucket_ms(),
@@ -407,17 +412,16 @@
     fn unresponsive_shares(&self, name: &str, now: Duration) -> Vec<(f64, Duration)> {
         let hosts = self.sharing_hosts(now) as f64;
         let mut shares = self.unresponsive_peer_shares(name, hosts, UsageScope::Fleet, now);
-        let (unreported, silent) = self.unreported_hosts(now);
-        if silent > 0 {
+        let missing = self.missing_hosts(now);
+        if missing.silent > 0 {
             let age = now.saturating_sub(self.silent.last_seen);
-            shares.push((silent as f64 / hosts, age));
+            shares.push((missing.silent as f64 / hosts, age));
         }
-        let others = (unreported - silent) as f64;
         let is_blind =
             self.counted_hosts(now) == 0 && now.saturating_sub(self.started_at) < REPORT_TIMEOUT;
-        if others > 0.0 && !is_blind && !self.was_just_covered(now) {
+        if missing.live > 0 && !is_blind && !self.was_just_covered(now) {
             let since = self.covered_at.unwrap_or(self.started_at);
-            shares.push((others / hosts, now.saturating_sub(since)));
+            shares.push((missing.live as f64 / hosts, now.saturating_sub(since)));
         }
         shares
     }
@@ -433,7 +437,8 @@
         let mut shares = Vec::new();
         let all = self.smoothed_demand(name).max(f64::MIN_POSITIVE);
         // The demand at hosts that no report includes is taken for the average.
-        let reported = (hosts - self.unreported_hosts(now).0 as f64) / hosts;
+        let missing = self.missing_hosts(now);
+        let reported = 1.0 - (missing.silent + missing.live) as f64 / hosts;
         for peer in self.peers_of(scope).filter(|peer| peer.may_consume(now)) {
             let account = peer.account(name);
             if peer.is_unresponsive(now) {
--- a/src/quota/report_age.rs
+++ b/src/quota/report_age.rs
@@ -48,12 +48,12 @@
                 age: peer.usage_age(now),
             })
             .collect();
-        let (unreported, silent) = self.unreported_hosts(now);
+        let missing = self.missing_hosts(now);
         if let Some(since) = self.last_coverage(now)
-            && unreported > silent
+            && missing.live > 0
         {
             gaps.push(UsageGap {
-                share: (unreported - silent) as f64 / hosts,
+                share: missing.live as f64 / hosts,
                 age: self.mean_age(UsageScope::Fleet, now) + since,
             });
         }
--- a/src/quota/silent_hosts.rs
+++ b/src/quota/silent_hosts.rs
@@ -15,6 +15,13 @@
     pub(super) last_seen: Duration,
 }
 
+/// Numbers of hosts that no report of a peer includes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MissingHosts {
+    pub(super) silent: usize,
+    pub(super) live: usize,
+}
+
 impl SilentHosts {
     pub(super) const NONE: Self = Self {
         count: 0,
--- a/src/quota/usage_totals.rs
+++ b/src/quota/usage_totals.rs
@@ -247,12 +247,12 @@
         usages.collect()
     }
 
-    fn unresponsive_hosts(&self, scope: UsageScope, now: Duration) -> UnresponsiveHosts {
+    pub(super) fn unresponsive_hosts(&self, scope: UsageScope, now: Duration) -> UnresponsiveHosts {
         let mut unresponsive = UnresponsiveHosts::default();
         for peer in self.peers_of(scope).filter(|peer| peer.may_consume(now)) {
             if peer.is_unresponsive(now) {
                 let age = now.saturating_sub(peer.received_at).as_millis() as u32;
-                unresponsive.hosts += (peer.hosts as f64 * peer.unseen).round() as u16;
+                unresponsive.hosts += peer.counted_hosts(now) as u16;
                 unresponsive.age_ms = unresponsive.age_ms.max(age);
             } else {
                 unresponsive.hosts += peer.unresponsive.hosts;
--- a/tests/quota_limiter.rs
+++ b/tests/quota_limiter.rs
@@ -5,6 +5,7 @@
 
 use cardamomgw::catalog::ClientAccount;
 use cardamomgw::catalog::TokenRate;
+use cardamomgw::members::hash_host;
 use cardamomgw::quota::AccountUsage;
 use cardamomgw::quota::ClassDemand;
 use cardamomgw::quota::PriorityClass;
@@ -14,6 +15,7 @@
 use cardamomgw::quota::QuotaTolerance;
 use cardamomgw::quota::ReportBasis;
 use cardamomgw::quota::UsageBuckets;
+use cardamomgw::quota::UsageReport;
 use cardamomgw::quota::UsageScope;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -693,3 +695,29 @@
     let decision = limiter.try_consume(account, urgent_request(10.0), now, 0.0);
     decision == QuotaDecision::Admitted
 }
+
+/// Guards against hosts that count twice once they report to another leader.
+#[test]
+fn a_leader_counts_no_members_that_report_elsewhere() {
+    let mut leader = limiter_among(4, Duration::ZERO);
+    leader.set_grouped(true, Duration::ZERO);
+    let hosts = ["e2", "e3", "e4"];
+    for (index, host) in hosts.iter().enumerate() {
+        let basis = leader.basis(UsageScope::Host, LONG_UPTIME);
+        let report = UsageReport {
+            covered: vec![hash_host(host)],
+            ..UsageReport::of_host(2 + index as u64, basis, Vec::new())
+        };
+        leader.apply_report(host.to_string(), report, LONG_UPTIME);
+    }
+    let now = LONG_UPTIME + millis(4000);
+
+    // One of them was not seen by any host since.
+    let age_of = |host: u32| match host == hash_host("e4") {
+        true => millis(4000),
+        false => millis(500),
+    };
+    leader.set_unseen_hosts(|host| Some(age_of(host)), 0.25, now);
+
+    assert_eq!(leader.basis(UsageScope::Group, now).hosts, 2);
+}
--- a/tests/quota_partitions.rs
+++ b/tests/quota_partitions.rs
@@ -33,20 +33,26 @@
     leader_steps: 25,
 };
 
+/// A fleet that keeps its groups.
+const LARGER_FLEET: FleetSettings = FleetSettings {
+    hosts: 45,
+    ..SMALL_FLEET
+};
+
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
 
 /// Cuts other hosts off from all others each time, while callers send `load` times the quota to
 /// all hosts.
-fn run_cuts_by_turns(load: f64, seed: u64, start: Duration) -> GroupFleet {
-    let mut fleet = GroupFleet::new(SMALL_FLEET, start);
+fn run_cuts_by_turns(settings: FleetSettings, load: f64, seed: u64, start: Duration) -> GroupFleet {
+    let mut fleet = GroupFleet::new(settings, start);
     fleet.rng = ChaCha8Rng::seed_from_u64(seed);
-    let per_second = load * SMALL_FLEET.quota.per_second;
+    let per_second = load * settings.quota.per_second;
     let mut now = start + seconds(10);
     fleet.run(start, now, per_second);
     for turn in 0..CUTS {
-        let hosts = (0..CUT_HOSTS).map(|index| (3 * index + turn) % SMALL_FLEET.hosts);
+        let hosts = (0..CUT_HOSTS).map(|index| (3 * index + turn) % settings.hosts);
         fleet.cut_off(&hosts.collect::<Vec<usize>>(), now);
         fleet.run(now, now + CUT_TIME, per_second);
         now += CUT_TIME;
@@ -60,17 +66,23 @@
 /// Guards against hosts that take the hosts on their side of a cut for the whole fleet.
 #[test]
 fn hosts_cut_off_by_turns_keep_the_quota() {
-    for load in [2.0, 4.0] {
+    for (settings, load) in [
+        (SMALL_FLEET, 2.0),
+        (SMALL_FLEET, 4.0),
+        (LARGER_FLEET, 2.0),
+        (LARGER_FLEET, 4.0),
+    ] {
         for seed in SEEDS {
             let start = seconds(100);
 
-            let fleet = run_cuts_by_turns(load, seed, start);
+            let fleet = run_cuts_by_turns(settings, load, seed, start);
 
             let largest = fleet.largest_window(start + WINDOW);
-            let limit = window_limit(SMALL_FLEET);
+            let limit = window_limit(settings);
             assert!(
                 largest <= limit,
-                "load {load}, seed {seed}: {largest} of {limit}"
+                "{} hosts, load {load}, seed {seed}: {largest} of {limit}",
+                settings.hosts
             );
         }
     }
@@ -79,7 +91,7 @@
 /// Guards against rejections within the quota while hosts are cut off.
 #[test]
 fn an_account_within_its_quota_is_served_while_hosts_are_cut_off() {
-    let fleet = run_cuts_by_turns(0.95, 1, seconds(100));
+    let fleet = run_cuts_by_turns(SMALL_FLEET, 0.95, 1, seconds(100));
 
     let total = fleet.admitted.len() + fleet.rejected;
     let rejected = fleet.rejected;
