--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -199,7 +199,7 @@
             metrics: EdgeMetrics::default(),
             request_metrics,
             quota_limiter: Mutex::new(limiter.with_incarnation(incarnation)),
-            retry_budget: Mutex::new(RetryBudget::new(started)),
+            retry_budget: Mutex::default(),
             view_fetches: AtomicUsize::new(0),
             leaving_since: AtomicU64::new(0),
             is_rejecting: AtomicBool::new(false),
--- a/src/quota/retry_budget.rs
+++ b/src/quota/retry_budget.rs
@@ -8,10 +8,6 @@
 /// Fraction of the limit that is used. The rest covers counting differences at the
 /// boundaries of a window.
 const SAFETY_FACTOR: f64 = 0.75;
-/// Fraction of its part of the slack that a host may use until it has run for a window. Its
-/// predecessor may have used the whole part within the same window; both together keep to the
-/// slack without [`SAFETY_FACTOR`].
-const STARTUP_FRACTION: f64 = 1.0 / SAFETY_FACTOR - 1.0;
 /// Number of buckets per window.
 const WINDOW_BUCKETS: u32 = 10;
 
@@ -39,22 +35,12 @@
 /// retried, and the rest of the fleet gets twice the load while part of it is down. A host
 /// may retry in proportion to the requests it received itself, so the shares of all hosts
 /// add up to the total without coordination; the fixed slack is split evenly.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RetryBudget {
-    /// When this host started.
-    started_at: Duration,
     pools: SortedMap<PoolName, Vec<BucketCount>>,
 }
 
 impl RetryBudget {
-    /// Creates the budget of a host that starts now.
-    pub const fn new(now: Duration) -> Self {
-        Self {
-            started_at: now,
-            pools: SortedMap::new(),
-        }
-    }
-
     /// Records a request to a pool.
     pub fn record_request(&mut self, pool: &str, bounds: RetryBounds, now: Duration) {
         self.bucket(pool, bounds, now).requests += 1;
@@ -74,11 +60,7 @@
         };
         let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = buckets.iter().map(|bucket| bucket.retries).sum();
-        let part = bounds.slack / hosts.max(1) as f64;
-        let slack = match now.saturating_sub(self.started_at) < bounds.window {
-            true => part * STARTUP_FRACTION,
-            false => part,
-        };
+        let slack = bounds.slack / hosts.max(1) as f64;
         let limit = (bounds.ratio * f64::from(requests) + slack) * SAFETY_FACTOR;
         f64::from(retries + 1) <= limit
     }
