Quotas: shares of silent hosts follow a surge before a cut

Cause, by quota-used: the account surged half a second before the cut, so that the smoothed demand of the hosts cut off stayed near zero while that of the others rose; the part of the others was 0.89 where 22 of 34 hosts have 0.65.

Now a peer's share of the demand is smoothed again, as before, and begins at its even share, so that those of both sides still add up while few peers have reported.

--- a/src/quota/account_state.rs
+++ b/src/quota/account_state.rs
@@ -14,9 +14,9 @@
 use super::surge_guard::SurgeGuard;
 use super::usage_ledger::UsageLedger;
 
-/// Weight of a peer's newest report in its smoothed demand, which covers several seconds of
-/// reports.
-const DEMAND_SMOOTHING: f64 = 0.05;
+/// Weight of a peer's newest report in its smoothed demand share, which covers several
+/// seconds of reports.
+const SHARE_SMOOTHING: f64 = 0.05;
 /// Time over which excess usage is compensated. It is short compared to a window, so that
 /// no window is exceeded, and long compared to the delay of peer reports, so that hosts do
 /// not oscillate together.
@@ -72,9 +72,6 @@
     pub(super) demand: DemandTracker,
     /// Sum of the demand that peers reported, in tokens per second.
     peer_demand: f64,
-    /// Demand on this host, smoothed over as many reports as that of a peer, in tokens per
-    /// second.
-    pub(super) smoothed_demand: Option<f64>,
     /// Demand in reports that others are about to replace.
     pub(super) former_demand: FormerDemand,
     /// Shares of the requests that reach unresponsive hosts, as last reported for the group and
@@ -101,7 +98,6 @@
             ledger: UsageLedger::new(window),
             demand: DemandTracker::new(started_at),
             peer_demand: 0.0,
-            smoothed_demand: None,
             former_demand: FormerDemand::NONE,
             group_unresponsive_share: 0.0,
             fleet_unresponsive_share: 0.0,
@@ -134,35 +130,40 @@
         QuotaDecision::Admitted
     }
 
-    /// Applies the demand that one of `peers` reported; returns the peer's smoothed demand, in
-    /// tokens per second.
+    /// Applies the demand that a peer reported; returns the peer's smoothed share of the fleet's
+    /// demand. It begins at `even_share`, as few peers may have reported yet.
     pub(super) fn update_demand(
         &mut self,
         previous: Option<&PeerAccount>,
         usage: &AccountUsage,
-        peers: usize,
+        even_share: f64,
         now: Duration,
     ) -> f64 {
         if let Some(previous) = previous {
             self.subtract_peer_demand(previous);
         }
         self.peer_demand += usage.demand();
-        let own = self.own_demand(now);
-        let step = DEMAND_SMOOTHING / peers.max(1) as f64;
-        self.smoothed_demand = Some(smooth(self.smoothed_demand, own, step));
-        let smoothed = previous.map(|previous| previous.smoothed_demand);
-        smooth(smoothed, usage.demand(), DEMAND_SMOOTHING)
+        let share = usage.demand() / self.known_demand(now).max(1.0);
+        smooth_share(
+            previous.map_or(even_share, |previous| previous.share),
+            share,
+        )
     }
 
-    /// Updates the demand of a peer whose report, `elapsed` after its previous one, omits the
-    /// account.
-    pub(super) fn decay_demand(&mut self, account: &mut PeerAccount, elapsed: Duration) {
+    /// Updates the demand and the share of a peer whose report, `elapsed` after its previous one,
+    /// omits the account.
+    pub(super) fn decay_demand(
+        &mut self,
+        account: &mut PeerAccount,
+        elapsed: Duration,
+        now: Duration,
+    ) {
         self.subtract_peer_demand(account);
         account.decay(elapsed);
         let demand = account.usage.demand();
         self.peer_demand += demand;
-        let smoothed = Some(account.smoothed_demand);
-        account.smoothed_demand = smooth(smoothed, demand, DEMAND_SMOOTHING);
+        let share = demand / self.known_demand(now).max(1.0);
+        account.share = smooth_share(account.share, share);
     }
 
     /// Records that one of `peers` reported, whether or not its report lists the account.
@@ -244,6 +245,6 @@
     surplus / time.as_secs_f64()
 }
 
-fn smooth(previous: Option<f64>, value: f64, step: f64) -> f64 {
-    previous.map_or(value, |previous| previous + step * (value - previous))
+fn smooth_share(previous: f64, share: f64) -> f64 {
+    previous + SHARE_SMOOTHING * (share - previous)
 }
--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -108,14 +108,14 @@
     pub unresponsive: UnresponsiveHosts,
 }
 
-/// An account in a peer's last report.
+/// An account in a peer's last report, with the peer's share of its requests.
 #[derive(Clone, Debug)]
 pub(super) struct PeerAccount {
     pub(super) usage: AccountUsage,
     /// When a report last listed the account.
     pub(super) listed_at: Duration,
-    /// Demand at this peer over several seconds, in tokens per second.
-    pub(super) smoothed_demand: f64,
+    /// Smoothed share of the fleet's demand that arrives at this peer, 0 to 1.
+    pub(super) share: f64,
     /// Since when its reports list the account.
     pub(super) listed_since: Duration,
 }
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -435,15 +435,13 @@
         now: Duration,
     ) -> Vec<(f64, Duration)> {
         let mut shares = Vec::new();
-        let all = self.smoothed_demand(name).max(f64::MIN_POSITIVE);
         // The demand at hosts that no report includes is taken for the average.
         let missing = self.missing_hosts(now);
         let reported = 1.0 - (missing.silent + missing.live) as f64 / hosts;
         for peer in self.peers_of(scope).filter(|peer| peer.may_consume(now)) {
             let account = peer.account(name);
             if peer.is_unresponsive(now) {
-                let demanded =
-                    account.map_or(0.0, |account| reported * account.smoothed_demand / all);
+                let demanded = account.map_or(0.0, |account| reported * account.share);
                 let even_fraction = match peer.knows_demand() {
                     true => EVEN_FRACTION,
                     false => 1.0,
@@ -464,16 +462,6 @@
         shares
     }
 
-    /// Returns an account's demand at this host and its peers over several seconds, in tokens per
-    /// second.
-    fn smoothed_demand(&self, name: &str) -> f64 {
-        let state = self.accounts.get(name);
-        let own = state.and_then(|state| state.smoothed_demand);
-        let peers = self.peers.values().filter_map(|peer| peer.account(name));
-        let reported: f64 = peers.map(|account| account.smoothed_demand).sum();
-        own.unwrap_or_default() + reported
-    }
-
     /// Returns the peers whose usage is included in a report of this scope.
     pub(super) fn peers_of(&self, scope: UsageScope) -> impl Iterator<Item = &PeerUsage> {
         let peers = self.peers.values();
--- a/src/quota/report_merge.rs
+++ b/src/quota/report_merge.rs
@@ -91,8 +91,9 @@
         let (origin, scope) = (report.incarnation, report.scope);
         let reported = std::mem::take(&mut report.accounts);
         let mut accounts = Vec::with_capacity(reported.len());
+        let even_share = report.hosts as f64 / self.sharing_hosts(now).max(report.hosts + 1) as f64;
         for usage in reported {
-            let (grouped, peers) = (self.grouped, self.peers.len() + 1);
+            let grouped = self.grouped;
             let state = self.account_mut(&usage.account);
             if is_readable {
                 let ledger = &mut state.ledger;
@@ -108,14 +109,14 @@
                 false => state.relayed_changed_at = Some(now),
             }
             let previous = known.and_then(|peer| peer.account(&usage.account));
-            let smoothed_demand = state.update_demand(previous, &usage, peers, now);
+            let share = state.update_demand(previous, &usage, even_share, now);
             let listed_since = previous
                 .filter(|_| known.is_some_and(|peer| peer.has_role(origin, scope)))
                 .map(|account| account.listed_since);
             accounts.push(PeerAccount {
                 usage,
                 listed_at: now,
-                smoothed_demand,
+                share,
                 listed_since: listed_since.unwrap_or(now),
             });
         }
@@ -147,7 +148,7 @@
                 || now.saturating_sub(account.listed_at) > PUBLISH_PERIOD;
             if is_due {
                 let elapsed = now.saturating_sub(peer.received_at);
-                state.decay_demand(&mut account, elapsed);
+                state.decay_demand(&mut account, elapsed, now);
             }
             if !account.usage.demands.is_empty() {
                 carried.push(account);
--- a/tests/quota_partitions.rs
+++ b/tests/quota_partitions.rs
@@ -88,6 +88,29 @@
     }
 }
 
+/// Guards against shares of silent hosts that do not follow a surge before a cut.
+#[test]
+fn an_account_that_surges_before_a_cut_keeps_its_quota() {
+    for settings in [SMALL_FLEET, LARGER_FLEET] {
+        for seed in SEEDS {
+            let mut fleet = GroupFleet::new(settings, seconds(100));
+            fleet.rng = ChaCha8Rng::seed_from_u64(seed);
+            fleet.run(seconds(100), seconds(110), 0.0);
+            let per_second = 4.0 * settings.quota.per_second;
+            let cut_at = seconds(111);
+            fleet.run(seconds(110), cut_at, per_second);
+
+            let hosts = (0..CUT_HOSTS).map(|index| 3 * index);
+            fleet.cut_off(&hosts.collect::<Vec<usize>>(), cut_at);
+            fleet.run(cut_at, cut_at + CUT_TIME, per_second);
+
+            let largest = fleet.largest_window(seconds(100));
+            let limit = window_limit(settings);
+            assert!(largest <= limit, "seed {seed}: {largest} of {limit}");
+        }
+    }
+}
+
 /// Guards against rejections within the quota while hosts are cut off.
 #[test]
 fn an_account_within_its_quota_is_served_while_hosts_are_cut_off() {
