--- a/tests/quota_partitions.rs
+++ b/tests/quota_partitions.rs
@@ -83,16 +83,16 @@
     }
 }
 
-/// Guards against shares of silent hosts that do not follow a surge before a cut.
+/// Guards against hosts that take the demand of the others before a surge for what it is now.
 #[test]
 fn an_account_that_surges_before_a_cut_keeps_its_quota() {
     for settings in [SMALL_FLEET, LARGER_FLEET] {
         for seed in SEEDS {
             let mut fleet = GroupFleet::new(settings, seconds(100));
             fleet.rng = ChaCha8Rng::seed_from_u64(seed);
-            fleet.run(seconds(100), seconds(110), 0.0);
-            let per_second = 4.0 * settings.quota.per_second;
-            let cut_at = seconds(111);
+            fleet.run(seconds(100), seconds(110), 0.3 * settings.quota.per_second);
+            let per_second = 6.0 * settings.quota.per_second;
+            let cut_at = seconds(110) + Duration::from_millis(500);
             fleet.run(seconds(110), cut_at, per_second);
 
             let hosts = (0..CUT_HOSTS).map(|index| 3 * index);
