Quotas: the field's terms, and shares of hosts without reports in a module of their own

UsageLedger is UsageCounters; SilentHosts is DeadHosts, as the members call such hosts; the part of the quota is the share, quota_share in the log line quota-used (with dead in place of silent). quota_limiter.rs had outgrown one job: host_shares.rs has the numbers of hosts and the shares of unresponsive ones, which are UsageGaps like those of late reports. The numbers are computed once for the totals of all accounts.

--- a/src/edge/fleet_role.rs
+++ b/src/edge/fleet_role.rs
@@ -140,11 +140,11 @@
     pub(super) fn update_quota_hosts(&self, now: Duration) {
         let role = self.role();
         let hosts = self.least_hosts(role.layout.host_count());
-        let silent = self.members().silent_since(now);
+        let dead = self.members().dead_since(now);
         let mut limiter = self.quota_limiter();
         limiter.set_grouped(role.layout.is_grouped(), now);
         limiter.set_host_count(hosts, now);
-        limiter.set_silent_hosts(&silent, now);
+        limiter.set_dead_hosts(&dead, now);
     }
 
     fn compute_role(&self, current: &FleetRole, now: Duration) -> FleetRole {
--- a/src/edge/view_logger.rs
+++ b/src/edge/view_logger.rs
@@ -16,14 +16,6 @@
 /// Shortest time between two lines about changed shards, whose ranges move in steps.
 const SHARD_LOG_PERIOD: Duration = Duration::from_secs(1);
 
-/// Logs what this host knows of the accounts near their quota.
-fn log_quotas(state: &EdgeState) {
-    let snapshots = state.quota_limiter().due_snapshots(boot_now());
-    for snapshot in snapshots {
-        state.log.write(&DecisionLine::QuotaUsed { snapshot });
-    }
-}
-
 /// The view that was logged last.
 #[derive(Debug, Default)]
 pub(super) struct ViewLogger {
@@ -170,3 +162,11 @@
         .filter(|name| known.binary_search(name).is_err());
     missing.cloned().collect()
 }
+
+/// Logs what this host knows of the accounts near their quota.
+fn log_quotas(state: &EdgeState) {
+    let snapshots = state.quota_limiter().due_snapshots(boot_now());
+    for snapshot in snapshots {
+        state.log.write(&DecisionLine::QuotaUsed { snapshot });
+    }
+}
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -178,7 +178,7 @@
         leaving: Vec<HostName>,
         /// Hosts that are now considered dead.
         dead: Vec<HostName>,
-        /// Number of serving hosts, including this one; quotas are divided among them.
+        /// Number of serving hosts, including this one.
         hosts: usize,
     },
     /// An account is near its quota; once a second, at each host that serves it.
--- a/src/members/member_table.rs
+++ b/src/members/member_table.rs
@@ -204,10 +204,10 @@
 
     /// Returns when the dead hosts were last seen that did not announce a shutdown. They may be
     /// serving callers on the other side of a network partition.
-    pub fn silent_since(&self, now: Duration) -> Vec<Duration> {
+    pub fn dead_since(&self, now: Duration) -> Vec<Duration> {
         let entries = self.entries.values();
-        let silent = entries.filter(|entry| entry.is_dead(now) && !entry.leaving);
-        silent.map(|entry| entry.last_seen).collect()
+        let dead = entries.filter(|entry| entry.is_dead(now) && !entry.leaving);
+        dead.map(|entry| entry.last_seen).collect()
     }
 
     /// Returns whether a host was seen recently and is not leaving.
--- a/src/quota/account_state.rs
+++ b/src/quota/account_state.rs
@@ -12,7 +12,7 @@
 use super::quota_tolerance::QuotaRate;
 use super::quota_tolerance::QuotaTransition;
 use super::surge_guard::SurgeGuard;
-use super::usage_ledger::UsageLedger;
+use super::usage_counters::UsageCounters;
 
 /// Weight of a peer's newest report in its smoothed demand share, which covers several
 /// seconds of reports.
@@ -57,8 +57,8 @@
     pub(super) overdraft: f64,
     /// What may be used within a window.
     pub(super) usable: f64,
-    /// Part of the quota that belongs to the responsive hosts, 0 to 1.
-    pub(super) part: f64,
+    /// Share of the quota that belongs to the responsive hosts, 0 to 1.
+    pub(super) quota_share: f64,
     /// This host's even share of what may be used.
     pub(super) even_share: f64,
     pub(super) demands: Vec<ClassDemand>,
@@ -68,7 +68,7 @@
 
 #[derive(Debug)]
 pub(super) struct AccountState {
-    pub(super) ledger: UsageLedger,
+    pub(super) counters: UsageCounters,
     pub(super) demand: DemandTracker,
     /// Sum of the demand that peers reported, in tokens per second.
     peer_demand: f64,
@@ -95,7 +95,7 @@
 impl AccountState {
     pub(super) fn new(window: Duration, started_at: Duration) -> Self {
         Self {
-            ledger: UsageLedger::new(window),
+            counters: UsageCounters::new(window),
             demand: DemandTracker::new(started_at),
             peer_demand: 0.0,
             former_demand: FormerDemand::NONE,
@@ -126,7 +126,7 @@
             plan.available -= request.cost;
         }
         self.surge_guard.record_admission(request.cost);
-        self.ledger.consume(request.cost, now);
+        self.counters.consume(request.cost, now);
         QuotaDecision::Admitted
     }
 
@@ -188,7 +188,7 @@
 
     /// Returns the usage of all hosts within the last window, as far as known.
     pub(super) fn known_usage(&self, now: Duration) -> f64 {
-        let recent = self.ledger.recent(now);
+        let recent = self.counters.recent(now);
         recent.last().copied().unwrap_or_default()
     }
 
--- a/src/quota/demand_tracker.rs
+++ b/src/quota/demand_tracker.rs
@@ -80,8 +80,8 @@
 pub(super) struct FormerDemand {
     /// Sorted by priority class.
     demands: Vec<ClassDemand>,
-    /// Part of the quota that the reporting hosts had, 0 to 1.
-    part: f64,
+    /// Share of the quota that the reporting hosts had, 0 to 1.
+    quota_share: f64,
     /// When the reports were replaced.
     kept_at: Duration,
 }
@@ -89,17 +89,17 @@
 impl FormerDemand {
     pub(super) const NONE: Self = Self {
         demands: Vec::new(),
-        part: 1.0,
+        quota_share: 1.0,
         kept_at: Duration::ZERO,
     };
 
     /// Keeps the demand of reports that will be replaced, unless it is smaller than what is kept.
-    /// `part` is the part of the quota that the reporting hosts have, 0 to 1.
-    pub(super) fn keep(&mut self, demands: Vec<ClassDemand>, part: f64, now: Duration) {
+    /// `quota_share` is the share of the quota that the reporting hosts have, 0 to 1.
+    pub(super) fn keep(&mut self, demands: Vec<ClassDemand>, quota_share: f64, now: Duration) {
         if sum_of(&demands) >= self.total(now) {
             *self = Self {
                 demands,
-                part,
+                quota_share,
                 kept_at: now,
             };
         }
@@ -118,17 +118,17 @@
         }
     }
 
-    /// Returns this demand and the part of the quota for it if it is larger than the reported
-    /// demand and its part. Few hosts may have reported to a new leader yet.
+    /// Returns this demand and the share of the quota for it if it is larger than the reported
+    /// demand and its share. Few hosts may have reported to a new leader yet.
     pub(super) fn larger(
         &self,
         reported: Vec<ClassDemand>,
-        part: f64,
+        quota_share: f64,
         now: Duration,
     ) -> (Vec<ClassDemand>, f64) {
         match self.total(now) > sum_of(&reported) {
-            true => (self.demands.clone(), self.part.min(part)),
-            false => (reported, part),
+            true => (self.demands.clone(), self.quota_share.min(quota_share)),
+            false => (reported, quota_share),
         }
     }
 }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -6,6 +6,7 @@
 mod account_state;
 mod demand_tracker;
 mod host_clock;
+mod host_shares;
 mod peer_usage;
 mod priority_split;
 mod quota_limiter;
@@ -14,10 +15,9 @@
 mod report_age;
 mod report_merge;
 mod retry_budget;
-mod silent_hosts;
 mod surge_guard;
 mod tracked_window;
-mod usage_ledger;
+mod usage_counters;
 mod usage_totals;
 mod usage_window;
 
--- a/src/quota/quota_limiter.rs
+++ b/src/quota/quota_limiter.rs
@@ -9,6 +9,7 @@
 use super::account_state::rate_correction;
 use super::demand_tracker::add_demand;
 use super::host_clock::HostClock;
+use super::host_shares::DeadHosts;
 use super::peer_usage::PeerUsage;
 use super::peer_usage::REPORT_TIMEOUT;
 use super::peer_usage::ReportBasis;
@@ -18,8 +19,6 @@
 use super::quota_tolerance::QuotaTolerance;
 use super::quota_tolerance::QuotaTransition;
 use super::report_merge::UsageHandover;
-use super::silent_hosts::MissingHosts;
-use super::silent_hosts::SilentHosts;
 use super::usage_totals::UsageTotals;
 use super::usage_window::available;
 use super::usage_window::bucket_length;
@@ -29,10 +28,6 @@
 use crate::ids::IncarnationId;
 use crate::sorted::SortedMap;
 
-/// Fraction of an unresponsive peer's quota share that is an equal split among hosts; the rest
-/// follows the demand it reported before. Callers may move to another host when theirs is cut
-/// off.
-pub(super) const EVEN_FRACTION: f64 = 0.25;
 /// How long the admission plan of an account is used before it is recomputed.
 const PLAN_TTL: Duration = Duration::from_millis(25);
 
@@ -64,8 +59,8 @@
     pub(super) started_at: Duration,
     /// Largest possible number of live hosts, including this one.
     pub(super) hosts: usize,
-    /// Hosts that are not live and may be serving callers.
-    pub(super) silent: SilentHosts,
+    /// Dead hosts that may be serving callers.
+    pub(super) dead: DeadHosts,
     pub(super) accounts: SortedMap<AccountName, AccountState>,
     pub(super) peers: SortedMap<HostName, PeerUsage>,
     /// Whether hosts report through group leaders.
@@ -73,7 +68,7 @@
     /// This host's own incarnation.
     pub(super) incarnation: IncarnationId,
     /// When the reports of peers last covered all hosts.
-    covered_at: Option<Duration>,
+    pub(super) covered_at: Option<Duration>,
     /// Since when the usage of all hosts is known.
     known_since: Duration,
     /// Clocks of the hosts that counted usage.
@@ -93,7 +88,7 @@
             tolerance,
             started_at: now,
             hosts,
-            silent: SilentHosts::NONE,
+            dead: DeadHosts::NONE,
             accounts: SortedMap::new(),
             peers: SortedMap::new(),
             grouped: false,
@@ -121,7 +116,7 @@
         }
         self.tolerance = tolerance;
         for (_, state) in self.accounts.iter_mut() {
-            state.ledger.resize(tolerance.window, now);
+            state.counters.resize(tolerance.window, now);
             state.plan = None;
         }
     }
@@ -147,11 +142,10 @@
         }
     }
 
-    /// Sets when the hosts were last seen that do not count as live and did not announce a
-    /// shutdown. Their share counts as used for a while, as they may be cut off from this host
-    /// only.
-    pub fn set_silent_hosts(&mut self, last_seen: &[Duration], now: Duration) {
-        self.silent = SilentHosts::since(last_seen, now);
+    /// Sets when each dead host was last seen that did not announce a shutdown. Its share counts
+    /// as used for a while, as it may be unreachable from this host only.
+    pub fn set_dead_hosts(&mut self, last_seen: &[Duration], now: Duration) {
+        self.dead = DeadHosts::since(last_seen, now);
     }
 
     /// Sets the least number of hosts that a host assumes which has just started.
@@ -237,7 +231,7 @@
         let reporting = || self.peers.values().filter(|peer| peer.is_reporting(now));
         let known = reporting().map(|peer| peer.known).max();
         let counted = reporting().map(|peer| peer.hosts).sum::<usize>() + 1;
-        let is_minority = 2 * counted < self.sharing_hosts(now);
+        let is_minority = 2 * counted < self.host_counts(now).sharing;
         if is_minority || (counted as f64) < COVERED_FRACTION * self.hosts as f64 {
             if !self.was_just_covered(now) {
                 self.forget_former_demand();
@@ -263,30 +257,7 @@
         let clocks = &self.clocks;
         for (_, state) in self.accounts.iter_mut() {
             let time_of = |host: IncarnationId| clocks.get(&host).map(|clock| clock.now(now));
-            state.ledger.remove_expired(time_of, now);
-        }
-    }
-
-    /// Returns the number of other hosts whose usage the reports of peers include.
-    pub(super) fn counted_hosts(&self, now: Duration) -> usize {
-        let peers = self.peers.values();
-        peers.map(|peer| peer.counted_hosts(now)).sum()
-    }
-
-    /// Returns the number of hosts, including this one, among which quotas are divided.
-    pub(super) fn sharing_hosts(&self, now: Duration) -> usize {
-        let known = self.hosts + self.silent.count;
-        known.max(self.counted_hosts(now) + 1)
-    }
-
-    /// Returns the numbers of hosts that no report of a peer includes.
-    pub(super) fn missing_hosts(&self, now: Duration) -> MissingHosts {
-        let unresponsive = self.unresponsive_hosts(UsageScope::Fleet, now).hosts;
-        let silent = self.silent.count.saturating_sub(usize::from(unresponsive));
-        let unreported = self.sharing_hosts(now) - self.counted_hosts(now) - 1;
-        MissingHosts {
-            silent,
-            live: unreported.saturating_sub(silent),
+            state.counters.remove_expired(time_of, now);
         }
     }
 
@@ -313,7 +284,7 @@
 
     /// Returns whether reports of all hosts arrived recently. Hosts that are missing now may
     /// report over another leader.
-    fn was_just_covered(&self, now: Duration) -> bool {
+    pub(super) fn was_just_covered(&self, now: Duration) -> bool {
         self.last_coverage(now).is_some()
     }
 
@@ -329,7 +300,7 @@
     /// more counts than what has accrued since.
     fn even_share(&self, usable: f64, demand: f64, rate: QuotaRate, now: Duration) -> f64 {
         let uptime = now.saturating_sub(self.started_at);
-        let hosts = self.sharing_hosts(now) as f64;
+        let hosts = self.host_counts(now).sharing as f64;
         let is_known = self.covered_at.is_some() || uptime >= REPORT_TIMEOUT || hosts <= 1.0;
         let scale = hosts / (self.counted_hosts(now) + 1) as f64;
         let amount = match is_known || demand * scale <= rate.per_second {
@@ -349,7 +320,7 @@
 
     /// Computes which fraction of each priority class of an account is admitted.
     fn refresh_plan(&mut self, name: &str, rate: QuotaRate, now: Duration) {
-        let unresponsive = self.unresponsive_shares(name, now);
+        let unresponsive = self.unresponsive_gaps(name, now);
         let gaps = self.usage_gaps(now);
         let usable = rate.burst + rate.per_second * self.tolerance.window.as_secs_f64();
         let state = self.accounts.get_mut(name);
@@ -360,9 +331,7 @@
         };
         let used_per_second = demand.min(rate.per_second);
         let estimated = |period: Duration| -> f64 {
-            let used = unresponsive
-                .iter()
-                .map(|(share, age)| share * period.min(*age).as_secs_f64());
+            let used = unresponsive.iter().map(|gap| gap.seconds(period));
             let unreported = gaps.iter().map(|gap| gap.seconds(period));
             used.sum::<f64>() * rate.per_second + unreported.sum::<f64>() * used_per_second
         };
@@ -377,94 +346,32 @@
                 add_demand(&mut reported, *demand);
             }
         }
-        let lost: f64 = unresponsive.iter().map(|(share, _)| share).sum();
-        let (mut demands, part) = state
-            .former_demand
-            .larger(reported, (1.0 - lost).max(0.0), now);
+        let unresponsive_share: f64 = unresponsive.iter().map(|gap| gap.share).sum();
+        let responsive_share = (1.0 - unresponsive_share).max(0.0);
+        let former_demand = &state.former_demand;
+        let (mut demands, quota_share) = former_demand.larger(reported, responsive_share, now);
         for demand in state.demand.demands(now) {
             add_demand(&mut demands, demand);
         }
-        // Each side of a partition may use its part of the burst only.
+        // Each side of a partition may use its share of the burst only.
         let shared = QuotaRate {
-            burst: rate.burst * part,
-            reserved: rate.reserved * part,
+            burst: rate.burst * quota_share,
+            reserved: rate.reserved * quota_share,
             ..rate
         };
-        let recent = state.ledger.recent(now);
+        let recent = state.counters.recent(now);
         let bucket = bucket_length(self.tolerance.window);
         let available = available(&recent, bucket, shared, self.known_since, now, estimated);
-        let per_second = rate.per_second * part + rate_correction(available, shared);
+        let per_second = rate.per_second * quota_share + rate_correction(available, shared);
         state.plan = Some(AdmissionPlan {
             created_at: now,
             available,
             overdraft: rate.overdraft,
             usable,
-            part,
+            quota_share,
             even_share,
             fractions: share_by_priority(per_second, &demands),
             demands,
         });
     }
-
-    /// Returns the shares of an account's requests that reach unresponsive hosts, each with the
-    /// time since their last report. Hosts that never reported count since this host started,
-    /// and silent ones since they were last seen.
-    fn unresponsive_shares(&self, name: &str, now: Duration) -> Vec<(f64, Duration)> {
-        let hosts = self.sharing_hosts(now) as f64;
-        let mut shares = self.unresponsive_peer_shares(name, hosts, UsageScope::Fleet, now);
-        let missing = self.missing_hosts(now);
-        if missing.silent > 0 {
-            let age = now.saturating_sub(self.silent.last_seen);
-            shares.push((missing.silent as f64 / hosts, age));
-        }
-        let is_blind =
-            self.counted_hosts(now) == 0 && now.saturating_sub(self.started_at) < REPORT_TIMEOUT;
-        if missing.live > 0 && !is_blind && !self.was_just_covered(now) {
-            let since = self.covered_at.unwrap_or(self.started_at);
-            shares.push((missing.live as f64 / hosts, now.saturating_sub(since)));
-        }
-        shares
-    }
-
-    /// Returns the same for the hosts covered by reports of a scope, in a fleet of `hosts`.
-    pub(super) fn unresponsive_peer_shares(
-        &self,
-        name: &str,
-        hosts: f64,
-        scope: UsageScope,
-        now: Duration,
-    ) -> Vec<(f64, Duration)> {
-        let mut shares = Vec::new();
-        // The demand at hosts that no report includes is taken for the average.
-        let missing = self.missing_hosts(now);
-        let reported = 1.0 - (missing.silent + missing.live) as f64 / hosts;
-        for peer in self.peers_of(scope).filter(|peer| peer.may_consume(now)) {
-            let account = peer.account(name);
-            if peer.is_unresponsive(now) {
-                let demanded = account.map_or(0.0, |account| reported * account.share);
-                let even_fraction = match peer.knows_demand() {
-                    true => EVEN_FRACTION,
-                    false => 1.0,
-                };
-                let even = even_fraction * peer.hosts as f64 / hosts;
-                let share = (even + (1.0 - even_fraction) * demanded) * peer.unseen;
-                shares.push((share, now.saturating_sub(peer.received_at)));
-            } else if peer.unresponsive.hosts > 0 {
-                let demanded = account.map_or(0.0, |account| account.usage.unresponsive_share);
-                let share = EVEN_FRACTION * f64::from(peer.unresponsive.hosts) / hosts + demanded;
-                shares.push((
-                    share,
-                    Duration::from_millis(u64::from(peer.unresponsive.age_ms)),
-                ));
-            }
-        }
-        shares.retain(|(share, _)| *share > 0.0);
-        shares
-    }
-
-    /// Returns the peers whose usage is included in a report of this scope.
-    pub(super) fn peers_of(&self, scope: UsageScope) -> impl Iterator<Item = &PeerUsage> {
-        let peers = self.peers.values();
-        peers.filter(move |peer| scope != UsageScope::Group || peer.scope == UsageScope::Host)
-    }
 }
--- a/src/quota/quota_snapshot.rs
+++ b/src/quota/quota_snapshot.rs
@@ -30,12 +30,12 @@
     pub available: f64,
     /// Requested tokens per second on all hosts, as known here.
     pub demand: f64,
-    /// Part of the quota that belongs to the hosts whose reports arrive, 0 to 1.
-    pub part: f64,
+    /// Share of the quota that belongs to the hosts whose reports arrive, 0 to 1.
+    pub quota_share: f64,
     /// Number of hosts among which the quota is divided.
     pub hosts: usize,
-    /// Number of them that fell silent and may still be serving callers.
-    pub silent: usize,
+    /// Number of them that are dead and may still be serving callers.
+    pub dead: usize,
     /// Number of hosts, including this one, that recent reports of peers cover.
     pub reported: usize,
     /// Number of peers that report here.
@@ -66,13 +66,13 @@
         let peers = reporting.len();
         let mean_age = self.mean_age(UsageScope::Fleet, now);
         let uptime = now.saturating_sub(self.started_at);
-        let hosts = self.sharing_hosts(now);
-        let silent = self.silent.count;
+        let hosts = self.host_counts(now).sharing;
+        let dead = self.dead.count;
         let accounts = self.accounts.iter_mut();
         let snapshots = accounts.filter_map(|(account, state)| {
             let mut snapshot = state.snapshot(account, now)?;
             snapshot.hosts = hosts;
-            snapshot.silent = silent;
+            snapshot.dead = dead;
             snapshot.reported = reported;
             snapshot.peers = peers;
             snapshot.oldest_report_ms = oldest.as_millis() as u64;
@@ -99,14 +99,14 @@
         }
         Some(QuotaSnapshot {
             account: account.clone(),
-            admitted: self.ledger.own_total(now),
+            admitted: self.counters.own_total(now),
             known,
             usable: plan.usable,
             available: plan.available,
             demand,
-            part: plan.part,
+            quota_share: plan.quota_share,
             hosts: 0,
-            silent: 0,
+            dead: 0,
             reported: 0,
             peers: 0,
             oldest_report_ms: 0,
--- a/src/quota/report_age.rs
+++ b/src/quota/report_age.rs
@@ -5,10 +5,10 @@
 use super::QuotaLimiter;
 use super::peer_usage::UsageScope;
 
-/// What a part of the hosts may have used since they last reported.
+/// Usage of some hosts since their last report.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UsageGap {
-    /// Part of all hosts, 0 to 1.
+    /// Share of the account's usage that is theirs, 0 to 1.
     pub(super) share: f64,
     /// Age of what is known of their usage.
     pub(super) age: Duration,
@@ -40,7 +40,8 @@
     /// Returns the gaps between the reports of all other hosts and now. Unresponsive hosts are
     /// left out.
     pub(super) fn usage_gaps(&self, now: Duration) -> Vec<UsageGap> {
-        let hosts = self.sharing_hosts(now) as f64;
+        let counts = self.host_counts(now);
+        let hosts = counts.sharing as f64;
         let peers = self.peers.values().filter(|peer| peer.is_reporting(now));
         let mut gaps: Vec<UsageGap> = peers
             .map(|peer| UsageGap {
@@ -48,12 +49,11 @@
                 age: peer.usage_age(now),
             })
             .collect();
-        let missing = self.missing_hosts(now);
         if let Some(since) = self.last_coverage(now)
-            && missing.live > 0
+            && counts.unreported > 0
         {
             gaps.push(UsageGap {
-                share: missing.live as f64 / hosts,
+                share: counts.unreported as f64 / hosts,
                 age: self.mean_age(UsageScope::Fleet, now) + since,
             });
         }
--- a/src/quota/report_merge.rs
+++ b/src/quota/report_merge.rs
@@ -91,17 +91,18 @@
         let (origin, scope) = (report.incarnation, report.scope);
         let reported = std::mem::take(&mut report.accounts);
         let mut accounts = Vec::with_capacity(reported.len());
-        let even_share = report.hosts as f64 / self.sharing_hosts(now).max(report.hosts + 1) as f64;
+        let sharing = self.host_counts(now).sharing.max(report.hosts + 1);
+        let even_share = report.hosts as f64 / sharing as f64;
         for usage in reported {
             let grouped = self.grouped;
             let state = self.account_mut(&usage.account);
             if is_readable {
-                let ledger = &mut state.ledger;
+                let counters = &mut state.counters;
                 let (own, handed_over) = (&usage.pending, &usage.handed_over);
-                ledger.count_member(origin, own, handed_over, offset, grouped, now);
-                ledger.merge_origin(origin, &usage.counted, offset, now);
+                counters.count_member(origin, own, handed_over, offset, grouped, now);
+                counters.merge_origin(origin, &usage.counted, offset, now);
                 if scope == UsageScope::Fleet {
-                    ledger.merge_view(origin, &usage.counted, &usage.relayed, offset, now);
+                    counters.merge_view(origin, &usage.counted, &usage.relayed, offset, now);
                 }
             }
             match scope == UsageScope::Host {
@@ -188,8 +189,8 @@
             };
             for (account, counted) in &former.accounts {
                 let state = self.account_mut(account);
-                let ledger = &mut state.ledger;
-                ledger.merge_origin(former.origin, counted, offset, now);
+                let counters = &mut state.counters;
+                counters.merge_origin(former.origin, counted, offset, now);
                 state.relayed_changed_at = Some(now);
             }
         }
@@ -205,7 +206,7 @@
         }
         for (account, sent) in &handover.accounts {
             if let Some(state) = self.accounts.get_mut(account) {
-                state.ledger.acknowledge(sent);
+                state.counters.acknowledge(sent);
             }
         }
         self.handover = None;
@@ -268,8 +269,8 @@
         }
         for (account, demands) in demands.iter() {
             if let Some(state) = self.accounts.get_mut(account) {
-                let part = state.plan.as_ref().map_or(1.0, |plan| plan.part);
-                state.former_demand.keep(demands.clone(), part, now);
+                let quota_share = state.plan.as_ref().map_or(1.0, |plan| plan.quota_share);
+                state.former_demand.keep(demands.clone(), quota_share, now);
             }
         }
     }
--- a/src/quota/usage_ledger.rs
+++ b/src/quota/usage_counters.rs
@@ -25,15 +25,15 @@
 
 /// Usage of one account by all hosts, as known to one host.
 ///
-/// Each request belongs to the ledger of one origin: of the host that admitted it, or of the
-/// leader that was the first to be told. A host hands its usage over until a leader has
+/// Each request is counted by one origin: the host that admitted it, or the first leader that
+/// received it. A host hands its usage over until a leader has
 /// acknowledged it. Reports give the usage of an origin by bucket, so they may be repeated, late,
 /// lost or relayed after the origin stopped, and each request still counts once.
 ///
-/// A leader's report on all hosts is a view of its own. Each view and the local ledger may lack
+/// A leader's report on all hosts is a view of its own. Each view and the local counters may lack
 /// some usage, but none contains a request twice, so the largest is the closest.
 #[derive(Clone, Debug)]
-pub(super) struct UsageLedger {
+pub(super) struct UsageCounters {
     window: Duration,
     /// What this host admitted.
     own: UsageWindow,
@@ -50,7 +50,7 @@
     views: SortedMap<IncarnationId, LeaderView>,
 }
 
-impl UsageLedger {
+impl UsageCounters {
     pub(super) fn new(window: Duration) -> Self {
         let empty = UsageWindow::new(window);
         Self {
--- a/src/quota/usage_totals.rs
+++ b/src/quota/usage_totals.rs
@@ -6,12 +6,12 @@
 use super::account_state::AccountState;
 use super::demand_tracker::add_demand;
 use super::demand_tracker::subtract_demand;
+use super::host_shares::EVEN_FRACTION;
 use super::peer_usage::AccountUsage;
 use super::peer_usage::FormerUsage;
 use super::peer_usage::PeerUsage;
 use super::peer_usage::UnresponsiveHosts;
 use super::peer_usage::UsageScope;
-use super::quota_limiter::EVEN_FRACTION;
 use super::report_merge::UsageHandover;
 use crate::ids::AccountName;
 use crate::ids::IncarnationId;
@@ -91,8 +91,8 @@
             if !is_after(total.changed_at, since) {
                 continue;
             }
-            state.ledger.count_own(now);
-            total.usage.counted = state.ledger.counted_since(margin_before(since));
+            state.counters.count_own(now);
+            total.usage.counted = state.counters.counted_since(margin_before(since));
             reported.push(total.usage);
         }
         reported.retain(AccountUsage::is_used);
@@ -122,14 +122,14 @@
             let Some(state) = self.accounts.get_mut(&total.usage.account) else {
                 continue;
             };
-            state.ledger.count_own(now);
+            state.counters.count_own(now);
             // Reports leave out most changes of accounts that the receiver did not serve.
             let is_complete =
                 served.is_some_and(|account| has_passed(account.listed_since, INTRODUCTION, now));
             let since = margin_before(since).filter(|_| is_complete);
             let usage = &mut total.usage;
-            usage.counted = state.ledger.counted_since(since);
-            usage.relayed = state.ledger.relayed_since(since);
+            usage.counted = state.counters.counted_since(since);
+            usage.relayed = state.counters.relayed_since(since);
             let own = account.map_or(&[][..], |account| &account.usage.demands);
             for demand in own {
                 subtract_demand(&mut usage.demands, *demand);
@@ -157,7 +157,7 @@
         let former = former.map(|(origin, clock)| {
             let accounts = self.accounts.iter();
             let counted =
-                accounts.map(|(account, state)| (account.clone(), state.ledger.origin(*origin)));
+                accounts.map(|(account, state)| (account.clone(), state.counters.origin(*origin)));
             FormerUsage {
                 origin: *origin,
                 clock_ms: clock.now(now).as_millis() as u64,
@@ -212,11 +212,11 @@
         }
         let unresponsive = self.unresponsive_hosts(scope, now);
         if unresponsive.hosts > 0 {
-            let hosts = self.sharing_hosts(now) as f64;
-            let even = EVEN_FRACTION * f64::from(unresponsive.hosts) / hosts;
+            let counts = self.host_counts(now);
+            let even = EVEN_FRACTION * f64::from(unresponsive.hosts) / counts.sharing as f64;
             for usage in &mut usages {
-                let shares = self.unresponsive_peer_shares(&usage.account, hosts, scope, now);
-                let all: f64 = shares.iter().map(|(share, _)| share).sum();
+                let gaps = self.unresponsive_peer_gaps(&usage.account, counts, scope, now);
+                let all: f64 = gaps.iter().map(|gap| gap.share).sum();
                 usage.unresponsive_share = (all - even).max(0.0);
             }
         }
@@ -275,13 +275,13 @@
     ) -> AccountUsage {
         let mut usage = AccountUsage::of_account(account);
         if grouped {
-            (usage.pending, usage.handed_over) = self.ledger.pending();
+            (usage.pending, usage.handed_over) = self.counters.pending();
         }
         if is_changed && !grouped {
-            self.ledger.count_own(now);
+            self.counters.count_own(now);
         }
         if is_changed || !usage.pending.is_empty() {
-            usage.counted = self.ledger.counted_since(margin_before(since));
+            usage.counted = self.counters.counted_since(margin_before(since));
             usage.demands = self.demand.demands(now);
         }
         usage
--- a/tests/members_table.rs
+++ b/tests/members_table.rs
@@ -57,7 +57,7 @@
 
 /// Guards against quotas that are divided among the hosts on one side of a partition only.
 #[test]
-fn dead_hosts_that_announced_no_shutdown_are_silent() {
+fn hosts_that_announced_a_shutdown_do_not_count_as_dead() {
     let mut table = MemberTable::new("e1".into());
     table.apply_record(&record("e2", 1, 0), seconds(100));
     table.apply_record(&record("e4", 1, 0), seconds(108));
@@ -67,9 +67,9 @@
     };
     table.apply_record(&leaving, seconds(100));
 
-    let silent = table.silent_since(seconds(110));
+    let dead = table.dead_since(seconds(110));
 
-    assert_eq!(silent, [seconds(100)]);
+    assert_eq!(dead, [seconds(100)]);
 }
 
 /// Guards against a dead host that stays alive because two hosts keep relaying its record to
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -198,7 +198,7 @@
             let limiter = &mut self.limiters[host];
             limiter.set_grouped(grouped, now);
             limiter.set_host_count(live, now);
-            limiter.set_silent_hosts(&vec![self.cut_at; hosts - live], now);
+            limiter.set_dead_hosts(&vec![self.cut_at; hosts - live], now);
         }
     }
 
