--- a/src/quota/peer_usage.rs
+++ b/src/quota/peer_usage.rs
@@ -228,7 +228,8 @@
         }
     }
 
-    /// Returns whether it knows the demand at its hosts. A new leader has heard of few at first.
+    /// Returns whether it knows the demand at its hosts. A new leader has received few
+    /// reports.
     pub(super) fn knows_demand(&self) -> bool {
         let reported_for = self.received_at.saturating_sub(self.met_at);
         self.scope == UsageScope::Host || reported_for >= REPORT_TIMEOUT
--- a/src/quota/usage_counters.rs
+++ b/src/quota/usage_counters.rs
@@ -26,9 +26,9 @@
 /// Usage of one account by all hosts, as known to one host.
 ///
 /// Each request is counted by one origin: the host that admitted it, or the first leader that
-/// received it. A host hands its usage over until a leader has
-/// acknowledged it. Reports give the usage of an origin by bucket, so they may be repeated, late,
-/// lost or relayed after the origin stopped, and each request still counts once.
+/// received it. A host reports its usage until a leader has acknowledged it. Reports give the usage
+/// of an origin by bucket, so they may be repeated, late, lost or relayed after the origin stopped,
+/// and each request still counts once.
 ///
 /// A leader's report on all hosts is a view of its own. Each view and the local counters may lack
 /// some usage, but none contains a request twice, so the largest is the closest.
