--- a/src/edge/tests/stream_versions.rs
+++ b/src/edge/tests/stream_versions.rs
@@ -54,6 +54,12 @@
     request_for("/resume/x", id).replace("X-Left-Ms", &resumes)
 }
 
+/// Returns a request for the rest of a stream by a caller that has just begun to wait, so that the
+/// stream can't be older than a second.
+fn young_resume_request(id: &str, began_as: &str) -> String {
+    resume_request(id, began_as).replace("X-Left-Ms: 2000", "X-Left-Ms: 30000")
+}
+
 /// Returns the index of the only target that received a request.
 fn target_of(targets: &[RawTarget], id: &str) -> Option<usize> {
     let has_received = |target: &RawTarget| {
@@ -196,6 +202,59 @@
     assert_eq!(target_of(&targets, "second"), None);
 }
 
+/// Guards against a restarted fleet that takes the version that it finds for the only one there was.
+#[test]
+fn a_restarted_fleet_does_not_resume_streams_of_a_version_that_has_left() {
+    let former_targets = targets_of(2, serve_stream);
+    let former_fleet = FleetFixture::open(&former_targets, &["za", "za"]);
+    for host in &former_fleet.hosts {
+        host.store.set_versions(2, &["v1", "v1"]);
+    }
+    wait_revision(&former_fleet, 2);
+    begin_streams(&former_fleet.hosts[0], "first");
+    drop(former_fleet);
+    let targets = targets_of(2, serve_stream);
+    let fleet = FleetFixture::open(&targets, &["za", "za"]);
+
+    let mut joined = Vec::new();
+    for wait_ms in [0, 1500, 3000] {
+        thread::sleep(Duration::from_millis(wait_ms));
+        for number in 0..STREAMS {
+            let id = format!("second{wait_ms}-{number}");
+            let request = resume_request(&id, &format!("first{number}"));
+            let answer = fleet.hosts[number % 2].call(&request);
+            if status_of(&answer) != 503 {
+                joined.push((wait_ms, number, status_of(&answer)));
+            }
+        }
+    }
+
+    assert_eq!(joined, []);
+}
+
+/// Guards against hosts that take an old view of the targets for the present one, or a peer's.
+#[test]
+fn hosts_cut_off_from_the_store_do_not_vouch_for_the_only_version() {
+    let targets = targets_of(4, serve_stream);
+    let fleet = FleetFixture::open(&targets, &["za", "za"]);
+    thread::sleep(Duration::from_millis(2500));
+    let before = fleet.hosts[0].call(&young_resume_request("control", "unknown"));
+    for host in &fleet.hosts {
+        host.store.set_unavailable();
+    }
+
+    let mut statuses = Vec::new();
+    for wait_ms in [300, 1200, 3000] {
+        thread::sleep(Duration::from_millis(wait_ms));
+        let id = format!("second{wait_ms}");
+        let answer = fleet.hosts[0].call(&young_resume_request(&id, "unknown"));
+        statuses.push(status_of(&answer));
+    }
+
+    assert_eq!(status_of(&before), 200, "{before}");
+    assert_eq!(statuses, [503, 503, 503]);
+}
+
 /// Guards against refusals of streams that can only have begun at the version in use.
 #[test]
 fn a_stream_of_unknown_version_goes_on_where_there_was_one_only() {
