Read the last part of a request's prompt

It belongs to the request itself, so a target that keeps it has run the request. Ids are kept as targets list them: in lower case, without leading zeros.

--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -20,6 +20,7 @@
 use crate::poison::RequestFingerprint;
 use crate::poison::SharedParts;
 use crate::poison::fingerprint_request;
+use crate::poison::last_part;
 
 /// Delay after which a caller may try another host, when this one's view is out of date.
 const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
@@ -84,6 +85,8 @@
     pub(crate) fingerprint: RequestFingerprint,
     /// The parts of its prompt that other requests may share.
     pub(crate) shared_parts: SharedParts,
+    /// Id of the last part of its prompt, which belongs to the request itself.
+    pub(crate) last_part: Option<String>,
 }
 
 impl RoutedRequest {
@@ -176,7 +179,12 @@
     let authorization = request.message.headers.all("authorization").next();
     let credentials = authorization.map(<[u8]>::to_vec);
     let pool = drawn.unwrap_or_else(|| route.pool_for(rand::random()).clone());
-    let shared_parts = shared_parts(state, &request, &pool, account_name);
+    let prompt_parts = prompt_parts(state, &request);
+    let shared_parts = match prompt_parts.is_empty() {
+        true => SharedParts::default(),
+        false => SharedParts::parse(&prompt_parts, &pool, account_name),
+    };
+    let last_part = last_part(&prompt_parts);
     prepare_headers(state, &mut request, account_name);
     let account_tier = account.as_ref().and_then(|account| account.tier);
     let priority = RequestPriority {
@@ -214,6 +222,7 @@
         usage,
         fingerprint,
         shared_parts,
+        last_part,
         request,
         catalog: Arc::clone(&catalog),
     })
@@ -312,14 +321,9 @@
     })
 }
 
-/// Returns the parts of the prompt that other requests may share. A list that is spread over several
+/// Returns the parts of the prompt as comma-separated entries. A list that is spread over several
 /// lines is read as one (RFC 9110 section 5.3).
-fn shared_parts(
-    state: &EdgeState,
-    request: &CallerRequest,
-    pool: &str,
-    account: &str,
-) -> SharedParts {
+fn prompt_parts(state: &EdgeState, request: &CallerRequest) -> String {
     let lines = request
         .message
         .headers
@@ -327,10 +331,7 @@
     let lines: Vec<&str> = lines
         .filter_map(|line| std::str::from_utf8(line).ok())
         .collect();
-    match lines.is_empty() {
-        true => SharedParts::default(),
-        false => SharedParts::parse(&lines.join(","), pool, account),
-    }
+    lines.join(",")
 }
 
 /// Removes the headers that the target must not see and adds the account's name.
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -32,3 +32,5 @@
 pub use prompt_part::PartKey;
 pub use prompt_part::PromptPart;
 pub use prompt_part::SharedParts;
+pub use prompt_part::canonical_part;
+pub use prompt_part::last_part;
--- a/src/poison/prompt_part.rs
+++ b/src/poison/prompt_part.rs
@@ -41,10 +41,8 @@
         let mut parts: Vec<PromptPart> = Vec::new();
         let mut keys: Vec<PartKey> = Vec::new();
         for entry in entries {
-            let id = entry.split(':').next().unwrap_or_default().trim();
-            let is_valid = (1..=MAX_ID_BYTES).contains(&id.len())
-                && id.bytes().all(|byte| byte.is_ascii_hexdigit());
-            if !is_valid {
+            let id = entry_id(entry);
+            if !is_valid_id(id) {
                 continue;
             }
             let id = id.to_ascii_lowercase();
@@ -74,6 +72,35 @@
     }
 }
 
+/// Returns the id of the last of comma-separated `ID:TOKENS` entries in its canonical form. That
+/// part belongs to the request itself or to its session.
+pub fn last_part(list: &str) -> Option<String> {
+    list.rsplit(',')
+        .next()
+        .and_then(|entry| canonical_part(entry_id(entry)))
+}
+
+/// Returns an id in lower case without leading zeros, as targets write it; `None` if it is not
+/// hexadecimal.
+pub fn canonical_part(id: &str) -> Option<String> {
+    if !is_valid_id(id) {
+        return None;
+    }
+    let digits = id.trim_start_matches('0');
+    Some(match digits.is_empty() {
+        true => "0".to_owned(),
+        false => digits.to_ascii_lowercase(),
+    })
+}
+
+fn entry_id(entry: &str) -> &str {
+    entry.split(':').next().unwrap_or_default().trim()
+}
+
+fn is_valid_id(id: &str) -> bool {
+    (1..=MAX_ID_BYTES).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 fn part_key(pool: &str, id: &str) -> PartKey {
     let mut hasher = Xxh3::new();
     hasher.update(&(pool.len() as u64).to_le_bytes());
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -1,6 +1,8 @@
 //! Lists of prompt parts as callers send them.
 
 use cardamomgw::poison::SharedParts;
+use cardamomgw::poison::canonical_part;
+use cardamomgw::poison::last_part;
 
 fn ids(list: &str) -> Vec<String> {
     SharedParts::parse(list, "engines", "harbour").ids()
@@ -34,3 +36,18 @@
     assert_eq!(key("engines"), key("engines"));
     assert_ne!(key("engines"), key("others"));
 }
+
+/// Guards against a request whose own part is not recognized in the list of a target, which writes
+/// ids in another form.
+#[test]
+fn the_last_part_is_read_as_targets_write_it() {
+    let last = |list: &str| last_part(list).unwrap_or_default();
+
+    assert_eq!(last("5c1e07a2:800,91bd3f06:410,00E4402b7d:250"), "e4402b7d");
+    assert_eq!(last(" 0ab "), "ab");
+    assert_eq!(last("ab:1,000:2"), "0");
+    for malformed in ["", "ab:1,", "ab:1,no-hex:2", "ab:1,:2", &"a".repeat(65)] {
+        assert_eq!(last_part(malformed), None, "{malformed}");
+    }
+    assert_eq!(canonical_part("+ab"), None);
+}
