Find the targets that hold a part of a prompt

After a restart of all hosts no host remembers which software version began a stream, so requests for its rest are refused while a pool has two versions. A target that keeps the last part of a request's prompt has run the request.

find_holders lists the parts of all targets of a pool, draining ones included. A list counts only if its call began after the search did; each target is called at most every 100 ms, and searches that wait for the same call share it. A list that can't be read, or that states another start time than the registration, is no answer.

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -22,6 +22,7 @@
 use super::header_names::HeaderNames;
 use super::operator_endpoints::serve_metrics;
 use super::operator_endpoints::serve_readiness;
+use super::part_list::PartListFormat;
 use super::settings_controller::follow_settings;
 use super::shutdown_controller::shut_down;
 use super::slot_report_exchange::run_slot_reports;
@@ -53,6 +54,7 @@
 pub(crate) struct EdgeDependencies {
     pub(crate) settings: EdgeSettings,
     pub(crate) header_names: HeaderNames,
+    pub(crate) part_list: PartListFormat,
     /// The store of configuration and targets.
     pub(crate) source: Arc<dyn FleetSource>,
     pub(crate) loader: Arc<dyn SettingsLoader>,
@@ -70,7 +72,7 @@
 
 /// A running host.
 pub(crate) struct EdgeHost {
-    state: Arc<EdgeState>,
+    pub(super) state: Arc<EdgeState>,
     reload: Sender<()>,
     pub(super) addresses: EdgeAddresses,
     _peers: PeerListener,
@@ -102,6 +104,7 @@
         let state = EdgeState::new(
             dependencies.settings,
             dependencies.header_names,
+            dependencies.part_list,
             log,
             requests,
         );
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -34,6 +34,10 @@
     pub(crate) slot_reports: AtomicU64,
     /// Requests that peers forwarded.
     pub(crate) served_for_peers: AtomicU64,
+    /// Searches for the targets that hold a part of a prompt.
+    pub(crate) holder_searches: AtomicU64,
+    /// Calls that list the parts of a target.
+    pub(crate) part_lists: AtomicU64,
 }
 
 pub(crate) fn count(counter: &AtomicU64) {
@@ -59,6 +63,8 @@
             ("requests_forwarded_total", &self.forwarded),
             ("requests_for_peers_total", &self.served_for_peers),
             ("slot_reports_total", &self.slot_reports),
+            ("holder_searches_total", &self.holder_searches),
+            ("part_lists_total", &self.part_lists),
         ];
         for (name, counter) in counters {
             line(&mut text, name, counter.load(Ordering::Relaxed));
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -30,6 +30,8 @@
 use super::gossip_builder::GossipCursors;
 use super::gossip_builder::is_starting_up;
 use super::header_names::HeaderNames;
+use super::part_list::PartListFormat;
+use super::part_list_schedule::PartListSchedule;
 use super::response_relay::RESPONSE_MEMORY;
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
@@ -84,6 +86,7 @@
     pub(crate) startup: StartupSettings,
     pub(crate) runtime: ArcSwap<RuntimeSettings>,
     pub(crate) header_names: HeaderNames,
+    pub(crate) part_list: PartListFormat,
     pub(crate) incarnation: IncarnationId,
     /// Start of the process, on the boot clock.
     pub(crate) started: Duration,
@@ -104,6 +107,7 @@
     pub(crate) poison: PoisonGuard,
     pub(crate) parts: PartGuard,
     streams: Mutex<StreamDirectory>,
+    pub(super) part_lists: PartListSchedule,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: EdgeMetrics,
     /// Latency histograms and response counts by tier, class and account.
@@ -155,6 +159,7 @@
     pub(crate) fn new(
         settings: EdgeSettings,
         header_names: HeaderNames,
+        part_list: PartListFormat,
         log: DecisionLog,
         request_metrics: Arc<RequestMetrics>,
     ) -> Arc<Self> {
@@ -187,6 +192,8 @@
             startup,
             runtime: ArcSwap::from_pointee(runtime),
             header_names,
+            part_list,
+            part_lists: PartListSchedule::default(),
             incarnation,
             started,
             view: SharedView::default(),
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -19,6 +19,7 @@
 use standins::PathLink;
 use standins::PathMode;
 
+use super::raw_target::PARTS_PATH;
 use super::raw_target::RawTarget;
 use super::recent_lines::RecentLines;
 use crate::catalog::CallKind;
@@ -33,6 +34,8 @@
 use crate::edge::EdgeSettings;
 use crate::edge::HeaderNames;
 use crate::edge::LoadControl;
+use crate::edge::PartList;
+use crate::edge::PartListFormat;
 use crate::edge::RuntimeSettings;
 use crate::edge::SettingsLoader;
 use crate::edge::StartupSettings;
@@ -98,7 +101,7 @@
     metrics_address: SocketAddr,
     lines: RecentLines,
     loader: ManualLoader,
-    host: EdgeHost,
+    pub(super) host: EdgeHost,
 }
 
 impl Drop for EdgeFixture {
@@ -336,6 +339,16 @@
         });
     }
 
+    /// Writes the start time of each target, in their order.
+    pub(super) fn set_started(&self, revision: u64, times: &[u64]) {
+        self.change(revision, |update| {
+            for (target, started_at_ms) in update.targets.iter_mut().zip(times) {
+                target.started_at_ms = *started_at_ms;
+                target.revision = update.revision;
+            }
+        });
+    }
+
     /// Writes a catalog in which the targets are engines.
     pub(super) fn set_engines(&self, revision: u64) {
         self.change(revision, |update| {
@@ -444,6 +457,7 @@
         let loader = ManualLoader(Arc::new(Mutex::new(Some(settings.clone()))));
         let dependencies = EdgeDependencies {
             header_names: header_names(),
+            part_list: part_list_format(),
             source: Arc::new(store.clone()),
             loader: Arc::new(loader.clone()),
             settings,
@@ -607,7 +621,7 @@
 pub(super) fn isolated_state_of(settings: EdgeSettings) -> Arc<EdgeState> {
     let log = DecisionLog::open_on(LineQueue::spawn(std::io::sink())).unwrap();
     let requests = RequestMetrics::open().unwrap();
-    EdgeState::new(settings, header_names(), log, requests)
+    EdgeState::new(settings, header_names(), part_list_format(), log, requests)
 }
 
 /// Returns a catalog with the given number of additional routes.
@@ -645,6 +659,24 @@
     }
 }
 
+/// Returns a format with the target's start time, or `-`, in the first line and an id in each other.
+fn part_list_format() -> PartListFormat {
+    PartListFormat {
+        path: PARTS_PATH.into(),
+        parse: |body| {
+            let mut lines = std::str::from_utf8(body).ok()?.lines();
+            let started_at_ms = match lines.next()? {
+                "-" => None,
+                number => Some(number.parse().ok()?),
+            };
+            Some(PartList {
+                started_at_ms,
+                parts: lines.map(str::to_owned).collect(),
+            })
+        },
+    }
+}
+
 fn header_names() -> HeaderNames {
     HeaderNames {
         request_id: "X-Request".into(),
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod membership;
 mod metrics;
+mod part_holders;
 mod partitions;
 mod poison_parts;
 mod quota_fixture;
--- a/src/edge/tests/raw_target.rs
+++ b/src/edge/tests/raw_target.rs
@@ -11,6 +11,10 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
+
+/// Path at which a target lists the parts of prompts that it keeps.
+pub(super) const PARTS_PATH: &str = "/parts";
 
 /// A request as the target received it.
 #[derive(Clone, Debug)]
@@ -26,6 +30,43 @@
 pub(super) struct RawTarget {
     pub(super) address: SocketAddr,
     received: Arc<Mutex<Vec<RawRequest>>>,
+    /// The parts that it keeps, and how it lists them.
+    pub(super) parts: Arc<Mutex<KeptParts>>,
+}
+
+/// The parts of prompts that a target keeps.
+#[derive(Debug, Default)]
+pub(super) struct KeptParts {
+    /// The ids, without leading zeros. Those of the requests that it receives are added.
+    pub(super) ids: Vec<String>,
+    /// Start time that it states in its list.
+    pub(super) started_at_ms: Option<u64>,
+    /// Time that it takes to list them.
+    pub(super) delay: Duration,
+    /// The bytes of the response, instead of the list.
+    pub(super) raw_answer: Option<Vec<u8>>,
+    /// Number of the lists that were requested.
+    pub(super) listed: usize,
+}
+
+impl KeptParts {
+    fn add_prompt(&mut self, request: &RawRequest) {
+        let prompt = request.header("X-Parts").unwrap_or_default();
+        let ids = prompt
+            .split(',')
+            .filter_map(|entry| entry.split(':').next());
+        let ids = ids.map(|id| id.trim().trim_start_matches('0').to_lowercase());
+        self.ids.extend(ids.filter(|id| !id.is_empty()));
+    }
+
+    fn answer(&self) -> Vec<u8> {
+        let started = self.started_at_ms;
+        let started = started.map_or_else(|| "-".to_owned(), |at| at.to_string());
+        let body = [vec![started], self.ids.clone()].concat().join("\n");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let answer = [head, body].concat().into_bytes();
+        self.raw_answer.clone().unwrap_or(answer)
+    }
 }
 
 impl RawRequest {
@@ -77,15 +118,16 @@
         let target = Self {
             address: listener.local_addr().unwrap(),
             received: Arc::default(),
+            parts: Arc::default(),
         };
-        let received = Arc::clone(&target.received);
+        let accepting = target.clone();
         let serve = Arc::new(serve);
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let Ok(stream) = stream else { return };
-                let received = Arc::clone(&received);
+                let target = accepting.clone();
                 let serve = Arc::clone(&serve);
-                thread::spawn(move || serve_connection(stream, &received, serve.as_ref()));
+                thread::spawn(move || target.serve(stream, serve.as_ref()));
             }
         });
         target
@@ -135,16 +177,44 @@
         Self {
             address,
             received: Arc::default(),
+            parts: Arc::default(),
         }
     }
 
-    /// Serves an accepted connection until `serve` returns false.
+    /// Serves an accepted connection until `serve` returns false. Calls for the list of parts are
+    /// answered here and do not count as received.
     pub(super) fn serve(
         &self,
-        stream: TcpStream,
-        serve: &impl Fn(&RawRequest, &mut TcpStream) -> bool,
+        mut stream: TcpStream,
+        serve: &(impl Fn(&RawRequest, &mut TcpStream) -> bool + ?Sized),
     ) {
-        serve_connection(stream, &self.received, serve);
+        while let Some(text) = read_request(&mut stream) {
+            if text.split(' ').nth(1) == Some(PARTS_PATH) {
+                return self.list_parts(&mut stream);
+            }
+            let request = {
+                let mut received = self.received.lock().unwrap();
+                let number = received.len() + 1;
+                let request = RawRequest { text, number };
+                received.push(request.clone());
+                request
+            };
+            self.parts.lock().unwrap().add_prompt(&request);
+            if !serve(&request, &mut stream) {
+                return;
+            }
+        }
+    }
+
+    fn list_parts(&self, stream: &mut TcpStream) {
+        let (answer, delay) = {
+            let mut parts = self.parts.lock().unwrap();
+            parts.listed += 1;
+            (parts.answer(), parts.delay)
+        };
+        thread::sleep(delay);
+        // The host may have disconnected.
+        stream.write_all(&answer).ok();
     }
 
     /// Returns the requests that were received.
@@ -153,25 +223,6 @@
     }
 }
 
-fn serve_connection(
-    mut stream: TcpStream,
-    received: &Mutex<Vec<RawRequest>>,
-    serve: &(impl Fn(&RawRequest, &mut TcpStream) -> bool + ?Sized),
-) {
-    while let Some(text) = read_request(&mut stream) {
-        let request = {
-            let mut received = received.lock().unwrap();
-            let number = received.len() + 1;
-            let request = RawRequest { text, number };
-            received.push(request.clone());
-            request
-        };
-        if !serve(&request, &mut stream) {
-            return;
-        }
-    }
-}
-
 fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -383,6 +383,22 @@
         /// Age of the view of the targets, in milliseconds.
         view_age_ms: Option<u64>,
     },
+    /// The targets of a pool were searched for those that hold a part of a prompt.
+    #[display("{answered} of {targets} targets listed their parts")]
+    HoldersSearched {
+        /// The pool.
+        pool: PoolName,
+        /// Id of the part.
+        part: String,
+        /// Software versions of the targets that hold it.
+        versions: Vec<SoftwareVersion>,
+        /// Number of targets of the pool.
+        targets: usize,
+        /// Number of targets that listed their parts.
+        answered: usize,
+        /// Duration of the search, in milliseconds.
+        elapsed_ms: u64,
+    },
     /// A request was forwarded to a peer.
     #[display("forwarded to {peer}")]
     RequestForwarded {
