Streams go on only at a version that was the only one for all of the time

Cause: a host took what it sees for all that there was. The age of a stream was estimated from deadlines that a started host has not seen; the longest known_for_ms of any answer vouched for all, and no answer said how old the view behind it is.

Each host now states a claim: the versions, for how long it has applied all changes of the targets (anew after its start, after a full update behind a gap of 3 s, and after a rewind of the store), and the age of its view. A version counts as the only one if the claims join up from the earliest time at which the stream can have begun (the longest time limit in use less what the caller has left) until its request arrived; where only the end is missing, the host reads the store's changes, one read for all requests that wait. Versions that left are remembered for 320 s, longer than any deadline, and count within the age of the stream.

The lines version-known and version-unknown list the claims: who, which versions, how old the view, known for how long.

a_stream_of_unknown_version_goes_on_where_there_was_one_only stated a part of the fault as wanted (a stream with 2 s left, of at most 3, one second after the start); its caller now has all of its time left, so that the stream can't be older than its hosts know.

--- a/src/catalog/route_catalog.rs
+++ b/src/catalog/route_catalog.rs
@@ -102,6 +102,12 @@
         self.parts.limits
     }
 
+    /// Returns the longest time limit of a route; zero if none has one.
+    pub(crate) fn longest_timeout(&self) -> Duration {
+        let timeouts = self.parts.routes.iter().filter_map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns whether requests need a key unless their route is public.
     pub fn needs_keys(&self) -> bool {
         !self.parts.accounts.is_empty()
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -116,6 +116,7 @@
         let peers = PeerListener::bind(startup.peer_address, identity.clone(), service).await?;
         let mesh = PeerMesh::spawn(identity, state.other_seeds());
         state.set_mesh(Arc::clone(&mesh));
+        state.set_source(Arc::clone(&dependencies.source));
         let addresses = EdgeAddresses {
             caller: listen(&state, startup.caller_address, serve_caller).await?,
             ready: listen(&state, startup.ready_address, serve_readiness).await?,
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -54,6 +54,7 @@
 use crate::quota::RetryBudget;
 use crate::sorted::SortedMap;
 use crate::streams::StreamDirectory;
+use crate::view::FleetSource;
 use crate::view::SharedView;
 use crate::view::TargetIncarnation;
 use crate::view::ViewChange;
@@ -142,6 +143,10 @@
     gossip_wake: (Sender<()>, Receiver<()>),
     /// The links to peers; absent until they are opened.
     mesh: OnceLock<Arc<PeerMesh>>,
+    /// The store; absent until the host starts.
+    source: OnceLock<Arc<dyn FleetSource>>,
+    /// Held while the store is read for a request.
+    pub(crate) view_refresh: async_std::sync::Mutex<()>,
     /// Requests that this host forwards to peers.
     pub(crate) forwards: Arc<ForwardTable>,
     /// Requests that peers forward to this host.
@@ -213,6 +218,8 @@
             active_requests: AtomicUsize::new(0),
             gossip_wake: async_channel::bounded(1),
             mesh: OnceLock::new(),
+            source: OnceLock::new(),
+            view_refresh: async_std::sync::Mutex::new(()),
             forwards: ForwardTable::new(),
             forwarded: ForwardTable::new(),
         })
@@ -240,6 +247,15 @@
         self.mesh.set(mesh).ok();
     }
 
+    /// Sets the store; it is set once.
+    pub(crate) fn set_source(&self, source: Arc<dyn FleetSource>) {
+        self.source.set(source).ok();
+    }
+
+    pub(crate) fn source(&self) -> Option<&Arc<dyn FleetSource>> {
+        self.source.get()
+    }
+
     pub(crate) fn mesh(&self) -> Option<&Arc<PeerMesh>> {
         self.mesh.get()
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -56,6 +56,7 @@
 mod tests;
 mod view_fetcher;
 mod view_logger;
+mod view_refresh;
 mod watch_controller;
 
 pub(crate) use edge_host::EdgeDependencies;
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -25,7 +25,7 @@
 /// Delay after which a caller may try another host, when this one's view is out of date.
 const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
 /// Time limit of a request for which neither the caller nor the route sets one.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+pub(super) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Route under which requests are counted that peers forwarded.
 const FORWARDED_SERIES: &str = "forwarded";
@@ -63,6 +63,8 @@
     pub(crate) event_gap_objective: Option<Duration>,
     /// Time that the caller has waited in earlier attempts.
     pub(crate) waited: Duration,
+    /// Time for which the caller waits from this attempt on, if it states one.
+    pub(crate) caller_timeout: Option<Duration>,
     /// When the caller stops waiting for the first event, on the boot clock.
     pub(crate) first_event_deadline: Duration,
     pub(crate) pool: PoolName,
@@ -199,6 +201,7 @@
         objective: route.objective,
         event_gap_objective: route.event_gap_objective,
         waited,
+        caller_timeout: left.map(Duration::from_millis),
         first_event_deadline: route
             .abandon_timeout
             .map_or(deadline, |timeout| deadline.min(request.arrived + timeout)),
--- a/src/edge/tests/stream_versions.rs
+++ b/src/edge/tests/stream_versions.rs
@@ -247,7 +247,7 @@
     for wait_ms in [300, 1200, 3000] {
         thread::sleep(Duration::from_millis(wait_ms));
         let id = format!("second{wait_ms}");
-        let answer = fleet.hosts[0].call(&young_resume_request(&id, "unknown"));
+        let answer = fleet.hosts[0].call(&young_resume_request(&id, &format!("unknown{wait_ms}")));
         statuses.push(status_of(&answer));
     }
 
@@ -263,10 +263,10 @@
     for host in &fleet.hosts {
         host.store.set_versions(2, &["", "", "", ""]);
     }
-    // The stream may be as old as a second.
-    thread::sleep(Duration::from_secs(1));
+    // By the time that its caller has left, the stream may be as old as a second.
+    thread::sleep(Duration::from_millis(1500));
 
-    let answer = fleet.hosts[0].call(&resume_request("second", "unknown"));
+    let answer = fleet.hosts[0].call(&young_resume_request("second", "unknown"));
 
     assert_eq!(status_of(&answer), 200, "{answer}");
 }
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -18,6 +18,19 @@
 use crate::ids::ZoneName;
 use crate::peers::ForwardCause;
 use crate::quota::QuotaSnapshot;
+use crate::streams::VersionClaim;
+
+/// How the version that began a stream is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OriginSource {
+    /// The host remembers the stream.
+    Memory,
+    /// A peer remembers it.
+    Peer,
+    /// The pool had no other version for as long as the stream can have lasted.
+    Claims,
+}
 
 /// A decision about a request, or a change of the process's view of its environment.
 ///
@@ -371,6 +384,28 @@
         /// Number of peers that reported recently that they fail there.
         peers_failing: usize,
     },
+    /// A request asks for the rest of a stream, which goes on at the version that began it.
+    #[display("a stream of {pool} goes on at version {version}")]
+    VersionKnown {
+        /// The request.
+        request: String,
+        /// The attempt that began the stream.
+        resumes: Option<String>,
+        /// The pool.
+        pool: PoolName,
+        /// The version.
+        version: SoftwareVersion,
+        /// How it is known.
+        source: OriginSource,
+        /// The peer that remembers the stream, if one does.
+        peer: Option<HostName>,
+        /// Age of the oldest stream that it can be, in milliseconds.
+        max_age_ms: u64,
+        /// What hosts stated about the versions of the pool.
+        claims: Vec<VersionClaim>,
+        /// Time until it was known, in milliseconds.
+        elapsed_ms: u64,
+    },
     /// A request asks for the rest of a stream, and it is not known which version began it.
     #[display("unknown version of a stream of {pool}")]
     VersionUnknown {
@@ -380,8 +415,14 @@
         resumes: Option<String>,
         /// The pool.
         pool: PoolName,
+        /// Age of the oldest stream that it can be, in milliseconds.
+        max_age_ms: u64,
+        /// What hosts stated about the versions of the pool.
+        claims: Vec<VersionClaim>,
         /// Age of the view of the targets, in milliseconds.
         view_age_ms: Option<u64>,
+        /// Time until the request was refused, in milliseconds.
+        elapsed_ms: u64,
     },
     /// The targets of a pool were searched for those that hold a part of a prompt.
     #[display("{answered} of {targets} targets listed their parts")]
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -11,6 +11,7 @@
 mod state_log;
 
 pub use decision_line::DecisionLine;
+pub use decision_line::OriginSource;
 pub use decision_log::DecisionLog;
 pub use line_queue::LineQueue;
 pub use request_timeline::RequestTimeline;
--- a/src/streams/mod.rs
+++ b/src/streams/mod.rs
@@ -6,6 +6,7 @@
 
 mod stream_directory;
 mod stream_messages;
+mod version_claims;
 mod version_history;
 
 pub use stream_directory::StreamDirectory;
@@ -14,3 +15,7 @@
 pub use stream_messages::StreamKey;
 pub use stream_messages::VersionStreams;
 pub use stream_messages::stream_key;
+pub use version_claims::PeriodClaim;
+pub use version_claims::VersionClaim;
+pub use version_claims::VersionFinding;
+pub use version_claims::find_sole_version;
--- a/src/streams/stream_directory.rs
+++ b/src/streams/stream_directory.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::OriginAnswer;
 use super::StreamKey;
 use super::VersionStreams;
 use super::version_history::VersionHistory;
@@ -99,15 +98,16 @@
         }
     }
 
-    /// Returns what this host knows of the origin of a stream.
-    pub fn answer(&self, stream: StreamKey, pool: &str, now: Duration) -> OriginAnswer {
+    /// Returns the version that began a stream of the pool, if this host remembers it.
+    pub fn version_of(&self, stream: StreamKey, pool: &str, now: Duration) -> Option<&str> {
         let origin = self.find(stream, now);
         let origin = origin.filter(|origin| origin.began_at.pool == pool);
-        OriginAnswer {
-            version: origin.map(|origin| origin.began_at.version.clone()),
-            possible: self.history.versions(pool, now),
-            known_for_ms: self.history.known_for(now).as_millis() as u64,
-        }
+        origin.map(|origin| origin.began_at.version.as_str())
+    }
+
+    /// Returns the versions that the pool has or had within `period`, sorted.
+    pub fn versions(&self, pool: &str, period: Duration, now: Duration) -> Vec<SoftwareVersion> {
+        self.history.versions(pool, period, now)
     }
 
     /// Returns the streams of this host for a peer that got a report at `since`; all of them if
--- a/src/streams/stream_messages.rs
+++ b/src/streams/stream_messages.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::VersionClaim;
 use crate::ids::PoolName;
 use crate::ids::SoftwareVersion;
 
@@ -33,6 +34,8 @@
     pub stream: StreamKey,
     /// The pool that the calling host would use.
     pub pool: PoolName,
+    /// Age of the oldest stream that it can be, in milliseconds.
+    pub max_age_ms: u64,
     /// Whether the called host, if it leads a group, asks other leaders too.
     pub relays: bool,
 }
@@ -42,8 +45,6 @@
 pub struct OriginAnswer {
     /// The version that began the stream, if the host knows it.
     pub version: Option<SoftwareVersion>,
-    /// The versions that the pool has or lately had, sorted.
-    pub possible: Vec<SoftwareVersion>,
-    /// For how long the host has known all of these, in milliseconds.
-    pub known_for_ms: u64,
+    /// What the host, and those that it asked, state about the versions of the pool.
+    pub claims: Vec<VersionClaim>,
 }
--- a/src/streams/version_history.rs
+++ b/src/streams/version_history.rs
@@ -7,12 +7,14 @@
 use crate::ids::SoftwareVersion;
 use crate::sorted::SortedMap;
 
+/// How long a version is remembered of which no target is left: longer than the longest deadline of a
+/// request.
+const VERSION_RETENTION: Duration = Duration::from_secs(320);
+
 /// The software versions of each pool's targets, those included that are gone.
 #[derive(Debug, Default)]
 pub(super) struct VersionHistory {
     pools: SortedMap<PoolName, PoolVersions>,
-    /// When targets were known first.
-    since: Option<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -30,7 +32,6 @@
         registered: impl Iterator<Item = (PoolName, SoftwareVersion)>,
         now: Duration,
     ) {
-        self.since.get_or_insert(now);
         for (_, pool) in self.pools.iter_mut() {
             for (_, gone_at) in pool.versions.iter_mut() {
                 gone_at.get_or_insert(now);
@@ -44,7 +45,7 @@
             pool.versions.insert(version, None);
         }
         let is_kept = |gone_at: &Option<Duration>| {
-            gone_at.is_none_or(|at| now.saturating_sub(at) < RETENTION)
+            gone_at.is_none_or(|at| now.saturating_sub(at) < VERSION_RETENTION)
         };
         for (_, pool) in self.pools.iter_mut() {
             pool.versions.retain(|_, gone_at| is_kept(gone_at));
@@ -52,12 +53,17 @@
         self.pools.retain(|_, pool| !pool.versions.is_empty());
     }
 
-    /// Returns the versions that the pool has or lately had, sorted.
-    pub(super) fn versions(&self, pool: &str, now: Duration) -> Vec<SoftwareVersion> {
+    /// Returns the versions that the pool has or had within `period`, sorted.
+    pub(super) fn versions(
+        &self,
+        pool: &str,
+        period: Duration,
+        now: Duration,
+    ) -> Vec<SoftwareVersion> {
         let pool = self.pools.get(pool);
         let versions = pool.into_iter().flat_map(|pool| pool.versions.iter());
         let kept = versions
-            .filter(|(_, gone_at)| gone_at.is_none_or(|at| now.saturating_sub(at) < RETENTION));
+            .filter(|(_, gone_at)| gone_at.is_none_or(|at| now.saturating_sub(at) <= period));
         kept.map(|(version, _)| version.clone()).collect()
     }
 
@@ -66,15 +72,9 @@
         let mixed = self
             .pools
             .iter()
-            .filter(|(name, _)| self.versions(name, now).len() > 1);
+            .filter(|(name, _)| self.versions(name, RETENTION, now).len() > 1);
         mixed
             .map(|(name, pool)| (name.clone(), pool.mixed_since))
             .collect()
     }
-
-    /// Returns for how long this history is complete.
-    pub(super) fn known_for(&self, now: Duration) -> Duration {
-        self.since
-            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
-    }
 }
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -17,9 +17,14 @@
 use super::ViewUpdate;
 use crate::catalog::RouteCatalog;
 use crate::ids::CatalogVersion;
+use crate::ids::SoftwareVersion;
 use crate::ids::StoreRevision;
 use crate::ids::ZoneName;
 
+/// Longest time between two confirmations of the view after which a full update shows all that
+/// happened in between: a target is registered for longer before it is removed.
+const MAX_UPDATE_GAP: Duration = Duration::from_secs(3);
+
 /// View shared by the whole process: the view behind a lock, the catalog behind an atomic
 /// pointer for the request path, and the age of both.
 #[derive(Debug, Default)]
@@ -37,6 +42,8 @@
 struct ViewState {
     view: PlatformView,
     grace: LeaseGrace,
+    /// Time since which all changes of the targets were applied; `None` before the first view.
+    complete_since: Option<Duration>,
 }
 
 impl SharedView {
@@ -140,6 +147,27 @@
         age_of(&self.view_ms, now)
     }
 
+    /// Returns for how long all changes of the targets were applied; `None` before the first view.
+    ///
+    /// A full update shows the targets at its time. Those that were registered and removed since the
+    /// view before it are in neither.
+    pub fn known_for(&self, now: Duration) -> Option<Duration> {
+        let since = self.lock().complete_since?;
+        Some(now.saturating_sub(since))
+    }
+
+    /// Returns the software versions of a pool's targets, sorted.
+    pub fn versions_of(&self, pool: &str) -> Vec<SoftwareVersion> {
+        let state = self.lock();
+        let targets = state.view.targets().filter(|target| target.pool == pool);
+        let mut versions: Vec<SoftwareVersion> = targets
+            .map(|target| target.software_version.clone())
+            .collect();
+        versions.sort();
+        versions.dedup();
+        versions
+    }
+
     /// Returns the revision of the last applied change and the version of the catalog.
     pub fn held_versions(&self) -> (StoreRevision, CatalogVersion) {
         let state = self.lock();
@@ -188,6 +216,7 @@
         if state.view.is_rewind(&update) {
             state.grace.record_rewind(now);
         }
+        self.track_completeness(state, &update, now);
         let grace = state.grace;
         let change = state.view.apply(update, &grace, now);
         if change.catalog.is_some() {
@@ -196,6 +225,18 @@
         change
     }
 
+    /// Restarts the time since which all changes were applied where the update may leave some out.
+    fn track_completeness(&self, state: &mut ViewState, update: &ViewUpdate, now: Duration) {
+        if !update.revision.is_known() || state.view.is_of_past_era(update) {
+            return;
+        }
+        let has_gap = || age_of(&self.view_ms, now).is_none_or(|age| age > MAX_UPDATE_GAP);
+        let is_first = !state.view.revision().is_known();
+        if is_first || state.view.is_rewind(update) || update.full && has_gap() {
+            state.complete_since = Some(now);
+        }
+    }
+
     /// Records a contact with the store at `contact_at`. This must be called before the age is
     /// updated: the time without contact determines whether registrations may have expired.
     fn record_contact(&self, state: &mut ViewState, contact_at: Duration, now: Duration) {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -13,7 +13,11 @@
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::RequestPriority;
 use cardamomgw::ids::SoftwareVersion;
+use cardamomgw::streams::PeriodClaim;
 use cardamomgw::streams::StreamDirectory;
+use cardamomgw::streams::VersionClaim;
+use cardamomgw::streams::VersionFinding;
+use cardamomgw::streams::find_sole_version;
 use cardamomgw::streams::stream_key;
 use cardamomgw::view::TargetPhase;
 use cardamomgw::view::TargetRecord;
@@ -21,6 +25,8 @@
 const POOL: &str = "p";
 /// Time for which a caller may ask for the rest of a stream.
 const STREAM_TIME: Duration = Duration::from_secs(30);
+/// Longest time limit of a request.
+const LONGEST_STREAM: Duration = Duration::from_secs(300);
 
 fn start() -> Duration {
     Duration::from_secs(100)
@@ -150,13 +156,14 @@
     update(&mut directory, &["v1", "v2"], start());
     directory.record(stream_key("a"), POOL, "v2", after(1));
 
-    let known = directory.answer(stream_key("a"), POOL, after(20));
-    let unknown = directory.answer(stream_key("b"), POOL, after(20));
-    let elsewhere = directory.answer(stream_key("a"), "other", after(20));
+    let known = directory.version_of(stream_key("a"), POOL, after(20));
+    let unknown = directory.version_of(stream_key("b"), POOL, after(20));
+    let elsewhere = directory.version_of(stream_key("a"), "other", after(20));
 
-    assert_eq!(known.version.as_deref(), Some("v2"));
-    assert_eq!((unknown.version, elsewhere.version), (None, None));
-    assert_eq!(unknown.possible, ["v1", "v2"]);
+    assert_eq!(known, Some("v2"));
+    assert_eq!((unknown, elsewhere), (None, None));
+    let possible = directory.versions(POOL, STREAM_TIME, after(20));
+    assert_eq!(possible, ["v1", "v2"]);
 }
 
 /// Guards against a version that is forgotten while its streams may go on.
@@ -166,12 +173,13 @@
     update(&mut directory, &["v1"], start());
     update(&mut directory, &["v2"], after(10));
 
-    let during = directory.answer(0, POOL, after(10) + STREAM_TIME);
-    let later = directory.answer(0, POOL, after(10) + STREAM_TIME * 2);
+    let during = directory.versions(POOL, STREAM_TIME, after(10) + STREAM_TIME);
+    let later = directory.versions(POOL, STREAM_TIME, after(10) + STREAM_TIME * 2);
+    let longest = directory.versions(POOL, LONGEST_STREAM, after(10) + LONGEST_STREAM);
 
-    assert_eq!(during.possible, ["v1", "v2"]);
-    assert_eq!(later.possible, ["v2"]);
-    assert_eq!(later.known_for_ms, 70_000);
+    assert_eq!(during, ["v1", "v2"]);
+    assert_eq!(later, ["v2"]);
+    assert_eq!(longest, ["v1", "v2"]);
 }
 
 /// Guards against streams from before a release that only their own host knows, and against
@@ -205,8 +213,8 @@
 
     receiver.merge(sender.own_streams(None, after(1)), after(1));
 
-    let answer = receiver.answer(stream_key("a"), POOL, after(2));
-    assert_eq!(answer.version.as_deref(), Some("v1"));
+    let version = receiver.version_of(stream_key("a"), POOL, after(2));
+    assert_eq!(version, Some("v1"));
     assert!(receiver.own_streams(None, after(2)).is_empty());
 }
 
@@ -229,6 +237,83 @@
         .sum();
 
     assert!(kept <= 5000, "{kept}");
-    let old = directory.answer(stream_key("1-1"), POOL, after(120));
-    assert_eq!(old.version, None);
+    let old = directory.version_of(stream_key("1-1"), POOL, after(120));
+    assert_eq!(old, None);
+}
+
+/// Returns the claim of a host that has applied all changes since `from`, and whose view was confirmed
+/// at `until`; asked at 40 s.
+fn claim(versions: &[&str], from: u64, until: u64) -> PeriodClaim {
+    let claim = VersionClaim {
+        host: "e1".into(),
+        possible: versions.iter().map(ToString::to_string).collect(),
+        known_for_ms: (40 - from) * 1000,
+        view_age_ms: Some((40 - until) * 1000),
+    };
+    claim.with_period(after(40), after(40))
+}
+
+/// Returns what claims show for a stream that began within the last 30 s.
+fn finding(claims: &[PeriodClaim]) -> VersionFinding {
+    find_sole_version(claims, after(10), after(40))
+}
+
+/// Guards against a version taken for the only one by hosts that did not see all of the time.
+#[test]
+fn a_version_is_the_only_one_if_claims_cover_all_of_the_time() {
+    let sole = VersionFinding::Sole("v1".into());
+    let cases: [(&[PeriodClaim], VersionFinding); 8] = [
+        (&[claim(&["v1"], 0, 40)], sole.clone()),
+        (&[claim(&["v1"], 38, 40)], VersionFinding::Incomplete),
+        (&[claim(&["v1"], 0, 37)], VersionFinding::Incomplete),
+        (
+            &[claim(&["v1"], 0, 37), claim(&["v1"], 38, 40)],
+            VersionFinding::Incomplete,
+        ),
+        (
+            &[claim(&["v1"], 38, 40), claim(&["v1"], 0, 38)],
+            sole.clone(),
+        ),
+        (
+            &[claim(&["v1"], 0, 38), claim(&["v1", "v2"], 38, 40)],
+            VersionFinding::Several,
+        ),
+        (&[claim(&[], 0, 40)], VersionFinding::Incomplete),
+        (&[], VersionFinding::Incomplete),
+    ];
+
+    for (claims, expected) in cases {
+        assert_eq!(finding(claims), expected, "{claims:?}");
+    }
+}
+
+/// Guards against a claim that counts for longer because its answer took long.
+#[test]
+fn a_slow_answer_shortens_the_period_of_its_claim() {
+    let claim = VersionClaim {
+        host: "e1".into(),
+        possible: vec!["v1".into()],
+        known_for_ms: 10_000,
+        view_age_ms: Some(500),
+    };
+
+    let held = claim.with_period(after(20), after(21));
+
+    assert_eq!(held.from, after(11));
+    assert_eq!(held.until, after(20) - Duration::from_millis(500));
+}
+
+/// Guards against a host without a view whose claim covers anything.
+#[test]
+fn a_host_without_a_view_claims_nothing() {
+    let claim = VersionClaim {
+        host: "e1".into(),
+        possible: Vec::new(),
+        known_for_ms: 0,
+        view_age_ms: None,
+    };
+
+    let held = claim.with_period(after(40), after(40));
+
+    assert_eq!(held.until, Duration::ZERO);
 }
