After a restart of all hosts, targets that keep a stream's prompt show its version

Where memory, peers and claims don't give the version, the host now searches for the targets that keep the last part of the prompt, which belongs to the request itself. If more than half of them answer and all holders are of one version, that version began the stream; otherwise the request is refused as before.

Edge test: 16 of 16 streams go on at their version after a restart of all hosts; a prompt that two versions keep is refused.

--- a/src/edge/stream_origin.rs
+++ b/src/edge/stream_origin.rs
@@ -2,7 +2,8 @@
 //!
 //! A host may remember the stream, or one of its peers. Where nobody does, hosts state which versions
 //! the pool had and for which period: a version is known to have begun the stream only if no other
-//! was there from the earliest time at which it can have begun until the request arrived.
+//! was there from the earliest time at which it can have begun until the request arrived. After a
+//! restart of all hosts, the targets that keep the stream's prompt show it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use async_std::task;
 
 use super::edge_state::EdgeState;
+use super::part_holders::HolderSearch;
 use super::request_execution::RequestExecution;
 use super::route_filter::DEFAULT_TIMEOUT;
 use super::route_filter::RoutedRequest;
@@ -47,6 +49,7 @@
     /// Age of the oldest stream that it can be.
     max_age: Duration,
     claims: Vec<VersionClaim>,
+    holders: HolderSearch,
 }
 
 /// The answers of peers to a query.
@@ -104,6 +107,7 @@
             peer: None,
             max_age,
             claims: Vec::new(),
+            holders: HolderSearch::default(),
         };
         let query = OriginQuery {
             stream: routed.resumed_request.as_deref().map_or(0, stream_key),
@@ -140,6 +144,11 @@
             found.version = Some(version);
             return found;
         }
+        found.source = OriginSource::Holders;
+        if let Some(part) = &routed.last_part {
+            found.holders = self.find_holders(&routed.pool, part).await;
+            found.version = holder_version(&found.holders);
+        }
         found
     }
 
@@ -245,6 +254,9 @@
                 pool,
                 max_age_ms,
                 claims,
+                holders: found.holders.versions.clone(),
+                targets_asked: found.holders.targets,
+                targets_answered: found.holders.answered,
                 view_age_ms: self.view_age_ms(),
                 elapsed_ms,
             },
@@ -260,6 +272,14 @@
     longest - left.unwrap_or_default() + AGE_MARGIN
 }
 
+/// Returns the version of all targets that keep the prompt of a stream, if most targets answered.
+fn holder_version(search: &HolderSearch) -> Option<SoftwareVersion> {
+    match search.versions.as_slice() {
+        [version] if search.answered * 2 > search.targets => Some(version.clone()),
+        _ => None,
+    }
+}
+
 /// Answers a peer that asks which version began a stream.
 pub(super) async fn answer_origin(state: &Arc<EdgeState>, query: OriginQuery) -> OriginAnswer {
     let own = OriginAnswer {
--- a/src/edge/tests/stream_versions.rs
+++ b/src/edge/tests/stream_versions.rs
@@ -232,6 +232,55 @@
     assert_eq!(joined, []);
 }
 
+/// Adds the parts of the prompt of a stream that the attempt `began_as` began.
+fn with_prompt(request: &str, began_as: usize) -> String {
+    let parts = format!("X-Parts: 0a:10,c0ffee{began_as:02}:20\r\nX-Left-Ms");
+    request.replace("X-Left-Ms", &parts)
+}
+
+/// Guards against streams that nobody can resume once all hosts have restarted.
+#[test]
+fn streams_go_on_at_their_version_after_a_restart_of_all_hosts() {
+    let targets = targets_of(4, serve_stream);
+    let former_fleet = FleetFixture::open(&targets, &["za", "za"]);
+    set_two_versions(&former_fleet);
+    for number in 0..STREAMS {
+        let request = request_for("/resume/x", &format!("first{number}"));
+        let answer = former_fleet.hosts[0].call(&with_prompt(&request, number));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+    drop(former_fleet);
+    let fleet = FleetFixture::open(&targets, &["za", "za"]);
+    set_two_versions(&fleet);
+
+    for number in 0..STREAMS {
+        let (first, second) = (format!("first{number}"), format!("second{number}"));
+        let request = with_prompt(&resume_request(&second, &first), number);
+        let answer = fleet.hosts[number % 2].call(&request);
+
+        assert_eq!(status_of(&answer), 200, "{answer}");
+        let version_of = |id: &str| target_of(&targets, id).map(|index| index / 2);
+        assert_eq!(version_of(&first), version_of(&second), "{second}");
+    }
+}
+
+/// Guards against a stream that goes on at one of two versions that have both run its request.
+#[test]
+fn a_stream_whose_prompt_two_versions_keep_is_refused() {
+    let targets = targets_of(4, serve_stream);
+    let host = EdgeFixture::open(&targets);
+    host.store.set_versions(2, &["v1", "v1", "v2", "v2"]);
+    host.wait_revision(2);
+    for target in [&targets[0], &targets[2]] {
+        target.parts.lock().unwrap().ids.push("c0ffee00".into());
+    }
+
+    let answer = host.call(&with_prompt(&resume_request("second", "unknown"), 0));
+
+    assert_eq!(status_of(&answer), 503, "{answer}");
+    assert_eq!(target_of(&targets, "second"), None);
+}
+
 /// Guards against hosts that take an old view of the targets for the present one, or a peer's.
 #[test]
 fn hosts_cut_off_from_the_store_do_not_vouch_for_the_only_version() {
--- a/src/logs/decision_line.rs
+++ b/src/logs/decision_line.rs
@@ -30,6 +30,8 @@
     Peer,
     /// The pool had no other version for as long as the stream can have lasted.
     Claims,
+    /// Targets of this version, and of no other, keep the prompt of the stream.
+    Holders,
 }
 
 /// A decision about a request, or a change of the process's view of its environment.
@@ -419,6 +421,12 @@
         max_age_ms: u64,
         /// What hosts stated about the versions of the pool.
         claims: Vec<VersionClaim>,
+        /// Versions of the targets that keep the prompt of the stream.
+        holders: Vec<SoftwareVersion>,
+        /// Number of targets that were asked for the prompts that they keep.
+        targets_asked: usize,
+        /// Number of these that answered.
+        targets_answered: usize,
         /// Age of the view of the targets, in milliseconds.
         view_age_ms: Option<u64>,
         /// Time until the request was refused, in milliseconds.
