Registrations with absurd values name no usable target

A registration that parses but has an absurd slot count made each request panic (slots * 3 in a debug build), or its product wrapped unseen. With a large one an engine got nearly all requests, since engines are chosen by the square of their free slots. Sums of the slots of a pool wrapped as well.

Such a registration is left out, not taken with fewer slots: with any number that is bounded but larger than that of the others, it would still take most requests from them, and its address is as doubtful as the number. Left out are also registrations without slots, with an address that is no single host's, with a warm-up of more than an hour, and with empty, very long or multi-line names. The name of a target is sent in a header, so a line break in an id added headers to the requests of callers; long names make views larger than a message between hosts.

The check is made where a view is applied, so it holds for the store and for what a peer of an earlier version relays.

an_absurd_slot_count_leaves_the_other_targets_in_use, an_id_with_line_breaks_adds_no_headers (the odd targets got requests) and an_odd_registration_is_left_out failed before.

--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -336,6 +336,19 @@
         });
     }
 
+    /// Changes the registration of one target.
+    pub(super) fn change_target(
+        &self,
+        revision: u64,
+        index: usize,
+        change: impl FnOnce(&mut TargetRecord),
+    ) {
+        self.change(revision, |update| {
+            change(&mut update.targets[index]);
+            update.targets[index].revision = update.revision;
+        });
+    }
+
     /// Writes a catalog in which the targets are engines.
     pub(super) fn set_engines(&self, revision: u64) {
         self.change(revision, |update| {
@@ -436,7 +449,8 @@
         Self::open_on(ManualStore::default(), EdgeBounds::default())
     }
 
-    fn open_on(store: ManualStore, bounds: EdgeBounds) -> Self {
+    /// Starts a host with a store that the test has written, without waiting until it is ready.
+    pub(super) fn open_on(store: ManualStore, bounds: EdgeBounds) -> Self {
         Self::open_as(store, settings_with(bounds))
     }
 
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod membership;
 mod metrics;
+mod odd_entries;
 mod partitions;
 mod poison_parts;
 mod quota_fixture;
--- /dev/null
+++ b/src/edge/tests/odd_entries.rs
@@ -0,0 +1,82 @@
+//! Numbers and names of other writers that parse but make no sense: registrations, statements of
+//! targets and headers of callers.
+
+use super::edge_fixture::EdgeFixture;
+use super::edge_fixture::ManualStore;
+use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
+use super::raw_target::RawTarget;
+use super::raw_target::write_text;
+use crate::edge::EdgeBounds;
+use crate::view::TargetRecord;
+
+/// Number of requests of a test.
+const REQUESTS: usize = 20;
+
+/// A target that answers with `body`.
+fn target_of(body: &'static str) -> RawTarget {
+    RawTarget::spawn(move |request, stream| {
+        write_text(stream, &request.answer("200 OK", body));
+        true
+    })
+}
+
+/// Returns how many of [`REQUESTS`] requests one after another are served by a target that answers
+/// with `body`.
+fn served_by(host: &EdgeFixture, body: &str) -> usize {
+    let answers = (0..REQUESTS).map(|number| {
+        let request = request_for("/again/x", &format!("{body}{number}"));
+        host.call(&request)
+    });
+    answers
+        .filter(|answer| status_of(answer) == 200 && answer.ends_with(body))
+        .count()
+}
+
+/// Starts a host whose store holds a registration of `fine` and an odd one of `odd`.
+fn open_with_entry(
+    fine: &RawTarget,
+    odd: &RawTarget,
+    engine: bool,
+    change: impl FnOnce(&mut TargetRecord),
+) -> EdgeFixture {
+    let store = ManualStore::default();
+    store.write(1, &[fine.clone(), odd.clone()], &["k1"]);
+    if engine {
+        store.set_engines(2);
+    }
+    store.change_target(3, 1, change);
+    let host = EdgeFixture::open_on(store, EdgeBounds::default());
+    host.wait_ready(true);
+    host
+}
+
+/// Guards against a registration with an absurd number of slots that makes requests panic, or that
+/// takes all requests from the other targets.
+#[test]
+fn an_absurd_slot_count_leaves_the_other_targets_in_use() {
+    let (fine, odd) = (target_of("fine"), target_of("odd"));
+    for slots in [0, 1_000_000, 1 << 31, u32::MAX] {
+        for engine in [false, true] {
+            let host = open_with_entry(&fine, &odd, engine, |target| target.slots = slots);
+
+            let served = served_by(&host, "fine");
+
+            assert_eq!(served, REQUESTS, "{slots} slots, engine: {engine}");
+        }
+    }
+}
+
+/// Guards against a registration whose id adds headers of its writer to the requests of callers.
+#[test]
+fn an_id_with_line_breaks_adds_no_headers() {
+    let (fine, odd) = (target_of("fine"), target_of("odd"));
+    let host = open_with_entry(&fine, &odd, false, |target| {
+        target.name = "t1\r\nX-Account: root".into();
+    });
+
+    let served = served_by(&host, "fine");
+
+    assert_eq!(served, REQUESTS);
+    assert_eq!(odd.received().len(), 0);
+}
--- a/src/view/platform_view.rs
+++ b/src/view/platform_view.rs
@@ -185,6 +185,7 @@
         if self.is_of_past_era(&update) {
             return change;
         }
+        update.remove_unusable();
         let is_rewind = self.is_rewind(&update);
         if update.revision.era > self.revision.era {
             // A part of a view can't be applied to another era.
--- a/src/view/view_update.rs
+++ b/src/view/view_update.rs
@@ -37,6 +37,19 @@
     pub evacuations: Vec<ZoneEvacuation>,
 }
 
+impl ViewUpdate {
+    /// Turns the registrations that name no usable target into removals of the targets whose place
+    /// they took.
+    pub(super) fn remove_unusable(&mut self) {
+        let removed = self.targets.extract_if(.., |target| !target.is_usable());
+        let removed = removed.filter(TargetRecord::has_valid_name);
+        self.removals.extend(removed.map(|target| TargetRemoval {
+            name: target.name,
+            revision: target.revision,
+        }));
+    }
+}
+
 /// Changes caused by an update.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ViewChange {
--- a/tests/platform_view.rs
+++ b/tests/platform_view.rs
@@ -306,3 +306,93 @@
     assert_eq!(behind, 5.into());
     assert_eq!(view.complete_revision(), 9.into());
 }
+
+/// Guards against registrations that parse but name no usable target: they must neither be used nor
+/// hide the others, and they remove the target whose place they take.
+#[test]
+fn an_odd_registration_is_left_out() {
+    type Change = fn(&mut TargetRecord);
+    let changes: [(&str, Change); 14] = [
+        ("no slots", |target| target.slots = 0),
+        ("too many slots", |target| target.slots = 10_000),
+        ("most slots", |target| target.slots = u32::MAX),
+        ("port 0", |target| target.address.set_port(0)),
+        ("any address", |target| {
+            target.address = ([0, 0, 0, 0], 80).into();
+        }),
+        ("group address", |target| {
+            target.address = ([224, 0, 0, 1], 80).into();
+        }),
+        ("broadcast address", |target| {
+            target.address = ([255, 255, 255, 255], 80).into();
+        }),
+        ("empty pool", |target| target.pool.clear()),
+        ("long pool", |target| target.pool = "n".repeat(5000)),
+        ("long zone", |target| {
+            target.availability_zone = "n".repeat(5000);
+        }),
+        ("long version", |target| {
+            target.software_version = "n".repeat(5000);
+        }),
+        ("line break in the zone", |target| {
+            target.availability_zone = "z\r\na".into();
+        }),
+        ("line break in the version", |target| {
+            target.software_version = "v\n1".into();
+        }),
+        ("cold for a day", |target| {
+            target.cold_remaining = seconds(86_400);
+        }),
+    ];
+    for (case, change) in changes {
+        let view = SharedView::default();
+        let now = seconds(100);
+        let before = full_update(5, &[target("a", 3), target("b", 4)]);
+        view.apply_store_response(before, now, now);
+        let mut odd = target("a", 9);
+        change(&mut odd);
+
+        let written = ViewUpdate {
+            revision: 9.into(),
+            targets: vec![odd.clone(), target("c", 9)],
+            ..ViewUpdate::default()
+        };
+        let change = view.apply_store_response(written, now, now);
+        assert_eq!(names(&view), ["b", "c"], "{case}");
+        assert_eq!(change.removed, ["a"], "{case}");
+
+        let from_peer = SharedView::default();
+        from_peer.apply_peer_view(full_update(9, &[odd, target("b", 4)]), now);
+        assert_eq!(names(&from_peer), ["b"], "{case}");
+
+        let again = ViewUpdate {
+            revision: 10.into(),
+            targets: vec![target("a", 10)],
+            ..ViewUpdate::default()
+        };
+        view.apply_store_response(again, now, now);
+        assert_eq!(names(&view), ["a", "b", "c"], "{case}");
+    }
+}
+
+/// Guards against a start time or a version at the end of its type that makes a target unusable.
+#[test]
+fn a_registration_at_the_ends_of_its_types_is_kept() {
+    let view = SharedView::default();
+    let now = seconds(100);
+    let target = TargetRecord {
+        started_at_ms: u64::MAX,
+        slots: 4096,
+        availability_zone: String::new(),
+        ..target("a", u64::MAX)
+    };
+
+    view.apply_store_response(full_update(5, &[target]), now, now);
+
+    assert_eq!(names(&view), ["a"]);
+}
+
+fn names(view: &SharedView) -> Vec<String> {
+    let targets = view.targets().into_iter();
+    targets.map(|target| target.name).collect()
+}
