A limit of zero ends no request handling

A target that states a limit of zero, or one so small that a round of its hosts is infinite, made the first host of the round panic: the time into the round is no number. Such a rate has no rounds, so no host sends.

a_limit_next_to_zero_lets_no_request_pass failed before, in the conversion to a duration, which panics in release builds as well.

--- a/src/dispatch/shared_rate.rs
+++ b/src/dispatch/shared_rate.rs
@@ -64,6 +64,10 @@
     ) -> bool {
         let hosts = position.hosts.max(1);
         let round = hosts as f64 / self.per_second;
+        // A rate of zero, or next to it, has no rounds.
+        if !round.is_finite() {
+            return false;
+        }
         let first = position.index_at(target) as f64 / hosts as f64;
         let rounds = now.saturating_sub(self.since).as_secs_f64() / round - first;
         if !rounds.is_finite() || rounds < 0.0 {
--- /dev/null
+++ b/tests/odd_numbers.rs
@@ -0,0 +1,113 @@
+//! Numbers of peers, targets and the configuration at the ends of their types, in virtual time.
+
+use std::time::Duration;
+
+use cardamomgw::dispatch::HostPosition;
+use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolMember;
+use cardamomgw::dispatch::PoolTable;
+use cardamomgw::dispatch::RequestPriority;
+use cardamomgw::dispatch::TargetLimit;
+use cardamomgw::view::TargetPhase;
+use cardamomgw::view::TargetRecord;
+
+const POOL: &str = "p";
+const NOW: Duration = Duration::from_secs(100);
+
+fn member(name: &str, slots: u32) -> PoolMember {
+    PoolMember {
+        record: TargetRecord {
+            name: name.into(),
+            pool: POOL.into(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            availability_zone: "za".into(),
+            slots,
+            phase: TargetPhase::Ready,
+            started_at_ms: 0,
+            software_version: String::new(),
+            cold_remaining: Duration::ZERO,
+            revision: 1.into(),
+        },
+        engine: true,
+        cold_limit: None,
+        evacuated: false,
+    }
+}
+
+/// Returns the table of a host at each position of a fleet, with one target.
+fn tables(hosts: usize, slots: u32) -> Vec<PoolTable> {
+    let table = |index| {
+        let mut table = PoolTable::new("za".into());
+        table.set_host_position(Some(HostPosition { index, hosts }));
+        table.set_targets(vec![member("t0", slots)], NOW);
+        table
+    };
+    (0..hosts).map(table).collect()
+}
+
+fn request() -> PlacementRequest {
+    PlacementRequest {
+        pool: POOL.into(),
+        priority: RequestPriority {
+            account: 0,
+            route: 0,
+        },
+        objective_at: NOW + Duration::from_secs(20),
+        is_retry: false,
+        prompt_tokens: 600,
+        output_tokens: None,
+        event_gap_objective: Some(Duration::from_secs(1)),
+        deadline: NOW + Duration::from_secs(40),
+        tried: Vec::new(),
+        version: None,
+    }
+}
+
+/// Returns how many of the hosts get a target during the ten seconds from now on.
+fn placed(tables: &mut [PoolTable]) -> usize {
+    let is_placed = |table: &mut &mut PoolTable| {
+        let mut times = (0..1000).map(|step| NOW + Duration::from_millis(10) * step);
+        times.any(|now| table.place(&request(), now, 0.5).is_some())
+    };
+    tables
+        .iter_mut()
+        .filter_map(|mut table| is_placed(&mut table).then_some(()))
+        .count()
+}
+
+/// Guards against a target that states a limit of zero, or one next to it, at which a host panics.
+#[test]
+fn a_limit_next_to_zero_lets_no_request_pass() {
+    for per_second in [0.0, 5e-324, 1e-300] {
+        let mut tables = tables(4, 12);
+        for table in &mut tables {
+            table.merge_limits(vec![limit(per_second)], NOW);
+        }
+
+        let placed = placed(&mut tables);
+
+        assert!(placed <= 1, "{placed} of 4 at {per_second}");
+    }
+}
+
+/// Guards against a target that states a limit beyond all rates and then gets no requests.
+#[test]
+fn a_limit_beyond_all_rates_lets_all_requests_pass() {
+    for per_second in [1e6, 1e300, f64::MAX] {
+        let mut tables = tables(4, 12);
+        for table in &mut tables {
+            table.merge_limits(vec![limit(per_second)], NOW);
+        }
+
+        assert_eq!(placed(&mut tables), 4, "{per_second}");
+    }
+}
+
+fn limit(per_second: f64) -> TargetLimit {
+    TargetLimit {
+        subject: member("t0", 12).record.incarnation(),
+        per_second: Some(per_second),
+        lasted_ms: 0,
+        age_ms: 0,
+    }
+}
