Limits that targets state are bounded

The statement of a brittle target is multiplied by the number of turns, which overflowed for one of 1e19. Limits are bounded where they are recorded, for answers and peers, at a rate beyond what all hosts send.

a_brittle_target_may_state_any_number failed before (attempt to multiply with overflow).

--- a/src/dispatch/limit_table.rs
+++ b/src/dispatch/limit_table.rs
@@ -12,6 +12,10 @@
 /// The smallest relative change of a limit that is applied and gossiped.
 const MIN_RELATIVE_CHANGE: f64 = 0.1;
 
+/// The largest limit, per second, which is beyond what all hosts send. Larger ones, which a target
+/// may state as it likes, would overflow the parts of hosts.
+const MAX_LIMIT: f64 = 1e6;
+
 /// A limit, as sent to peers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StatedLimit<K> {
@@ -127,6 +131,7 @@
         stated_at: Duration,
         now: Duration,
     ) -> bool {
+        let per_second = per_second.map(|per_second| per_second.clamp(0.0, MAX_LIMIT));
         let held = self.entries.get(subject).copied();
         let limited = held.filter(|held| held.per_second.is_some());
         let changes = differs(held.and_then(|held| held.per_second), per_second);
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use cardamomgw::dispatch::AttemptOutcome;
+use cardamomgw::dispatch::BrittleLimit;
 use cardamomgw::dispatch::HostPosition;
 use cardamomgw::dispatch::PlacementRequest;
 use cardamomgw::dispatch::PoolMember;
@@ -111,3 +113,24 @@
         age_ms: 0,
     }
 }
+
+/// Guards against a brittle target whose number of rejections overflows the share of a host.
+#[test]
+fn a_brittle_target_may_state_any_number() {
+    for per_second in [0.0, 3.0, 1e19, f64::MAX] {
+        let mut tables = tables(4, 12);
+        for table in &mut tables {
+            let stated = BrittleLimit {
+                subject: POOL.into(),
+                per_second: Some(per_second),
+                lasted_ms: 60_000,
+                age_ms: 0,
+            };
+            table.merge_brittle(vec![stated], NOW);
+            let placed = table.place(&request(), NOW, 0.5).unwrap();
+            table.record_outcome(POOL, &placed, AttemptOutcome::Rejected, NOW);
+        }
+
+        assert_eq!(placed(&mut tables), 4, "{per_second}");
+    }
+}
