An announced idle time can't overflow the clock

A target that announces Keep-Alive: timeout= made the sum with the time overflow, which panics in release builds as well: the connection of each caller that it answered ended. The idle time is bounded at an hour.

an_endless_keep_alive_ends_no_connection failed before (overflow when adding durations).

--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -26,6 +26,9 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// Idle time of connections whose target announces no keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_millis(700);
+/// Longest idle time that counts, whatever the target announces. Longer ones gain nothing, and their
+/// end may be beyond the range of the clock.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
 /// Limit on idle connections per target.
 const MAX_IDLE: usize = 16;
 /// TCP settings that detect a dead target: 2.5 s after a request that it does not acknowledge, 3 s
@@ -165,5 +168,6 @@
     let timeout = text
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
+    let timeout = Duration::from_secs(timeout.trim().parse().ok()?);
+    Some(timeout.min(MAX_KEEP_ALIVE))
 }
--- a/src/edge/tests/odd_entries.rs
+++ b/src/edge/tests/odd_entries.rs
@@ -1,6 +1,10 @@
 //! Numbers and names of other writers that parse but make no sense: registrations, statements of
 //! targets and headers of callers.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::ManualStore;
 use super::edge_fixture::request_for;
@@ -80,3 +84,46 @@
     assert_eq!(served, REQUESTS);
     assert_eq!(odd.received().len(), 0);
 }
+
+/// Guards against an idle time that overflows the clock, so that the connection of the caller ends
+/// behind each answer of the target.
+#[test]
+fn an_endless_keep_alive_ends_no_connection() {
+    let target = RawTarget::spawn(|request, stream| {
+        let answer = request.answer("200 OK", "fine");
+        let endless = format!("HTTP/1.1 200 OK\r\nKeep-Alive: timeout={}\r\n", u64::MAX);
+        write_text(stream, &answer.replacen("HTTP/1.1 200 OK\r\n", &endless, 1));
+        true
+    });
+    let host = EdgeFixture::open(&[target]);
+    let mut connection = host.connect();
+
+    let answers: Vec<String> = (0..3)
+        .map(|number| {
+            let request = request_for("/again/x", &format!("id{number}"));
+            let request = request.replace("Connection: close\r\n", "");
+            read_answer(&mut connection, &request)
+        })
+        .collect();
+
+    assert!(
+        answers.iter().all(|answer| answer.ends_with("fine")),
+        "{answers:?}"
+    );
+}
+
+/// Writes a request and returns its answer, up to the end of its body.
+fn read_answer(connection: &mut TcpStream, request: &str) -> String {
+    if connection.write_all(request.as_bytes()).is_err() {
+        return String::new();
+    }
+    let mut answer = Vec::new();
+    let mut bytes = [0; 1000];
+    while !answer.ends_with(b"fine") {
+        match connection.read(&mut bytes) {
+            Ok(count) if count > 0 => answer.extend_from_slice(&bytes[..count]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
