Token counts of callers are bounded

One caller with a token count next to the end of its type made the sum of the tokens ahead at a target overflow: in a debug build the requests of all callers panicked while it ran, in a release build the sum wrapped and the target seemed idle. Counts are bounded where the header is read. A count beyond 64 bits was charged as if none was stated; it is now charged as the largest.

--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -1,5 +1,6 @@
 //! Resolves the route and account of a request.
 
+use std::num::IntErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,9 @@
 const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
 /// Time limit of a request for which neither the caller nor the route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// The most tokens that a request can declare. Larger than any target's memory, and small enough
+/// that the sum over the requests of a target fits a `u64`.
+const MAX_TOKENS: u64 = 1 << 40;
 
 /// Route under which requests are counted that peers forwarded.
 const FORWARDED_SERIES: &str = "forwarded";
@@ -306,12 +310,24 @@
     let text = headers.text(&state.header_names.token_usage)?;
     let (prompt, output) = text.split_once(',')?;
     Some(TokenUsage {
-        prompt: prompt.trim().parse().ok()?,
-        output: output.trim().parse().ok()?,
-        expected_output: headers.number(&state.header_names.length_hint),
+        prompt: token_count(prompt)?,
+        output: token_count(output)?,
+        expected_output: headers
+            .number(&state.header_names.length_hint)
+            .map(|tokens| tokens.min(MAX_TOKENS)),
     })
 }
 
+/// Returns the number of tokens, at most [`MAX_TOKENS`]; `None` if it is no number.
+fn token_count(text: &str) -> Option<u64> {
+    match text.trim().parse::<u64>() {
+        Ok(tokens) => Some(tokens.min(MAX_TOKENS)),
+        // It must not be charged less than a smaller one.
+        Err(error) if *error.kind() == IntErrorKind::PosOverflow => Some(MAX_TOKENS),
+        Err(_) => None,
+    }
+}
+
 /// Returns the parts of the prompt that other requests may share. A list that is spread over several
 /// lines is read as one (RFC 9110 section 5.3).
 fn shared_parts(
--- a/src/edge/tests/odd_entries.rs
+++ b/src/edge/tests/odd_entries.rs
@@ -4,6 +4,9 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::ManualStore;
@@ -127,3 +130,35 @@
     }
     String::from_utf8_lossy(&answer).into_owned()
 }
+
+/// Guards against a caller whose token counts overflow the load of a target, so that the requests of
+/// all callers panic.
+#[test]
+fn huge_token_counts_leave_other_requests_served() {
+    let target = RawTarget::spawn(|request, stream| {
+        thread::sleep(Duration::from_millis(200));
+        write_text(stream, &request.answer("200 OK", "fine"));
+        true
+    });
+    let store = ManualStore::default();
+    store.write(1, &[target], &["k1"]);
+    store.set_engines(2);
+    let host = Arc::new(EdgeFixture::open_on(store, EdgeBounds::default()));
+    host.wait_ready(true);
+    let huge = format!(
+        "X-Tokens: {0},{0}\r\nX-Expected: {0}\r\nConnection: close\r\n",
+        u64::MAX
+    );
+
+    let callers: Vec<_> = (0..4)
+        .map(|number| {
+            let request = request_for("/once/x", &format!("id{number}"));
+            let request = request.replace("Connection: close\r\n", &huge);
+            let host = Arc::clone(&host);
+            thread::spawn(move || status_of(&host.call(&request)))
+        })
+        .collect();
+    let statuses = callers.into_iter().map(|caller| caller.join().unwrap());
+
+    assert_eq!(statuses.collect::<Vec<u16>>(), [200; 4]);
+}
