Loads that peers report are bounded

The sums of the requests and tokens that peers report for a target overflowed. Loads are bounded where a report is merged, so that what is subtracted later is what was added.

loads_of_peers_at_the_end_of_their_type_are_bounded failed before (attempt to add with overflow).

--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -15,6 +15,11 @@
 /// noticed the closed connections.
 const REPORT_TTL: Duration = Duration::from_millis(1500);
 
+/// The most requests at a target, and the most prompt tokens of these, that a report counts. The sums
+/// of 1,200 hosts fit their types.
+const MAX_RUNNING: u32 = 1 << 20;
+const MAX_PREFILL_TOKENS: u64 = 1 << 50;
+
 /// The load that a host puts on a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetLoad {
@@ -55,10 +60,14 @@
     pub(super) fn update(
         &mut self,
         host: HostName,
-        loads: Vec<TargetLoad>,
+        mut loads: Vec<TargetLoad>,
         scope: UsageScope,
         now: Duration,
     ) -> Vec<TargetName> {
+        for load in &mut loads {
+            load.running = load.running.min(MAX_RUNNING);
+            load.pending_prefill_tokens = load.pending_prefill_tokens.min(MAX_PREFILL_TOKENS);
+        }
         let mut changed = self.remove_hosts(|held, report| {
             let covered = scope == UsageScope::Fleet || report.scope == UsageScope::Fleet;
             covered && *held != host
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -10,6 +10,8 @@
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::RequestPriority;
 use cardamomgw::dispatch::TargetLimit;
+use cardamomgw::dispatch::TargetLoad;
+use cardamomgw::quota::UsageScope;
 use cardamomgw::view::TargetPhase;
 use cardamomgw::view::TargetRecord;
 
@@ -134,3 +136,24 @@
         assert_eq!(placed(&mut tables), 4, "{per_second}");
     }
 }
+
+/// Guards against reports of peers whose sums overflow.
+#[test]
+fn loads_of_peers_at_the_end_of_their_type_are_bounded() {
+    let mut tables = tables(1, 12);
+    for host in ["e2", "e3"] {
+        let load = TargetLoad {
+            target: "t0".into(),
+            running: u32::MAX,
+            pending_prefill_tokens: u64::MAX,
+        };
+        tables[0].update_peer_loads(host.into(), vec![load], UsageScope::Host, NOW);
+    }
+    assert_eq!(tables[0].place(&request(), NOW, 0.5), None);
+
+    for host in ["e2", "e3"] {
+        tables[0].update_peer_loads(host.into(), Vec::new(), UsageScope::Host, NOW);
+    }
+
+    assert!(tables[0].place(&request(), NOW, 0.5).is_some());
+}
