Demands for slots are bounded

The sum of the slots that hosts want overflowed; in a release build it wrapped, so that scarce slots were not divided. Demands are bounded where a report is merged.

demands_at_the_end_of_their_type_still_divide_the_slots failed before (attempt to add with overflow).

--- a/src/dispatch/slot_shares.rs
+++ b/src/dispatch/slot_shares.rs
@@ -27,6 +27,10 @@
 /// How long a host's demand counts without a new report.
 const DEMAND_TTL: Duration = Duration::from_millis(1500);
 
+/// The most requests of one priority that a report counts. A host has descriptors for some thousands,
+/// and the sums of 1,200 hosts fit a `u32`.
+const MAX_DEMAND: u32 = 1 << 16;
+
 /// The number of slots wanted by requests of one priority, running ones included.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SlotDemand {
@@ -83,7 +87,11 @@
     }
 
     /// Updates the demand of a host.
-    pub fn update(&mut self, host: &str, demands: Vec<SlotDemand>, now: Duration) {
+    pub fn update(&mut self, host: &str, mut demands: Vec<SlotDemand>, now: Duration) {
+        for demand in &mut demands {
+            demand.slots = demand.slots.min(MAX_DEMAND);
+            demand.refused = demand.refused.min(MAX_DEMAND);
+        }
         let demand = HostDemand {
             demands,
             reported_at: now,
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -9,6 +9,8 @@
 use cardamomgw::dispatch::PoolMember;
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::RequestPriority;
+use cardamomgw::dispatch::SlotDemand;
+use cardamomgw::dispatch::SlotShares;
 use cardamomgw::dispatch::TargetLimit;
 use cardamomgw::dispatch::TargetLoad;
 use cardamomgw::quota::UsageScope;
@@ -157,3 +159,23 @@
 
     assert!(tables[0].place(&request(), NOW, 0.5).is_some());
 }
+
+/// Guards against demands of hosts whose sum overflows, so that the slots are not divided.
+#[test]
+fn demands_at_the_end_of_their_type_still_divide_the_slots() {
+    let mut shares = SlotShares::default();
+    shares.set_fast(true);
+    for host in ["e1", "e2"] {
+        let demand = SlotDemand {
+            pool: POOL.into(),
+            priority: None,
+            slots: u32::MAX,
+            refused: u32::MAX,
+        };
+        shares.update(host, vec![demand], NOW);
+    }
+
+    let share = shares.share_of("e1", POOL, 12).unwrap();
+
+    assert!((1..=12).contains(&share.slots), "{share:?}");
+}
