Grants of slots are bounded

The sum of the free granted slots over the targets of a pool overflowed. Grants are bounded where they are set.

grants_at_the_end_of_their_type_are_bounded failed before (attempt to add with overflow).

--- a/src/dispatch/pool_table.rs
+++ b/src/dispatch/pool_table.rs
@@ -251,7 +251,7 @@
         for (name, pool) in self.pools.iter_mut() {
             let index = pools.iter().position(|granted| granted.pool == *name);
             pool.granted = index.map(|index| GrantedSlots {
-                pool_grants: pools.swap_remove(index),
+                pool_grants: pools.swap_remove(index).bounded(),
                 late_started: 0,
                 expires_at: now + GRANT_LIFETIME,
             });
--- a/src/dispatch/slot_grants.rs
+++ b/src/dispatch/slot_grants.rs
@@ -19,6 +19,10 @@
 /// ends, before the hosts learn of the end.
 const QUEUED_SLOTS: u32 = 1;
 
+/// The most requests at one target that a grant counts: more than the slots of any target, and little
+/// enough that the sum over a pool of 6,000 targets fits a `u32`.
+const MAX_GRANTED: u32 = 1 << 16;
+
 /// The number of requests that a host may run at a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SlotGrant {
@@ -41,6 +45,16 @@
     pub grants: Vec<SlotGrant>,
 }
 
+impl PoolGrants {
+    /// Returns the grants with at most [`MAX_GRANTED`] at each target.
+    pub(super) fn bounded(mut self) -> Self {
+        for grant in &mut self.grants {
+            grant.slots = grant.slots.min(MAX_GRANTED);
+        }
+        self
+    }
+}
+
 /// Returns the slots of targets, each given with its slowness, where those of slow targets count by
 /// their speed.
 pub(super) fn full_speed_slots(targets: impl Iterator<Item = (u32, f64)>) -> u32 {
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -6,10 +6,12 @@
 use cardamomgw::dispatch::BrittleLimit;
 use cardamomgw::dispatch::HostPosition;
 use cardamomgw::dispatch::PlacementRequest;
+use cardamomgw::dispatch::PoolGrants;
 use cardamomgw::dispatch::PoolMember;
 use cardamomgw::dispatch::PoolTable;
 use cardamomgw::dispatch::RequestPriority;
 use cardamomgw::dispatch::SlotDemand;
+use cardamomgw::dispatch::SlotGrant;
 use cardamomgw::dispatch::SlotShares;
 use cardamomgw::dispatch::TargetLimit;
 use cardamomgw::dispatch::TargetLoad;
@@ -179,3 +181,25 @@
 
     assert!((1..=12).contains(&share.slots), "{share:?}");
 }
+
+/// Guards against grants whose sum overflows.
+#[test]
+fn grants_at_the_end_of_their_type_are_bounded() {
+    let mut table = PoolTable::new("za".into());
+    table.set_targets(vec![member("t0", 12), member("t1", 12)], NOW);
+    let grant = |target: &str| SlotGrant {
+        target: target.into(),
+        slots: u32::MAX,
+    };
+    let grants = PoolGrants {
+        pool: POOL.into(),
+        slots: u32::MAX,
+        late: u32::MAX,
+        grants: vec![grant("t0"), grant("t1")],
+    };
+
+    table.set_grants(vec![grants], NOW);
+
+    assert!(table.idle_granted_slots(NOW) >= 24);
+    assert!(table.place(&request(), NOW, 0.5).is_some());
+}
