Paces that peers report are bounded

A gap between events beyond all durations, as reported by a peer, made the choice of a target panic, in release builds as well. Gaps are bounded where they are merged.

a_pace_beyond_all_durations_is_bounded failed before.

--- a/src/dispatch/gap_tracker.rs
+++ b/src/dispatch/gap_tracker.rs
@@ -13,6 +13,10 @@
 /// The smallest relative change of the mean gap that is reported.
 const MIN_RELATIVE_CHANGE: f64 = 0.25;
 
+/// The longest mean gap that a peer can report, in milliseconds. A target whose events are further
+/// apart is as slow for every decision, and larger numbers may be no durations.
+const MAX_GAP_MS: f64 = 3_600_000.0;
+
 /// The mean gap between the events of a target, as sent to peers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetPace {
@@ -69,7 +73,7 @@
         let is_newer = self.mean_ms.is_none() || measured_at > self.measured_at;
         if is_newer && gap_ms.is_finite() && gap_ms > 0.0 {
             self.measured_at = measured_at;
-            self.set_mean(gap_ms, now);
+            self.set_mean(gap_ms.min(MAX_GAP_MS), now);
         }
     }
 
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -15,6 +15,7 @@
 use cardamomgw::dispatch::SlotShares;
 use cardamomgw::dispatch::TargetLimit;
 use cardamomgw::dispatch::TargetLoad;
+use cardamomgw::dispatch::TargetPace;
 use cardamomgw::quota::UsageScope;
 use cardamomgw::view::TargetPhase;
 use cardamomgw::view::TargetRecord;
@@ -203,3 +204,18 @@
     assert!(table.idle_granted_slots(NOW) >= 24);
     assert!(table.place(&request(), NOW, 0.5).is_some());
 }
+
+/// Guards against a gap between events, as reported by a peer, that is no duration.
+#[test]
+fn a_pace_beyond_all_durations_is_bounded() {
+    let mut tables = tables(1, 12);
+    let pace = TargetPace {
+        target: member("t0", 12).record.incarnation(),
+        gap_ms: f32::MAX,
+        age_ms: 0,
+    };
+
+    tables[0].merge_paces(&[pace], NOW);
+
+    assert!(tables[0].place(&request(), NOW, 0.5).is_some());
+}
