A brittle target without slots ends no request handling

The room of a target that rejected a request was clamped between one and its slots, which panics for a target without slots, in release builds as well. Registrations without slots are left out of the view, but the guard must not depend on that.

a_brittle_target_without_slots_gets_no_requests failed before.

--- a/src/dispatch/brittle_guard.rs
+++ b/src/dispatch/brittle_guard.rs
@@ -133,7 +133,8 @@
     ) -> usize {
         let rejection = self.rejection;
         let rejection = rejection.filter(|held| now.saturating_sub(held.at) < DOUBT_TIME);
-        let slots = rejection.map_or(usage.slots, |held| held.room.clamp(1, usage.slots));
+        // A target that was full is tried again with one request, if it has a slot at all.
+        let slots = rejection.map_or(usage.slots, |held| held.room.max(1).min(usage.slots));
         let free = slots.saturating_sub(usage.own_running + usage.peer_running);
         let part = position.part_of(slots, target);
         let room = free.min(part.saturating_sub(usage.own_running));
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -16,6 +16,7 @@
 use cardamomgw::dispatch::TargetLimit;
 use cardamomgw::dispatch::TargetLoad;
 use cardamomgw::dispatch::TargetPace;
+use cardamomgw::dispatch::TargetRejection;
 use cardamomgw::quota::UsageScope;
 use cardamomgw::view::TargetPhase;
 use cardamomgw::view::TargetRecord;
@@ -219,3 +220,26 @@
 
     assert!(tables[0].place(&request(), NOW, 0.5).is_some());
 }
+
+/// Guards against a brittle target without slots at which a host panics.
+#[test]
+fn a_brittle_target_without_slots_gets_no_requests() {
+    let mut tables = tables(2, 0);
+    for table in &mut tables {
+        let stated = BrittleLimit {
+            subject: POOL.into(),
+            per_second: Some(3.0),
+            lasted_ms: 60_000,
+            age_ms: 0,
+        };
+        table.merge_brittle(vec![stated], NOW);
+        let rejection = TargetRejection {
+            target: member("t0", 0).record.incarnation(),
+            age_ms: 0,
+            room: 0,
+        };
+        table.merge_rejections(&[rejection], NOW);
+    }
+
+    assert_eq!(placed(&mut tables), 0);
+}
