An absurd deadline leaves others first attempts

The longest recent deadline of a route tells returning callers, which have less time left, from others. One caller with a deadline of years made all others count as returning callers that had missed their objective, for up to a minute. Deadlines beyond the longest time for which a request is served are not remembered.

absurd_deadlines_leave_others_first_attempts failed before.

--- a/src/edge/deadline_history.rs
+++ b/src/edge/deadline_history.rs
@@ -18,6 +18,10 @@
 /// Period over which the longest deadline of a route is tracked.
 const LONGEST_PERIOD: Duration = Duration::from_secs(30);
 
+/// The longest deadline that is remembered. One caller with an absurd deadline would otherwise make
+/// all others seem to have waited for the difference. Requests are served for no longer than this.
+const MAX_DEADLINE: Duration = Duration::from_secs(300);
+
 /// Recent deadlines of each route.
 ///
 /// Callers start either with one of a few common deadlines or with an individual one
@@ -48,6 +52,9 @@
     /// Records a deadline and returns the estimated time that the caller has already
     /// waited.
     pub(crate) fn record(&mut self, route: &str, left: Duration, now: Duration) -> Duration {
+        if left > MAX_DEADLINE {
+            return Duration::ZERO;
+        }
         let route = self
             .routes
             .get_or_insert_with(route.to_owned(), RouteDeadlines::default);
--- a/src/edge/tests/deadlines.rs
+++ b/src/edge/tests/deadlines.rs
@@ -69,3 +69,17 @@
 
     assert_eq!(waited, Duration::ZERO);
 }
+
+/// Guards against one caller with an absurd deadline, after which all others are taken for returning
+/// callers that have missed their objective.
+#[test]
+fn absurd_deadlines_leave_others_first_attempts() {
+    let mut history = DeadlineHistory::default();
+    for left in [u64::MAX, u64::MAX - 1, 1_000_000_000_000] {
+        for _ in 0..10 {
+            history.record("r", millis(left), NOW);
+        }
+    }
+
+    assert_eq!(history.record("r", millis(2_000), NOW), Duration::ZERO);
+}
