Slots of a document's targets are bounded

A target of the document could have any number of slots: the sums over targets overflowed, and a host lends slots one by one. A document with more than 65,536 slots of a target is refused, like one without slots.

the_slots_of_a_target_are_bounded failed before (the document was taken).

--- a/src/fleet/validation/target_checks.rs
+++ b/src/fleet/validation/target_checks.rs
@@ -12,6 +12,10 @@
 use super::name_checks::check_selector;
 use super::name_checks::check_unique;
 
+/// Most slots that a target can have. Hosts lend slots one by one, and the sum of the slots of 60,000
+/// targets fits a `u32`.
+const MAX_SLOTS: u32 = 65_536;
+
 /// Checks every target.
 pub(super) fn check(document: &FleetDocument, faults: &mut Vec<DocumentFault>) {
     for (index, target) in document.targets.iter().enumerate() {
@@ -48,6 +52,12 @@
             "must be 1 or more; use `\"state\": \"leaving\"` for a target without new work",
         ));
     }
+    if target.slots > MAX_SLOTS {
+        faults.push(DocumentFault::new(
+            format!("{path}.slots"),
+            format!("must be {MAX_SLOTS} or less"),
+        ));
+    }
 }
 
 /// Checks that addresses are unique: two targets with the same address would allow
--- a/tests/config_faults.rs
+++ b/tests/config_faults.rs
@@ -198,6 +198,18 @@
     );
 }
 
+/// Guards against slots of targets whose sums overflow, and of which a host would lend each one by
+/// itself.
+#[test]
+fn the_slots_of_a_target_are_bounded() {
+    let faults_of = |slots: u64| compile_faults(&[("/targets/0/slots", json!(slots))]);
+
+    assert_eq!(faults_of(65_537), ["targets[0].slots"]);
+    assert_eq!(faults_of(u64::from(u32::MAX)), ["targets[0].slots"]);
+    let largest = parse_document(&edited(&[("/targets/0/slots", json!(65_536))]));
+    assert!(FleetView::compile(largest.expect("the document is well-formed")).is_ok());
+}
+
 #[test]
 fn a_roster_has_1_to_8_seats_and_a_number_above_its_former() {
     let sample = sample_value();
