Streams: a resumed stream loses no event whose lines end with CR

Callers of a stream with CR line ends that was resumed at another target missed the last event of a read, and got those before and behind it.

Behind a resumption the splitter looks for the ends of the events that it is about to forward, in order to drop repeated ones. A CR at the end of these bytes was taken for a line end that may still get its LF, so the event was not found there and was dropped.

events_of_a_resumed_stream_are_forwarded_with_each_line_end failed before (event 4 of 4 missing).

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -57,17 +57,18 @@
     /// Searches the bytes that were not searched yet, and returns the offset after the last event
     /// that ends in them.
     fn search_events_end(&mut self) -> Option<usize> {
+        // The LF behind a CR may not have arrived yet.
+        let has_cr = self.pending.ends_with(b"\r");
+        let searchable = &self.pending[..self.pending.len() - usize::from(has_cr)];
         let mut events_end = None;
-        while let Some(line) = next_line(&self.pending, self.searched) {
+        while let Some(line) = next_line(searchable, self.searched) {
             self.searched = line.end;
             if line.text_end == self.line_start {
                 events_end = Some(line.end);
             }
             self.line_start = line.end;
         }
-        // The LF behind a CR may not have arrived yet.
-        let has_cr = self.pending[self.searched..].ends_with(b"\r");
-        self.searched = self.pending.len() - usize::from(has_cr);
+        self.searched = searchable.len();
         events_end
     }
 
@@ -176,13 +177,12 @@
     end: usize,
 }
 
-/// Returns the first line end at `start` or later. A line ends with LF, CR or both.
+/// Returns the first line end at `start` or later. A line ends with LF, CR or both. A CR at the end
+/// of `bytes` is a line end: no LF may follow.
 fn next_line(bytes: &[u8], start: usize) -> Option<LineEnd> {
     let length = bytes[start..].iter().position(|byte| is_line_end(*byte))?;
     let text_end = start + length;
     let end = match &bytes[text_end..] {
-        // The LF of this line end may not have arrived yet.
-        [b'\r'] => return None,
         [b'\r', b'\n', ..] => text_end + 2,
         _ => text_end + 1,
     };
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -131,3 +131,36 @@
         assert!(events == event.as_bytes(), "{line_end:?}");
     }
 }
+
+/// Returns what a splitter forwards of the rest of a stream, which is sent in two reads, behind
+/// the events `first` and a partial one.
+fn resume_with(first: &str, reads: [&str; 2]) -> String {
+    let mut splitter = EventSplitter::default();
+    splitter
+        .take_events(&mut format!("{first}:").into())
+        .unwrap();
+    splitter.resume();
+    let mut events = Vec::new();
+    for read in reads {
+        events.extend(splitter.take_events(&mut read.into()).unwrap());
+    }
+    events.extend(splitter.finish().unwrap());
+    String::from_utf8(events).unwrap()
+}
+
+/// Guards against an event that is lost behind a resumption because its lines end with CR.
+#[test]
+fn events_of_a_resumed_stream_are_forwarded_with_each_line_end() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let event = |id: u32| format!("id: {id}{line_end}data: e{id}{line_end}{line_end}");
+        let end = ": end\n".to_owned();
+        let whole = [event(1), event(2), event(3), event(4), end].concat();
+
+        for cut in event(1).len()..whole.len() {
+            let (read, rest) = whole.split_at(cut);
+            let forwarded = resume_with(&event(1), [read, rest]);
+
+            assert_eq!(forwarded, whole[event(1).len()..], "{line_end:?} {cut}");
+        }
+    }
+}
