Streams: an event that ends with the stream is forwarded once and unchanged

Where the last event of a stream ends with CR, only the end of the stream shows that it is complete. Callers of such a stream got one byte more than the target sent, got the event twice if the target that sent it had crashed behind it or if a resumed target repeated it.

The end of the stream bypassed the check for repeated events and did not record the id of the event, so the stream was resumed behind the event before; and it completed the line with an LF of its own.

a_last_event_that_ends_with_the_stream_is_not_repeated failed before (twice, each with an LF).

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -47,11 +47,16 @@
         self.line_start -= end;
         self.searched -= end;
         let mut events = std::mem::replace(&mut self.pending, rest);
-        self.remove_repeated(&mut events);
-        if let Some(id) = last_event_id(&events) {
+        self.accept_events(&mut events);
+        Ok(events)
+    }
+
+    /// Removes repeated events, and records the last one.
+    fn accept_events(&mut self, events: &mut Vec<u8>) {
+        self.remove_repeated(events);
+        if let Some(id) = last_event_id(events) {
             self.last_id = Some(id);
         }
-        Ok(events)
     }
 
     /// Searches the bytes that were not searched yet, and returns the offset after the last event
@@ -110,18 +115,16 @@
     ///
     /// The stream ended inside an event, so it was broken off.
     pub(crate) fn finish(&mut self) -> Result<Vec<u8>, IncompleteEvent> {
-        if self.pending.ends_with(b"\r") {
-            // No LF follows, so this is the end of a line.
-            self.pending.push(b'\n');
-        }
-        let rest = self.take_pending();
-        let (_, after) = rest.split_at(last_event_end(&rest).unwrap_or(0));
+        let mut events = self.take_pending();
+        let mut after = events.split_off(last_event_end(&events).unwrap_or(0));
         let ends_line = after.last().is_none_or(|byte| is_line_end(*byte));
         let mut lines = after.split(|byte| is_line_end(*byte));
-        match ends_line && lines.all(|line| line.is_empty() || line.starts_with(b":")) {
-            true => Ok(rest),
-            false => Err(IncompleteEvent),
+        if !ends_line || !lines.all(|line| line.is_empty() || line.starts_with(b":")) {
+            return Err(IncompleteEvent);
         }
+        self.accept_events(&mut events);
+        events.append(&mut after);
+        Ok(events)
     }
 
     /// Returns the memory of the event that is not complete, in bytes.
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -164,3 +164,20 @@
         }
     }
 }
+
+/// Guards against a last event, of which only the end of the stream shows that it is complete, that
+/// is forwarded twice or with another byte.
+#[test]
+fn a_last_event_that_ends_with_the_stream_is_not_repeated() {
+    let event = "id: 1\rdata: a\r\r";
+    let mut splitter = EventSplitter::default();
+
+    let mut events = splitter.take_events(&mut event.into()).unwrap();
+    events.extend(splitter.finish().unwrap());
+    splitter.resume();
+    events.extend(splitter.take_events(&mut event.into()).unwrap());
+    events.extend(splitter.finish().unwrap());
+
+    assert_eq!(String::from_utf8(events).unwrap(), event);
+    assert_eq!(splitter.last_id(), Some("1"));
+}
