Streams: ids of more than 64 bits are compared as numbers

Callers got events twice from a resumed target that repeats more than the last event, where ids exceed 64 bits: such ids were compared as text for equality only, so the first repeated event was taken for a new one, and with it all that follow. Decimal ids of any size are now compared by their digits.

repeated_events_are_removed_whatever_the_size_of_their_ids failed before (in the case that crosses 64 bits).

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -146,12 +146,19 @@
 
 /// Returns whether an event with `id` is the event `held` or one before it.
 fn is_repeated(id: &str, held: &str) -> bool {
-    match (id.parse::<u64>(), held.parse::<u64>()) {
-        (Ok(id), Ok(held)) => id <= held,
+    match (decimal_order(id), decimal_order(held)) {
+        (Some(id), Some(held)) => id <= held,
         _ => id == held,
     }
 }
 
+/// Returns the digits of a decimal number and their count, by which numbers of any size compare.
+fn decimal_order(text: &str) -> Option<(usize, &str)> {
+    let is_decimal = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    let digits = text.trim_start_matches('0');
+    is_decimal.then_some((digits.len(), digits))
+}
+
 /// Returns the offset after the last event.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     event_ends(bytes).last()
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -181,3 +181,35 @@
     assert_eq!(String::from_utf8(events).unwrap(), event);
     assert_eq!(splitter.last_id(), Some("1"));
 }
+
+/// Guards against events that come twice because their ids exceed 64 bits.
+#[test]
+fn repeated_events_are_removed_whatever_the_size_of_their_ids() {
+    let event = |id: &str| format!("id: {id}\ndata: {id}\n\n");
+    let cases = [
+        [
+            "18446744073709551614",
+            "18446744073709551615",
+            "18446744073709551616",
+        ],
+        [
+            "18446744073709551615",
+            "18446744073709551616",
+            "18446744073709551617",
+        ],
+        [
+            "99999999999999999998",
+            "99999999999999999999",
+            "100000000000000000000",
+        ],
+        ["008", "9", "0010"],
+    ];
+    for [first, second, third] in cases {
+        let begun = [event(first), event(second)].concat();
+        let rest = [event(first), event(second), event(third)].concat();
+
+        let forwarded = resume_with(&begun, [&rest, ""]);
+
+        assert_eq!(forwarded, event(third));
+    }
+}
