Streams: a byte order mark neither ends a resumption nor hides an event

Where targets begin a stream with a byte order mark, callers got the rest of a resumed stream with the mark in the middle of the response, where it makes the id of its event part of an unknown field, or got the repeated event again; a stream that broke behind its first event was cut off and not resumed.

The id of the event behind the mark was not read, and the mark of each further target was forwarded.

the_byte_order_mark_of_a_resumed_stream_is_removed failed before.

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -26,8 +26,14 @@
     last_id: Option<String>,
     /// The last event of the former target, while the current one may repeat it or earlier ones.
     resumed_after: Option<String>,
+    /// Whether the next bytes are the first of another target, which may begin with a byte order
+    /// mark.
+    is_at_restart: bool,
 }
 
+/// The byte order mark that may precede a stream.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 impl EventSplitter {
     /// Consumes bytes and returns all events that are complete.
     ///
@@ -36,6 +42,9 @@
     /// The next event exceeds [`MAX_EVENT_BYTES`].
     pub(crate) fn take_events(&mut self, bytes: &mut Vec<u8>) -> Result<Vec<u8>, OversizedEvent> {
         self.pending.append(bytes);
+        if self.is_at_restart && !self.skip_mark() {
+            return Ok(Vec::new());
+        }
         let end = self.search_events_end().unwrap_or(0);
         if self.pending.len() - end > MAX_EVENT_BYTES {
             return Err(OversizedEvent);
@@ -51,6 +60,20 @@
         Ok(events)
     }
 
+    /// Removes a byte order mark, which has a meaning at the start of the response only. Returns
+    /// false while the bytes may be the start of one.
+    fn skip_mark(&mut self) -> bool {
+        if self.pending.len() < BYTE_ORDER_MARK.len() && BYTE_ORDER_MARK.starts_with(&self.pending)
+        {
+            return false;
+        }
+        if self.pending.starts_with(BYTE_ORDER_MARK) {
+            self.pending.drain(..BYTE_ORDER_MARK.len());
+        }
+        self.is_at_restart = false;
+        true
+    }
+
     /// Removes repeated events, and records the last one.
     fn accept_events(&mut self, events: &mut Vec<u8>) {
         self.remove_repeated(events);
@@ -81,6 +104,7 @@
     /// from its start.
     pub(crate) fn resume(&mut self) {
         self.take_pending();
+        self.is_at_restart = self.last_id.is_some();
         self.resumed_after.clone_from(&self.last_id);
     }
 
@@ -201,7 +225,10 @@
 
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.rsplit(|byte| is_line_end(*byte));
-    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let mut values = lines.filter_map(|line| {
+        let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
+        line.strip_prefix(b"id:")
+    });
     let value = std::str::from_utf8(values.next()?).ok()?;
     Some(value.trim().to_owned())
 }
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -213,3 +213,25 @@
         assert_eq!(forwarded, event(third));
     }
 }
+
+/// Guards against a byte order mark in the middle of a stream, which hides the id of its event.
+#[test]
+fn the_byte_order_mark_of_a_resumed_stream_is_removed() {
+    let mark = "\u{feff}";
+    let event = |id: u32| format!("id: {id}\ndata: e{id}\n\n");
+    let begun = format!("{mark}{}", event(1));
+    let mut splitter = EventSplitter::default();
+    splitter.take_events(&mut begun.clone().into()).unwrap();
+    assert_eq!(splitter.last_id(), Some("1"));
+
+    let rest = format!("{mark}{}{}", event(1), event(2));
+    for cut in 0..rest.len() {
+        let (read, other) = rest.as_bytes().split_at(cut);
+        let mut splitter = EventSplitter::default();
+        splitter.take_events(&mut begun.clone().into()).unwrap();
+        splitter.resume();
+        let mut events = splitter.take_events(&mut read.to_vec()).unwrap();
+        events.extend(splitter.take_events(&mut other.to_vec()).unwrap());
+        assert_eq!(String::from_utf8(events).unwrap(), event(2), "{cut}");
+    }
+}
