Streams: no resumption behind an event without an id

Callers of a stream in which an event has no id, or one that isn't text, got that event twice: the stream was resumed behind the last event that has an id. Such a stream now breaks off, as one without any id does; and a target that is silent behind such an event is no longer given up, since no other one can go on.

The splitter searched the bytes of all events for the last id, whichever event it belongs to.

Failed before: a_stream_can_only_be_resumed_behind_an_event_with_an_id, and a_stream_is_not_resumed_behind_an_event_without_an_id ("data: b0" twice).

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -77,8 +77,14 @@
     /// Removes repeated events, and records the last one.
     fn accept_events(&mut self, events: &mut Vec<u8>) {
         self.remove_repeated(events);
-        if let Some(id) = last_event_id(events) {
-            self.last_id = Some(id);
+        let mut start = 0;
+        for end in event_ends(events) {
+            match event_id(&events[start..end]) {
+                EventId::Known(id) => self.last_id = Some(id),
+                EventId::Missing => self.last_id = None,
+                EventId::NoEvent => {}
+            }
+            start = end;
         }
     }
 
@@ -119,10 +125,15 @@
         let mut is_past = false;
         for end in event_ends(events) {
             let event = &events[start..end];
-            let id = last_event_id(event);
-            let repeats = id.as_ref().is_some_and(|id| is_repeated(id, &held));
-            // Ids increase, so no repeated event follows another one.
-            is_past |= id.is_some() && !repeats;
+            let repeats = match event_id(event) {
+                EventId::Known(id) => {
+                    let repeats = is_repeated(&id, &held);
+                    // Ids increase, so no repeated event follows another one.
+                    is_past |= !repeats;
+                    repeats
+                }
+                EventId::Missing | EventId::NoEvent => false,
+            };
             if !repeats {
                 kept.extend_from_slice(event);
             }
@@ -162,7 +173,7 @@
         std::mem::take(&mut self.pending)
     }
 
-    /// Returns the id of the last complete event.
+    /// Returns the id of the last complete event; `None` if the stream can't go on behind it.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
@@ -223,14 +234,33 @@
     Some(LineEnd { text_end, end })
 }
 
-fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|byte| is_line_end(*byte));
-    let mut values = lines.filter_map(|line| {
+/// What an event says of its place in the stream.
+enum EventId {
+    Known(String),
+    /// It has data and no id, or one that can't be sent to a target: no stream goes on behind it.
+    Missing,
+    /// It has neither data nor an id.
+    NoEvent,
+}
+
+fn event_id(event: &[u8]) -> EventId {
+    let mut has_data = false;
+    let mut id = None;
+    for line in event.split(|byte| is_line_end(*byte)) {
         let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
-        line.strip_prefix(b"id:")
-    });
-    let value = std::str::from_utf8(values.next()?).ok()?;
-    Some(value.trim().to_owned())
+        let name_end = line.iter().position(|byte| *byte == b':');
+        let (name, value) = line.split_at(name_end.unwrap_or(line.len()));
+        match name {
+            b"id" => id = Some(value.strip_prefix(b":").unwrap_or_default()),
+            b"data" => has_data = true,
+            _ => {}
+        }
+    }
+    match id.map(|value| str::from_utf8(value).map(str::trim)) {
+        Some(Ok(id)) if !id.is_empty() => EventId::Known(id.to_owned()),
+        None if !has_data => EventId::NoEvent,
+        _ => EventId::Missing,
+    }
 }
 
 const fn is_line_end(byte: u8) -> bool {
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -467,8 +467,7 @@
 
     /// Returns whether the request may be retried, and charges the retry budget if so.
     fn reserve_retry(&self) -> bool {
-        let is_resumable = !self.progress.has_started || self.progress.last_id().is_some();
-        is_resumable
+        self.progress.is_resumable()
             && self.attempts < self.routed.max_attempts
             && boot_now() + MIN_TIME_LEFT < self.routed.deadline
             && self.state.try_retry(&self.routed.pool)
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns whether another target can continue the response.
+    pub(crate) fn is_resumable(&self) -> bool {
+        !self.has_started || self.last_id().is_some()
+    }
+
     /// Returns the id of the last event that was written.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.splitter.last_id()
@@ -208,7 +213,7 @@
                 }
                 RelayEvent::CallerDisconnected => return RelayOutcome::CallerDisconnected,
                 RelayEvent::DeadlineExceeded => return RelayOutcome::DeadlineExceeded,
-                RelayEvent::TargetUnresponsive if (checks.can_resume)() => {
+                RelayEvent::TargetUnresponsive if self.is_resumable() && (checks.can_resume)() => {
                     return RelayOutcome::TargetLost(LossCause::Unresponsive);
                 }
                 // The target may only be slow, and an incomplete response is of no use to
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -235,3 +235,27 @@
         assert_eq!(String::from_utf8(events).unwrap(), event(2), "{cut}");
     }
 }
+
+/// Guards against a stream that goes on behind an earlier event than the last one, so that events
+/// come twice.
+#[test]
+fn a_stream_can_only_be_resumed_behind_an_event_with_an_id() {
+    let cases = [
+        ("id: 1\ndata: a\n\ndata: b\n\n", None),
+        ("id: 1\ndata: a\n\n: comment\n\nretry: 5\n\n\n", Some("1")),
+        ("id: 1\nid: 2\ndata: a\n\n", Some("2")),
+        ("id: 1\ndata: a\n\nid: \ndata: b\n\n", None),
+        ("data: b\n\nid: 7\ndata: a\n\n", Some("7")),
+    ];
+    for (events, last_id) in cases {
+        let mut splitter = EventSplitter::default();
+
+        splitter.take_events(&mut events.into()).unwrap();
+
+        assert_eq!(splitter.last_id(), last_id, "{events:?}");
+    }
+    let mut splitter = EventSplitter::default();
+    let mut unreadable = b"id: 1\ndata: a\n\nid: \xff\ndata: b\n\n".to_vec();
+    splitter.take_events(&mut unreadable).unwrap();
+    assert_eq!(splitter.last_id(), None);
+}
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -26,6 +26,7 @@
 mod slot_reports;
 mod store_access;
 mod store_eras;
+mod stream_resumes;
 mod stream_versions;
 mod suspect_trials;
 mod target_notices;
--- /dev/null
+++ b/src/edge/tests/stream_resumes.rs
@@ -0,0 +1,42 @@
+//! Streams that are resumed, within a response or by their caller. A caller must get each event
+//! once, and no response that ends early as complete.
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use super::edge_fixture::EdgeFixture;
+use super::edge_fixture::request_for;
+use super::raw_target::RawRequest;
+use super::raw_target::RawTarget;
+use super::raw_target::event_chunk;
+use super::raw_target::write_text;
+
+/// Guards against an event behind the one that has no id that comes twice, and a target that is
+/// given up for its silence though the stream can't go on elsewhere.
+#[test]
+fn a_stream_is_not_resumed_behind_an_event_without_an_id() {
+    let event = "a\r\ndata: b0\n\n\r\n";
+    let breaking = move |request: &RawRequest, stream: &mut TcpStream| {
+        write_text(stream, &request.stream_head());
+        write_text(stream, &event_chunk(1));
+        write_text(stream, event);
+        if request.text.contains("/resume/silent") {
+            thread::sleep(Duration::from_millis(1900));
+            write_text(stream, &event_chunk(2));
+            write_text(stream, "0\r\n\r\n");
+        }
+        false
+    };
+    let targets = [RawTarget::spawn(breaking), RawTarget::spawn(breaking)];
+    let host = EdgeFixture::open(&targets);
+
+    let broken = host.call_to_end(&request_for("/resume/broken", "id1"));
+    let request = request_for("/resume/silent", "id2").replace("Ms: 2000", "Ms: 3000");
+    let silent = host.call_to_end(&request);
+
+    assert!(!broken.is_complete(200), "{broken:?}");
+    assert_eq!(broken.text.matches("data: b0").count(), 1, "{broken:?}");
+    assert!(silent.is_complete(200), "{silent:?}");
+    assert_eq!(silent.text.matches("data: b0").count(), 1, "{silent:?}");
+}
