Streams: no refusal within the first event that a caller reads too slowly

Callers that had read a part of the first event of a stream when the deadline passed got a response with status 504 within it, as bytes of the event, and further responses behind that on the same connection.

A stream counted as begun once its first write was complete. A write that the deadline ends may have written a part, so it counts from its start.

--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -75,7 +75,7 @@
     splitter: EventSplitter,
     /// The memory of the event that is not complete.
     permit: BytePermit,
-    /// Whether anything was written to the caller.
+    /// Whether anything may have been written to the caller.
     pub(crate) has_started: bool,
     first_at: Option<Duration>,
     last_at: Duration,
@@ -250,16 +250,15 @@
             let head = (!self.has_started).then_some(head);
             if head.is_some() {
                 (checks.begin)();
+                // A write that the deadline ends may have written a part.
+                self.has_started = true;
             }
             let written = timeout(
                 limits.deadline.saturating_sub(boot_now()),
                 caller.write_events(head, &events, ends && !is_open),
             );
             match written.await {
-                Ok(Ok(())) => {
-                    self.has_started = true;
-                    self.record_events();
-                }
+                Ok(Ok(())) => self.record_events(),
                 Ok(Err(_)) => return RelayOutcome::CallerDisconnected,
                 Err(_) => return RelayOutcome::DeadlineExceeded,
             }
--- a/src/edge/tests/stream_resumes.rs
+++ b/src/edge/tests/stream_resumes.rs
@@ -1,10 +1,14 @@
 //! Streams that are resumed, within a response or by their caller. A caller must get each event
 //! once, and no response that ends early as complete.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::request_for;
 use super::raw_target::RawRequest;
@@ -40,3 +44,39 @@
     assert!(silent.is_complete(200), "{silent:?}");
     assert_eq!(silent.text.matches("data: b0").count(), 1, "{silent:?}");
 }
+
+/// Guards against a refusal that is written into the first event of a stream, of which a part was
+/// written when the deadline passes.
+#[test]
+fn a_stream_that_is_read_too_slowly_gets_no_refusal_within_an_event() {
+    let large = |request: &RawRequest, stream: &mut TcpStream| {
+        let event = format!("id: 1\ndata: {}\n\n", "x".repeat(900_000));
+        write_text(stream, &request.stream_head());
+        write_text(
+            stream,
+            &format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()),
+        );
+        true
+    };
+    for path in ["/stream/x", "/resume/x"] {
+        let host = EdgeFixture::open(&[RawTarget::spawn(large)]);
+        let mut caller = host.connect();
+        set_socket_recv_buffer_size(&caller, 32 << 10).unwrap();
+        // The responses to the first requests fill the buffers of the connection.
+        for number in 0..12 {
+            let request = request_for(path, &format!("id{number}")).replace("Ms: 2000", "Ms: 600");
+            let kept = request.replace("Connection: close\r\n", "");
+            caller.write_all(kept.as_bytes()).unwrap();
+        }
+        thread::sleep(Duration::from_millis(2500));
+
+        let mut received = Vec::new();
+        caller.read_to_end(&mut received).ok();
+
+        let text = String::from_utf8_lossy(&received);
+        let begun = text.matches("HTTP/1.1").count();
+        assert_eq!(text.matches("HTTP/1.1 200").count(), begun, "{path}");
+        assert!(begun < 12, "the buffers hold all responses");
+        assert!(!text.ends_with("0\r\n\r\n"), "{path}");
+    }
+}
