Streams: a caller that asks for the rest gets no event that it has

Callers that asked for the rest of their stream with the id of their last event got events twice where the target repeats it or starts earlier: what was forwarded before was only known within one response, so repeated events were removed behind a resumption by the host and not behind one by the caller.

A decimal id that is named once now counts as the last event that the caller has, whatever its size. Any other value is passed on as before.

a_caller_that_resumes_gets_no_repeated_event failed before (events 1 to 5 behind event 3).

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -24,7 +24,9 @@
     line_start: usize,
     searched: usize,
     last_id: Option<String>,
-    /// The last event of the former target, while the current one may repeat it or earlier ones.
+    /// The event behind which the caller asks for the stream.
+    requested_after: Option<String>,
+    /// The last event that the caller has, while the target may repeat it or earlier ones.
     resumed_after: Option<String>,
     /// Whether the next bytes are the first of another target, which may begin with a byte order
     /// mark.
@@ -35,6 +37,15 @@
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 impl EventSplitter {
+    /// Creates a splitter of a stream for a caller that already has the event `id`, and all before
+    /// it.
+    pub(crate) fn behind(id: Option<String>) -> Self {
+        Self {
+            requested_after: id.filter(|id| decimal_order(id).is_some()),
+            ..Self::default()
+        }
+    }
+
     /// Consumes bytes and returns all events that are complete.
     ///
     /// # Errors
@@ -111,7 +122,8 @@
     pub(crate) fn resume(&mut self) {
         self.take_pending();
         self.is_at_restart = self.last_id.is_some();
-        self.resumed_after.clone_from(&self.last_id);
+        let held = self.last_id.as_ref().or(self.requested_after.as_ref());
+        self.resumed_after = held.cloned();
     }
 
     /// Removes the events up to the one after which the stream was resumed. Without this the
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -138,6 +138,7 @@
             routed,
             progress: StreamProgress::new(
                 routed.request.arrived,
+                requested_after(state, routed),
                 Arc::clone(&routed.series),
                 &state.response_memory,
             ),
@@ -547,3 +548,20 @@
         left.mul_f64(STREAM_RETRY_RATIO * (1.0 - STREAM_RETRY_JITTER * spread))
     }
 }
+
+/// Returns the event behind which the caller asks for its stream. Two values name none.
+fn requested_after(state: &EdgeState, routed: &RoutedRequest) -> Option<String> {
+    if routed.kind != CallKind::ResumableStream {
+        return None;
+    }
+    let mut values = routed
+        .request
+        .message
+        .headers
+        .all(&state.header_names.resume_after);
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return None;
+    };
+    let id = std::str::from_utf8(value).ok()?;
+    Some(id.trim().to_owned())
+}
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -128,14 +128,16 @@
 }
 
 impl StreamProgress {
-    /// Starts the response of a request that arrived at `arrived` on the boot clock.
+    /// Starts the response of a request that arrived at `arrived` on the boot clock, to a caller
+    /// that has the stream up to the event `requested_after`.
     pub(crate) fn new(
         arrived: Duration,
+        requested_after: Option<String>,
         series: Arc<RequestSeries>,
         memory: &Arc<ByteBudget>,
     ) -> Self {
         Self {
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::behind(requested_after),
             permit: memory.empty_permit(),
             has_started: false,
             first_at: None,
--- a/src/edge/tests/stream_resumes.rs
+++ b/src/edge/tests/stream_resumes.rs
@@ -16,6 +16,61 @@
 use super::raw_target::event_chunk;
 use super::raw_target::write_text;
 
+/// Adds header lines to a request.
+fn with_lines(request: &str, lines: &str) -> String {
+    request.replace("X-Left-Ms", &format!("{lines}\r\nX-Left-Ms"))
+}
+
+/// Serves a stream of five events, whatever the caller has.
+fn serve_whole(request: &RawRequest, stream: &mut TcpStream) -> bool {
+    write_text(stream, &request.stream_head());
+    for id in 1..=5 {
+        write_text(stream, &event_chunk(id));
+    }
+    write_text(stream, "0\r\n\r\n");
+    true
+}
+
+/// Returns the ids of the events of a response.
+fn ids_of(answer: &str) -> Vec<u32> {
+    let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
+
+/// Guards against events that a caller gets twice because the target repeats them where the caller
+/// itself asks for the rest.
+#[test]
+fn a_caller_that_resumes_gets_no_repeated_event() {
+    let host = EdgeFixture::open(&[RawTarget::spawn(serve_whole)]);
+    host.call(&request_for("/resume/x", "first"));
+    let cases = [
+        ("X-Resume-After: 3", vec![4, 5]),
+        ("X-Resume-After: 0", vec![1, 2, 3, 4, 5]),
+        ("X-Resume-After: 5", vec![]),
+        ("X-Resume-After: 99999999999999999999999", vec![]),
+        // Values that name no event.
+        ("X-Resume-After: -3", vec![1, 2, 3, 4, 5]),
+        ("X-Resume-After: x", vec![1, 2, 3, 4, 5]),
+        ("X-Resume-After:", vec![1, 2, 3, 4, 5]),
+        (
+            "X-Resume-After: 2\r\nX-Resume-After: 4",
+            vec![1, 2, 3, 4, 5],
+        ),
+    ];
+    for (number, (line, wanted)) in cases.into_iter().enumerate() {
+        let request = request_for("/resume/x", &format!("id{number}"));
+
+        let lines = format!("X-Resumes: first\r\n{line}");
+        let answer = host.call_to_end(&with_lines(&request, &lines));
+
+        assert!(answer.is_complete(200), "{line}: {answer:?}");
+        assert_eq!(ids_of(&answer.text), wanted, "{line}");
+    }
+    // Such a header has no meaning where streams are not resumed.
+    let request = with_lines(&request_for("/stream/x", "id"), "X-Resume-After: 3");
+    assert_eq!(ids_of(&host.call(&request)), [1, 2, 3, 4, 5]);
+}
+
 /// Guards against an event behind the one that has no id that comes twice, and a target that is
 /// given up for its silence though the stream can't go on elsewhere.
 #[test]
