Streams: an empty rest without a length does not complete a response

Callers of a stream that was resumed at another target got it as complete if that target closed its connection before any event of the rest, behind a comment only, or behind events that it repeated.

A response without a length that is closed before its first event counts as broken off. That was only checked until the first event of all; it now holds for each target's part of the response, and for new events only. An empty rest whose end is declared still completes the response.

the_rest_of_a_stream_that_is_closed_before_any_event_is_not_complete failed before.

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -31,6 +31,8 @@
     /// Whether the next bytes are the first of another target, which may begin with a byte order
     /// mark.
     is_at_restart: bool,
+    /// Whether the current target has sent an event that the caller did not have.
+    has_new_event: bool,
 }
 
 /// The byte order mark that may precede a stream.
@@ -91,14 +93,19 @@
         let mut start = 0;
         for end in event_ends(events) {
             match event_id(&events[start..end]) {
-                EventId::Known(id) => self.last_id = Some(id),
-                EventId::Missing => self.last_id = None,
+                EventId::Known(id) => self.record_event(Some(id)),
+                EventId::Missing => self.record_event(None),
                 EventId::NoEvent => {}
             }
             start = end;
         }
     }
 
+    fn record_event(&mut self, id: Option<String>) {
+        self.last_id = id;
+        self.has_new_event = true;
+    }
+
     /// Searches the bytes that were not searched yet, and returns the offset after the last event
     /// that ends in them.
     fn search_events_end(&mut self) -> Option<usize> {
@@ -121,6 +128,7 @@
     /// from its start.
     pub(crate) fn resume(&mut self) {
         self.take_pending();
+        self.has_new_event = false;
         self.is_at_restart = self.last_id.is_some();
         let held = self.last_id.as_ref().or(self.requested_after.as_ref());
         self.resumed_after = held.cloned();
@@ -185,6 +193,11 @@
         std::mem::take(&mut self.pending)
     }
 
+    /// Returns whether the current target has sent an event that the caller did not have.
+    pub(crate) const fn has_new_event(&self) -> bool {
+        self.has_new_event
+    }
+
     /// Returns the id of the last complete event; `None` if the stream can't go on behind it.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -280,18 +280,17 @@
     ///
     /// # Errors
     ///
-    /// The stream was broken off: it ended inside an event, or was closed before any.
+    /// The stream was broken off: it ended inside an event, or was closed before any new one.
     fn finish_events(
         &mut self,
         events: &mut Vec<u8>,
         source: &ResponseSource,
     ) -> Result<(), LossCause> {
-        let is_empty = !self.has_started && events.is_empty();
-        if is_empty && source.leaves_end_open() {
-            return Err(LossCause::EmptyStream);
-        }
         events.append(&mut self.splitter.finish()?);
-        Ok(())
+        match source.leaves_end_open() && !self.splitter.has_new_event() {
+            true => Err(LossCause::EmptyStream),
+            false => Ok(()),
+        }
     }
 
     /// Records the time of a write of events.
--- a/src/edge/tests/stream_resumes.rs
+++ b/src/edge/tests/stream_resumes.rs
@@ -14,6 +14,7 @@
 use super::raw_target::RawRequest;
 use super::raw_target::RawTarget;
 use super::raw_target::event_chunk;
+use super::raw_target::unframed_head;
 use super::raw_target::write_text;
 
 /// Adds header lines to a request.
@@ -100,6 +101,33 @@
     assert_eq!(silent.text.matches("data: b0").count(), 1, "{silent:?}");
 }
 
+/// Guards against a stream that ends as complete because the rest of it, without a length, is
+/// closed before any event.
+#[test]
+fn the_rest_of_a_stream_that_is_closed_before_any_event_is_not_complete() {
+    let repeated = "id: 2\ndata: e2\n\n";
+    for rest in ["", ": comment\n\n", repeated] {
+        let breaking = move |request: &RawRequest, stream: &mut TcpStream| {
+            if request.header("X-Resume-After").is_some() {
+                write_text(stream, &unframed_head(request));
+                write_text(stream, rest);
+                return false;
+            }
+            write_text(stream, &request.stream_head());
+            write_text(stream, &event_chunk(1));
+            write_text(stream, &event_chunk(2));
+            false
+        };
+        let targets = [RawTarget::spawn(breaking), RawTarget::spawn(breaking)];
+        let host = EdgeFixture::open(&targets);
+
+        let answer = host.call_to_end(&request_for("/resume/x", "id1"));
+
+        assert!(!answer.is_complete(200), "{rest:?}: {answer:?}");
+        assert_eq!(ids_of(&answer.text), [1, 2], "{rest:?}");
+    }
+}
+
 /// Guards against a refusal that is written into the first event of a stream, of which a part was
 /// written when the deadline passes.
 #[test]
