Streams: no chunk behind the response to a HEAD request

Callers that send HEAD on a streaming route and keep the connection got a last chunk behind the response, which they read as the start of the next one: the response was relayed as a stream with chunked coding, though a response to HEAD has no body. It is now written as one without events.

the_response_to_a_head_request_has_no_body failed before.

--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -298,7 +298,7 @@
         self.responder.clone_from(&response.responder);
         let status = response.status();
         let mut source = ResponseSource::Peer(response);
-        Ok(match self.routed.kind.is_stream() && status == 200 {
+        Ok(match self.routed.has_events(status) {
             true => self.relay_forwarded(&mut source).await,
             false => self.deliver_forwarded(&mut source).await,
         })
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -92,6 +92,12 @@
         self.forwarded.is_some()
     }
 
+    /// Returns whether a response with this status is a stream of events. A response to `HEAD` has
+    /// no body.
+    pub(crate) fn has_events(&self, status: u16) -> bool {
+        self.kind.is_stream() && status == 200 && self.request.message.method != "HEAD"
+    }
+
     /// Returns the time since the request arrived.
     pub(crate) fn age(&self) -> Duration {
         boot_now().saturating_sub(self.request.arrived)
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -75,7 +75,7 @@
         let status = call.head.status;
         self.caller.set_responder(slot.target());
         let mut source = ResponseSource::Target(call);
-        let outcome = match self.routed.kind.is_stream() && status == 200 {
+        let outcome = match self.routed.has_events(status) {
             true => self.relay_stream(&mut source, &mut slot).await,
             false => match self.collect(&mut source, &mut slot).await {
                 Ok(response) => self.deliver_buffered(response).await,
--- a/src/edge/tests/stream_resumes.rs
+++ b/src/edge/tests/stream_resumes.rs
@@ -11,6 +11,7 @@
 
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::request_for;
+use super::edge_fixture::status_of;
 use super::raw_target::RawRequest;
 use super::raw_target::RawTarget;
 use super::raw_target::event_chunk;
@@ -163,3 +164,23 @@
         assert!(!text.ends_with("0\r\n\r\n"), "{path}");
     }
 }
+
+/// Guards against a chunk behind the response to a `HEAD` request, which a caller reads as part of
+/// the next response.
+#[test]
+fn the_response_to_a_head_request_has_no_body() {
+    let target = RawTarget::spawn(|request, stream| {
+        write_text(stream, &request.stream_head());
+        true
+    });
+    let host = EdgeFixture::open(&[target]);
+
+    for path in ["/stream/x", "/resume/x"] {
+        let request = request_for(path, "id1").replace("POST", "HEAD");
+        let answer = host.call(&request);
+
+        assert_eq!(status_of(&answer), 200);
+        let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert_eq!(body, "", "{answer}");
+    }
+}
