--- a/src/edge/tests/partitions.rs
+++ b/src/edge/tests/partitions.rs
@@ -209,7 +209,7 @@
 }
 
 /// Opens a fleet whose first host has lost its paths and whose others serve.
-fn cut_fleet(targets: &[RawTarget], zones: &[&str]) -> FleetFixture {
+pub(super) fn cut_fleet(targets: &[RawTarget], zones: &[&str]) -> FleetFixture {
     let fleet = FleetFixture::open(targets, zones);
     warm_up(&fleet);
     fleet.set_paths(0, PathMode::Reset);
