serve: the length of an engine's connection is not that of its stream

Callers of `serve` got a stream as complete that ends within its last event, where the engine declares a length and the host had resumed its stream on a new connection: the answer kept the length of the first connection, while a comment more was relayed than that connection would have carried. With fewer bytes, the answer looked broken off.

An answer that is relayed as a stream has no length now, and ends with its last chunk.

a_resumed_stream_of_a_declared_length_is_complete failed before ("data:" as the last bytes of a complete answer).

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -68,7 +68,11 @@
     /// new connections work.
     pub(crate) async fn relay_stream(&mut self, mut answer: TargetAnswer) -> Result<(), ErrorKind> {
         let run = self.run;
-        run.buffer.put_head(done_head(run, answer.head.clone()));
+        let mut head = done_head(run, answer.head.clone());
+        // The length of this connection. Further ones may bring other comments, and events that
+        // are not relayed.
+        head.length = None;
+        run.buffer.put_head(head);
         let mut resumes = 0;
         loop {
             let before = self.guard.next_offset();
