--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -75,7 +75,7 @@
     splitter: EventSplitter,
     /// The memory of the event that is not complete.
     permit: BytePermit,
-    /// Whether anything was written to the caller.
+    /// Whether anything may have been written to the caller.
     pub(crate) has_started: bool,
     first_at: Option<Duration>,
     last_at: Duration,
@@ -128,14 +128,16 @@
 }
 
 impl StreamProgress {
-    /// Starts the response of a request that arrived at `arrived` on the boot clock.
+    /// Starts the response of a request that arrived at `arrived` on the boot clock, to a caller
+    /// that has the stream up to the event `requested_after`.
     pub(crate) fn new(
         arrived: Duration,
+        requested_after: Option<String>,
         series: Arc<RequestSeries>,
         memory: &Arc<ByteBudget>,
     ) -> Self {
         Self {
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::behind(requested_after),
             permit: memory.empty_permit(),
             has_started: false,
             first_at: None,
@@ -146,6 +148,11 @@
         }
     }
 
+    /// Returns whether another target can continue the response.
+    pub(crate) fn is_resumable(&self) -> bool {
+        !self.has_started || self.last_id().is_some()
+    }
+
     /// Returns the id of the last event that was written.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.splitter.last_id()
@@ -208,7 +215,7 @@
                 }
                 RelayEvent::CallerDisconnected => return RelayOutcome::CallerDisconnected,
                 RelayEvent::DeadlineExceeded => return RelayOutcome::DeadlineExceeded,
-                RelayEvent::TargetUnresponsive if (checks.can_resume)() => {
+                RelayEvent::TargetUnresponsive if self.is_resumable() && (checks.can_resume)() => {
                     return RelayOutcome::TargetLost(LossCause::Unresponsive);
                 }
                 // The target may only be slow, and an incomplete response is of no use to
@@ -245,16 +252,15 @@
             let head = (!self.has_started).then_some(head);
             if head.is_some() {
                 (checks.begin)();
+                // A write that the deadline ends may have written a part.
+                self.has_started = true;
             }
             let written = timeout(
                 limits.deadline.saturating_sub(boot_now()),
                 caller.write_events(head, &events, ends && !is_open),
             );
             match written.await {
-                Ok(Ok(())) => {
-                    self.has_started = true;
-                    self.record_events();
-                }
+                Ok(Ok(())) => self.record_events(),
                 Ok(Err(_)) => return RelayOutcome::CallerDisconnected,
                 Err(_) => return RelayOutcome::DeadlineExceeded,
             }
@@ -274,18 +280,17 @@
     ///
     /// # Errors
     ///
-    /// The stream was broken off: it ended inside an event, or was closed before any.
+    /// The stream was broken off: it ended inside an event, or was closed before any new one.
     fn finish_events(
         &mut self,
         events: &mut Vec<u8>,
         source: &ResponseSource,
     ) -> Result<(), LossCause> {
-        let is_empty = !self.has_started && events.is_empty();
-        if is_empty && source.leaves_end_open() {
-            return Err(LossCause::EmptyStream);
-        }
         events.append(&mut self.splitter.finish()?);
-        Ok(())
+        match source.leaves_end_open() && !self.splitter.has_new_event() {
+            true => Err(LossCause::EmptyStream),
+            false => Ok(()),
+        }
     }
 
     /// Records the time of a write of events.
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -131,3 +131,131 @@
         assert!(events == event.as_bytes(), "{line_end:?}");
     }
 }
+
+/// Returns what a splitter forwards of the rest of a stream, which is sent in two reads, behind
+/// the events `first` and a partial one.
+fn resume_with(first: &str, reads: [&str; 2]) -> String {
+    let mut splitter = EventSplitter::default();
+    splitter
+        .take_events(&mut format!("{first}:").into())
+        .unwrap();
+    splitter.resume();
+    let mut events = Vec::new();
+    for read in reads {
+        events.extend(splitter.take_events(&mut read.into()).unwrap());
+    }
+    events.extend(splitter.finish().unwrap());
+    String::from_utf8(events).unwrap()
+}
+
+/// Guards against an event that is lost behind a resumption because its lines end with CR.
+#[test]
+fn events_of_a_resumed_stream_are_forwarded_with_each_line_end() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let event = |id: u32| format!("id: {id}{line_end}data: e{id}{line_end}{line_end}");
+        let end = ": end\n".to_owned();
+        let whole = [event(1), event(2), event(3), event(4), end].concat();
+
+        for cut in event(1).len()..whole.len() {
+            let (read, rest) = whole.split_at(cut);
+            let forwarded = resume_with(&event(1), [read, rest]);
+
+            assert_eq!(forwarded, whole[event(1).len()..], "{line_end:?} {cut}");
+        }
+    }
+}
+
+/// Guards against a last event, of which only the end of the stream shows that it is complete, that
+/// is forwarded twice or with another byte.
+#[test]
+fn a_last_event_that_ends_with_the_stream_is_not_repeated() {
+    let event = "id: 1\rdata: a\r\r";
+    let mut splitter = EventSplitter::default();
+
+    let mut events = splitter.take_events(&mut event.into()).unwrap();
+    events.extend(splitter.finish().unwrap());
+    splitter.resume();
+    events.extend(splitter.take_events(&mut event.into()).unwrap());
+    events.extend(splitter.finish().unwrap());
+
+    assert_eq!(String::from_utf8(events).unwrap(), event);
+    assert_eq!(splitter.last_id(), Some("1"));
+}
+
+/// Guards against events that come twice because their ids exceed 64 bits.
+#[test]
+fn repeated_events_are_removed_whatever_the_size_of_their_ids() {
+    let event = |id: &str| format!("id: {id}\ndata: {id}\n\n");
+    let cases = [
+        [
+            "18446744073709551614",
+            "18446744073709551615",
+            "18446744073709551616",
+        ],
+        [
+            "18446744073709551615",
+            "18446744073709551616",
+            "18446744073709551617",
+        ],
+        [
+            "99999999999999999998",
+            "99999999999999999999",
+            "100000000000000000000",
+        ],
+        ["008", "9", "0010"],
+    ];
+    for [first, second, third] in cases {
+        let begun = [event(first), event(second)].concat();
+        let rest = [event(first), event(second), event(third)].concat();
+
+        let forwarded = resume_with(&begun, [&rest, ""]);
+
+        assert_eq!(forwarded, event(third));
+    }
+}
+
+/// Guards against a byte order mark in the middle of a stream, which hides the id of its event.
+#[test]
+fn the_byte_order_mark_of_a_resumed_stream_is_removed() {
+    let mark = "\u{feff}";
+    let event = |id: u32| format!("id: {id}\ndata: e{id}\n\n");
+    let begun = format!("{mark}{}", event(1));
+    let mut splitter = EventSplitter::default();
+    splitter.take_events(&mut begun.clone().into()).unwrap();
+    assert_eq!(splitter.last_id(), Some("1"));
+
+    let rest = format!("{mark}{}{}", event(1), event(2));
+    for cut in 0..rest.len() {
+        let (read, other) = rest.as_bytes().split_at(cut);
+        let mut splitter = EventSplitter::default();
+        splitter.take_events(&mut begun.clone().into()).unwrap();
+        splitter.resume();
+        let mut events = splitter.take_events(&mut read.to_vec()).unwrap();
+        events.extend(splitter.take_events(&mut other.to_vec()).unwrap());
+        assert_eq!(String::from_utf8(events).unwrap(), event(2), "{cut}");
+    }
+}
+
+/// Guards against a stream that goes on behind an earlier event than the last one, so that events
+/// come twice.
+#[test]
+fn a_stream_can_only_be_resumed_behind_an_event_with_an_id() {
+    let cases = [
+        ("id: 1\ndata: a\n\ndata: b\n\n", None),
+        ("id: 1\ndata: a\n\n: comment\n\nretry: 5\n\n\n", Some("1")),
+        ("id: 1\nid: 2\ndata: a\n\n", Some("2")),
+        ("id: 1\ndata: a\n\nid: \ndata: b\n\n", None),
+        ("data: b\n\nid: 7\ndata: a\n\n", Some("7")),
+    ];
+    for (events, last_id) in cases {
+        let mut splitter = EventSplitter::default();
+
+        splitter.take_events(&mut events.into()).unwrap();
+
+        assert_eq!(splitter.last_id(), last_id, "{events:?}");
+    }
+    let mut splitter = EventSplitter::default();
+    let mut unreadable = b"id: 1\ndata: a\n\nid: \xff\ndata: b\n\n".to_vec();
+    splitter.take_events(&mut unreadable).unwrap();
+    assert_eq!(splitter.last_id(), None);
+}
