Share the search for the holders of a part among hosts

Each host would otherwise list the parts of all targets, 585 hosts those of 3,000 targets. The sections of a pool's targets (256, by a hash of their names) are assigned to the searching host and its connected peers by rendezvous hashing, so searches of different hosts use the same lists. Targets of a peer that does not answer count as unanswered.

--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -42,7 +42,7 @@
 /// Shared key of the peer handshake. The platform distributes no secrets and only hosts
 /// can reach the peer address, so the key guards against misconfiguration and not against
 /// attackers.
-const PEER_KEY: &[u8] = b"cardamomgw edge hosts";
+pub(super) const PEER_KEY: &[u8] = b"cardamomgw edge hosts";
 /// Share of the file descriptors available to caller connections. The rest is reserved
 /// for targets, peers and files.
 const CALLER_DESCRIPTOR_RATIO: f64 = 0.6;
--- a/src/edge/edge_metrics.rs
+++ b/src/edge/edge_metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) served_for_peers: AtomicU64,
     /// Searches for the targets that hold a part of a prompt.
     pub(crate) holder_searches: AtomicU64,
+    /// Parts of the searches of peers that this host carried out.
+    pub(crate) searches_for_peers: AtomicU64,
     /// Calls that list the parts of a target.
     pub(crate) part_lists: AtomicU64,
 }
@@ -64,6 +66,7 @@
             ("requests_for_peers_total", &self.served_for_peers),
             ("slot_reports_total", &self.slot_reports),
             ("holder_searches_total", &self.holder_searches),
+            ("searches_for_peers_total", &self.searches_for_peers),
             ("part_lists_total", &self.part_lists),
         ];
         for (name, counter) in counters {
--- a/src/edge/gossip_service.rs
+++ b/src/edge/gossip_service.rs
@@ -9,6 +9,7 @@
 use super::edge_state::EdgeState;
 use super::forward_service::serve_forwarded;
 use super::gossip_merge::handle_gossip;
+use super::part_holders::answer_part_query;
 use super::stream_origin::answer_origin;
 use crate::clock::boot_now;
 use crate::errors::ErrorKind;
@@ -113,6 +114,21 @@
             }
             call => call,
         };
+        let call = match call {
+            PeerCall::PartHolders(query) => {
+                return Box::pin(async move {
+                    let reply = match answer_part_query(&self.state, query).await {
+                        Some(found) => PeerReply::PartHolders(found),
+                        None => PeerReply::Refused {
+                            kind: ErrorKind::NotReady,
+                            retry_after_ms: None,
+                        },
+                    };
+                    replies.finish(reply).await.ok();
+                });
+            }
+            call => call,
+        };
         let package = match call {
             PeerCall::Catalog { known } => Some(self.catalog_package(known)),
             PeerCall::FleetView => Some(self.view_package()),
--- a/src/edge/part_holders.rs
+++ b/src/edge/part_holders.rs
@@ -2,22 +2,44 @@
 //!
 //! The last part of a prompt belongs to its request, so a target that holds it has run the request.
 //! This shows which software version began a stream that no host remembers.
+//!
+//! Each list delays the work of its target, so hosts share them: the sections of a pool's targets
+//! are assigned to the searching host and its connected peers by a hash, which gives the same
+//! section to the same peer for all searching hosts. In a fleet that gossips in groups, members have
+//! few connections; they ask their leader, which is connected with hosts of all groups.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
+use async_std::task;
+use futures_lite::future::zip;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::edge_metrics::count;
 use super::edge_state::EdgeState;
 use crate::clock::boot_now;
+use crate::ids::HostName;
 use crate::ids::SoftwareVersion;
+use crate::ids::TargetName;
 use crate::logs::DecisionLine;
+use crate::peers::PartHolders;
+use crate::peers::PartQuery;
+use crate::peers::PartScope;
+use crate::peers::PeerCall;
+use crate::peers::PeerReply;
+use crate::peers::TargetSection;
 use crate::poison::canonical_part;
-use crate::view::TargetIncarnation;
+use crate::sorted::SortedMap;
+use crate::view::TargetRecord;
 
 /// Time limit of a search.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time by which a called host answers before the calling one stops waiting.
+const HOP_TIME: Duration = Duration::from_millis(20);
+/// Limit on the targets that a host lists for one search. A host with few connections before
+/// thousands of targets would otherwise call each of them.
+const MAX_OWN_TARGETS: usize = 512;
 
 /// What a search among the targets of a pool found.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -30,25 +52,53 @@
     pub(crate) answered: usize,
 }
 
+/// The targets of a pool that one host lists.
+#[derive(Debug, Default)]
+pub(super) struct SectionShare {
+    pub(super) sections: Vec<TargetSection>,
+    pub(super) targets: Vec<TargetRecord>,
+}
+
+impl HolderSearch {
+    fn of_targets(targets: usize) -> Self {
+        Self {
+            targets,
+            ..Self::default()
+        }
+    }
+
+    /// Adds what was found among `targets` of the targets.
+    fn merge(&mut self, found: PartHolders, targets: usize) {
+        self.versions.extend(found.versions);
+        self.versions.sort();
+        self.versions.dedup();
+        self.answered += targets.min(found.answered as usize);
+    }
+}
+
+impl From<HolderSearch> for PartHolders {
+    fn from(found: HolderSearch) -> Self {
+        Self {
+            versions: found.versions,
+            targets: found.targets as u64,
+            answered: found.answered as u64,
+        }
+    }
+}
+
 impl EdgeState {
     /// Finds the versions of the targets of a pool that hold a part, by lists that are made after
     /// this call. Draining targets are asked too.
     pub(crate) async fn find_holders(self: &Arc<Self>, pool: &str, part: &str) -> HolderSearch {
         let started = boot_now();
         count(&self.metrics.holder_searches);
-        let targets: Vec<(TargetIncarnation, SoftwareVersion)> = self
-            .view
-            .targets()
-            .into_iter()
-            .filter(|target| target.pool == pool)
-            .map(|target| (target.incarnation(), target.software_version))
-            .collect();
+        let deadline = started + SEARCH_TIMEOUT;
         let found = match canonical_part(part) {
-            Some(part) => self.search_targets(&targets, &part).await,
-            None => HolderSearch {
-                targets: targets.len(),
-                ..HolderSearch::default()
+            Some(part) => match self.ask_leader(pool, &part, deadline).await {
+                Some(found) => found,
+                None => self.search_shared(pool, &part, deadline).await,
             },
+            None => HolderSearch::of_targets(self.pool_targets(pool).len()),
         };
         self.log.write(&DecisionLine::HoldersSearched {
             pool: pool.to_owned(),
@@ -61,30 +111,189 @@
         found
     }
 
-    /// Collects the answers of the targets until all have answered or the time is up.
-    async fn search_targets(
+    fn pool_targets(&self, pool: &str) -> Vec<TargetRecord> {
+        let mut targets = self.view.targets();
+        targets.retain(|target| target.pool == pool);
+        targets
+    }
+
+    /// Lets the leader of this host's group search; `None` if this host is none's member, or the
+    /// leader does not answer.
+    async fn ask_leader(
+        self: &Arc<Self>,
+        pool: &str,
+        part: &str,
+        deadline: Duration,
+    ) -> Option<HolderSearch> {
+        let role = self.role();
+        if !role.is_grouped_member() || self.acts_as_leader(&role) {
+            return None;
+        }
+        let leader = self.usable_leader(&role, &self.connected_peers())?;
+        let query = part_query(pool, part, PartScope::Pool);
+        let found = self.ask_peer(&leader, query, deadline).await?;
+        let targets = self.pool_targets(pool).len();
+        let targets = targets.max(found.targets as usize);
+        let mut search = HolderSearch::of_targets(targets);
+        search.merge(found, targets);
+        Some(search)
+    }
+
+    async fn ask_peer(
+        &self,
+        peer: &HostName,
+        mut query: PartQuery,
+        deadline: Duration,
+    ) -> Option<PartHolders> {
+        let left = deadline.saturating_sub(boot_now());
+        query.time_left_ms = left.as_millis() as u64;
+        let call = PeerCall::PartHolders(query);
+        match self.mesh()?.call(peer, call, left).await {
+            Ok(PeerReply::PartHolders(found)) => Some(found),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// Searches all targets of a pool together with the connected peers. The targets of a peer that
+    /// does not answer are not listed.
+    async fn search_shared(
         self: &Arc<Self>,
-        targets: &[(TargetIncarnation, SoftwareVersion)],
+        pool: &str,
         part: &str,
+        deadline: Duration,
     ) -> HolderSearch {
-        let mut found = HolderSearch {
-            targets: targets.len(),
-            ..HolderSearch::default()
+        let targets = self.pool_targets(pool);
+        let mut search = HolderSearch::of_targets(targets.len());
+        if boot_now() >= deadline {
+            return search;
+        }
+        let peers = self.connected_peers();
+        let mut shares = divide_targets(targets, &self.startup.host, &peers);
+        let own = shares.remove(&self.startup.host).unwrap_or_default();
+        let (sender, receiver) = async_channel::unbounded();
+        for (peer, share) in shares.iter() {
+            let (state, sender) = (Arc::clone(self), sender.clone());
+            let query = part_query(pool, part, PartScope::Sections(share.sections.clone()));
+            let (peer, targets) = (peer.clone(), share.targets.len());
+            task::spawn(async move {
+                if let Some(found) = state.ask_peer(&peer, query, deadline).await {
+                    sender.send((found, targets)).await.ok();
+                }
+            });
+        }
+        drop(sender);
+        // The channel is closed once all peers have answered, or had their time.
+        let asked = async {
+            let mut answers = Vec::new();
+            while let Ok(answer) = receiver.recv().await {
+                answers.push(answer);
+            }
+            answers
+        };
+        let own_count = own.targets.len();
+        let (asked, own) = zip(asked, self.search_own(own.targets, part, deadline)).await;
+        for (found, targets) in asked {
+            search.merge(found, targets);
+        }
+        search.merge(own, own_count);
+        search
+    }
+
+    /// Lists the parts of the targets until all have answered or the time is up.
+    async fn search_own(
+        self: &Arc<Self>,
+        mut targets: Vec<TargetRecord>,
+        part: &str,
+        deadline: Duration,
+    ) -> PartHolders {
+        let mut found = PartHolders {
+            targets: targets.len() as u64,
+            ..PartHolders::default()
         };
-        let incarnations: Vec<TargetIncarnation> =
-            targets.iter().map(|(target, _)| target.clone()).collect();
-        let answers = self.request_lists(&incarnations, part);
+        let left = deadline.saturating_sub(boot_now());
+        if left.is_zero() {
+            return found;
+        }
+        targets.truncate(MAX_OWN_TARGETS);
+        let answers = self.request_lists(targets.iter().map(TargetRecord::incarnation), part);
         let collected = async {
             while let Ok((position, answer)) = answers.recv().await {
-                found.answered += usize::from(answer.is_some());
-                if answer == Some(true) {
-                    found.versions.push(targets[position].1.clone());
+                found.answered += u64::from(answer.is_some());
+                let version = &targets[position].software_version;
+                if answer == Some(true) && !found.versions.contains(version) {
+                    found.versions.push(version.clone());
                 }
             }
         };
-        timeout(SEARCH_TIMEOUT, collected).await.ok();
-        found.versions.sort();
-        found.versions.dedup();
+        timeout(left, collected).await.ok();
         found
     }
 }
+
+/// Answers a peer that searches for the holders of a part; `None` if it asks for all targets and
+/// this host is no leader.
+pub(super) async fn answer_part_query(
+    state: &Arc<EdgeState>,
+    query: PartQuery,
+) -> Option<PartHolders> {
+    let part = canonical_part(&query.part)?;
+    count(&state.metrics.searches_for_peers);
+    let left = Duration::from_millis(query.time_left_ms).min(SEARCH_TIMEOUT);
+    let deadline = boot_now() + left.saturating_sub(HOP_TIME);
+    match query.scope {
+        PartScope::Pool if state.acts_as_leader(&state.role()) => {
+            let found = state.search_shared(&query.pool, &part, deadline).await;
+            Some(found.into())
+        }
+        PartScope::Pool => None,
+        PartScope::Sections(mut sections) => {
+            sections.sort_unstable();
+            let mut targets = state.pool_targets(&query.pool);
+            targets.retain(|target| sections.binary_search(&section_of(&target.name)).is_ok());
+            Some(state.search_own(targets, &part, deadline).await)
+        }
+    }
+}
+
+fn part_query(pool: &str, part: &str, scope: PartScope) -> PartQuery {
+    PartQuery {
+        pool: pool.to_owned(),
+        part: part.to_owned(),
+        scope,
+        time_left_ms: 0,
+    }
+}
+
+/// Assigns the targets to this host and its peers.
+///
+/// Rendezvous hashing: a host that is added or lost changes only the assignment of its own
+/// sections, so hosts with almost the same peers choose almost the same ones.
+pub(super) fn divide_targets(
+    targets: Vec<TargetRecord>,
+    own: &HostName,
+    peers: &[HostName],
+) -> SortedMap<HostName, SectionShare> {
+    let mut assigned: SortedMap<TargetSection, HostName> = SortedMap::new();
+    let mut shares: SortedMap<HostName, SectionShare> = SortedMap::new();
+    for target in targets {
+        let section = section_of(&target.name);
+        let host = assigned
+            .get_or_insert_with(section, || assignee(section, own, peers).clone())
+            .clone();
+        let share = shares.get_or_insert_with(host, SectionShare::default);
+        if !share.sections.contains(&section) {
+            share.sections.push(section);
+        }
+        share.targets.push(target);
+    }
+    shares
+}
+
+fn assignee<'h>(section: TargetSection, own: &'h HostName, peers: &'h [HostName]) -> &'h HostName {
+    let rank = |host: &&HostName| xxh3_64(&[host.as_bytes(), &[0, section]].concat());
+    peers.iter().chain([own]).max_by_key(rank).unwrap_or(own)
+}
+
+fn section_of(target: &TargetName) -> TargetSection {
+    xxh3_64(target.as_bytes()) as TargetSection
+}
--- a/src/edge/part_list_schedule.rs
+++ b/src/edge/part_list_schedule.rs
@@ -84,24 +84,24 @@
     /// gets an answer for each target, by its position, and is then closed.
     pub(super) fn request_lists(
         self: &Arc<Self>,
-        targets: &[TargetIncarnation],
+        targets: impl IntoIterator<Item = TargetIncarnation>,
         part: &str,
     ) -> Receiver<(usize, HeldAnswer)> {
         let (answers, receiver) = async_channel::unbounded();
         let part: Arc<str> = part.into();
         let mut idle = Vec::new();
         let mut waiting = self.part_lists.waiting();
-        for (position, target) in targets.iter().enumerate() {
+        for (position, target) in targets.into_iter().enumerate() {
             let waiter = ListWaiter {
                 part: Arc::clone(&part),
                 answers: answers.clone(),
                 position,
             };
-            match waiting.get_mut(target) {
+            match waiting.get_mut(&target) {
                 Some(waiters) => waiters.push(waiter),
                 None => {
                     waiting.insert(target.clone(), vec![waiter]);
-                    idle.push(target.clone());
+                    idle.push(target);
                 }
             }
         }
--- a/src/gateway/peer_service.rs
+++ b/src/gateway/peer_service.rs
@@ -69,6 +69,7 @@
             | PeerCall::FleetView
             | PeerCall::Catalog { .. }
             | PeerCall::Forward(_)
+            | PeerCall::PartHolders(_)
             | PeerCall::Paths(_)
             | PeerCall::SlotReport(_)
             | PeerCall::StreamOrigin(_) => refuse(ErrorKind::NotReady, replies).await,
--- a/src/peers/peer_messages.rs
+++ b/src/peers/peer_messages.rs
@@ -7,6 +7,8 @@
 use super::DigestDelta;
 use super::DocumentIdentity;
 use super::ForwardedRequest;
+use super::PartHolders;
+use super::PartQuery;
 use super::ResponsePart;
 use crate::claim::ClaimCall;
 use crate::claim::ClaimReply;
@@ -84,6 +86,10 @@
     /// Sends the slots that a member of a group wants and its loads to the leader; answered with
     /// [`PeerReply::SlotGrants`], or with [`PeerReply::Refused`] by a host that is no leader.
     SlotReport(Box<SlotReport>),
+    /// Asks which targets of a pool hold a part of a prompt; answered with
+    /// [`PeerReply::PartHolders`], or with [`PeerReply::Refused`] by a host that is asked for all
+    /// targets and is no leader.
+    PartHolders(PartQuery),
 }
 
 /// A reply of a called host.
@@ -125,6 +131,8 @@
     StreamOrigin(OriginAnswer),
     /// The slots that the calling host may use.
     SlotGrants(Vec<PoolGrants>),
+    /// The targets that hold a part.
+    PartHolders(PartHolders),
 }
 
 /// The result of a digest delta, and which document the called host has in force.
--- a/tests/peers_mesh.rs
+++ b/tests/peers_mesh.rs
@@ -69,6 +69,7 @@
             | PeerCall::DigestDelta(_)
             | PeerCall::FleetView
             | PeerCall::Forward(_)
+            | PeerCall::PartHolders(_)
             | PeerCall::Paths(_)
             | PeerCall::SlotReport(_)
             | PeerCall::StreamOrigin(_)
