Search the targets of a pool without copies of them

A search copied the registrations of all targets of the fleet, at the searching host and at each peer that it asks, which may get some thousand queries a second after a restart. Sections are counted in place, and only the targets that a host lists itself are copied.

--- a/src/edge/part_holders.rs
+++ b/src/edge/part_holders.rs
@@ -15,6 +15,7 @@
 use async_std::task;
 use futures_lite::future::zip;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::edge_metrics::count;
 use super::edge_state::EdgeState;
@@ -52,11 +53,15 @@
     pub(crate) answered: usize,
 }
 
-/// The targets of a pool that one host lists.
+/// Number of targets in each section.
+pub(super) type SectionCounts = [usize; TargetSection::MAX as usize + 1];
+
+/// The sections of a pool that one host lists.
 #[derive(Debug, Default)]
 pub(super) struct SectionShare {
     pub(super) sections: Vec<TargetSection>,
-    pub(super) targets: Vec<TargetRecord>,
+    /// Number of their targets.
+    pub(super) targets: usize,
 }
 
 impl HolderSearch {
@@ -98,7 +103,7 @@
                 Some(found) => found,
                 None => self.search_shared(pool, &part, deadline).await,
             },
-            None => HolderSearch::of_targets(self.pool_targets(pool).len()),
+            None => HolderSearch::of_targets(self.section_counts(pool).iter().sum()),
         };
         self.log.write(&DecisionLine::HoldersSearched {
             pool: pool.to_owned(),
@@ -111,9 +116,29 @@
         found
     }
 
-    fn pool_targets(&self, pool: &str) -> Vec<TargetRecord> {
-        let mut targets = self.view.targets();
-        targets.retain(|target| target.pool == pool);
+    /// Returns the number of a pool's targets in each section.
+    pub(super) fn section_counts(&self, pool: &str) -> SectionCounts {
+        let mut counts = [0; TargetSection::MAX as usize + 1];
+        self.view.visit_targets(|target| {
+            if target.pool == pool {
+                counts[usize::from(section_of(&target.name))] += 1;
+            }
+        });
+        counts
+    }
+
+    /// Returns the targets of some sections of a pool.
+    fn section_targets(&self, pool: &str, sections: &[TargetSection]) -> Vec<TargetRecord> {
+        let mut is_wanted = [false; TargetSection::MAX as usize + 1];
+        for section in sections {
+            is_wanted[usize::from(*section)] = true;
+        }
+        let mut targets = Vec::new();
+        self.view.visit_targets(|target| {
+            if target.pool == pool && is_wanted[usize::from(section_of(&target.name))] {
+                targets.push(target.clone());
+            }
+        });
         targets
     }
 
@@ -132,7 +157,7 @@
         let leader = self.usable_leader(&role, &self.connected_peers())?;
         let query = part_query(pool, part, PartScope::Pool);
         let found = self.ask_peer(&leader, query, deadline).await?;
-        let targets = self.pool_targets(pool).len();
+        let targets: usize = self.section_counts(pool).iter().sum();
         let targets = targets.max(found.targets as usize);
         let mut search = HolderSearch::of_targets(targets);
         search.merge(found, targets);
@@ -162,19 +187,19 @@
         part: &str,
         deadline: Duration,
     ) -> HolderSearch {
-        let targets = self.pool_targets(pool);
-        let mut search = HolderSearch::of_targets(targets.len());
+        let counts = self.section_counts(pool);
+        let mut search = HolderSearch::of_targets(counts.iter().sum());
         if boot_now() >= deadline {
             return search;
         }
         let peers = self.connected_peers();
-        let mut shares = divide_targets(targets, &self.startup.host, &peers);
+        let mut shares = divide_sections(&counts, &self.startup.host, &peers);
         let own = shares.remove(&self.startup.host).unwrap_or_default();
         let (sender, receiver) = async_channel::unbounded();
         for (peer, share) in shares.iter() {
             let (state, sender) = (Arc::clone(self), sender.clone());
             let query = part_query(pool, part, PartScope::Sections(share.sections.clone()));
-            let (peer, targets) = (peer.clone(), share.targets.len());
+            let (peer, targets) = (peer.clone(), share.targets);
             task::spawn(async move {
                 if let Some(found) = state.ask_peer(&peer, query, deadline).await {
                     sender.send((found, targets)).await.ok();
@@ -190,8 +215,9 @@
             }
             answers
         };
-        let own_count = own.targets.len();
-        let (asked, own) = zip(asked, self.search_own(own.targets, part, deadline)).await;
+        let own_count = own.targets;
+        let own = self.section_targets(pool, &own.sections);
+        let (asked, own) = zip(asked, self.search_own(own, part, deadline)).await;
         for (found, targets) in asked {
             search.merge(found, targets);
         }
@@ -246,10 +272,8 @@
             Some(found.into())
         }
         PartScope::Pool => None,
-        PartScope::Sections(mut sections) => {
-            sections.sort_unstable();
-            let mut targets = state.pool_targets(&query.pool);
-            targets.retain(|target| sections.binary_search(&section_of(&target.name)).is_ok());
+        PartScope::Sections(sections) => {
+            let targets = state.section_targets(&query.pool, &sections);
             Some(state.search_own(targets, &part, deadline).await)
         }
     }
@@ -264,36 +288,33 @@
     }
 }
 
-/// Assigns the targets to this host and its peers.
+/// Assigns the sections that have targets to this host and its peers.
 ///
 /// Rendezvous hashing: a host that is added or lost changes only the assignment of its own
 /// sections, so hosts with almost the same peers choose almost the same ones.
-pub(super) fn divide_targets(
-    targets: Vec<TargetRecord>,
+pub(super) fn divide_sections(
+    counts: &SectionCounts,
     own: &HostName,
     peers: &[HostName],
 ) -> SortedMap<HostName, SectionShare> {
-    let mut assigned: SortedMap<TargetSection, HostName> = SortedMap::new();
     let mut shares: SortedMap<HostName, SectionShare> = SortedMap::new();
-    for target in targets {
-        let section = section_of(&target.name);
-        let host = assigned
-            .get_or_insert_with(section, || assignee(section, own, peers).clone())
-            .clone();
-        let share = shares.get_or_insert_with(host, SectionShare::default);
-        if !share.sections.contains(&section) {
+    for (section, count) in (0..=TargetSection::MAX).zip(counts) {
+        if *count > 0 {
+            let host = assignee(section, own, peers).clone();
+            let share = shares.get_or_insert_with(host, SectionShare::default);
             share.sections.push(section);
+            share.targets += count;
         }
-        share.targets.push(target);
     }
     shares
 }
 
 fn assignee<'h>(section: TargetSection, own: &'h HostName, peers: &'h [HostName]) -> &'h HostName {
-    let rank = |host: &&HostName| xxh3_64(&[host.as_bytes(), &[0, section]].concat());
+    let rank = |host: &&HostName| xxh3_64_with_seed(host.as_bytes(), section.into());
     peers.iter().chain([own]).max_by_key(rank).unwrap_or(own)
 }
 
-fn section_of(target: &TargetName) -> TargetSection {
+/// Returns the section of a target, which is the same at all hosts.
+pub(super) fn section_of(target: &TargetName) -> TargetSection {
     xxh3_64(target.as_bytes()) as TargetSection
 }
--- a/src/edge/tests/part_holders.rs
+++ b/src/edge/tests/part_holders.rs
@@ -7,10 +7,12 @@
 use std::time::Instant;
 
 use async_std::task;
+use bincode::config::standard;
 
 use super::edge_fixture::EdgeFixture;
 use super::edge_fixture::FleetFixture;
 use super::edge_fixture::counter_of;
+use super::edge_fixture::isolated_state;
 use super::edge_fixture::record_of;
 use super::edge_fixture::request_for;
 use super::edge_fixture::status_of;
@@ -19,13 +21,16 @@
 use super::group_partitions::zones_of_groups;
 use super::raw_target::RawTarget;
 use super::raw_target::write_text;
+use crate::clock::boot_now;
+use crate::edge::EdgeBounds;
 use crate::edge::edge_host::PEER_KEY;
 use crate::edge::part_holders::HolderSearch;
+use crate::edge::part_holders::SectionCounts;
 use crate::edge::part_holders::SectionShare;
 use crate::edge::part_holders::answer_part_query;
-use crate::edge::part_holders::divide_targets;
+use crate::edge::part_holders::divide_sections;
+use crate::edge::part_holders::section_of;
 use crate::ids::HostName;
-use crate::ids::StoreRevision;
 use crate::peers::CallHandler;
 use crate::peers::HandleFuture;
 use crate::peers::PartHolders;
@@ -35,9 +40,11 @@
 use crate::peers::PeerIdentity;
 use crate::peers::PeerListener;
 use crate::peers::ReplySender;
+use crate::peers::TargetSection;
 use crate::sorted::SortedMap;
 use crate::view::TargetPhase;
 use crate::view::TargetRecord;
+use crate::view::ViewUpdate;
 
 /// Time within which a search succeeds on a busy machine, and the hosts of a fleet meet.
 const SEARCHING_TIMEOUT: Duration = Duration::from_secs(10);
@@ -396,9 +403,9 @@
     let listener = task::block_on(listener).unwrap();
     let targets = targets_of(12);
     let host = EdgeFixture::open_beside(&targets, listener.address());
-    let records: Vec<TargetRecord> = host.host.state.view.targets();
-    let shares = divide_targets(records, &"e1".to_owned(), &["silent".to_owned()]);
-    let own = shares.get("e1").map_or(0, |share| share.targets.len());
+    let counts = host.host.state.section_counts("p");
+    let shares = divide_sections(&counts, &"e1".to_owned(), &["silent".to_owned()]);
+    let own = shares.get("e1").map_or(0, |share| share.targets);
     assert!((1..12).contains(&own), "{own}");
     let started = Instant::now();
     while host.host.state.connected_peers().is_empty() {
@@ -462,23 +469,19 @@
     }
 }
 
-fn records_of(count: usize) -> Vec<TargetRecord> {
-    let target = RawTarget::at(([127, 0, 0, 1], 9).into());
-    let revision = StoreRevision::default();
-    (0..count)
-        .map(|index| record_of(index, &target, revision))
-        .collect()
-}
-
-fn hosts_of(count: usize) -> Vec<HostName> {
-    (0..count).map(|index| format!("e{index}")).collect()
+fn counts_of(targets: usize) -> SectionCounts {
+    let mut counts = [0; 256];
+    for index in 0..targets {
+        counts[usize::from(section_of(&format!("runner-{index:04}")))] += 1;
+    }
+    counts
 }
 
-/// Returns the host to which each target is assigned, where one host searches.
-fn assignees(shares: &SortedMap<HostName, SectionShare>) -> SortedMap<String, HostName> {
+/// Returns the host to which each section is assigned, where one host searches.
+fn assignees(shares: &SortedMap<HostName, SectionShare>) -> SortedMap<TargetSection, HostName> {
     let pairs = shares.iter().flat_map(|(host, share)| {
-        let names = share.targets.iter().map(|target| target.name.clone());
-        names.map(move |name| (name, host.clone()))
+        let sections = share.sections.iter();
+        sections.map(move |section| (*section, host.clone()))
     });
     pairs.collect()
 }
@@ -489,29 +492,108 @@
 fn large_fleets_divide_the_targets_evenly() {
     // Leaders are connected with two hosts of each group of 16.
     for (hosts, targets, most) in [(74, 3000, 130), (40, 6100, 400), (585, 3000, 70)] {
-        let names = hosts_of(hosts);
+        let names: Vec<HostName> = (0..hosts).map(|index| format!("e{index}")).collect();
         let (own, peers) = names.split_first().unwrap();
+        let counts = counts_of(targets);
 
-        let shares = divide_targets(records_of(targets), own, peers);
+        let shares = divide_sections(&counts, own, peers);
 
-        let largest = shares.values().map(|share| share.targets.len()).max();
+        let largest = shares.values().map(|share| share.targets).max().unwrap();
+        println!("{targets} targets, {hosts} hosts: {largest} at most");
         assert!(
-            largest <= Some(most),
-            "{largest:?} of {targets} at one of {hosts} hosts"
+            largest <= most,
+            "{largest} of {targets} at one of {hosts} hosts"
         );
         let sections = shares.values().map(|share| share.sections.len());
-        assert!(sections.sum::<usize>() <= 256);
-        assert_eq!(assignees(&shares).len(), targets);
+        assert_eq!(sections.sum::<usize>(), 256);
+        assert_eq!(
+            shares.values().map(|share| share.targets).sum::<usize>(),
+            targets
+        );
         // Another host that searches, to which one host is not connected.
         let (other, rest) = names.split_last().unwrap();
         let lost = &rest[7];
         let rest: Vec<HostName> = rest.iter().filter(|name| *name != lost).cloned().collect();
-        let others = assignees(&divide_targets(records_of(targets), other, &rest));
-        for (target, host) in assignees(&shares).iter() {
+        let others = assignees(&divide_sections(&counts, other, &rest));
+        for (section, host) in assignees(&shares).iter() {
             assert!(
-                host == lost || others.get(target) == Some(host),
-                "{target} at {host}"
+                host == lost || others.get(section) == Some(host),
+                "{section} at {host}"
             );
         }
     }
 }
+
+/// Guards against hosts that are kept busy by some thousand queries a second after a restart of a
+/// large fleet.
+#[test]
+fn a_query_is_small_and_cheap() {
+    let state = isolated_state(EdgeBounds::default());
+    let target = RawTarget::at(([127, 0, 0, 1], 9).into());
+    let update = ViewUpdate {
+        revision: 1.into(),
+        full: true,
+        targets: (0..3000)
+            .map(|index| TargetRecord {
+                name: format!("runner-{index:04}"),
+                ..record_of(index, &target, 1.into())
+            })
+            .collect(),
+        ..ViewUpdate::default()
+    };
+    state.view.apply_peer_view(update, boot_now());
+    let hosts: Vec<HostName> = (0..74).map(|index| format!("e{index}")).collect();
+    let (own, peers) = hosts.split_first().unwrap();
+    let shares = divide_sections(&state.section_counts("p"), own, peers);
+    let query = PartQuery {
+        pool: "p".into(),
+        part: "c0ffee00c0ffee00".into(),
+        scope: PartScope::Sections(shares.get("e1").unwrap().sections.clone()),
+        // The targets are not called.
+        time_left_ms: 0,
+    };
+    let call = PeerCall::PartHolders(query.clone());
+    let call_bytes = bincode::serde::encode_to_vec(&call, standard()).unwrap();
+
+    let started_at = Instant::now();
+    for _ in 0..100 {
+        divide_sections(&state.section_counts("p"), own, peers);
+    }
+    let per_search = started_at.elapsed() / 100;
+    let started_at = Instant::now();
+    let mut found = None;
+    for _ in 0..100 {
+        found = task::block_on(answer_part_query(&state, query.clone()));
+    }
+    let per_query = started_at.elapsed() / 100;
+
+    println!(
+        "{} bytes, search {per_search:?}, query {per_query:?}",
+        call_bytes.len()
+    );
+    assert!(found.is_some_and(|found| found.targets > 0));
+    assert!(call_bytes.len() <= 60, "{}", call_bytes.len());
+    // Without optimization, on a busy machine.
+    assert!(per_search <= Duration::from_millis(50), "{per_search:?}");
+    assert!(per_query <= Duration::from_millis(20), "{per_query:?}");
+}
+
+/// Guards against a search whose result can't be explained from the log and the metrics.
+#[test]
+fn a_search_is_logged_and_counted() {
+    let targets = targets_of(4);
+    let host = open_host(&targets);
+    targets[0].parts.lock().unwrap().ids.push("c0ffee".into());
+
+    assert_finds(&host, "c0ffee", found(&["v1"], 4));
+
+    let line = r#""event":"holders-searched","pool":"p","part":"c0ffee","versions":["v1"],"targets":4,"answered":4,"elapsed_ms":"#;
+    host.wait_logged(line);
+    let metrics = host.metrics();
+    let lists = counter_of(&metrics, "cardamomgw_part_lists_total");
+    let searches = counter_of(&metrics, "cardamomgw_holder_searches_total");
+    assert!(
+        searches >= 1 && lists >= 4,
+        "{searches} searches, {lists} lists"
+    );
+}
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -168,6 +168,11 @@
         self.lock().view.targets().cloned().collect()
     }
 
+    /// Calls `visit` for each target, without a copy of thousands of them.
+    pub fn visit_targets(&self, visit: impl FnMut(&TargetRecord)) {
+        self.lock().view.targets().for_each(visit);
+    }
+
     /// Returns the availability zones whose targets must get no new requests.
     pub fn evacuated_zones(&self) -> Vec<ZoneName> {
         self.lock().view.evacuated_zones()
