--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -75,14 +75,12 @@
 
 /// Returns how many of the hosts get a target during the ten seconds from now on.
 fn placed(tables: &mut [PoolTable]) -> usize {
-    let is_placed = |table: &mut &mut PoolTable| {
+    let is_placed = |table: &mut PoolTable| {
         let mut times = (0..1000).map(|step| NOW + Duration::from_millis(10) * step);
         times.any(|now| table.place(&request(), now, 0.5).is_some())
     };
-    tables
-        .iter_mut()
-        .filter_map(|mut table| is_placed(&mut table).then_some(()))
-        .count()
+    let placed = tables.iter_mut().map(is_placed);
+    placed.filter(|is_placed| *is_placed).count()
 }
 
 /// Guards against a target that states a limit of zero, or one next to it, at which a host panics.
