Versions: claims and holders after an independent review

- A holder counted although targets of other versions had not listed their parts.
Now each target of another version has to list them.
- The search used a view of any age.
Now the view has to be younger than 3 s, or is read.
- A version that joined and left within one update was not recorded.
Now each registration of an update is.
- A host that is out of step may begin streams at a version that has left, for as long as it admits requests by its keys (5 s).
The age of a stream includes that, and counts from the request's arrival.
Hosts share reads for 1 ms for each that reads.
- A silent leader used up the time of a search; it has 150 of 250 ms.

--- a/src/catalog/route_catalog.rs
+++ b/src/catalog/route_catalog.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::CallKind;
 use super::ClientAccount;
 use super::ServiceRoute;
 use super::TargetPool;
@@ -102,9 +103,10 @@
         self.parts.limits
     }
 
-    /// Returns the longest time limit of a route; zero if none has one.
-    pub(crate) fn longest_timeout(&self) -> Duration {
-        let timeouts = self.parts.routes.iter().filter_map(|route| route.timeout);
+    /// Returns the longest time limit of a route of this kind; zero if none has one.
+    pub(crate) fn longest_timeout(&self, kind: CallKind) -> Duration {
+        let routes = self.parts.routes.iter().filter(|route| route.kind == kind);
+        let timeouts = routes.filter_map(|route| route.timeout);
         timeouts.max().unwrap_or_default()
     }
 
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -551,6 +551,7 @@
             });
             self.keep_departed(change.leaving, change.returning);
         }
+        self.streams().add_versions(change.versions, boot_now());
         self.refresh_targets();
         for evacuation in change.evacuations {
             self.log.write(&DecisionLine::ZoneEvacuation {
--- a/src/edge/part_holders.rs
+++ b/src/edge/part_holders.rs
@@ -36,6 +36,8 @@
 
 /// Time limit of a search.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time limit for the answer of the leader of a group.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time by which a called host answers before the calling one stops waiting.
 const HOP_TIME: Duration = Duration::from_millis(20);
 /// Limit on the targets that a host lists for one search. A host with few connections before
@@ -51,6 +53,8 @@
     pub(crate) targets: usize,
     /// Number of targets that listed their parts.
     pub(crate) answered: usize,
+    /// Number of these of each version.
+    pub(crate) listed: SortedMap<SoftwareVersion, u64>,
 }
 
 /// Number of targets in each section.
@@ -65,6 +69,22 @@
 }
 
 impl HolderSearch {
+    /// Returns the version of all holders, if all `targets` of the other versions listed their parts:
+    /// one that did not may hold it too.
+    pub(crate) fn sole_version(
+        &self,
+        targets: &SortedMap<SoftwareVersion, u64>,
+    ) -> Option<&SoftwareVersion> {
+        let [version] = self.versions.as_slice() else {
+            return None;
+        };
+        let mut others = targets.iter().filter(|(other, _)| *other != version);
+        let has_listed = |(other, count): (&SoftwareVersion, &u64)| {
+            self.listed.get(other).is_some_and(|listed| listed >= count)
+        };
+        others.all(has_listed).then_some(version)
+    }
+
     fn of_targets(targets: usize) -> Self {
         Self {
             targets,
@@ -78,6 +98,10 @@
         self.versions.sort();
         self.versions.dedup();
         self.answered += targets.min(found.answered as usize);
+        for (version, count) in found.listed.iter() {
+            let listed = self.listed.get_or_insert_with(version.clone(), || 0);
+            *listed = listed.saturating_add(*count);
+        }
     }
 }
 
@@ -87,6 +111,7 @@
             versions: found.versions,
             targets: found.targets as u64,
             answered: found.answered as u64,
+            listed: found.listed,
         }
     }
 }
@@ -156,6 +181,8 @@
         }
         let leader = self.usable_leader(&role, &self.connected_peers())?;
         let query = part_query(pool, part, PartScope::Pool);
+        // The rest is for a search of its own, if the leader does not answer.
+        let deadline = deadline.min(boot_now() + LEADER_TIMEOUT);
         let found = self.ask_peer(&leader, query, deadline).await?;
         let targets: usize = self.section_counts(pool).iter().sum();
         let targets = targets.max(found.targets as usize);
@@ -246,6 +273,9 @@
             while let Ok((position, answer)) = answers.recv().await {
                 found.answered += u64::from(answer.is_some());
                 let version = &targets[position].software_version;
+                if answer.is_some() {
+                    *found.listed.get_or_insert_with(version.clone(), || 0) += 1;
+                }
                 if answer == Some(true) && !found.versions.contains(version) {
                     found.versions.push(version.clone());
                 }
--- a/src/edge/stream_origin.rs
+++ b/src/edge/stream_origin.rs
@@ -36,6 +36,14 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Tolerance on the age of a stream: the time of its caller's requests on the way.
 const AGE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for which a host that is out of step may begin streams by an old view of the targets. Without
+/// a recent confirmation of the keys it admits no requests.
+const VIEW_LAG: Duration = Duration::from_secs(5);
+/// Age up to which a view shows all targets that may hold a prompt: the store reports changes at
+/// once, and at least each two seconds that there are none.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+/// Longest time limit of a request.
+const LONGEST_TIMEOUT: Duration = Duration::from_secs(300);
 /// Tolerance on the end of a claim, whose age is stated in whole milliseconds.
 const CLAIM_MARGIN: Duration = Duration::from_millis(2);
 
@@ -112,7 +120,7 @@
         let query = OriginQuery {
             stream: routed.resumed_request.as_deref().map_or(0, stream_key),
             pool: routed.pool.clone(),
-            max_age_ms: max_age.as_millis() as u64,
+            max_age_ms: (max_age + routed.age()).as_millis() as u64,
             relays: self.role().layout.is_grouped(),
         };
         found.version = self.remembered_version(&query);
@@ -127,15 +135,15 @@
             return found;
         }
         found.source = OriginSource::Claims;
-        let since = boot_now().saturating_sub(max_age);
+        let since = routed.request.arrived.saturating_sub(max_age);
         let until = routed.request.arrived.saturating_sub(CLAIM_MARGIN);
         let mut claims = asked.claims;
-        claims.push(self.own_claim(&query).with_period(boot_now(), boot_now()));
+        claims.push(self.own_period_claim(&query));
         let mut finding = find_sole_version(&claims, since, until);
         if finding == VersionFinding::Incomplete && self.would_be_complete(&claims, since) {
             // A version may have joined since the view was confirmed last.
             if self.refresh_view(routed.request.arrived).await {
-                claims.push(self.own_claim(&query).with_period(boot_now(), boot_now()));
+                claims.push(self.own_period_claim(&query));
                 finding = find_sole_version(&claims, since, until);
             }
         }
@@ -145,9 +153,13 @@
             return found;
         }
         found.source = OriginSource::Holders;
-        if let Some(part) = &routed.last_part {
+        let recent = routed.request.arrived.saturating_sub(MAX_VIEW_AGE);
+        if let Some(part) = &routed.last_part
+            && self.refresh_view(recent).await
+        {
             found.holders = self.find_holders(&routed.pool, part).await;
-            found.version = holder_version(&found.holders);
+            let targets = self.view.count_versions(&routed.pool);
+            found.version = found.holders.sole_version(&targets).cloned();
         }
         found
     }
@@ -181,7 +193,8 @@
         let known_for = self.view.known_for(now).unwrap_or_default();
         let period = Duration::from_millis(query.max_age_ms) + AGE_MARGIN;
         let mut possible = self.streams().versions(&query.pool, period, now);
-        possible.extend(self.view.versions_of(&query.pool));
+        let registered = self.view.count_versions(&query.pool);
+        possible.extend(registered.iter().map(|(version, _)| version.clone()));
         possible.sort();
         possible.dedup();
         VersionClaim {
@@ -192,6 +205,12 @@
         }
     }
 
+    fn own_period_claim(&self, query: &OriginQuery) -> PeriodClaim {
+        let asked_at = boot_now();
+        let claim = self.own_claim(query);
+        claim.with_period(asked_at, boot_now())
+    }
+
     /// Asks all connected peers; returns as soon as one knows the version.
     async fn ask_origin(self: &Arc<Self>, query: OriginQuery, limit: Duration) -> AskedPeers {
         let mut asked = AskedPeers {
@@ -267,17 +286,10 @@
 /// Returns the age of the oldest stream that the request can continue: the longest time limit of a
 /// caller, less the time that this one has left.
 fn max_stream_age(routed: &RoutedRequest) -> Duration {
-    let longest = DEFAULT_TIMEOUT.max(routed.catalog.longest_timeout());
+    let longest = routed.catalog.longest_timeout(CallKind::ResumableStream);
+    let longest = longest.clamp(DEFAULT_TIMEOUT, LONGEST_TIMEOUT);
     let left = routed.caller_timeout.filter(|left| *left <= longest);
-    longest - left.unwrap_or_default() + AGE_MARGIN
-}
-
-/// Returns the version of all targets that keep the prompt of a stream, if most targets answered.
-fn holder_version(search: &HolderSearch) -> Option<SoftwareVersion> {
-    match search.versions.as_slice() {
-        [version] if search.answered * 2 > search.targets => Some(version.clone()),
-        _ => None,
-    }
+    longest - left.unwrap_or_default() + AGE_MARGIN + VIEW_LAG
 }
 
 /// Answers a peer that asks which version began a stream.
@@ -297,7 +309,10 @@
     // The ages of the answers rise by the time that the leader waited for them.
     let waited_ms = boot_now().saturating_sub(asked.asked_at).as_millis() as u64;
     let relayed = asked.claims.into_iter().map(|held| VersionClaim {
-        view_age_ms: held.claim.view_age_ms.map(|age| age + waited_ms),
+        view_age_ms: held
+            .claim
+            .view_age_ms
+            .map(|age| age.saturating_add(waited_ms)),
         ..held.claim
     });
     OriginAnswer {
--- a/src/edge/view_refresh.rs
+++ b/src/edge/view_refresh.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
+use async_std::task;
 
 use super::edge_metrics::count;
 use super::edge_state::EdgeState;
@@ -10,6 +11,10 @@
 
 /// Time limit of a read; the store takes a few milliseconds.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time that a read waits for others to share it, for each host that reads: all hosts together make
+/// at most 1,000 reads a second.
+const SHARE_TIME_PER_HOST: Duration = Duration::from_millis(1);
+const MAX_SHARE_TIME: Duration = Duration::from_millis(150);
 
 impl EdgeState {
     /// Reads the changes of the targets unless the view was confirmed since `since`; returns whether
@@ -29,6 +34,8 @@
         if self.view.view_age(boot_now()).is_some_and(is_current) {
             return true;
         }
+        let hosts = self.watching_host_count() as u32;
+        task::sleep((SHARE_TIME_PER_HOST * hosts).min(MAX_SHARE_TIME)).await;
         let after = self.view.revision();
         if !after.is_known() {
             return false;
--- a/src/peers/part_query.rs
+++ b/src/peers/part_query.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::PoolName;
 use crate::ids::SoftwareVersion;
+use crate::sorted::SortedMap;
 
 /// Section of a pool's targets, by a hash of their names. Hosts share a search by sections, which
 /// are much shorter than lists of targets.
@@ -42,4 +43,6 @@
     pub targets: u64,
     /// Number of targets that listed their parts.
     pub answered: u64,
+    /// Number of these of each version, sorted.
+    pub listed: SortedMap<SoftwareVersion, u64>,
 }
--- a/src/streams/stream_directory.rs
+++ b/src/streams/stream_directory.rs
@@ -60,6 +60,11 @@
         self.history.update(registered, now);
     }
 
+    /// Adds versions that were registered and may be gone again.
+    pub fn add_versions(&mut self, seen: Vec<(PoolName, SoftwareVersion)>, now: Duration) {
+        self.history.add(seen, now);
+    }
+
     /// Records that a target of this version makes the first event of a stream of this host.
     pub fn record(&mut self, stream: StreamKey, pool: &str, version: &str, now: Duration) {
         let began_at = Arc::new(PoolVersion {
--- a/src/streams/version_history.rs
+++ b/src/streams/version_history.rs
@@ -53,6 +53,19 @@
         self.pools.retain(|_, pool| !pool.versions.is_empty());
     }
 
+    /// Adds versions that were registered and may be gone again.
+    pub(super) fn add(&mut self, seen: Vec<(PoolName, SoftwareVersion)>, now: Duration) {
+        for (name, version) in seen {
+            let pool = self.pools.get_or_insert_with(name, PoolVersions::default);
+            let is_new = !pool.versions.contains_key(&version);
+            if is_new && !pool.versions.is_empty() {
+                pool.mixed_since = now;
+            }
+            let gone_at = pool.versions.get_or_insert_with(version, || Some(now));
+            *gone_at = gone_at.map(|_| now);
+        }
+    }
+
     /// Returns the versions that the pool has or had within `period`, sorted.
     pub(super) fn versions(
         &self,
--- a/src/view/platform_view.rs
+++ b/src/view/platform_view.rs
@@ -202,6 +202,7 @@
             self.remove_absent(&update.targets, update.revision, grace, now, &mut change);
         }
         for record in update.targets {
+            change.add_version(&record);
             self.apply_record(record, &mut change);
         }
         for removal in update.removals {
--- a/src/view/shared_view.rs
+++ b/src/view/shared_view.rs
@@ -20,6 +20,7 @@
 use crate::ids::SoftwareVersion;
 use crate::ids::StoreRevision;
 use crate::ids::ZoneName;
+use crate::sorted::SortedMap;
 
 /// Longest time between two confirmations of the view after which a full update shows all that
 /// happened in between: a target is registered for longer before it is removed.
@@ -156,16 +157,17 @@
         Some(now.saturating_sub(since))
     }
 
-    /// Returns the software versions of a pool's targets, sorted.
-    pub fn versions_of(&self, pool: &str) -> Vec<SoftwareVersion> {
+    /// Returns the number of a pool's targets of each software version.
+    pub fn count_versions(&self, pool: &str) -> SortedMap<SoftwareVersion, u64> {
         let state = self.lock();
-        let targets = state.view.targets().filter(|target| target.pool == pool);
-        let mut versions: Vec<SoftwareVersion> = targets
-            .map(|target| target.software_version.clone())
-            .collect();
-        versions.sort();
-        versions.dedup();
-        versions
+        let mut counts: SortedMap<SoftwareVersion, u64> = SortedMap::new();
+        for target in state.view.targets().filter(|target| target.pool == pool) {
+            match counts.get_mut(&target.software_version) {
+                Some(count) => *count += 1,
+                None => _ = counts.insert(target.software_version.clone(), 1),
+            }
+        }
+        counts
     }
 
     /// Returns the revision of the last applied change and the version of the catalog.
--- a/src/view/view_update.rs
+++ b/src/view/view_update.rs
@@ -8,6 +8,8 @@
 use super::ZoneEvacuation;
 use crate::catalog::CatalogParts;
 use crate::ids::CatalogVersion;
+use crate::ids::PoolName;
+use crate::ids::SoftwareVersion;
 use crate::ids::StoreRevision;
 use crate::ids::TargetName;
 
@@ -57,6 +59,9 @@
     pub catalog: Option<CatalogVersion>,
     /// Targets that are new or changed.
     pub changed: Vec<TargetName>,
+    /// Software versions of the registrations in the update, those included that it replaces or
+    /// removes again.
+    pub versions: Vec<(PoolName, SoftwareVersion)>,
     /// Removed targets.
     pub removed: Vec<TargetName>,
     /// Availability zones whose evacuation started or ended.
@@ -79,6 +84,16 @@
 }
 
 impl ViewChange {
+    pub(super) fn add_version(&mut self, record: &TargetRecord) {
+        let is_held = |(pool, version): &(PoolName, SoftwareVersion)| {
+            *pool == record.pool && *version == record.software_version
+        };
+        if !self.versions.iter().any(is_held) {
+            self.versions
+                .push((record.pool.clone(), record.software_version.clone()));
+        }
+    }
+
     /// Returns whether nothing changed.
     pub fn is_empty(&self) -> bool {
         self.catalog.is_none()
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -182,6 +182,21 @@
     assert_eq!(longest, ["v1", "v2"]);
 }
 
+/// Guards against a version that joins and leaves while a host is out of step.
+#[test]
+fn a_version_that_left_before_it_was_seen_is_possible() {
+    let mut directory = StreamDirectory::default();
+    update(&mut directory, &["v1"], start());
+
+    directory.add_versions(vec![(POOL.into(), "v2".into())], after(5));
+    update(&mut directory, &["v1"], after(5));
+
+    let soon = directory.versions(POOL, STREAM_TIME, after(6));
+    let later = directory.versions(POOL, STREAM_TIME, after(6) + STREAM_TIME);
+    assert_eq!(soon, ["v1", "v2"]);
+    assert_eq!(later, ["v1"]);
+}
+
 /// Guards against streams from before a release that only their own host knows, and against
 /// reports of streams that can be resumed anywhere.
 #[test]
