Tests of odd headers of callers and of entries that share an address

Headers of callers with numbers at the ends of their types each get an answer; an entry of the most slots with the address of another target, or of a server that refuses each request, leaves the other target in use.

--- a/src/edge/tests/odd_entries.rs
+++ b/src/edge/tests/odd_entries.rs
@@ -162,3 +162,82 @@
 
     assert_eq!(statuses.collect::<Vec<u16>>(), [200; 4]);
 }
+
+/// Guards against headers of callers with numbers at the ends of their types that make a host panic.
+#[test]
+fn odd_headers_of_a_caller_get_an_answer() {
+    let host = EdgeFixture::open(&[target_of("fine")]);
+    let numbers = [
+        "0",
+        "1",
+        "-1",
+        "1e308",
+        "NaN",
+        "18446744073709551615",
+        "99999999999999999999999",
+        "",
+    ];
+    let send = &|path: &str, header: &str, number: &str| {
+        let id = format!("{path}-{header}-{number}");
+        let left = format!("X-Left-Ms: 2000\r\n{header}: {number}\r\n");
+        let head = left.replacen("X-Left-Ms: 2000\r\nX-Left-Ms", "X-Left-Ms", 1);
+        let head = format!("{head}X-Tokens: {number},{number}\r\n");
+        let request = request_for(path, &id).replace("X-Left-Ms: 2000\r\n", &head);
+
+        let answer = host.call(&request);
+
+        assert!((200..600).contains(&status_of(&answer)), "{path} {head}");
+    };
+    thread::scope(|scope| {
+        for number in numbers {
+            for header in ["X-Left-Ms", "X-Expected", "X-Resume-After", "X-Resumes"] {
+                scope.spawn(move || {
+                    for path in ["/again/x", "/once/x", "/resume/x"] {
+                        send(path, header, number);
+                    }
+                });
+            }
+        }
+    });
+    assert_eq!(served_by(&host, "fine"), REQUESTS);
+}
+
+/// Guards against an entry with the address of a runner that is registered under its own id: the
+/// runner refuses what is sent for the other id.
+#[test]
+fn an_entry_with_the_address_of_another_target_leaves_that_in_use() {
+    let fine = RawTarget::spawn(|request, stream| {
+        let answer = match request.header("X-Wanted-Target").as_deref() {
+            Some("t0") => request.answer("200 OK", "fine"),
+            _ => request.answer("421 Misdirected Request", "another"),
+        };
+        write_text(stream, &answer);
+        true
+    });
+    for engine in [false, true] {
+        let host = open_with_entry(&fine, &fine, engine, |target| target.slots = 4096);
+
+        let served = served_by(&host, "fine");
+
+        assert!(served >= REQUESTS * 3 / 4, "{served}, engine: {engine}");
+    }
+}
+
+/// Guards against an entry of the most slots that refuses each request: these
+/// must still reach the other target.
+#[test]
+fn an_entry_that_refuses_leaves_the_others_in_use() {
+    let fine = target_of("fine");
+    let refusing = RawTarget::spawn(|request, stream| {
+        let answer = request.answer("503 Full", "full");
+        write_text(stream, &answer.replacen("\r\n", "\r\nX-Not-Run: 1\r\n", 1));
+        true
+    });
+    for engine in [false, true] {
+        let host = open_with_entry(&fine, &refusing, engine, |target| target.slots = 4096);
+
+        let served = served_by(&host, "fine");
+
+        assert!(served >= REQUESTS * 3 / 4, "{served}, engine: {engine}");
+    }
+}
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -75,13 +75,14 @@
 
 /// Returns how many of the hosts get a target during the ten seconds from now on.
 fn placed(tables: &mut [PoolTable]) -> usize {
-    let is_placed = |table: &mut &mut PoolTable| {
+    let is_placed = |table: &mut PoolTable| {
         let mut times = (0..1000).map(|step| NOW + Duration::from_millis(10) * step);
         times.any(|now| table.place(&request(), now, 0.5).is_some())
     };
     tables
         .iter_mut()
-        .filter_map(|mut table| is_placed(&mut table).then_some(()))
+        .map(is_placed)
+        .filter(|placed| *placed)
         .count()
 }
 
