Clocks that peers report are bounded

The offset to the clock of a peer was a difference of truncated nanoseconds, which overflowed for a clock at the end of its type.

a_clock_of_a_peer_at_the_end_of_its_type_is_bounded failed before (attempt to subtract with overflow).

--- a/src/quota/report_merge.rs
+++ b/src/quota/report_merge.rs
@@ -165,7 +165,9 @@
         time: Duration,
         now: Duration,
     ) -> ClockOffset {
-        let offset = now.as_nanos() as i64 - time.as_nanos() as i64;
+        // A peer may state any time; one beyond 292 years counts as that.
+        let nanos_of = |time: Duration| i64::try_from(time.as_nanos()).unwrap_or(i64::MAX);
+        let offset = nanos_of(now) - nanos_of(time);
         let held = self.clocks.get(&incarnation).copied();
         let clock = HostClock {
             // The report with the shortest delay is the most exact.
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -17,6 +17,9 @@
 use cardamomgw::dispatch::TargetLoad;
 use cardamomgw::dispatch::TargetPace;
 use cardamomgw::dispatch::TargetRejection;
+use cardamomgw::quota::QuotaLimiter;
+use cardamomgw::quota::QuotaTolerance;
+use cardamomgw::quota::ReportBasis;
 use cardamomgw::quota::UsageScope;
 use cardamomgw::view::TargetPhase;
 use cardamomgw::view::TargetRecord;
@@ -244,3 +247,26 @@
 
     assert_eq!(placed(&mut tables), 0);
 }
+
+/// Guards against a peer whose clock is at the end of its type: the offset to it overflows.
+#[test]
+fn a_clock_of_a_peer_at_the_end_of_its_type_is_bounded() {
+    let tolerance = QuotaTolerance {
+        window: Duration::from_secs(8),
+        overage: 0.25,
+        slack: 1000.0,
+    };
+    for clock_ms in [0, 9_223_372_036_855, 1 << 60, u64::MAX] {
+        let mut limiter = QuotaLimiter::new(tolerance, 2, Duration::ZERO);
+        let basis = ReportBasis {
+            clock_ms,
+            bucket_ms: 500,
+            known_ms: 8000,
+            hosts: 1,
+            age_ms: 0,
+        };
+        limiter.apply_host_usage("e2".into(), 2, basis, Vec::new(), NOW);
+        let later = NOW + Duration::from_secs(1);
+        limiter.apply_host_usage("e2".into(), 2, basis, Vec::new(), later);
+    }
+}
