Streams: events without an id between repeated ones are removed too

Callers got an event without an id twice where it stands between two events that a resumed target repeats: only events with an id were compared. Such an event is now removed while the target is still before the last event that the caller has.

events_without_an_id_are_repeated_with_those_around_them failed before.

--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -27,7 +27,7 @@
     /// The event behind which the caller asks for the stream.
     requested_after: Option<String>,
     /// The last event that the caller has, while the target may repeat it or earlier ones.
-    resumed_after: Option<String>,
+    resumed_after: Option<ResumePoint>,
     /// Whether the next bytes are the first of another target, which may begin with a byte order
     /// mark.
     is_at_restart: bool,
@@ -35,6 +35,15 @@
     has_new_event: bool,
 }
 
+/// The place in a stream from which a target is asked to go on.
+#[derive(Debug)]
+struct ResumePoint {
+    /// The last event that the caller has.
+    held: String,
+    /// Whether the target repeats events before that one, as it did with the last one.
+    is_before: bool,
+}
+
 /// The byte order mark that may precede a stream.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
@@ -131,13 +140,16 @@
         self.has_new_event = false;
         self.is_at_restart = self.last_id.is_some();
         let held = self.last_id.as_ref().or(self.requested_after.as_ref());
-        self.resumed_after = held.cloned();
+        self.resumed_after = held.map(|held| ResumePoint {
+            held: held.clone(),
+            is_before: false,
+        });
     }
 
     /// Removes the events up to the one after which the stream was resumed. Without this the
     /// caller gets events twice from a target that repeats them.
     fn remove_repeated(&mut self, events: &mut Vec<u8>) {
-        let Some(held) = self.resumed_after.take() else {
+        let Some(mut point) = self.resumed_after.take() else {
             return;
         };
         let mut kept = Vec::with_capacity(events.len());
@@ -147,12 +159,14 @@
             let event = &events[start..end];
             let repeats = match event_id(event) {
                 EventId::Known(id) => {
-                    let repeats = is_repeated(&id, &held);
+                    let repeats = is_repeated(&id, &point.held);
                     // Ids increase, so no repeated event follows another one.
                     is_past |= !repeats;
+                    point.is_before = repeats && !is_repeated(&point.held, &id);
                     repeats
                 }
-                EventId::Missing | EventId::NoEvent => false,
+                EventId::Missing => point.is_before,
+                EventId::NoEvent => false,
             };
             if !repeats {
                 kept.extend_from_slice(event);
@@ -160,7 +174,7 @@
             start = end;
         }
         *events = kept;
-        self.resumed_after = (!is_past).then_some(held);
+        self.resumed_after = (!is_past).then_some(point);
     }
 
     /// Ends the stream and returns the rest of it: an event of which the end of the stream shows
--- a/src/edge/tests/event_splitting.rs
+++ b/src/edge/tests/event_splitting.rs
@@ -259,3 +259,21 @@
     splitter.take_events(&mut unreadable).unwrap();
     assert_eq!(splitter.last_id(), None);
 }
+
+/// Guards against events without an id that come twice because they stand between repeated ones,
+/// and against new ones that are lost.
+#[test]
+fn events_without_an_id_are_repeated_with_those_around_them() {
+    let event = |id: u32| format!("id: {id}\ndata: e{id}\n\n");
+    let unnamed = |text: &str| format!("data: {text}\n\n");
+    let begun = [event(1), unnamed("a"), event(2)].concat();
+    let rest = [unnamed("b"), event(3)].concat();
+    let whole = [begun.clone(), rest.clone()].concat();
+    for sent in [&rest, &whole] {
+        for cut in 0..sent.len() {
+            let (read, other) = sent.split_at(cut);
+
+            assert_eq!(resume_with(&begun, [read, other]), rest, "{cut}");
+        }
+    }
+}
