Soak of streams through releases and restarts, with a strict check of events

Callers read numbered events that name their request, version and run, from real processes, and take streams that break off up again at any host. Missing, doubled, reordered and repeated numbers, two versions, joined runs, events of another request, partial events and early ends are violations, each by its kind. Releases replace the version of targets while hosts are killed all at once and singly, stopped and paused, and targets crash, break streams off and resume them incorrectly. The share of streams that go on is compared with that of new ones (LOST). Stand-in targets list the parts that they keep.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,12 @@
 mod platform_standin;
 #[path = "soak/raw_link.rs"]
 mod raw_link;
+#[path = "soak/rejoin_plan.rs"]
+mod rejoin_plan;
+#[path = "soak/rejoin_serving.rs"]
+mod rejoin_serving;
+#[path = "soak/rejoin_streams.rs"]
+mod rejoin_streams;
 #[path = "soak/soak_caller.rs"]
 mod soak_caller;
 #[path = "soak/soak_crowds.rs"]
@@ -50,6 +56,7 @@
 use std::thread;
 use std::time::Duration;
 
+use rejoin_streams::count_kinds;
 use soak_run::SoakReport;
 use soak_run::SoakSize;
 use soak_run::run_brittle_restart_soak;
@@ -58,6 +65,7 @@
 use soak_run::run_limit_soak;
 use soak_run::run_part_soak;
 use soak_run::run_path_soak;
+use soak_run::run_rejoin_soak;
 use soak_run::run_response_soak;
 use soak_run::run_rewind_soak;
 use soak_run::run_soak;
@@ -69,6 +77,9 @@
 const SHORT_LENGTH: Duration = Duration::from_secs(6);
 /// Number of concurrent soaks in the manual run; each uses about one core.
 const PARALLEL_SOAKS: usize = 4;
+/// Number of releases in the short run of streams through releases, and by default.
+const SHORT_RELEASES: u32 = 2;
+const DEFAULT_RELEASES: u32 = 3;
 /// Seeds of the manual run if `SOAK_SEEDS` is not set.
 const DEFAULT_SEEDS: Range<u64> = 1..51;
 
@@ -92,6 +103,7 @@
     if violations == 0 {
         return true;
     }
+    println!("  kinds: {:?}", count_kinds(&report.violations));
     for step in &report.trace {
         println!("  {step}");
     }
@@ -132,6 +144,7 @@
         poison_callers: 0,
         version_callers: 0,
         part_callers: 0,
+        rejoin_callers: 0,
         unframed_crashes: false,
     };
     assert!(report_result(13, &run_limit_soak(13, size, DEFAULT_LENGTH)));
@@ -148,6 +161,7 @@
         poison_callers: 0,
         version_callers: 0,
         part_callers: 0,
+        rejoin_callers: 0,
         unframed_crashes: false,
     };
     assert!(report_result(17, &run_statement_soak(17, size)));
@@ -214,6 +228,16 @@
     assert!(report_result(37, &run_version_soak(37)));
 }
 
+/// Guards against streams with missing, doubled or joined events, and against streams that are not
+/// taken up again, while hosts restart and releases change the version of targets.
+#[test]
+fn streams_are_rejoined_through_releases_and_restarts() {
+    assert!(report_result(
+        61,
+        &run_rejoin_soak(61, None, SHORT_RELEASES)
+    ));
+}
+
 /// Guards against the same while hosts start that know neither their position nor the load.
 #[test]
 fn brittle_targets_seldom_fall_over_while_hosts_restart() {
@@ -255,6 +279,37 @@
     run_seeds(|seed| report_result(seed, &run_version_soak(seed)));
 }
 
+/// The same with streams that are taken up again through releases and restarts of all hosts.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn rejoin_soak_of_many_seeds() {
+    run_seeds(|seed| report_result(seed, &run_rejoin_soak(seed, None, DEFAULT_RELEASES)));
+}
+
+/// The same in a fleet that gossips in groups, one seed at a time.
+#[test]
+#[ignore = "takes many processes; run by hand"]
+fn large_rejoin_soaks_keep_the_promises() {
+    let size = SoakSize {
+        hosts: 100,
+        targets: 34,
+        callers: 20,
+        poison_callers: 0,
+        version_callers: 0,
+        part_callers: 0,
+        rejoin_callers: 50,
+        unframed_crashes: false,
+    };
+    let seeds = seeds_from_env();
+    let broken: Vec<u64> = seeds
+        .filter(|seed| {
+            let report = run_rejoin_soak(*seed, Some(size), DEFAULT_RELEASES);
+            !report_result(*seed, &report)
+        })
+        .collect();
+    assert!(broken.is_empty(), "broken seeds: {broken:?}");
+}
+
 /// The same with brittle targets and too many requests.
 #[test]
 #[ignore = "takes minutes; run by hand"]
@@ -287,6 +342,7 @@
         poison_callers: 0,
         version_callers: 0,
         part_callers: 0,
+        rejoin_callers: 0,
         unframed_crashes: false,
     };
     assert!(report_result(43, &run_path_soak(43, Some(size))));
@@ -326,6 +382,7 @@
         poison_callers: 0,
         version_callers: 0,
         part_callers: 0,
+        rejoin_callers: 0,
         unframed_crashes: false,
     };
     assert!(run_seed(11, Some(size), DEFAULT_LENGTH));
--- a/tests/soak/raw_link.rs
+++ b/tests/soak/raw_link.rs
@@ -144,6 +144,8 @@
         while let Ok(size) = self.read_chunk_size() {
             // Each chunk, including the last one, is followed by CRLF.
             if self.wait_for(size + 2).is_err() {
+                let received = self.pending.len().min(size);
+                body.bytes.extend(self.pending.drain(..received));
                 return body;
             }
             body.bytes.extend(self.pending.drain(..size));
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -15,6 +15,7 @@
 use super::platform_standin::ConfigSpec;
 use super::platform_standin::StoreServer;
 use super::platform_standin::TargetSpec;
+use super::rejoin_plan::FIRST_ENGINE;
 use super::soak_caller::LIMITED_KEY;
 use super::soak_caller::PERMANENT_KEY;
 use super::soak_caller::REVOCABLE_KEY;
@@ -71,6 +72,18 @@
     Paths,
 }
 
+/// Software versions of the targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TargetVersions {
+    /// All have the same.
+    Single,
+    /// Two versions; a target that restarts has the other one.
+    Mixed,
+    /// All that run streams have the first one, and half of their places are free until targets
+    /// of the next one join. Each start of a target has an address of its own.
+    Released,
+}
+
 /// The processes, stand-ins and links of one soak.
 pub(crate) struct SoakFleet {
     store: StoreServer,
@@ -85,8 +98,7 @@
     lost_keys: Vec<String>,
     rewind_disturbance: Option<usize>,
     routes: TargetRoutes,
-    /// Whether targets have two software versions.
-    mixes_versions: bool,
+    versions: TargetVersions,
     /// The paths of each host to each target, by the address that the target registers.
     paths: Vec<Arc<HostPaths>>,
     path_cuts: Vec<Option<usize>>,
@@ -98,7 +110,7 @@
         run: u8,
         sizes: (usize, usize),
         routes: TargetRoutes,
-        mixes_versions: bool,
+        versions: TargetVersions,
         directory: &std::path::Path,
         history: Arc<SoakHistory>,
     ) -> Self {
@@ -118,7 +130,7 @@
             lost_keys: Vec::new(),
             rewind_disturbance: None,
             routes,
-            mixes_versions,
+            versions,
             paths: Vec::new(),
             path_cuts: vec![None; hosts],
             store,
@@ -150,6 +162,12 @@
         {
             self.history.record_interruption(index);
         }
+        if let SoakStep::PauseHost(index)
+        | SoakStep::KillHost(index)
+        | SoakStep::TerminateHost(index) = step
+        {
+            self.history.serving.lock().unwrap().end_host(index);
+        }
         match step {
             SoakStep::PauseHost(index) => {
                 self.begin_host_disturbance(index);
@@ -158,6 +176,9 @@
             SoakStep::ResumeHost(index) => {
                 self.hosts[index].host.signal(Signal::CONT);
                 self.end_host_disturbance(index);
+                if !self.hosts[index].host.is_exit_requested() {
+                    self.history.serving.lock().unwrap().begin_host(index);
+                }
             }
             SoakStep::KillHost(index) => {
                 self.begin_host_disturbance(index);
@@ -205,6 +226,7 @@
             SoakStep::RewindStore(lost) => self.rewind_store(Duration::from_millis(lost)),
             SoakStep::RewriteStore => self.rewrite_store(),
             SoakStep::RestartTarget(index) => self.restart_target(index),
+            SoakStep::JoinTarget(index, version) => self.join_target(index, version),
             SoakStep::SetTargetMode(index, mode) => {
                 let entry = &mut self.targets[index];
                 entry.target.set_mode(mode);
@@ -274,6 +296,12 @@
             if is_reported && drain_end.is_some_and(|drain_end| drain_end <= Instant::now()) {
                 self.targets[index].drain_end = None;
                 self.targets[index].link.set_mode(LinkMode::Cut);
+                if self.versions == TargetVersions::Released {
+                    // A run that lasts longer is broken off.
+                    let disturbance = self.history.begin_disturbance();
+                    self.targets[index].target.stop();
+                    self.history.end_disturbance(disturbance);
+                }
                 self.remove_entry(index);
             }
         }
@@ -338,6 +366,9 @@
             entry.host.settings.seeds.clone_from(&seeds);
             entry.host.start();
         }
+        for number in 0..count {
+            self.history.serving.lock().unwrap().begin_host(number);
+        }
     }
 
     fn begin_host_disturbance(&mut self, index: usize) {
@@ -365,6 +396,7 @@
         }
         self.hosts[index].host.start();
         self.end_host_disturbance(index);
+        self.history.serving.lock().unwrap().begin_host(index);
     }
 
     fn remove_key(&mut self) {
@@ -405,9 +437,11 @@
     fn add_target(&mut self, number: usize) {
         let identity = TargetIdentity {
             name: target_name(number, 0),
-            pool: SoakRoute::POOLS[number % 2].into(),
+            pool: self.first_pool(number).into(),
             version: self.version_at(number, 0).into(),
         };
+        let is_free =
+            self.versions == TargetVersions::Released && number >= FIRST_ENGINE && number % 2 == 1;
         let target = SoakTarget::spawn(identity.clone(), Arc::clone(&self.history));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let link = task::block_on(LinkServer::bind(any, target.address)).unwrap();
@@ -418,12 +452,18 @@
                 TargetRoutes::Direct => target.address,
                 TargetRoutes::Links | TargetRoutes::Paths => link.address(),
             },
-            leaving: false,
+            leaving: is_free,
             slots: SLOTS as u32,
             version: identity.version,
             born_ms: 1,
         };
-        self.store.write(&spec.key(), Some(&spec.document()));
+        if is_free {
+            target.stop();
+        } else {
+            self.store.write(&spec.key(), Some(&spec.document()));
+            let mut serving = self.history.serving.lock().unwrap();
+            serving.begin_target(&spec.name, &spec.version);
+        }
         self.targets.push(FleetTarget {
             target,
             link,
@@ -438,16 +478,70 @@
 
     /// Returns the software version of a target.
     const fn version_at(&self, number: usize, generation: u32) -> &'static str {
-        match self.mixes_versions {
-            true => version_of(number, generation),
-            false => "v1",
+        match self.versions {
+            TargetVersions::Mixed => version_of(number, generation),
+            TargetVersions::Single | TargetVersions::Released => "v1",
+        }
+    }
+
+    /// Returns the pool that a target joins first.
+    const fn first_pool(&self, number: usize) -> &'static str {
+        match self.versions {
+            TargetVersions::Released => SoakRoute::POOLS[(number >= FIRST_ENGINE) as usize],
+            TargetVersions::Single | TargetVersions::Mixed => SoakRoute::POOLS[number % 2],
+        }
+    }
+
+    /// Starts a target where one has left or crashed, or where none was yet: a process with its
+    /// own name and address.
+    fn join_target(&mut self, index: usize, version: u32) {
+        let entry = &mut self.targets[index];
+        entry.target.stop();
+        self.history.serving.lock().unwrap().end(&entry.spec.name);
+        self.store.write(&entry.spec.key(), None);
+        entry.generation += 1;
+        entry.drain_end = None;
+        entry.spec.name = target_name(index, entry.generation);
+        entry.spec.version = format!("v{version}");
+        entry.spec.leaving = false;
+        entry.spec.born_ms += 1;
+        let identity = TargetIdentity {
+            name: entry.spec.name.clone(),
+            pool: entry.spec.pool.clone(),
+            version: entry.spec.version.clone(),
+        };
+        entry.target = SoakTarget::spawn(identity, Arc::clone(&self.history));
+        entry.spec.address = entry.target.address;
+        set_disturbed(&self.history, &mut entry.crash_disturbance, false);
+        set_disturbed(&self.history, &mut entry.mode_disturbance, false);
+        self.store
+            .write(&entry.spec.key(), Some(&entry.spec.document()));
+        let mut serving = self.history.serving.lock().unwrap();
+        serving.begin_target(&entry.spec.name, &entry.spec.version);
+    }
+
+    /// Restarts a target that has crashed, with the software version that it had. One that has
+    /// left stays away.
+    fn restart_release(&mut self, index: usize) {
+        let entry = &self.targets[index];
+        if entry.crash_disturbance.is_none() || entry.spec.leaving {
+            return;
         }
+        let version = entry.spec.version.trim_start_matches('v').parse();
+        self.join_target(index, version.unwrap());
     }
 
     fn crash_target(&mut self, index: usize) {
         let entry = &mut self.targets[index];
+        if self.versions == TargetVersions::Released && entry.spec.leaving {
+            return;
+        }
         entry.link.set_mode(LinkMode::Cut);
         entry.drain_end = None;
+        self.history.serving.lock().unwrap().end(&entry.spec.name);
+        if self.versions == TargetVersions::Released {
+            entry.target.stop();
+        }
         set_disturbed(&self.history, &mut entry.crash_disturbance, true);
     }
 
@@ -469,6 +563,7 @@
         entry.spec.leaving = true;
         entry.drain_end = Some(Instant::now() + DRAIN_TIME);
         entry.target.set_leaving();
+        self.history.serving.lock().unwrap().end(&entry.spec.name);
         self.store
             .write(&entry.spec.key(), Some(&entry.spec.document()));
     }
@@ -511,6 +606,10 @@
     /// Restarts a target that has stopped, at the same address and under a new name. Depending on
     /// the generation, it joins the other pool.
     fn restart_target(&mut self, index: usize) {
+        if self.versions == TargetVersions::Released {
+            self.restart_release(index);
+            return;
+        }
         let generation = self.targets[index].generation + 1;
         let version = self.version_at(index, generation);
         let entry = &mut self.targets[index];
--- a/tests/soak/soak_history.rs
+++ b/tests/soak/soak_history.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::rejoin_serving::ServingLog;
 use super::soak_crowds::HostCrowd;
 use super::soak_crowds::check_crowds;
 use super::soak_leaving::AnnouncedLeaving;
@@ -108,6 +109,8 @@
     part_crashes: Mutex<Vec<PartCrash>>,
     /// When targets fell over.
     falls: Mutex<Vec<Instant>>,
+    /// When hosts and targets served.
+    pub(crate) serving: Mutex<ServingLog>,
 }
 
 impl TimeSpan {
--- a/tests/soak/soak_plan.rs
+++ b/tests/soak/soak_plan.rs
@@ -64,6 +64,8 @@
     /// What the store lost is written again.
     RewriteStore,
     RestartTarget(usize),
+    /// A target of this software version starts where one has left.
+    JoinTarget(usize, u32),
     SetTargetMode(usize, TargetMode),
     /// The target announces a limit in requests per second, or none any more.
     SetTargetLimit(usize, Option<u32>),
--- a/tests/soak/soak_run.rs
+++ b/tests/soak/soak_run.rs
@@ -1,6 +1,5 @@
 //! Runs one soak from its seed to its report.
 
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,10 +14,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::rejoin_plan::draw_rejoins;
+use super::rejoin_streams::RejoinCaller;
+use super::rejoin_streams::RejoinRecord;
+use super::rejoin_streams::unix_ms;
 use super::soak_caller::REVOCABLE_KEY;
 use super::soak_caller::SoakCaller;
 use super::soak_fleet::SoakFleet;
 use super::soak_fleet::TargetRoutes;
+use super::soak_fleet::TargetVersions;
 use super::soak_history::SoakHistory;
 use super::soak_parts::PartCaller;
 use super::soak_plan::SoakStep;
@@ -72,6 +76,8 @@
     pub(crate) version_callers: usize,
     /// Callers some of whose requests have a part that crashes targets.
     pub(crate) part_callers: usize,
+    /// Callers that take streams up again through releases.
+    pub(crate) rejoin_callers: usize,
     /// Whether targets crash within responses without a length, rather than others.
     pub(crate) unframed_crashes: bool,
 }
@@ -96,6 +102,7 @@
             poison_callers: 0,
             version_callers: 0,
             part_callers: 0,
+            rejoin_callers: 0,
             unframed_crashes: false,
         }
     }
@@ -192,6 +199,7 @@
         poison_callers: 0,
         version_callers: 0,
         part_callers: 0,
+        rejoin_callers: 0,
         unframed_crashes: false,
     };
     let step = |at: u64, step: SoakStep| TimedStep {
@@ -219,6 +227,21 @@
     run_plan(seed, rng, size, &plan)
 }
 
+/// Runs a soak in which `releases` software versions replace each other, while hosts are killed all
+/// at once and one by one, paused and stopped, and targets break streams off.
+pub(crate) fn run_rejoin_soak(seed: u64, size: Option<SoakSize>, releases: u32) -> SoakReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let drawn = SoakSize {
+        targets: 14,
+        callers: 4,
+        rejoin_callers: 16,
+        ..SoakSize::draw(&mut rng)
+    };
+    let size = size.unwrap_or(drawn);
+    let plan = draw_rejoins(&mut rng, size.hosts, size.targets, releases);
+    run_plan(seed, rng, size, &plan)
+}
+
 /// Runs a soak like [`run_brittle_soak`] in which hosts are killed, paused and stopped.
 pub(crate) fn run_brittle_restart_soak(seed: u64) -> SoakReport {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -262,12 +285,16 @@
     let history = Arc::new(SoakHistory::default());
     let sizes = (size.hosts, size.targets);
     let routes = target_routes(size, plan);
-    let mixes_versions = size.version_callers > 0;
+    let versions = match size {
+        _ if size.rejoin_callers > 0 => TargetVersions::Released,
+        _ if size.version_callers > 0 => TargetVersions::Mixed,
+        _ => TargetVersions::Single,
+    };
     let mut fleet = SoakFleet::start(
         run,
         sizes,
         routes,
-        mixes_versions,
+        versions,
         &directory,
         Arc::clone(&history),
     );
@@ -314,6 +341,18 @@
         };
         thread::spawn(move || caller.run())
     }));
+    let rejoins = Arc::<Mutex<RejoinRecord>>::default();
+    callers.extend((0..size.rejoin_callers).map(|number| {
+        let caller = RejoinCaller {
+            name: format!("{seed}-{number}"),
+            hosts: fleet.caller_addresses(),
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+            history: Arc::clone(&history),
+            record: Arc::clone(&rejoins),
+            stop: Arc::clone(&stop),
+        };
+        thread::spawn(move || caller.run())
+    }));
     callers.extend((0..size.part_callers).map(|number| {
         let caller = PartCaller {
             name: format!("{seed}-{number}"),
@@ -340,7 +379,16 @@
         violations.push(format!("brittle targets fell over {falls} times"));
     }
     violations.extend(check_versions(&counts.lock().unwrap()));
+    let (broken, attempts) = rejoins
+        .lock()
+        .unwrap()
+        .check(&history.serving.lock().unwrap());
+    violations.extend(broken);
     violations.extend(history.check(size.hosts, recovered_by, REVOCABLE_KEY));
+    let mut timeline = trace.clone();
+    timeline.extend(attempts);
+    timeline.extend(violations.iter().cloned());
+    std::fs::write(directory.join("timeline.txt"), timeline.join("\n")).unwrap();
     SoakReport {
         trace,
         violations,
@@ -351,7 +399,7 @@
 fn target_routes(size: SoakSize, plan: &[TimedStep]) -> TargetRoutes {
     let crashes = |step: &TimedStep| matches!(step.step, SoakStep::SetBrittle(_));
     let cuts = |step: &TimedStep| matches!(step.step, SoakStep::SetPaths(..));
-    if size.poison_callers + size.version_callers + size.part_callers > 0
+    if size.poison_callers + size.version_callers + size.part_callers + size.rejoin_callers > 0
         || plan.iter().any(crashes)
     {
         TargetRoutes::Direct
@@ -367,7 +415,8 @@
     let mut trace = Vec::new();
     for step in plan {
         watch(fleet, history, step.at.saturating_sub(began.elapsed()));
-        trace.push(format!("{:?} {:?}", began.elapsed(), step.step));
+        let now = unix_ms(Instant::now());
+        trace.push(format!("{now} {:?} {:?}", began.elapsed(), step.step));
         fleet.apply(step.step);
     }
     trace
@@ -392,7 +441,9 @@
 fn make_directory(seed: u64, run: u8) -> PathBuf {
     let process = std::process::id();
     let name = format!("soak-{process}-{run}-{seed}");
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let base = std::env::var_os("SOAK_LOGS")
+        .map_or_else(|| PathBuf::from(env!("CARGO_TARGET_TMPDIR")), PathBuf::from);
+    let directory = base.join(name);
     std::fs::create_dir_all(&directory).unwrap();
     directory
 }
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -15,8 +16,12 @@
 use std::time::Instant;
 
 use super::platform_standin::headers;
+use super::platform_standin::kept_parts;
 use super::raw_link::RawHead;
 use super::raw_link::RawLink;
+use super::rejoin_streams::REJOIN_EVENTS;
+use super::rejoin_streams::StreamRun;
+use super::rejoin_streams::names_run;
 use super::soak_history::RequestArrival;
 use super::soak_history::SoakHistory;
 use super::soak_parts::crashing_part;
@@ -34,6 +39,8 @@
 /// Number of events in a stream, and the pause before each.
 pub(crate) const EVENTS: u32 = 8;
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
+/// Events before the requested one with which a resume begins that goes back too far.
+const EARLY_EVENTS: u32 = 2;
 /// Execution time of a plain request.
 const EXECUTION_TIME: Duration = Duration::from_millis(15);
 /// Factor by which a slow target takes longer.
@@ -50,6 +57,10 @@
 /// How long an overloaded target asks for no requests.
 const PAUSE: Duration = Duration::from_secs(2);
 
+/// Numbers of stream runs and of target processes.
+static NEXT_RUN: AtomicU64 = AtomicU64::new(1);
+static NEXT_EPOCH: AtomicU64 = AtomicU64::new(1);
+
 /// Behaviour of a target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum TargetMode {
@@ -76,6 +87,10 @@
     UnframedTorn,
     /// The same, and breaks answers off by a reset, streams between two events.
     UnframedReset,
+    /// Sends the first event of a resumed stream twice.
+    RepeatingResume,
+    /// Resumes streams from an earlier event than was requested.
+    EarlyResume,
 }
 
 impl TargetMode {
@@ -108,8 +123,12 @@
     /// Whether it states that it is leaving.
     leaving: AtomicBool,
     busy: AtomicUsize,
-    /// Whether it has crashed and not restarted yet.
+    /// Whether it has crashed and not restarted yet, and whether its process has ended for good.
     crashed: AtomicBool,
+    stopped: AtomicBool,
+    /// The prompts whose parts it keeps, and the number of its process.
+    prompts: Mutex<Vec<String>>,
+    epoch: u64,
     /// Its listener and its open connections, which a crash closes.
     listener: Mutex<Option<TcpListener>>,
     connections: Mutex<Vec<Weak<TcpStream>>>,
@@ -143,6 +162,9 @@
                 leaving: AtomicBool::new(false),
                 busy: AtomicUsize::new(0),
                 crashed: AtomicBool::new(false),
+                stopped: AtomicBool::new(false),
+                prompts: Mutex::default(),
+                epoch: NEXT_EPOCH.fetch_add(1, Ordering::Relaxed),
                 listener: Mutex::default(),
                 connections: Mutex::default(),
                 address,
@@ -160,6 +182,12 @@
         *self.shared.identity.lock().unwrap() = identity;
     }
 
+    /// Ends the target's process: it refuses connections and closes the open ones.
+    pub(crate) fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::Release);
+        self.shared.crash();
+    }
+
     /// Lets the target state in all its answers that it is leaving.
     pub(crate) fn set_leaving(&self) {
         self.shared.leaving.store(true, Ordering::Release);
@@ -212,8 +240,14 @@
     fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut listener = Some(listener);
         loop {
+            if self.stopped.load(Ordering::Acquire) {
+                return;
+            }
             let open = listener.take().unwrap_or_else(|| self.restart());
             *self.listener.lock().unwrap() = open.try_clone().ok();
+            if self.stopped.load(Ordering::Acquire) {
+                return;
+            }
             for stream in open.incoming() {
                 if self.crashed.load(Ordering::Acquire) {
                     break;
@@ -274,6 +308,12 @@
             let Ok(Some(head)) = link.read_head() else {
                 return;
             };
+            if head.first_line_part(1) == headers::KEPT_PARTS_PATH {
+                if self.list_parts(&mut link).is_err() {
+                    return;
+                }
+                continue;
+            }
             let body = link.read_body(&head);
             let crash_point = CrashPoint::from_body(&body.bytes);
             let crash_point =
@@ -284,6 +324,22 @@
         }
     }
 
+    /// Answers with the parts of the prompts that the target began to run.
+    fn list_parts(&self, link: &mut RawLink) -> std::io::Result<()> {
+        let body = kept_parts(self.epoch, &self.prompts.lock().unwrap()).to_string();
+        link.write(&format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ))
+    }
+
+    /// Keeps the parts of a prompt as long as the process lives.
+    fn keep_parts(&self, head: &RawHead) {
+        if let Some(prompt) = head.header(headers::PROMPT_PARTS) {
+            self.prompts.lock().unwrap().push(prompt.to_owned());
+        }
+    }
+
     /// Serves one request; returns whether the connection stays open.
     fn serve_request(
         &self,
@@ -447,10 +503,39 @@
         }
         // Callers that compare versions get the rest of a stream.
         let is_rest = after.is_some() && names_version(request);
-        for number in first..=EVENTS {
+        let run = StreamRun {
+            version: target.version.clone(),
+            target: target.name.clone(),
+            number: NEXT_RUN.fetch_add(1, Ordering::Relaxed),
+            after: first - 1,
+        };
+        let events = match names_run(request) {
+            true => REJOIN_EVENTS,
+            false => EVENTS,
+        };
+        // Such streams break off at any event.
+        let break_at = first + run.number as u32 % (events.max(first) - first + 1);
+        let is_resumed = after.is_some();
+        let begin = match mode == TargetMode::EarlyResume && is_resumed {
+            true => first.saturating_sub(EARLY_EVENTS).max(1),
+            false => first,
+        };
+        for number in begin..=events {
             thread::sleep(pause);
-            let may_break = number > EVENTS / 2 && !is_rest;
-            let event = event_data(request, number, &target.version);
+            if number == begin {
+                self.keep_parts(head);
+            }
+            let may_break = match names_run(request) {
+                true => number >= break_at,
+                false => number > EVENTS / 2 && !is_rest,
+            };
+            let mut event = match names_run(request) {
+                true => run.event(request, number),
+                false => event_data(request, number, &target.version),
+            };
+            if mode == TargetMode::RepeatingResume && is_resumed && number == begin {
+                event = event.repeat(2);
+            }
             if mode.is_unframed() {
                 let is_broken_off = mode != TargetMode::Unframed && may_break;
                 if is_broken_off && mode == TargetMode::UnframedReset {
