--- a/tests/soak/rejoin_plan.rs
+++ b/tests/soak/rejoin_plan.rs
@@ -62,12 +62,15 @@
         if rng.random_bool(KILL_SHARE) {
             // Targets of both versions serve.
             let at = begin + rng.random_range(JOIN_MS.end + 100..DRAIN_MS.start);
-            kill_all(rng, hosts, at, &mut steps);
+            let down = rng.random_range(200..2500);
+            kill_all(rng, hosts, at, down, &mut steps);
         }
         if rng.random_bool(KILL_SHARE) {
-            // The old version has just left.
-            let at = drain + DRAIN_SPREAD_MS + LEAVING_MS + rng.random_range(0..600);
-            kill_all(rng, hosts, at, &mut steps);
+            // Streams of the old version break off, and hosts start just after it has left.
+            let left = drain + DRAIN_SPREAD_MS + LEAVING_MS;
+            let at = left - rng.random_range(0..LEAVING_MS);
+            let down = left - at + rng.random_range(100..1200);
+            kill_all(rng, hosts, at, down, &mut steps);
         }
         for _ in 0..rng.random_range(1..=2 + hosts / 4) {
             let at = begin + rng.random_range(0..DRAIN_MS.end);
@@ -100,9 +103,8 @@
     steps.0
 }
 
-/// Kills all hosts at about the same time, and starts them again.
-fn kill_all(rng: &mut ChaCha8Rng, hosts: usize, at: u64, steps: &mut StepList) {
-    let down = rng.random_range(200..2500);
+/// Kills all hosts at about the same time, and starts them again after `down` milliseconds.
+fn kill_all(rng: &mut ChaCha8Rng, hosts: usize, at: u64, down: u64, steps: &mut StepList) {
     for host in 0..hosts {
         steps.add(at + rng.random_range(0..60), SoakStep::KillHost(host));
         let back = at + down + rng.random_range(60..600);
--- a/tests/soak/rejoin_streams.rs
+++ b/tests/soak/rejoin_streams.rs
@@ -506,11 +506,11 @@
 pub(crate) fn count_kinds(violations: &[String]) -> BTreeMap<&str, usize> {
     let mut kinds = BTreeMap::new();
     for violation in violations {
-        let kind = violation.split(':').next().unwrap_or_default();
-        let is_ours = kind.starts_with("ORDER") || kind.starts_with("LOST");
-        *kinds
-            .entry(if is_ours { kind } else { "other" })
-            .or_insert(0) += 1;
+        let kind = violation.split([':', '(']).next().unwrap_or_default();
+        let mut known = ["ORDER", "LOST", "incorrect stream"].into_iter();
+        let is_known = known.any(|known| kind.starts_with(known));
+        let kind = if is_known { kind.trim_end() } else { "other" };
+        *kinds.entry(kind).or_insert(0) += 1;
     }
     kinds
 }
--- a/tests/soak/soak_target.rs
+++ b/tests/soak/soak_target.rs
@@ -39,6 +39,8 @@
 /// Number of events in a stream, and the pause before each.
 pub(crate) const EVENTS: u32 = 8;
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
+/// The same for streams that are taken up again through releases.
+const REJOIN_EVENT_PAUSE: Duration = Duration::from_millis(70);
 /// Events before the requested one with which a resume begins that goes back too far.
 const EARLY_EVENTS: u32 = 2;
 /// Execution time of a plain request.
@@ -520,6 +522,10 @@
             true => first.saturating_sub(EARLY_EVENTS).max(1),
             false => first,
         };
+        let pause = match names_run(request) {
+            true => REJOIN_EVENT_PAUSE,
+            false => pause,
+        };
         for number in begin..=events {
             thread::sleep(pause);
             if number == begin {
