--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -30,6 +30,8 @@
 use super::gossip_builder::GossipCursors;
 use super::gossip_builder::is_starting_up;
 use super::header_names::HeaderNames;
+use super::part_list::PartListFormat;
+use super::part_list_schedule::PartListSchedule;
 use super::response_relay::RESPONSE_MEMORY;
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
@@ -52,6 +54,7 @@
 use crate::quota::RetryBudget;
 use crate::sorted::SortedMap;
 use crate::streams::StreamDirectory;
+use crate::view::FleetSource;
 use crate::view::SharedView;
 use crate::view::TargetIncarnation;
 use crate::view::ViewChange;
@@ -84,6 +87,7 @@
     pub(crate) startup: StartupSettings,
     pub(crate) runtime: ArcSwap<RuntimeSettings>,
     pub(crate) header_names: HeaderNames,
+    pub(crate) part_list: PartListFormat,
     pub(crate) incarnation: IncarnationId,
     /// Start of the process, on the boot clock.
     pub(crate) started: Duration,
@@ -104,6 +108,7 @@
     pub(crate) poison: PoisonGuard,
     pub(crate) parts: PartGuard,
     streams: Mutex<StreamDirectory>,
+    pub(super) part_lists: PartListSchedule,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: EdgeMetrics,
     /// Latency histograms and response counts by tier, class and account.
@@ -138,6 +143,10 @@
     gossip_wake: (Sender<()>, Receiver<()>),
     /// The links to peers; absent until they are opened.
     mesh: OnceLock<Arc<PeerMesh>>,
+    /// The store; absent until the host starts.
+    source: OnceLock<Arc<dyn FleetSource>>,
+    /// Held while the store is read for a request.
+    pub(crate) view_refresh: async_std::sync::Mutex<()>,
     /// Requests that this host forwards to peers.
     pub(crate) forwards: Arc<ForwardTable>,
     /// Requests that peers forward to this host.
@@ -155,6 +164,7 @@
     pub(crate) fn new(
         settings: EdgeSettings,
         header_names: HeaderNames,
+        part_list: PartListFormat,
         log: DecisionLog,
         request_metrics: Arc<RequestMetrics>,
     ) -> Arc<Self> {
@@ -187,6 +197,8 @@
             startup,
             runtime: ArcSwap::from_pointee(runtime),
             header_names,
+            part_list,
+            part_lists: PartListSchedule::default(),
             incarnation,
             started,
             view: SharedView::default(),
@@ -206,6 +218,8 @@
             active_requests: AtomicUsize::new(0),
             gossip_wake: async_channel::bounded(1),
             mesh: OnceLock::new(),
+            source: OnceLock::new(),
+            view_refresh: async_std::sync::Mutex::new(()),
             forwards: ForwardTable::new(),
             forwarded: ForwardTable::new(),
         })
@@ -233,6 +247,15 @@
         self.mesh.set(mesh).ok();
     }
 
+    /// Sets the store; it is set once.
+    pub(crate) fn set_source(&self, source: Arc<dyn FleetSource>) {
+        self.source.set(source).ok();
+    }
+
+    pub(crate) fn source(&self) -> Option<&Arc<dyn FleetSource>> {
+        self.source.get()
+    }
+
     pub(crate) fn mesh(&self) -> Option<&Arc<PeerMesh>> {
         self.mesh.get()
     }
--- a/src/edge/tests/stream_versions.rs
+++ b/src/edge/tests/stream_versions.rs
@@ -54,6 +54,12 @@
     request_for("/resume/x", id).replace("X-Left-Ms", &resumes)
 }
 
+/// Returns a request for the rest of a stream by a caller that has just begun to wait, so that the
+/// stream can't be older than a second.
+fn young_resume_request(id: &str, began_as: &str) -> String {
+    resume_request(id, began_as).replace("X-Left-Ms: 2000", "X-Left-Ms: 30000")
+}
+
 /// Returns the index of the only target that received a request.
 fn target_of(targets: &[RawTarget], id: &str) -> Option<usize> {
     let has_received = |target: &RawTarget| {
@@ -196,6 +202,108 @@
     assert_eq!(target_of(&targets, "second"), None);
 }
 
+/// Guards against a restarted fleet that takes the version that it finds for the only one there was.
+#[test]
+fn a_restarted_fleet_does_not_resume_streams_of_a_version_that_has_left() {
+    let former_targets = targets_of(2, serve_stream);
+    let former_fleet = FleetFixture::open(&former_targets, &["za", "za"]);
+    for host in &former_fleet.hosts {
+        host.store.set_versions(2, &["v1", "v1"]);
+    }
+    wait_revision(&former_fleet, 2);
+    begin_streams(&former_fleet.hosts[0], "first");
+    drop(former_fleet);
+    let targets = targets_of(2, serve_stream);
+    let fleet = FleetFixture::open(&targets, &["za", "za"]);
+
+    let mut joined = Vec::new();
+    for wait_ms in [0, 1500, 3000] {
+        thread::sleep(Duration::from_millis(wait_ms));
+        for number in 0..STREAMS {
+            let id = format!("second{wait_ms}-{number}");
+            let request = resume_request(&id, &format!("first{number}"));
+            let answer = fleet.hosts[number % 2].call(&request);
+            if status_of(&answer) != 503 {
+                joined.push((wait_ms, number, status_of(&answer)));
+            }
+        }
+    }
+
+    assert_eq!(joined, []);
+}
+
+/// Adds the parts of the prompt of a stream that the attempt `began_as` began.
+fn with_prompt(request: &str, began_as: usize) -> String {
+    let parts = format!("X-Parts: 0a:10,c0ffee{began_as:02}:20\r\nX-Left-Ms");
+    request.replace("X-Left-Ms", &parts)
+}
+
+/// Guards against streams that nobody can resume once all hosts have restarted.
+#[test]
+fn streams_go_on_at_their_version_after_a_restart_of_all_hosts() {
+    let targets = targets_of(4, serve_stream);
+    let former_fleet = FleetFixture::open(&targets, &["za", "za"]);
+    set_two_versions(&former_fleet);
+    for number in 0..STREAMS {
+        let request = request_for("/resume/x", &format!("first{number}"));
+        let answer = former_fleet.hosts[0].call(&with_prompt(&request, number));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+    drop(former_fleet);
+    let fleet = FleetFixture::open(&targets, &["za", "za"]);
+    set_two_versions(&fleet);
+
+    for number in 0..STREAMS {
+        let (first, second) = (format!("first{number}"), format!("second{number}"));
+        let request = with_prompt(&resume_request(&second, &first), number);
+        let answer = fleet.hosts[number % 2].call(&request);
+
+        assert_eq!(status_of(&answer), 200, "{answer}");
+        let version_of = |id: &str| target_of(&targets, id).map(|index| index / 2);
+        assert_eq!(version_of(&first), version_of(&second), "{second}");
+    }
+}
+
+/// Guards against a stream that goes on at one of two versions that have both run its request.
+#[test]
+fn a_stream_whose_prompt_two_versions_keep_is_refused() {
+    let targets = targets_of(4, serve_stream);
+    let host = EdgeFixture::open(&targets);
+    host.store.set_versions(2, &["v1", "v1", "v2", "v2"]);
+    host.wait_revision(2);
+    for target in [&targets[0], &targets[2]] {
+        target.parts.lock().unwrap().ids.push("c0ffee00".into());
+    }
+
+    let answer = host.call(&with_prompt(&resume_request("second", "unknown"), 0));
+
+    assert_eq!(status_of(&answer), 503, "{answer}");
+    assert_eq!(target_of(&targets, "second"), None);
+}
+
+/// Guards against hosts that take an old view of the targets for the present one, or a peer's.
+#[test]
+fn hosts_cut_off_from_the_store_do_not_vouch_for_the_only_version() {
+    let targets = targets_of(4, serve_stream);
+    let fleet = FleetFixture::open(&targets, &["za", "za"]);
+    thread::sleep(Duration::from_millis(2500));
+    let before = fleet.hosts[0].call(&young_resume_request("control", "unknown"));
+    for host in &fleet.hosts {
+        host.store.set_unavailable();
+    }
+
+    let mut statuses = Vec::new();
+    for wait_ms in [300, 1200, 3000] {
+        thread::sleep(Duration::from_millis(wait_ms));
+        let id = format!("second{wait_ms}");
+        let answer = fleet.hosts[0].call(&young_resume_request(&id, &format!("unknown{wait_ms}")));
+        statuses.push(status_of(&answer));
+    }
+
+    assert_eq!(status_of(&before), 200, "{before}");
+    assert_eq!(statuses, [503, 503, 503]);
+}
+
 /// Guards against refusals of streams that can only have begun at the version in use.
 #[test]
 fn a_stream_of_unknown_version_goes_on_where_there_was_one_only() {
@@ -204,10 +312,10 @@
     for host in &fleet.hosts {
         host.store.set_versions(2, &["", "", "", ""]);
     }
-    // The stream may be as old as a second.
-    thread::sleep(Duration::from_secs(1));
+    // By the time that its caller has left, the stream may be as old as a second.
+    thread::sleep(Duration::from_millis(1500));
 
-    let answer = fleet.hosts[0].call(&resume_request("second", "unknown"));
+    let answer = fleet.hosts[0].call(&young_resume_request("second", "unknown"));
 
     assert_eq!(status_of(&answer), 200, "{answer}");
 }
