--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -461,8 +461,11 @@
             target.stop();
         } else {
             self.store.write(&spec.key(), Some(&spec.document()));
-            let mut serving = self.history.serving.lock().unwrap();
-            serving.begin_target(&spec.name, &spec.version);
+            // Only targets that run streams count for their version.
+            if number >= FIRST_ENGINE {
+                let mut serving = self.history.serving.lock().unwrap();
+                serving.begin_target(&spec.name, &spec.version);
+            }
         }
         self.targets.push(FleetTarget {
             target,
