--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -349,6 +349,19 @@
         });
     }
 
+    /// Changes the registration of one target.
+    pub(super) fn change_target(
+        &self,
+        revision: u64,
+        index: usize,
+        change: impl FnOnce(&mut TargetRecord),
+    ) {
+        self.change(revision, |update| {
+            change(&mut update.targets[index]);
+            update.targets[index].revision = update.revision;
+        });
+    }
+
     /// Writes a catalog in which the targets are engines.
     pub(super) fn set_engines(&self, revision: u64) {
         self.change(revision, |update| {
@@ -435,10 +448,15 @@
 
     /// Starts a host whose peers don't answer.
     pub(super) fn open_alone(targets: &[RawTarget]) -> Self {
+        Self::open_beside(targets, ([127, 0, 0, 1], 1).into())
+    }
+
+    /// Starts a host with a peer of the test at an address.
+    pub(super) fn open_beside(targets: &[RawTarget], peer: SocketAddr) -> Self {
         let store = ManualStore::default();
         store.write(1, targets, &["k1"]);
         let mut settings = settings_with(EdgeBounds::default());
-        settings.runtime.seeds = vec![([127, 0, 0, 1], 1).into()];
+        settings.runtime.seeds = vec![peer];
         let fixture = Self::open_as(store, settings);
         fixture.wait_ready(true);
         fixture
@@ -449,7 +467,8 @@
         Self::open_on(ManualStore::default(), EdgeBounds::default())
     }
 
-    fn open_on(store: ManualStore, bounds: EdgeBounds) -> Self {
+    /// Starts a host with a store that the test has written, without waiting until it is ready.
+    pub(super) fn open_on(store: ManualStore, bounds: EdgeBounds) -> Self {
         Self::open_as(store, settings_with(bounds))
     }
 
@@ -756,7 +775,7 @@
     }
 }
 
-fn record_of(index: usize, target: &RawTarget, revision: StoreRevision) -> TargetRecord {
+pub(super) fn record_of(index: usize, target: &RawTarget, revision: StoreRevision) -> TargetRecord {
     TargetRecord {
         name: format!("t{index}"),
         pool: "p".into(),
