--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -26,7 +26,8 @@
     last_id: Option<String>,
     /// The event behind which the caller asks for the stream.
     requested_after: Option<String>,
-    /// The last event that the caller has, while the target may repeat it or earlier ones.
+    /// The last event that the caller has, in the response of a target that resumes the stream: it may
+    /// repeat this one or earlier ones.
     resumed_after: Option<ResumePoint>,
     /// Whether the next bytes are the first of another target, which may begin with a byte order
     /// mark.
@@ -154,15 +155,15 @@
         };
         let mut kept = Vec::with_capacity(events.len());
         let mut start = 0;
-        let mut is_past = false;
         for end in event_ends(events) {
             let event = &events[start..end];
             let repeats = match event_id(event) {
                 EventId::Known(id) => {
                     let repeats = is_repeated(&id, &point.held);
-                    // Ids increase, so no repeated event follows another one.
-                    is_past |= !repeats;
                     point.is_before = repeats && !is_repeated(&point.held, &id);
+                    if !repeats {
+                        point.held = id;
+                    }
                     repeats
                 }
                 EventId::Missing => point.is_before,
@@ -174,7 +175,7 @@
             start = end;
         }
         *events = kept;
-        self.resumed_after = (!is_past).then_some(point);
+        self.resumed_after = Some(point);
     }
 
     /// Ends the stream and returns the rest of it: an event of which the end of the stream shows
--- a/src/edge/part_holders.rs
+++ b/src/edge/part_holders.rs
@@ -36,6 +36,9 @@
 
 /// Time limit of a search.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Least fraction of the targets of each other version that have to list their parts. Some are always
+/// lost or slow in a large pool.
+const MIN_LISTED_RATIO: f64 = 0.75;
 /// Time limit for the answer of the leader of a group.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time by which a called host answers before the calling one stops waiting.
@@ -69,8 +72,8 @@
 }
 
 impl HolderSearch {
-    /// Returns the version of all holders, if all `targets` of the other versions listed their parts:
-    /// one that did not may hold it too.
+    /// Returns the version of all holders, if enough of the `targets` of each other version listed their
+    /// parts: one that did not may hold it too.
     pub(crate) fn sole_version(
         &self,
         targets: &SortedMap<SoftwareVersion, u64>,
@@ -80,7 +83,8 @@
         };
         let mut others = targets.iter().filter(|(other, _)| *other != version);
         let has_listed = |(other, count): (&SoftwareVersion, &u64)| {
-            self.listed.get(other).is_some_and(|listed| listed >= count)
+            let listed = self.listed.get(other).copied().unwrap_or_default();
+            listed as f64 >= *count as f64 * MIN_LISTED_RATIO
         };
         others.all(has_listed).then_some(version)
     }
