--- a/src/edge/stream_origin.rs
+++ b/src/edge/stream_origin.rs
@@ -47,7 +47,7 @@
 /// Tolerance on the end of a claim, whose age is stated in whole milliseconds.
 const CLAIM_MARGIN: Duration = Duration::from_millis(2);
 
-/// What is known of the origin of a stream, and by whose word.
+/// What is known of the origin of a stream, and from which source.
 #[derive(Debug)]
 struct FoundOrigin {
     version: Option<SoftwareVersion>,
--- a/tests/soak/rejoin_serving.rs
+++ b/tests/soak/rejoin_serving.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Time after its start from which a host must take streams up again, as on the users' page.
+/// Time after its start from which a host must take streams up again.
 const HOST_CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time after its registration from which a target counts: hosts read the store's changes late.
 const TARGET_CONTACT_TIME: Duration = Duration::from_secs(1);
