--- a/tests/process_edge.rs
+++ b/tests/process_edge.rs
@@ -87,6 +87,7 @@
         service_pool: "desk".into(),
         engine_pool: "llm".into(),
         accounts: vec![("steady".into(), "k1".into(), 0.0)],
+        max_body_bytes: None,
     };
     store.write(ConfigSpec::KEY, Some(&config.document()));
     store
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -122,6 +122,7 @@
                 service_pool: SoakRoute::POOLS[0].into(),
                 engine_pool: SoakRoute::POOLS[1].into(),
                 accounts: Vec::new(),
+                max_body_bytes: None,
             },
             hosts: Vec::new(),
             targets: Vec::new(),
--- a/tests/soak/soak_host.rs
+++ b/tests/soak/soak_host.rs
@@ -25,6 +25,9 @@
 /// Maximum resident memory of a host: the smallest machine has 160 MB, and a host needs a small
 /// part of it.
 const MAX_MEMORY_KB: u64 = 96 << 10;
+/// Limits of the smallest machine, with fewer descriptors.
+const MACHINE_MEMORY_MB: u64 = 160;
+const MACHINE_DESCRIPTORS: usize = 1000;
 /// Shutdown grace period of a host, as in its settings.
 const GRACE: Duration = Duration::from_secs(6);
 /// Time in which a new process starts to execute its own code, even on a busy machine. Before
@@ -64,6 +67,8 @@
             ip: host_ip(run, number),
             seeds: Vec::new(),
             store: store_link.address(),
+            memory_mb: MACHINE_MEMORY_MB,
+            max_descriptors: MACHINE_DESCRIPTORS,
         };
         Self {
             settings,
@@ -148,6 +153,11 @@
         age < STARTUP_TIME || age < CROWDED_STARTUP_TIME && !catches_hang_up(child.id())
     }
 
+    /// Returns the process id; `None` while no process was started.
+    pub(crate) fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns whether SIGTERM or SIGKILL was sent.
     pub(crate) const fn is_exit_requested(&self) -> bool {
         self.exit_requested
@@ -194,7 +204,8 @@
         if self.started?.elapsed() < STARTUP_TIME {
             return None;
         }
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let process = self.process_id()?;
+        let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
         let line = status.lines().find(|line| line.starts_with("VmHWM"))?;
         let peak: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
         let exceeds = peak > MAX_MEMORY_KB;
