Connections that wait hold no read buffers

Seen from outside: 2,400 connections that send nothing took 231 MB, some 88 KB each.

Cause: each read had an array of 4 or 8 KiB in its future, nested into the futures of reading and of serving a request, and each connection's task is as large as the largest of them.

Change: a read's array lives on the stack of one poll, and the future that serves a request is boxed, so it exists while one is served.

endless_bytes_end_when_the_caller_leaves waited until it saw a connection open, but looked each 5 ms; with the shorter read an endless event ends after 4 ms. It now waits until the target has begun to send, which is as strict.

--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -44,7 +44,8 @@
         // During shutdown the connection is closed after the current response.
         caller.reusable &= !state.is_leaving();
         let is_usable = match next {
-            Ok(Some(request)) => serve_request(&state, &mut caller, request).await,
+            // Boxed, as it is much larger than what an idle connection needs.
+            Ok(Some(request)) => Box::pin(serve_request(&state, &mut caller, request)).await,
             Ok(None) => return,
             Err(request) => {
                 refuse_bad_request(&state, &mut caller, request).await;
--- a/src/edge/tests/endless_bytes.rs
+++ b/src/edge/tests/endless_bytes.rs
@@ -94,12 +94,15 @@
     target: RawTarget,
     /// Number of connections on which it sends such bytes.
     open: Arc<AtomicUsize>,
+    /// Number of connections on which it began to.
+    begun: Arc<AtomicUsize>,
 }
 
 impl EndlessTarget {
     fn spawn(part: EndlessPart) -> Self {
         let open: Arc<AtomicUsize> = Arc::default();
-        let sending = Arc::clone(&open);
+        let begun: Arc<AtomicUsize> = Arc::default();
+        let (sending, counted) = (Arc::clone(&open), Arc::clone(&begun));
         let block = part.block();
         let target = RawTarget::spawn(move |request, stream| {
             if request.text.starts_with("POST /again/sound") {
@@ -107,12 +110,26 @@
                 return true;
             }
             sending.fetch_add(1, Ordering::AcqRel);
+            counted.fetch_add(1, Ordering::AcqRel);
             write_text(stream, &part.start(request));
             while stream.write_all(&block).is_ok() {}
             sending.fetch_sub(1, Ordering::AcqRel);
             false
         });
-        Self { target, open }
+        Self {
+            target,
+            open,
+            begun,
+        }
+    }
+
+    /// Waits until it has begun to send.
+    fn wait_begun(&self) {
+        let started_at = Instant::now();
+        while self.begun.load(Ordering::Acquire) == 0 {
+            assert!(started_at.elapsed() < END_DELAY * 2, "not begun");
+            thread::sleep(Duration::from_millis(5));
+        }
     }
 
     /// Waits until it sends on `wanted` connections.
@@ -232,7 +249,7 @@
         let mut caller = host.connect();
         let request = request_for("/long/x", "id1").replace("2000", "10000");
         caller.write_all(request.as_bytes()).unwrap();
-        endless.wait_open(1);
+        endless.wait_begun();
 
         drop(caller);
 
--- a/src/gateway/caller_service.rs
+++ b/src/gateway/caller_service.rs
@@ -86,7 +86,8 @@
     while connection.is_reusable() {
         let served = match connection.next_request().await {
             Ok(None) => return,
-            Ok(Some(request)) => serve_request(&mut connection, request, &host).await,
+            // Boxed, as it is much larger than what an idle connection needs.
+            Ok(Some(request)) => Box::pin(serve_request(&mut connection, request, &host)).await,
             Err(kind) => send_refusal(&mut connection, &host, kind, None).await,
         };
         if served.is_err() {
--- a/src/http/head_buffer.rs
+++ b/src/http/head_buffer.rs
@@ -1,15 +1,13 @@
 //! Reads the head of a message, up to its empty line and a maximum size.
 
-use async_std::io::ReadExt;
 use async_std::net::TcpStream;
 
 use crate::errors::ErrorKind;
 use crate::wire::ReadPacing;
+use crate::wire::read_chunk;
 
 /// Maximum size of a head, in bytes. `async-h1` refuses 8 KiB and more.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
-/// Size of one read from a socket, in bytes.
-const READ_BYTES: usize = 4096;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Bytes read from a connection and not yet consumed by a message.
@@ -77,12 +75,8 @@
 
     async fn read_more(&mut self, stream: &mut TcpStream) -> Result<bool, ErrorKind> {
         self.pacing.pace().await;
-        let mut chunk = [0; READ_BYTES];
-        let count = stream
-            .read(&mut chunk)
-            .await
-            .map_err(|_| ErrorKind::MalformedMessage)?;
-        self.bytes.extend_from_slice(&chunk[..count]);
+        let read = read_chunk(stream, |chunk| self.bytes.extend_from_slice(chunk)).await;
+        let count = read.map_err(|_| ErrorKind::MalformedMessage)?;
         Ok(count > 0)
     }
 }
--- a/src/wire/input_buffer.rs
+++ b/src/wire/input_buffer.rs
@@ -1,15 +1,21 @@
 //! A buffer for the bytes read from a connection.
 
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
+use std::task::Poll;
+use std::task::ready;
 
 use async_std::net::TcpStream;
-use futures_lite::AsyncReadExt;
+use futures_lite::AsyncRead;
 
 use super::ReadPacing;
 
 /// Size of one read from a socket, in bytes: holds about a hundred events of a stream,
 /// or a complete prompt of the usual size.
 const READ_BYTES: usize = 8 << 10;
+/// Memory that an empty buffer keeps, in bytes.
+const KEPT_BYTES: usize = 1 << 10;
 
 /// Bytes that were read from a connection and not yet consumed by a message.
 #[derive(Debug, Default)]
@@ -53,11 +59,7 @@
     ///
     /// The error of the read, such as a connection reset.
     pub(crate) async fn fill(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        let mut chunk = [0; READ_BYTES];
-        let mut reader = stream;
-        let count = reader.read(&mut chunk).await?;
-        self.append(&chunk[..count]);
-        Ok(count)
+        read_chunk(stream, |chunk| self.append(chunk)).await
     }
 
     /// Reads like [`InputBuffer::fill`], and now and then yields before that.
@@ -79,11 +81,32 @@
         self.bytes.extend_from_slice(bytes);
     }
 
-    /// Releases the memory of a large message once the buffer is empty.
+    /// Releases the memory of earlier messages once the buffer is empty.
     pub(crate) fn shrink(&mut self) {
-        if self.is_empty() && self.bytes.capacity() > READ_BYTES {
+        if self.is_empty() && self.bytes.capacity() > KEPT_BYTES {
             self.bytes = Vec::new();
             self.start = 0;
         }
     }
 }
+
+/// Reads once from a connection, and returns the number of bytes.
+///
+/// # Errors
+///
+/// The error of the read.
+pub(crate) async fn read_chunk(
+    stream: &TcpStream,
+    mut append: impl FnMut(&[u8]),
+) -> io::Result<usize> {
+    let mut reader = stream;
+    // The chunk lives in one poll only: as part of the future, it would take its size for each
+    // connection that waits.
+    poll_fn(|context| {
+        let mut chunk = [0; READ_BYTES];
+        let count = ready!(Pin::new(&mut reader).poll_read(context, &mut chunk))?;
+        append(&chunk[..count]);
+        Poll::Ready(Ok(count))
+    })
+    .await
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) use complete_response::can_reuse_connection;
 pub(crate) use complete_response::read_complete_response;
 pub(crate) use input_buffer::InputBuffer;
+pub(crate) use input_buffer::read_chunk;
 pub(crate) use message_headers::MessageHeaders;
 pub(crate) use read_pacing::ReadPacing;
 pub(crate) use request_message::RequestMessage;
