Large bodies are sent without another copy

Seen: 100 complete bodies of 1 MiB that run take 247.8 MB (edge_serves_beside_large_requests_that_run, 64 MB allowed).

Cause: the request to a target was put together in one buffer for as long as the target is awaited, so each body stood in memory twice. `serve` copied it too.

Change: bodies over 16 KiB are written behind the head from where they are.

--- a/src/controllers/target_controller.rs
+++ b/src/controllers/target_controller.rs
@@ -10,6 +10,7 @@
 
 use async_std::future::timeout;
 use async_std::task;
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -296,7 +297,7 @@
         query: None,
         headers: HeaderMap::new(),
     };
-    let exchange = connection.send(&head, Vec::new(), REPORT_TIMEOUT).await?;
+    let exchange = connection.send(&head, Bytes::new(), REPORT_TIMEOUT).await?;
     let mut answer = exchange.read_answer(REPORT_TIMEOUT).await?;
     let mut body = Vec::new();
     while let Some(chunk) = answer.next_chunk(REPORT_TIMEOUT).await? {
--- a/src/edge/part_list.rs
+++ b/src/edge/part_list.rs
@@ -79,7 +79,9 @@
             request: "",
             method: "GET",
         };
-        let mut call = TargetCall::send(connection, &bytes, identity).await.ok()?;
+        let mut call = TargetCall::send(connection, &bytes, &[], identity)
+            .await
+            .ok()?;
         if call.head.status != 200 {
             return None;
         }
--- a/src/edge/target_call.rs
+++ b/src/edge/target_call.rs
@@ -55,7 +55,8 @@
 }
 
 impl TargetCall {
-    /// Sends a request and reads the head of the response.
+    /// Sends a request, with the part of its body that is not in `request`, and reads the head of
+    /// the response.
     ///
     /// The response may arrive before the request is completely written, for example when
     /// a target refuses a long upload. The connection is not reused in that case, because
@@ -67,13 +68,15 @@
     pub(crate) async fn send(
         mut connection: TargetConnection,
         request: &[u8],
+        body: &[u8],
         identity: CallIdentity<'_>,
     ) -> Result<Self, CallError> {
         let mut written = false;
         let mut stream = connection.stream.clone();
         let write = async {
             // A failed write is also reported by the read.
-            written = stream.write_all(request).await.is_ok();
+            written =
+                stream.write_all(request).await.is_ok() && stream.write_all(body).await.is_ok();
             pending().await
         };
         let head = or(write, read_matching_head(&mut connection, identity)).await?;
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -18,6 +18,7 @@
 use super::response_relay::collect_body;
 use super::response_sink::ResponseSink;
 use super::response_source::ResponseSource;
+use super::route_filter::RoutedRequest;
 use super::send_outcome::LossCause;
 use super::send_outcome::SendOutcome;
 use super::target_call::CallIdentity;
@@ -29,6 +30,8 @@
 use crate::logs::DecisionLine;
 use crate::wire::ResponseMessage;
 
+/// Size up to which a body is copied behind the head, in bytes, so that one write sends both.
+const MAX_COPIED_BYTES: usize = 16 << 10;
 /// Longest pause of a stream that another target can resume. Engines send an event
 /// every 25 to 100 ms; callers give up on a stream after two seconds. A sound target may be silent
 /// for a second and more.
@@ -111,8 +114,9 @@
         let sent_at = boot_now();
         let table = || self.state.queue.lock_table();
         let placed = slot.target().clone();
+        let body = separate_body(routed);
         let answered = async {
-            let sent = TargetCall::send(connection, bytes, identity).await;
+            let sent = TargetCall::send(connection, bytes, body, identity).await;
             sent.map_err(|error| SendOutcome::Lost(error.into()))
         };
         let expired = async {
@@ -325,7 +329,7 @@
         }
     }
 
-    /// Returns the request as it is sent to this target.
+    /// Returns the request as it is sent to this target, without a body that is sent separately.
     fn request_bytes(&self, slot: &SlotGuard) -> Vec<u8> {
         let routed = self.routed;
         let header_names = &self.state.header_names;
@@ -339,13 +343,23 @@
             headers.push(&header_names.resume_after, last);
         }
         let body = &routed.request.body;
-        let mut bytes = Vec::with_capacity(body.len() + 1024);
+        let mut bytes = Vec::with_capacity(1024);
         message.write_to(body.len(), &mut bytes);
-        bytes.extend_from_slice(body);
+        if separate_body(routed).is_empty() {
+            bytes.extend_from_slice(body);
+        }
         bytes
     }
 }
 
+/// Returns the body if it is sent behind the head, without another copy of it in memory.
+fn separate_body(routed: &RoutedRequest) -> &[u8] {
+    match routed.request.body.len() > MAX_COPIED_BYTES {
+        true => &routed.request.body,
+        false => &[],
+    }
+}
+
 /// Returns the limit that a response states in a header, `Some(None)` where it shows that there is
 /// none. Only a successful response does: an error may come from an intermediary in front of the
 /// target.
--- a/src/gateway/relay_filter.rs
+++ b/src/gateway/relay_filter.rs
@@ -65,10 +65,7 @@
     let sent_at = unix_now();
     run.meter.record_dispatch(prefill_tokens(run, &target));
     let head = target_head(run);
-    let relayed = match connection
-        .send(&head, run.body.to_vec(), SEND_TIMEOUT)
-        .await
-    {
+    let relayed = match connection.send(&head, run.body.clone(), SEND_TIMEOUT).await {
         Ok(exchange) => match exchange.read_answer(answer_timeout(run)).await {
             Ok(answer) => relay_checked(run, &ticket, answer, &target).await,
             Err(error) => recover_answer(run, &ticket, error, &target).await,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -167,7 +167,7 @@
             query,
             headers: HeaderMap::new(),
         };
-        let exchange = connection.send(&head, Vec::new(), limit).await?;
+        let exchange = connection.send(&head, Bytes::new(), limit).await?;
         exchange.read_answer(limit).await
     }
 
--- a/src/http/target_exchange.rs
+++ b/src/http/target_exchange.rs
@@ -12,11 +12,13 @@
 use async_h1::client::Encoder;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use futures_lite::io;
+use futures_lite::io::Cursor;
 use http_types::Body;
 use http_types::Method;
 use http_types::Request;
@@ -98,7 +100,7 @@
     pub(crate) async fn send(
         mut self,
         head: &RequestHead,
-        body: Vec<u8>,
+        body: Bytes,
         limit: Duration,
     ) -> Result<TargetExchange, ExchangeError> {
         let request = self.build_request(head, body)?;
@@ -115,14 +117,15 @@
         })
     }
 
-    fn build_request(&self, head: &RequestHead, body: Vec<u8>) -> Result<Request, ExchangeError> {
+    fn build_request(&self, head: &RequestHead, body: Bytes) -> Result<Request, ExchangeError> {
         let mut url = Url::parse(&format!("http://{}", self.address))
             .map_err(|_| ExchangeError::Malformed)?;
         url.set_path(&head.path);
         url.set_query(head.query.as_deref());
         let method: Method = head.method.parse().map_err(|_| ExchangeError::Malformed)?;
         let mut request = Request::new(method, url);
-        request.set_body(Body::from_bytes(body));
+        let length = body.len();
+        request.set_body(Body::from_reader(Cursor::new(body), Some(length)));
         request.remove_header("content-type");
         for (name, value) in head.headers.iter() {
             request.insert_header(name.as_str(), value.as_str());
