All bodies of edge are held on one account of the machine's memory

Cause: bodies were read into vectors that double, before route and key were looked at, with no bound over all connections and no end while a byte came in time. Responses and forwarded bodies had constants of their own (32 MB each), whatever the machine has.

Change: one budget, a quarter of the machine's memory (`memory-mb`), for bodies from callers and peers, what is forwarded, and responses that are buffered. A body counts by what it holds, not by what it announces. Where there is no room, the incomplete body that holds most, and for longest without a new byte, is dropped and refused with 503 and a spread Retry-After; a large one doesn't drive out smaller ones, and a quarter is kept for messages up to 64 KiB. Route, key and id are checked before the rest of a body is read; bodies of probes and scrapes are not read; a body has until its caller's deadline in place of 10 s for each read. A caller that goes on sending after a refusal is read for up to 4 MiB.

--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -1,28 +1,37 @@
 //! Server side of one caller's HTTP connection; requests are read one after another.
 
 use std::future::pending;
+use std::io;
 use std::net::Shutdown;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::or;
 use rustix::net::sockopt::set_socket_linger;
 
+use super::edge_refusal::EdgeRefusal;
 use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
 use crate::errors::ErrorKind;
+use crate::limits::ByteBudget;
+use crate::limits::BytePermit;
+use crate::limits::IncomingBody;
 use crate::wire::BodyDecoder;
 use crate::wire::BodyFraming;
 use crate::wire::InputBuffer;
 use crate::wire::KeepaliveSettings;
 use crate::wire::RequestMessage;
-use crate::wire::WireError;
 use crate::wire::configure_keepalive;
 
-/// Longest pause within a request body. Without it a caller that stops sending would keep
-/// its buffered body in memory indefinitely.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Part of a head that is not counted as held memory, in bytes.
+const FREE_HEAD_BYTES: usize = 4 << 10;
+/// Delay after which a caller may retry for whose request there was no memory: until bodies that
+/// are being received are complete or dropped.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Time that an idle connection stays open beyond the advertised idle timeout, so that a
 /// request sent just before the timeout does not race with the close.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -32,7 +41,7 @@
 /// first, because closing with unread data resets the connection before the caller has
 /// read the response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
-const MAX_LINGER_READS: usize = 64;
+const MAX_LINGER_BYTES: usize = 4 << 20;
 /// TCP settings that detect a dead caller after 6 s, also an idle one: the user timeout ends the
 /// connection before the last probe is counted. That is well before targets have finished work whose
 /// response nobody would receive.
@@ -42,19 +51,31 @@
     user_timeout: Duration::from_secs(6),
 };
 
+/// A request of which the head was read, with as much of the body as came with it.
+#[derive(Debug)]
+pub(crate) struct RequestStart {
+    pub(crate) message: RequestMessage,
+    /// Arrival of the first byte, on the boot clock.
+    pub(crate) arrived: Duration,
+    decoder: BodyDecoder,
+    body: Vec<u8>,
+}
+
 /// A request that was read completely.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) message: RequestMessage,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Bytes,
     /// Arrival of the first byte, on the boot clock.
     pub(crate) arrived: Duration,
+    /// The memory of the body.
+    pub(crate) _permit: BytePermit,
 }
 
 /// A request that could not be read, with as much of it as was parsed.
 #[derive(Debug)]
 pub(crate) struct BadRequest {
-    pub(crate) kind: ErrorKind,
+    pub(crate) refusal: EdgeRefusal,
     /// The request head, if it was parsed.
     pub(crate) message: Option<RequestMessage>,
 }
@@ -68,6 +89,30 @@
     pub(crate) reusable: bool,
 }
 
+impl RequestStart {
+    /// Returns whether the whole body came with the head.
+    pub(crate) const fn is_complete(&self) -> bool {
+        self.decoder.is_complete()
+    }
+}
+
+impl BadRequest {
+    fn without_head(refusal: impl Into<EdgeRefusal>) -> Self {
+        Self {
+            refusal: refusal.into(),
+            message: None,
+        }
+    }
+
+    /// Refuses a request with a known head.
+    pub(crate) fn of(message: RequestMessage, refusal: impl Into<EdgeRefusal>) -> Self {
+        Self {
+            refusal: refusal.into(),
+            message: Some(message),
+        }
+    }
+}
+
 impl CallerConnection {
     /// Wraps an accepted socket.
     pub(crate) fn new(stream: TcpStream) -> Self {
@@ -79,8 +124,8 @@
         }
     }
 
-    /// Reads the next request. Returns `None` when the caller has closed the connection
-    /// or the idle timeout has passed.
+    /// Reads the head of the next request. Returns `None` when the caller has closed the
+    /// connection, the idle timeout has passed.
     ///
     /// # Errors
     ///
@@ -88,7 +133,8 @@
     pub(crate) async fn next_request(
         &mut self,
         limits: CallerLimits,
-    ) -> Result<Option<CallerRequest>, BadRequest> {
+        memory: &Arc<ByteBudget>,
+    ) -> Result<Option<RequestStart>, BadRequest> {
         self.input.shrink();
         if self.input.is_empty() {
             let idle = limits.idle_timeout + IDLE_MARGIN;
@@ -98,84 +144,163 @@
             }
         }
         let arrived = boot_now();
-        let message = self.read_head(limits).await.map_err(|kind| BadRequest {
-            kind,
-            message: None,
-        })?;
-        let Some(message) = message else {
+        let Some(message) = self.read_head(limits, memory).await? else {
             return Ok(None);
         };
         if message.headers.has_token("connection", "close") || message.is_http10 {
             self.reusable = false;
         }
-        match self.read_body(&message, limits).await {
-            Ok(body) => Ok(Some(CallerRequest {
+        match self.start_body(&message, limits) {
+            Ok((decoder, body)) => Ok(Some(RequestStart {
                 message,
-                body,
                 arrived,
+                decoder,
+                body,
             })),
-            Err(kind) => Err(BadRequest {
-                kind,
-                message: Some(message),
-            }),
+            Err(kind) => Err(BadRequest::of(message, kind)),
         }
     }
 
     async fn read_head(
         &mut self,
         limits: CallerLimits,
-    ) -> Result<Option<RequestMessage>, ErrorKind> {
+        memory: &Arc<ByteBudget>,
+    ) -> Result<Option<RequestMessage>, BadRequest> {
         let input = &mut self.input;
         let stream = &self.stream;
         let read = async {
+            let mut held: Option<IncomingBody> = None;
             loop {
-                if let Some(message) = RequestMessage::take(input, limits.head_bytes)? {
+                let taken = RequestMessage::take(input, limits.head_bytes);
+                if let Some(message) = taken.map_err(ErrorKind::from)? {
                     return Ok(Some(message));
                 }
-                match input.fill(stream).await {
-                    Ok(count) if count > 0 => {}
+                if input.len() > FREE_HEAD_BYTES {
+                    let held = held.get_or_insert_with(|| IncomingBody::open(memory));
+                    if !held.count_bytes(input.len()) {
+                        return Err(no_memory());
+                    }
+                }
+                match fill_unless_dropped(input, stream, held.as_ref()).await {
+                    None => return Err(no_memory()),
+                    Some(Ok(count)) if count > 0 => {}
                     // The caller disconnected within the head, so nobody is left to
                     // answer.
-                    Ok(_) | Err(_) => return Ok(None),
+                    Some(Ok(_) | Err(_)) => return Ok(None),
                 }
             }
         };
-        timeout(limits.head_timeout, read)
-            .await
-            .unwrap_or(Err(ErrorKind::SlowCaller))
+        let read = timeout(limits.head_timeout, read);
+        let read = async { read.await.unwrap_or(Err(ErrorKind::SlowCaller.into())) };
+        read.await.map_err(BadRequest::without_head)
     }
 
-    async fn read_body(
+    /// Reads the beginning of a body, as far as it was received.
+    fn start_body(
         &mut self,
         message: &RequestMessage,
         limits: CallerLimits,
-    ) -> Result<Vec<u8>, ErrorKind> {
+    ) -> Result<(BodyDecoder, Vec<u8>), ErrorKind> {
         let framing = BodyFraming::for_request(&message.headers)?;
         if matches!(framing, BodyFraming::Length(length) if length > limits.body_bytes as u64) {
             return Err(ErrorKind::BodyTooLarge);
         }
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
-        let mut continue_done = !message.headers.has_token("expect", "100-continue");
-        loop {
-            decoder.decode(&mut self.input, &mut body)?;
-            if body.len() > limits.body_bytes {
-                return Err(ErrorKind::BodyTooLarge);
-            }
-            if decoder.is_complete() {
-                return Ok(body);
+        decoder.decode(&mut self.input, &mut body)?;
+        Ok((decoder, body))
+    }
+
+    /// Reads the rest of a request until `deadline` on the boot clock. Returns `None` when the
+    /// connection gave way to another one.
+    ///
+    /// # Errors
+    ///
+    /// The error to respond with. The connection must not be used for another request.
+    pub(crate) async fn finish_request(
+        &mut self,
+        start: RequestStart,
+        deadline: Duration,
+        limits: CallerLimits,
+        memory: &Arc<ByteBudget>,
+    ) -> Result<Option<CallerRequest>, BadRequest> {
+        let RequestStart {
+            message,
+            arrived,
+            decoder,
+            body,
+        } = start;
+        let body_limit = decoder.max_bytes(limits.body_bytes);
+        let read = match decoder.is_complete() {
+            true => match memory.take(body.len()) {
+                Some(permit) => Ok(Some((Bytes::from(body), permit))),
+                None => Err(no_memory()),
+            },
+            false => {
+                let mut incoming = IncomingBody::open(memory);
+                let appended = incoming.append(&body, body_limit);
+                drop(body);
+                match appended.is_some() {
+                    true => {
+                        let expects = message.headers.has_token("expect", "100-continue");
+                        self.read_body(incoming, decoder, deadline, body_limit, expects)
+                            .await
+                    }
+                    false => Err(no_memory()),
+                }
             }
-            if !continue_done {
-                continue_done = true;
-                let interim = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
-                interim.await.map_err(|_| WireError::Truncated)?;
+        };
+        match read {
+            Ok(Some((body, permit))) => Ok(Some(CallerRequest {
+                message,
+                body,
+                arrived,
+                _permit: permit,
+            })),
+            Ok(None) => Ok(None),
+            Err(refusal) => Err(BadRequest::of(message, refusal)),
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        mut incoming: IncomingBody,
+        mut decoder: BodyDecoder,
+        deadline: Duration,
+        body_limit: usize,
+        expects_continue: bool,
+    ) -> Result<Option<(Bytes, BytePermit)>, EdgeRefusal> {
+        let input = &mut self.input;
+        let stream = &self.stream;
+        let read = async {
+            if expects_continue {
+                let mut writer = stream;
+                let interim = writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+                interim.map_err(|_| ErrorKind::MalformedMessage)?;
             }
-            match timeout(BODY_TIMEOUT, self.input.fill(&self.stream)).await {
-                Ok(Ok(count)) if count > 0 => {}
-                Ok(Ok(_) | Err(_)) => return Err(ErrorKind::MalformedMessage),
-                Err(_) => return Err(ErrorKind::SlowCaller),
+            let mut part = Vec::new();
+            loop {
+                match fill_unless_dropped(input, stream, Some(&incoming)).await {
+                    None => return Err(no_memory()),
+                    Some(Ok(count)) if count > 0 => {}
+                    Some(Ok(_) | Err(_)) => return Err(ErrorKind::MalformedMessage.into()),
+                }
+                let decoded = decoder.decode(input, &mut part);
+                decoded.map_err(ErrorKind::from)?;
+                if incoming.len() + part.len() > body_limit {
+                    return Err(ErrorKind::BodyTooLarge.into());
+                }
+                incoming.append(&part, body_limit).ok_or_else(no_memory)?;
+                part.clear();
+                if decoder.is_complete() {
+                    return Ok(Some(incoming.finish().ok_or_else(no_memory)?));
+                }
             }
-        }
+        };
+        let left = deadline.saturating_sub(boot_now());
+        let read = timeout(left, read);
+        let read = async { read.await.unwrap_or(Err(ErrorKind::SlowCaller.into())) };
+        read.await
     }
 
     /// Prepares for a response that ends with the connection: until [`Self::close`], any end of
@@ -205,10 +330,11 @@
             return;
         }
         let drain = async {
-            for _ in 0..MAX_LINGER_READS {
+            let mut left = MAX_LINGER_BYTES;
+            while left > 0 {
                 self.input.consume(self.input.len());
-                match self.input.fill(&self.stream).await {
-                    Ok(count) if count > 0 => {}
+                match self.input.fill_fairly(&self.stream).await {
+                    Ok(count) if count > 0 => left = left.saturating_sub(count),
                     Ok(_) | Err(_) => return,
                 }
             }
@@ -216,3 +342,24 @@
         timeout(LINGER_TIMEOUT, drain).await.ok();
     }
 }
+
+/// Reads once, or returns `None` if the body is dropped to make room first.
+async fn fill_unless_dropped(
+    input: &mut InputBuffer,
+    stream: &TcpStream,
+    held: Option<&IncomingBody>,
+) -> Option<io::Result<usize>> {
+    let dropped = async {
+        match held {
+            Some(held) => held.dropped().await,
+            None => pending().await,
+        }
+        None
+    };
+    or(dropped, async { Some(input.fill_fairly(stream).await) }).await
+}
+
+/// Returns the refusal of a request for which there is no memory.
+fn no_memory() -> EdgeRefusal {
+    EdgeRefusal::spread(ErrorKind::Overloaded, MEMORY_RETRY_DELAY)
+}
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -9,6 +9,7 @@
 use super::caller_connection::BadRequest;
 use super::caller_connection::CallerConnection;
 use super::caller_connection::CallerRequest;
+use super::caller_connection::RequestStart;
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
@@ -21,8 +22,10 @@
 use super::route_filter::RequestOrigin;
 use super::route_filter::RoutedRequest;
 use super::route_filter::UnroutedRequest;
+use super::route_filter::check_head;
 use super::route_filter::route_request;
 use super::shutdown_controller::LEAVING_RETRY_DELAY;
+use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
 use crate::errors::ErrorKind;
 use crate::errors::RequestOutcome;
@@ -39,7 +42,12 @@
     let mut caller = CallerConnection::new(stream);
     loop {
         let limits = state.view.catalog().map(|catalog| catalog.limits());
-        let next = caller.next_request(limits.unwrap_or_default()).await;
+        let limits = limits.unwrap_or_default();
+        let next = match caller.next_request(limits, &state.memory).await {
+            Ok(Some(start)) => receive_body(&state, &mut caller, start, limits).await,
+            Ok(None) => return,
+            Err(request) => Err(request),
+        };
         let _running = state.track_request();
         // During shutdown the connection is closed after the current response.
         caller.reusable &= !state.is_leaving();
@@ -61,6 +69,40 @@
     }
 }
 
+/// Receives the rest of a request, unless its head is enough to refuse it.
+async fn receive_body(
+    state: &Arc<EdgeState>,
+    caller: &mut CallerConnection,
+    start: RequestStart,
+    limits: CallerLimits,
+) -> Result<Option<CallerRequest>, BadRequest> {
+    if start.is_complete() {
+        let arrived = start.arrived;
+        return caller
+            .finish_request(start, arrived, limits, &state.memory)
+            .await;
+    }
+    while state.awaits_peers() {
+        task::sleep(PEER_CHECK_PERIOD).await;
+    }
+    let checked = match state.accepts_requests() {
+        true => check_head(state, &start.message),
+        false => Err(leaving_refusal()),
+    };
+    let time_limit = match checked {
+        Ok(time_limit) => time_limit,
+        Err(refusal) => return Err(BadRequest::of(start.message, refusal)),
+    };
+    let deadline = start.arrived + time_limit;
+    caller
+        .finish_request(start, deadline, limits, &state.memory)
+        .await
+}
+
+fn leaving_refusal() -> EdgeRefusal {
+    EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_RETRY_DELAY)
+}
+
 /// Serves one request. Returns whether the connection is still in a defined state: it may
 /// be reused or closed gracefully.
 async fn serve_request(
@@ -151,8 +193,7 @@
         })
     };
     if !state.accepts_requests() {
-        let refusal = EdgeRefusal::after(ErrorKind::HostLeaving, LEAVING_RETRY_DELAY);
-        return Err(refuse(request.message, refusal, None, None));
+        return Err(refuse(request.message, leaving_refusal(), None, None));
     }
     let routed = route_request(state, request, RequestOrigin::Caller).map_err(|unrouted| {
         let UnroutedRequest { request, refusal } = *unrouted;
@@ -224,7 +265,7 @@
     caller.reusable = false;
     let report = RefusalReport {
         message: request.message.as_ref(),
-        refusal: request.kind.into(),
+        refusal: request.refusal,
         attempts: 0,
         arrived: boot_now(),
         pool: None,
--- a/src/edge/edge_refusal.rs
+++ b/src/edge/edge_refusal.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Creates a refusal that many callers may get at once: each is told a delay in the second half
+    /// of `longest`.
+    pub(crate) fn spread(kind: ErrorKind, longest: Duration) -> Self {
+        Self::after(kind, longest.mul_f64(rand::random_range(0.5..1.0)))
+    }
+
     pub(crate) fn status(&self) -> u16 {
         self.kind.answer().status
     }
--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -31,6 +31,8 @@
     pub(crate) peer_address: SocketAddr,
     /// Where metrics are scraped.
     pub(crate) metrics_address: Option<SocketAddr>,
+    /// Memory of the machine, in bytes.
+    pub(crate) memory_bytes: usize,
 }
 
 /// Settings that take effect when they are reloaded.
@@ -59,6 +61,7 @@
             ready_address,
             peer_address,
             metrics_address,
+            memory_bytes,
         } = self;
         names_of(&[
             ("host", *host != other.host),
@@ -70,6 +73,7 @@
             ("ready_address", *ready_address != other.ready_address),
             ("peer_address", *peer_address != other.peer_address),
             ("metrics_address", *metrics_address != other.metrics_address),
+            ("memory_bytes", *memory_bytes != other.memory_bytes),
         ])
     }
 }
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -31,7 +31,6 @@
 use super::header_names::HeaderNames;
 use super::part_list::PartListFormat;
 use super::part_list_schedule::PartListSchedule;
-use super::response_relay::RESPONSE_MEMORY;
 use crate::clock::boot_now;
 use crate::dispatch::DispatchQueue;
 use crate::dispatch::PoolMember;
@@ -102,8 +101,9 @@
     /// Whether the dispatch table was filled with the pools of a catalog.
     is_table_filled: AtomicBool,
     pub(crate) connections: ConnectionPool,
-    /// Memory for parts of responses that can't be forwarded yet.
-    pub(crate) response_memory: Arc<ByteBudget>,
+    /// Memory for the bodies of all requests, and for parts of responses that can't be forwarded
+    /// yet.
+    pub(crate) memory: Arc<ByteBudget>,
     pub(crate) poison: PoisonGuard,
     pub(crate) parts: PartGuard,
     streams: Mutex<StreamDirectory>,
@@ -175,6 +175,7 @@
         queue.lock_table().set_adapts_to_targets(adapts);
         let incarnation = rand::random();
         let limiter = QuotaLimiter::new(tolerance, hosts, started);
+        let memory = ByteBudget::for_machine(startup.memory_bytes);
         Arc::new(Self {
             queue,
             has_answer: AtomicBool::new(false),
@@ -200,7 +201,7 @@
             started,
             view: SharedView::default(),
             connections: ConnectionPool::default(),
-            response_memory: ByteBudget::new(RESPONSE_MEMORY),
+            memory: Arc::clone(&memory),
             poison: PoisonGuard::default(),
             parts: PartGuard::default(),
             streams: Mutex::default(),
@@ -217,8 +218,8 @@
             mesh: OnceLock::new(),
             source: OnceLock::new(),
             view_refresh: async_std::sync::Mutex::new(()),
-            forwards: ForwardTable::new(),
-            forwarded: ForwardTable::new(),
+            forwards: ForwardTable::new(&memory),
+            forwarded: ForwardTable::new(&memory),
         })
     }
 
--- a/src/edge/forward_service.rs
+++ b/src/edge/forward_service.rs
@@ -87,8 +87,10 @@
             is_http10: false,
             headers: MessageHeaders::from_lines(forwarded.headers),
         },
-        body: forwarded.body.to_vec(),
+        body: forwarded.body,
         arrived: boot_now().saturating_sub(age),
+        // Counted by the table of forwarded requests.
+        _permit: state.memory.empty_permit(),
     };
     let origin = RequestOrigin::Peer {
         pool: forwarded.pool,
--- a/src/edge/forward_table.rs
+++ b/src/edge/forward_table.rs
@@ -13,8 +13,6 @@
 /// Limit on the requests that are forwarded to one peer at a time. A peer that reads slowly holds
 /// up no other one.
 const MAX_PER_PEER: u32 = 200;
-/// Limit on the bodies of all forwarded requests, in bytes.
-const MAX_BODY_BYTES: usize = 32 << 20;
 
 /// The requests that are forwarded to each peer, or served for each.
 #[derive(Debug)]
@@ -32,11 +30,11 @@
 }
 
 impl ForwardTable {
-    /// Creates a table without requests.
-    pub(crate) fn new() -> Arc<Self> {
+    /// Creates a table without requests, whose bodies are held in `memory`.
+    pub(crate) fn new(memory: &Arc<ByteBudget>) -> Arc<Self> {
         Arc::new(Self {
             running: Mutex::default(),
-            bodies: ByteBudget::new(MAX_BODY_BYTES),
+            bodies: Arc::clone(memory),
         })
     }
 
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -9,11 +9,13 @@
 use super::response_writer::write_bytes;
 use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
+use crate::limits::ByteBudget;
 use crate::metrics::MetricsError;
 
 /// Answers any request with 200 while the host is ready and with 503 otherwise.
 pub(crate) async fn serve_readiness(state: Arc<EdgeState>, stream: TcpStream) {
-    serve_page(stream, || match state.is_ready() {
+    let caller = CallerConnection::new(stream);
+    serve_page(caller, &state.memory, || match state.is_ready() {
         true => (200, "ready\n".to_owned()),
         false => (503, "not ready\n".to_owned()),
     })
@@ -22,16 +24,23 @@
 
 /// Answers any request with the metrics.
 pub(crate) async fn serve_metrics(state: Arc<EdgeState>, stream: TcpStream) {
-    serve_page(stream, || match metrics_text(&state) {
+    let caller = CallerConnection::new(stream);
+    serve_page(caller, &state.memory, || match metrics_text(&state) {
         Ok(text) => (200, text),
         Err(error) => (500, format!("{error}\n")),
     })
     .await;
 }
 
-async fn serve_page(stream: TcpStream, page: impl Fn() -> (u16, String)) {
-    let mut caller = CallerConnection::new(stream);
-    while let Ok(Some(_)) = caller.next_request(CallerLimits::default()).await {
+async fn serve_page(
+    mut caller: CallerConnection,
+    memory: &Arc<ByteBudget>,
+    page: impl Fn() -> (u16, String),
+) {
+    let limits = CallerLimits::default();
+    while let Ok(Some(start)) = caller.next_request(limits, memory).await {
+        // A body has no use here, so it is not read.
+        caller.reusable &= start.is_complete();
         let (status, body) = page();
         let reason = match status {
             200 => "OK",
@@ -47,9 +56,12 @@
             body.len()
         );
         let written = write_bytes(&caller.stream, response.as_bytes()).await;
-        if written.is_err() || !caller.reusable {
+        if written.is_err() {
             return;
         }
+        if !caller.reusable {
+            return caller.close().await;
+        }
     }
 }
 
@@ -70,6 +82,8 @@
         ("granted_slots_idle", u64::from(idle_slots)),
         ("shard_targets", shard_targets as u64),
         ("requests_running", state.active_requests() as u64),
+        ("request_memory_bytes", state.memory.taken() as u64),
+        ("bodies_dropped_total", state.memory.dropped_bodies()),
         (
             "target_connections_kept",
             state.connections.idle_count() as u64,
--- a/src/edge/request_execution.rs
+++ b/src/edge/request_execution.rs
@@ -119,7 +119,7 @@
                 routed.request.arrived,
                 requested_after(state, routed),
                 Arc::clone(&routed.series),
-                &state.response_memory,
+                &state.memory,
             ),
             attempts: 0,
             framing: None,
--- a/src/edge/request_forwarding.rs
+++ b/src/edge/request_forwarding.rs
@@ -5,7 +5,6 @@
 
 use async_std::future::timeout;
 use async_std::task;
-use bytes::Bytes;
 
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
@@ -336,7 +335,7 @@
 
     async fn deliver_forwarded(&mut self, source: &mut ResponseSource) -> SendOutcome {
         let left = self.routed.deadline.saturating_sub(boot_now());
-        let memory = &self.state.response_memory;
+        let memory = &self.state.memory;
         let collected = async {
             match timeout(left, collect_body(source, memory)).await {
                 Ok(Ok(collected)) => Ok(collected),
@@ -450,7 +449,7 @@
             method: routed.request.message.method.clone(),
             target: routed.request.message.target.clone(),
             headers: headers.lines().to_vec(),
-            body: Bytes::copy_from_slice(&routed.request.body),
+            body: routed.request.body.clone(),
             catalog: routed.catalog.version(),
             pool: routed.pool.clone(),
             age_ms: routed.age().as_millis() as u64,
--- a/src/edge/response_relay.rs
+++ b/src/edge/response_relay.rs
@@ -26,12 +26,8 @@
 /// bytes. A larger one would take the memory of all other requests.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
-/// Limit on the memory in which all requests together hold parts of responses that can't be
-/// forwarded yet, in bytes: a quarter of what a host may use.
-pub(super) const RESPONSE_MEMORY: usize = 32 << 20;
-
-/// Size up to which a response does not count towards [`RESPONSE_MEMORY`], in bytes, so that large
-/// ones don't take the place of small ones.
+/// Size up to which a response does not count towards the host's request memory, in bytes, so that
+/// large ones don't take the place of small ones.
 const FREE_BYTES: usize = 64 << 10;
 
 /// A response whose body was received.
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -22,6 +22,7 @@
 use crate::poison::SharedParts;
 use crate::poison::fingerprint_request;
 use crate::poison::last_part;
+use crate::wire::RequestMessage;
 
 /// Delay after which a caller may try another host, when this one's view is out of date.
 const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
@@ -151,16 +152,16 @@
         let refusal = EdgeRefusal::after(ErrorKind::NotReady, OTHER_HOST_DELAY);
         return Err(Box::new(UnroutedRequest { request, refusal }));
     };
-    let found = find_route(state, &catalog, &request).and_then(|route| {
-        let account = find_account(state, &catalog, route, &request)?;
-        let id = request_id(state, &request)?;
+    let found = find_route(state, &catalog, &request.message).and_then(|route| {
+        let account = find_account(state, &catalog, route, &request.message)?;
+        let id = request_id(state, &request.message)?;
         Ok((route, account, id))
     });
     let (route, account, id) = match found {
         Ok(found) => found,
         Err(refusal) => return Err(Box::new(UnroutedRequest { request, refusal })),
     };
-    let deadline = request.arrived + time_limit(state, route, &request);
+    let deadline = request.arrived + time_limit(state, route, &request.message);
     let headers = &request.message.headers;
     let left = headers.number(&state.header_names.deadline_ms);
     let (drawn, forwarded) = match origin {
@@ -225,12 +226,31 @@
     })
 }
 
+/// Checks what the head of a request tells before its body is read, and returns the time limit of
+/// the request from its arrival on.
+///
+/// # Errors
+///
+/// Why the request is refused, whatever its body.
+pub(crate) fn check_head(
+    state: &EdgeState,
+    message: &RequestMessage,
+) -> Result<Duration, EdgeRefusal> {
+    let Some(catalog) = state.view.catalog() else {
+        return Err(EdgeRefusal::after(ErrorKind::NotReady, OTHER_HOST_DELAY));
+    };
+    let route = find_route(state, &catalog, message)?;
+    find_account(state, &catalog, route, message)?;
+    request_id(state, message)?;
+    Ok(time_limit(state, route, message))
+}
+
 fn find_route<'c>(
     state: &EdgeState,
     catalog: &'c RouteCatalog,
-    request: &CallerRequest,
+    message: &RequestMessage,
 ) -> Result<&'c ServiceRoute, EdgeRefusal> {
-    let headers = &request.message.headers;
+    let headers = &message.headers;
     let mut hosts = headers.all("host");
     let host = hosts.next().and_then(|host| std::str::from_utf8(host).ok());
     // Two Host headers could be interpreted as two routes (RFC 9112 section 3.2).
@@ -239,7 +259,7 @@
     };
     let host = host.trim().to_ascii_lowercase();
     let host = host.split_once(':').map_or(host.as_str(), |(name, _)| name);
-    let found = catalog.find_route(host, request.message.path());
+    let found = catalog.find_route(host, message.path());
     found.ok_or_else(|| absence_refusal(state, ErrorKind::UnknownClass))
 }
 
@@ -248,12 +268,12 @@
     state: &EdgeState,
     catalog: &RouteCatalog,
     route: &ServiceRoute,
-    request: &CallerRequest,
+    message: &RequestMessage,
 ) -> Result<Option<ClientAccount>, EdgeRefusal> {
     if !catalog.needs_keys() {
         return Ok(None);
     }
-    let key = read_key(state, request);
+    let key = read_key(state, message);
     let account = key.and_then(|key| catalog.find_account(key));
     if route.public {
         return Ok(account.cloned());
@@ -278,8 +298,8 @@
 }
 
 /// Returns the key. A request with two keys counts as having none.
-fn read_key<'r>(state: &EdgeState, request: &'r CallerRequest) -> Option<&'r str> {
-    let headers = &request.message.headers;
+fn read_key<'r>(state: &EdgeState, message: &'r RequestMessage) -> Option<&'r str> {
+    let headers = &message.headers;
     if headers.all("authorization").count() != 1 {
         return None;
     }
@@ -288,16 +308,16 @@
     is_known.then(|| key.trim())
 }
 
-fn request_id(state: &EdgeState, request: &CallerRequest) -> Result<String, EdgeRefusal> {
-    let id = request.message.headers.text(&state.header_names.request_id);
+fn request_id(state: &EdgeState, message: &RequestMessage) -> Result<String, EdgeRefusal> {
+    let id = message.headers.text(&state.header_names.request_id);
     id.map(str::to_owned)
         .ok_or_else(|| ErrorKind::BadRequestId.into())
 }
 
 /// Returns the time limit of the request: the caller's or the route's, whichever is
 /// shorter.
-fn time_limit(state: &EdgeState, route: &ServiceRoute, request: &CallerRequest) -> Duration {
-    let headers = &request.message.headers;
+fn time_limit(state: &EdgeState, route: &ServiceRoute, message: &RequestMessage) -> Duration {
+    let headers = &message.headers;
     let requested = headers.number(&state.header_names.deadline_ms);
     let requested = requested.map(Duration::from_millis);
     let limit = match (requested, route.timeout) {
--- a/src/edge/target_send.rs
+++ b/src/edge/target_send.rs
@@ -262,7 +262,7 @@
         slot: &mut SlotGuard,
     ) -> Result<BufferedResponse, SendOutcome> {
         let left = self.routed.deadline.saturating_sub(boot_now());
-        let memory = &self.state.response_memory;
+        let memory = &self.state.memory;
         let collected = async {
             match timeout(left, collect_body(source, memory)).await {
                 Ok(Ok(collected)) => Ok(collected),
@@ -317,7 +317,7 @@
     /// Reads the rest of a refusal so that the connection can be reused.
     async fn discard_body(&self, call: TargetCall, slot: &SlotGuard) {
         let mut source = ResponseSource::Target(call);
-        let memory = &self.state.response_memory;
+        let memory = &self.state.memory;
         let collected = timeout(DISCARD_TIMEOUT, collect_body(&mut source, memory)).await;
         if matches!(collected, Ok(Ok(_)))
             && let ResponseSource::Target(call) = source
--- a/src/edge/tests/callers.rs
+++ b/src/edge/tests/callers.rs
@@ -105,10 +105,9 @@
     assert!(answers.find("id1").unwrap() < answers.find("id2").unwrap());
 }
 
-/// Guards against targets that keep working for a caller that has disconnected: the
-/// connection to the target must be closed soon.
-#[test]
-fn a_disconnected_caller_cancels_its_request() {
+/// Sends a request and then `more`, disconnects, and asserts that the connection to the target is
+/// closed soon.
+fn assert_cancels_request(more: &[u8]) {
     let (ended, end) = std::sync::mpsc::channel();
     let target = RawTarget::spawn(move |_, stream| {
         stream
@@ -125,6 +124,7 @@
     stream
         .write_all(request_for("/stream/x", "id1").as_bytes())
         .unwrap();
+    stream.write_all(more).unwrap();
     while target.received().is_empty() {
         std::thread::sleep(Duration::from_millis(5));
     }
@@ -136,6 +136,43 @@
     assert!(after < Duration::from_millis(500), "{after:?}");
 }
 
+/// Guards against targets that keep working for a caller that has disconnected.
+#[test]
+fn a_disconnected_caller_cancels_its_request() {
+    assert_cancels_request(b"");
+}
+
+/// Guards against bodies that are waited for although the head is enough to refuse the request.
+#[test]
+fn a_request_is_refused_before_its_body_is_sent() {
+    let host = EdgeFixture::open(&[echo_target()]);
+    let request = request_for("/once/x", "id1").replace("Length: 5", "Length: 5000");
+    let refused = [
+        (request.replace("Token k1", "Token k9"), 401),
+        (request.replace("/once/x", "/unknown/x"), 404),
+    ];
+
+    for (request, status) in refused {
+        let mut stream = host.connect();
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).unwrap();
+
+        assert_eq!(&head[9..], status.to_string().as_bytes());
+    }
+}
+
+/// Guards against bodies that are waited for longer than their caller waits.
+#[test]
+fn a_body_that_is_not_complete_by_its_deadline_gets_408() {
+    let host = EdgeFixture::open(&[echo_target()]);
+    let request = request_for("/once/x", "id1").replace("Length: 5", "Length: 5000");
+
+    let answer = host.call(&request);
+
+    assert_eq!(status_of(&answer), 408);
+}
+
 /// Guards against requests that a host reads late, after their callers have left, and still sends
 /// to a target.
 #[test]
--- a/src/edge/tests/edge_fixture.rs
+++ b/src/edge/tests/edge_fixture.rs
@@ -666,6 +666,7 @@
             ready_address: any_address(),
             peer_address: any_address(),
             metrics_address: Some(any_address()),
+            memory_bytes: 160 << 20,
         },
         runtime: RuntimeSettings {
             seeds: Vec::new(),
--- a/src/limits/byte_budget.rs
+++ b/src/limits/byte_budget.rs
@@ -2,16 +2,62 @@
 //!
 //! Without it, a few hundred waiting bodies of one mebibyte each, in a burst of long prompts,
 //! would exhaust the host's memory, and every request would fail.
+//!
+//! Bodies that are still being received give way to others: if memory runs out, the one that
+//! holds most, and for longest without a new byte, is dropped. Complete ones are kept.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+
+use super::body_bytes::BodyBytes;
+use crate::clock::boot_now;
+
+/// Size up to which a message may use the reserve, in bytes.
+const SMALL_BYTES: usize = 64 << 10;
+/// The part of the limit that is reserved for small messages is one in this number.
+const RESERVE_DIVISOR: usize = 4;
+
+/// The part of the machine's memory that requests may hold is one in this number. The same part is
+/// left to bytes that the kernel received and the process has not read, and the rest to
+/// connections, to what the process knows of the fleet, and to freed memory that the allocator keeps.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+
+/// The memory of a body, empty once the body was dropped.
+pub(super) type BodyMemory = Arc<Mutex<Option<BodyBytes>>>;
 
 /// A limit on the bytes held at the same time.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
-    taken: AtomicUsize,
+    state: Mutex<BudgetState>,
+    dropped: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct BudgetState {
+    taken: usize,
+    last_id: u64,
+    /// The bodies that are being received, sorted by id.
+    incoming: Vec<IncomingEntry>,
+}
+
+#[derive(Debug)]
+struct IncomingEntry {
+    id: u64,
+    held: usize,
+    /// When it grew last, on the boot clock.
+    grown_at: Duration,
+    memory: BodyMemory,
+    /// Closed with the entry, which tells the receiver of the body.
+    _dropped: Sender<()>,
 }
 
 /// Bytes reserved from a budget, released when dropped.
@@ -26,19 +72,20 @@
     pub fn new(limit: usize) -> Arc<Self> {
         Arc::new(Self {
             limit,
-            taken: AtomicUsize::new(0),
+            state: Mutex::default(),
+            dropped: AtomicU64::new(0),
         })
     }
 
+    /// Creates the budget of a process on a machine with `memory_bytes`.
+    pub(crate) fn for_machine(memory_bytes: usize) -> Arc<Self> {
+        Self::new(memory_bytes / REQUEST_MEMORY_DIVISOR)
+    }
+
     /// Reserves bytes, unless that would exceed the limit.
     pub fn take(self: &Arc<Self>, bytes: usize) -> Option<BytePermit> {
-        let taken = self.taken.fetch_add(bytes, Ordering::AcqRel);
-        // If the limit is exceeded, the permit is dropped at once, which releases the bytes.
-        let permit = BytePermit {
-            budget: self.clone(),
-            bytes,
-        };
-        (taken.saturating_add(bytes) <= self.limit).then_some(permit)
+        let mut permit = self.empty_permit();
+        permit.resize(bytes).then_some(permit)
     }
 
     /// Returns a permit that holds nothing yet.
@@ -51,7 +98,122 @@
 
     /// Returns the number of reserved bytes.
     pub fn taken(&self) -> usize {
-        self.taken.load(Ordering::Acquire)
+        self.lock_state().taken
+    }
+
+    /// Returns the number of incomplete bodies that were dropped to make room.
+    pub fn dropped_bodies(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Adds a body that holds nothing yet; the receiver is closed when it is dropped to make room.
+    pub(super) fn add_incoming(&self, memory: BodyMemory) -> (u64, Receiver<()>) {
+        let (dropped, is_dropped) = async_channel::bounded(1);
+        let mut state = self.lock_state();
+        state.last_id += 1;
+        let id = state.last_id;
+        state.incoming.push(IncomingEntry {
+            id,
+            held: 0,
+            grown_at: boot_now(),
+            memory,
+            _dropped: dropped,
+        });
+        (id, is_dropped)
+    }
+
+    /// Reserves memory so that an incoming body holds at least `bytes`; returns whether it does.
+    pub(super) fn grow_incoming(&self, id: u64, bytes: usize) -> bool {
+        let mut state = self.lock_state();
+        let Some(held) = state.entry(id).map(|entry| entry.held) else {
+            return false;
+        };
+        if !self.make_room(&mut state, held, held.max(bytes), id) {
+            return false;
+        }
+        if let Some(entry) = state.entry(id) {
+            entry.held = held.max(bytes);
+            entry.grown_at = boot_now();
+        }
+        true
+    }
+
+    /// Removes an incoming body, and returns what it held.
+    pub(super) fn remove_incoming(&self, id: u64) -> Option<usize> {
+        let mut state = self.lock_state();
+        let index = state.index_of(id)?;
+        Some(state.incoming.remove(index).held)
+    }
+
+    /// Creates a permit for bytes that are already reserved.
+    pub(super) fn adopt(self: &Arc<Self>, bytes: usize) -> BytePermit {
+        BytePermit {
+            budget: self.clone(),
+            bytes,
+        }
+    }
+
+    fn grow(&self, held: usize, bytes: usize) -> bool {
+        self.make_room(&mut self.lock_state(), held, bytes, 0)
+    }
+
+    fn release(&self, bytes: usize) {
+        self.lock_state().taken -= bytes;
+    }
+
+    /// Reserves what is missing from `held` to `bytes`; drops incoming bodies that weigh more where
+    /// there is no room, except for the body `own`.
+    fn make_room(&self, state: &mut BudgetState, held: usize, bytes: usize, own: u64) -> bool {
+        let reserve = match bytes > SMALL_BYTES {
+            true => self.limit / RESERVE_DIVISOR,
+            false => 0,
+        };
+        let missing = bytes - held;
+        while state.taken.saturating_add(missing) > self.limit - reserve {
+            let now = boot_now();
+            let others = state.incoming.iter().enumerate();
+            let heaviest = others
+                .filter(|(_, entry)| entry.id != own)
+                .max_by_key(|(_, entry)| entry.weight(now));
+            let Some((index, entry)) = heaviest else {
+                return false;
+            };
+            if entry.weight(now) <= bytes as u128 * 1000 {
+                return false;
+            }
+            let entry = state.incoming.remove(index);
+            state.taken -= entry.held;
+            *lock(&entry.memory) = None;
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        state.taken += missing;
+        true
+    }
+
+    fn lock_state(&self) -> MutexGuard<'_, BudgetState> {
+        lock(&self.state)
+    }
+}
+
+impl BudgetState {
+    fn index_of(&self, id: u64) -> Option<usize> {
+        self.incoming
+            .binary_search_by_key(&id, |entry| entry.id)
+            .ok()
+    }
+
+    fn entry(&mut self, id: u64) -> Option<&mut IncomingEntry> {
+        let index = self.index_of(id)?;
+        self.incoming.get_mut(index)
+    }
+}
+
+impl IncomingEntry {
+    /// Returns the bytes it holds times the time for which it has not grown, in byte milliseconds,
+    /// where a body that is growing counts as if it had not for a second.
+    fn weight(&self, now: Duration) -> u128 {
+        let stalled = now.saturating_sub(self.grown_at);
+        self.held as u128 * (1000 + stalled.as_millis())
     }
 }
 
@@ -59,24 +221,22 @@
     /// Reserves or releases bytes so that the permit holds `bytes`; returns whether it does. If
     /// the limit would be exceeded, it holds what it held before.
     pub fn resize(&mut self, bytes: usize) -> bool {
-        if bytes == self.bytes {
-            return true;
-        }
-        if let Some(surplus) = self.bytes.checked_sub(bytes) {
-            self.budget.taken.fetch_sub(surplus, Ordering::AcqRel);
-            self.bytes = bytes;
-            return true;
-        }
-        let Some(mut more) = self.budget.take(bytes - self.bytes) else {
+        if bytes <= self.bytes {
+            self.budget.release(self.bytes - bytes);
+        } else if !self.budget.grow(self.bytes, bytes) {
             return false;
-        };
-        self.bytes += std::mem::take(&mut more.bytes);
+        }
+        self.bytes = bytes;
         true
     }
 }
 
 impl Drop for BytePermit {
     fn drop(&mut self) {
-        self.budget.taken.fetch_sub(self.bytes, Ordering::AcqRel);
+        self.budget.release(self.bytes);
     }
 }
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/limits/tests.rs
@@ -0,0 +1,102 @@
+//! Which bodies give way.
+
+use std::sync::Arc;
+
+use futures_lite::future::block_on;
+use futures_lite::future::poll_once;
+
+use super::ByteBudget;
+use super::IncomingBody;
+
+const LIMIT: usize = 1 << 20;
+/// What messages of more than 64 KiB may hold together.
+const LARGE_LIMIT: usize = LIMIT / 4 * 3;
+
+/// Receives `count` bytes; returns whether there was room.
+fn receive(body: &mut IncomingBody, count: usize) -> bool {
+    body.append(&vec![b'x'; count], LIMIT).is_some()
+}
+
+fn is_dropped(body: &IncomingBody) -> bool {
+    block_on(poll_once(body.dropped())).is_some()
+}
+
+/// Returns a budget that incomplete bodies of these sizes use up, and the bodies.
+fn full_budget(sizes: &[usize]) -> (Arc<ByteBudget>, Vec<IncomingBody>) {
+    let budget = ByteBudget::new(LIMIT);
+    let bodies = sizes.iter().map(|size| {
+        let mut body = IncomingBody::open(&budget);
+        assert!(receive(&mut body, *size));
+        body
+    });
+    let bodies = bodies.collect();
+    (budget, bodies)
+}
+
+/// Guards against a budget that incomplete bodies use up.
+#[test]
+fn the_largest_incomplete_body_gives_way() {
+    let (budget, bodies) = full_budget(&[100_000, 400_000, 200_000]);
+
+    let permit = budget.take(300_000);
+
+    assert!(permit.is_some());
+    let dropped: Vec<bool> = bodies.iter().map(is_dropped).collect();
+    assert_eq!(dropped, [false, true, false]);
+    assert!(budget.taken() <= LARGE_LIMIT);
+}
+
+/// Guards against a large body that drives out the small ones of others.
+#[test]
+fn a_large_body_finds_no_room_beside_smaller_ones() {
+    let (budget, bodies) = full_budget(&[200_000, 200_000, 200_000]);
+
+    let mut larger = IncomingBody::open(&budget);
+
+    assert!(!receive(&mut larger, 400_000));
+    assert!(!bodies.iter().any(is_dropped));
+}
+
+/// Guards against complete large bodies that leave no memory for small requests.
+#[test]
+fn complete_bodies_leave_a_reserve_for_small_ones() {
+    let (budget, mut bodies) = full_budget(&[LARGE_LIMIT - 1]);
+    let complete = bodies.pop().unwrap().finish().unwrap();
+
+    assert!(budget.take(100_000).is_none());
+    assert!(budget.take(60_000).is_some());
+
+    drop(complete);
+    assert_eq!(budget.taken(), 0);
+}
+
+/// Guards against memory that stays reserved after a body ended in any way.
+#[test]
+fn a_budget_is_empty_after_all_bodies_ended() {
+    let (budget, mut bodies) = full_budget(&[300_000, 300_000]);
+    let permit = budget.take(200_000);
+    assert!(permit.is_some());
+
+    let received: Vec<bool> = bodies.iter_mut().map(|body| receive(body, 1)).collect();
+    assert_eq!(
+        received.iter().filter(|is_received| !**is_received).count(),
+        1
+    );
+    drop(bodies);
+    drop(permit);
+
+    assert_eq!(budget.taken(), 0);
+    assert_eq!(budget.dropped_bodies(), 1);
+}
+
+/// Guards against a body that loses bytes when its memory grows.
+#[test]
+fn a_body_that_grows_stays_whole() {
+    let (_budget, mut bodies) = full_budget(&[1000]);
+    assert!(receive(&mut bodies[0], 70_000));
+
+    let (body, _permit) = bodies.pop().unwrap().finish().unwrap();
+
+    assert_eq!(body.len(), 71_000);
+    assert!(body.iter().all(|byte| *byte == b'x'));
+}
--- a/src/wire/body_decoder.rs
+++ b/src/wire/body_decoder.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub(crate) struct BodyDecoder {
     state: DecoderState,
+    /// The declared length.
+    length: Option<u64>,
 }
 
 impl BodyDecoder {
@@ -36,7 +38,17 @@
             BodyFraming::Chunked => DecoderState::ChunkSize,
             BodyFraming::UntilClose => DecoderState::UntilClose,
         };
-        Self { state }
+        let length = match framing {
+            BodyFraming::Length(length) => Some(length),
+            BodyFraming::Chunked | BodyFraming::UntilClose => None,
+        };
+        Self { state, length }
+    }
+
+    /// Returns the length of the body if it is declared, or else `limit`.
+    pub(crate) fn max_bytes(&self, limit: usize) -> usize {
+        let length = self.length.and_then(|length| usize::try_from(length).ok());
+        length.unwrap_or(limit)
     }
 
     /// Returns whether the body has reached its verified end.
