Idle connections of edge give way to new ones, on one count of descriptors

Cause: 0.6 of the descriptors for each address, those that the platform reserves for files included, with nothing for the targets of running requests; no connection was ever closed to make room.

Change: a table of the connections of each address. Four fifths of the descriptors that the platform leaves to sockets are for callers and the targets of their requests: a running request takes two. Where there are none, the connection gives way that sent nothing, then an idle one, then one whose request is incomplete; running requests never do, and leave an eighth to others, so that these are refused (503 with a spread Retry-After) and not cut. Probes and scrapes have 32 places each. The kernel's buffer for a caller follows from a quarter of the machine's memory. Metrics caller_connections, caller_connections_closed_total.

--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -19,6 +19,7 @@
 use crate::errors::ErrorKind;
 use crate::limits::ByteBudget;
 use crate::limits::BytePermit;
+use crate::limits::ConnectionPlace;
 use crate::limits::IncomingBody;
 use crate::wire::BodyDecoder;
 use crate::wire::BodyFraming;
@@ -84,6 +85,8 @@
 pub(crate) struct CallerConnection {
     /// The socket, to which responses are written.
     pub(crate) stream: TcpStream,
+    /// The place among the connections of the address.
+    pub(crate) place: ConnectionPlace,
     input: InputBuffer,
     /// Whether the connection may carry another request.
     pub(crate) reusable: bool,
@@ -115,17 +118,18 @@
 
 impl CallerConnection {
     /// Wraps an accepted socket.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, place: ConnectionPlace) -> Self {
         configure_keepalive(&stream, KEEPALIVE);
         Self {
             stream,
+            place,
             input: InputBuffer::default(),
             reusable: true,
         }
     }
 
     /// Reads the head of the next request. Returns `None` when the caller has closed the
-    /// connection, the idle timeout has passed.
+    /// connection, the idle timeout has passed, or the connection gave way to another one.
     ///
     /// # Errors
     ///
@@ -138,11 +142,19 @@
         self.input.shrink();
         if self.input.is_empty() {
             let idle = limits.idle_timeout + IDLE_MARGIN;
-            match timeout(idle, self.input.fill(&self.stream)).await {
-                Ok(Ok(count)) if count > 0 => {}
-                Ok(Ok(_) | Err(_)) | Err(_) => return Ok(None),
+            let filled = timeout(idle, self.input.fill(&self.stream));
+            let filled = or(async { filled.await.ok() }, async {
+                self.place.closed().await;
+                None
+            });
+            match filled.await {
+                Some(Ok(count)) if count > 0 => {}
+                Some(Ok(_) | Err(_)) | None => return Ok(None),
             }
         }
+        if !self.place.set_reading() {
+            return Ok(None);
+        }
         let arrived = boot_now();
         let Some(message) = self.read_head(limits, memory).await? else {
             return Ok(None);
@@ -192,7 +204,11 @@
         };
         let read = timeout(limits.head_timeout, read);
         let read = async { read.await.unwrap_or(Err(ErrorKind::SlowCaller.into())) };
-        read.await.map_err(BadRequest::without_head)
+        let closed = async {
+            self.place.closed().await;
+            Ok(None)
+        };
+        or(read, closed).await.map_err(BadRequest::without_head)
     }
 
     /// Reads the beginning of a body, as far as it was received.
@@ -300,7 +316,11 @@
         let left = deadline.saturating_sub(boot_now());
         let read = timeout(left, read);
         let read = async { read.await.unwrap_or(Err(ErrorKind::SlowCaller.into())) };
-        read.await
+        let closed = async {
+            self.place.closed().await;
+            Ok(None)
+        };
+        or(read, closed).await
     }
 
     /// Prepares for a response that ends with the connection: until [`Self::close`], any end of
@@ -339,7 +359,8 @@
                 }
             }
         };
-        timeout(LINGER_TIMEOUT, drain).await.ok();
+        let drain = async { timeout(LINGER_TIMEOUT, drain).await.unwrap_or(()) };
+        or(drain, self.place.closed()).await;
     }
 }
 
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -19,6 +19,7 @@
 use super::response_sink::ResponseSink;
 use super::response_writer::refusal_bytes;
 use super::response_writer::write_bytes;
+use super::route_filter::OTHER_HOST_DELAY;
 use super::route_filter::RequestOrigin;
 use super::route_filter::RoutedRequest;
 use super::route_filter::UnroutedRequest;
@@ -31,6 +32,7 @@
 use crate::errors::RequestOutcome;
 use crate::ids::AccountName;
 use crate::ids::TierRank;
+use crate::limits::ConnectionPlace;
 use crate::logs::DecisionLine;
 use crate::wire::RequestMessage;
 
@@ -38,8 +40,8 @@
 const PEER_CHECK_PERIOD: Duration = Duration::from_millis(10);
 
 /// Serves a connection until it is closed.
-pub(crate) async fn serve_caller(state: Arc<EdgeState>, stream: TcpStream) {
-    let mut caller = CallerConnection::new(stream);
+pub(crate) async fn serve_caller(state: Arc<EdgeState>, stream: TcpStream, place: ConnectionPlace) {
+    let mut caller = CallerConnection::new(stream, place);
     loop {
         let limits = state.view.catalog().map(|catalog| catalog.limits());
         let limits = limits.unwrap_or_default();
@@ -66,6 +68,7 @@
         if !caller.reusable {
             return caller.close().await;
         }
+        caller.place.set_idle();
     }
 }
 
@@ -114,7 +117,8 @@
     while state.awaits_peers() {
         task::sleep(PEER_CHECK_PERIOD).await;
     }
-    let routed = match admit_request(state, request) {
+    let has_descriptor = caller.place.set_running(state.max_caller_descriptors());
+    let routed = match admit_request(state, request, has_descriptor) {
         Ok(routed) => routed,
         Err(refused) => {
             let report = RefusalReport {
@@ -183,6 +187,7 @@
 fn admit_request(
     state: &Arc<EdgeState>,
     request: CallerRequest,
+    has_descriptor: bool,
 ) -> Result<RoutedRequest, Box<AdmissionRefusal>> {
     let refuse = |message, refusal, account, cost| {
         Box::new(AdmissionRefusal {
@@ -195,6 +200,10 @@
     if !state.accepts_requests() {
         return Err(refuse(request.message, leaving_refusal(), None, None));
     }
+    if !has_descriptor {
+        let refusal = EdgeRefusal::spread(ErrorKind::TooManyCallers, OTHER_HOST_DELAY);
+        return Err(refuse(request.message, refusal, None, None));
+    }
     let routed = route_request(state, request, RequestOrigin::Caller).map_err(|unrouted| {
         let UnroutedRequest { request, refusal } = *unrouted;
         refuse(request.message, refusal, None, None)
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -4,14 +4,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Sender;
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 
 use super::caller_session::serve_caller;
 use super::edge_settings::EdgeSettings;
@@ -29,6 +28,8 @@
 use super::watch_controller::expire_stale;
 use super::watch_controller::follow_store;
 use super::watch_controller::refresh_evidence;
+use crate::limits::ConnectionPlace;
+use crate::limits::ConnectionTable;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
 use crate::metrics::RequestMetrics;
@@ -43,9 +44,9 @@
 /// can reach the peer address, so the key guards against misconfiguration and not against
 /// attackers.
 pub(super) const PEER_KEY: &[u8] = b"cardamomgw edge hosts";
-/// Share of the file descriptors available to caller connections. The rest is reserved
-/// for targets, peers and files.
-const CALLER_DESCRIPTOR_RATIO: f64 = 0.6;
+/// Maximum number of connections at each address for probes and scrapes: some load balancers,
+/// scrapers and people.
+const MAX_OPERATORS: usize = 32;
 /// Pause after a failed accept. Accepting fails when no file descriptors are left, and
 /// retrying at once would only use processor time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -117,11 +118,20 @@
         let mesh = PeerMesh::spawn(identity, state.other_seeds());
         state.set_mesh(Arc::clone(&mesh));
         state.set_source(Arc::clone(&dependencies.source));
+        let callers = Arc::clone(&state.callers);
         let addresses = EdgeAddresses {
-            caller: listen(&state, startup.caller_address, serve_caller).await?,
-            ready: listen(&state, startup.ready_address, serve_readiness).await?,
+            caller: listen(&state, startup.caller_address, &callers, serve_caller).await?,
+            ready: listen(
+                &state,
+                startup.ready_address,
+                &ConnectionTable::new(),
+                serve_readiness,
+            )
+            .await?,
             metrics: match startup.metrics_address {
-                Some(address) => Some(listen(&state, address, serve_metrics).await?),
+                Some(address) => {
+                    Some(listen(&state, address, &ConnectionTable::new(), serve_metrics).await?)
+                }
                 None => None,
             },
         };
@@ -175,43 +185,41 @@
     }
 }
 
-/// Serves each connection accepted at `address` in its own task, up to [`max_callers`] at a time.
+/// Serves each connection accepted at `address` in its own task, as many at a time as the table has
+/// room for.
 async fn listen<F, S>(
     state: &Arc<EdgeState>,
     address: SocketAddr,
+    table: &Arc<ConnectionTable>,
     serve: F,
 ) -> io::Result<SocketAddr>
 where
-    F: Fn(Arc<EdgeState>, TcpStream) -> S + Send + 'static,
+    F: Fn(Arc<EdgeState>, TcpStream, ConnectionPlace) -> S + Send + 'static,
     S: Future<Output = ()> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
+    // Connections inherit it. Unread bytes count towards the memory of the machine.
+    set_socket_recv_buffer_size(&listener, state.receive_buffer_bytes()).ok();
     let address = listener.local_addr()?;
     let state = Arc::clone(state);
-    let open = Arc::new(AtomicUsize::new(0));
+    let table = Arc::clone(table);
+    let is_for_callers = Arc::ptr_eq(&table, &state.callers);
     task::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 task::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
+            let limit = match is_for_callers {
+                true => state.max_caller_descriptors(),
+                false => MAX_OPERATORS,
+            };
             // Closed before anything was read, so the caller knows that no request ran.
-            if open.load(Ordering::Relaxed) >= max_callers(&state) {
+            let Some(place) = table.open(limit) else {
                 continue;
-            }
-            open.fetch_add(1, Ordering::Relaxed);
-            let served = serve(Arc::clone(&state), stream);
-            let open = Arc::clone(&open);
-            task::spawn(async move {
-                served.await;
-                open.fetch_sub(1, Ordering::Relaxed);
-            });
+            };
+            task::spawn(serve(Arc::clone(&state), stream, place));
         }
     });
     Ok(address)
 }
-
-/// Returns the number of connections that may be open at one address.
-fn max_callers(state: &EdgeState) -> usize {
-    (state.runtime.load().max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize
-}
--- a/src/edge/edge_settings.rs
+++ b/src/edge/edge_settings.rs
@@ -44,7 +44,7 @@
     pub(crate) store_address: SocketAddr,
     /// Available processor time, in thousandths of a core.
     pub(crate) capacity: u32,
-    /// Limit on open file descriptors of the process.
+    /// Limit on open descriptors of the process for connections.
     pub(crate) max_descriptors: usize,
     pub(crate) bounds: EdgeBounds,
     /// Settings of the decisions under heavy load.
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -40,6 +40,8 @@
 use crate::ids::IncarnationId;
 use crate::ids::TargetName;
 use crate::limits::ByteBudget;
+use crate::limits::ConnectionTable;
+use crate::limits::receive_buffer_bytes;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
 use crate::members::GossipSchedule;
@@ -75,6 +77,9 @@
 const CONNECT_WAIT: Duration = Duration::from_millis(80);
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
 
+/// Share of the descriptors for connections that callers and the targets of their requests may use.
+/// The rest is left to peers, the store, operators and kept connections to targets.
+const CALLER_DESCRIPTOR_RATIO: f64 = 0.8;
 /// Shortest time between two rounds of gossip, so that many changes are sent together.
 const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -101,6 +106,8 @@
     /// Whether the dispatch table was filled with the pools of a catalog.
     is_table_filled: AtomicBool,
     pub(crate) connections: ConnectionPool,
+    /// The connections of callers.
+    pub(crate) callers: Arc<ConnectionTable>,
     /// Memory for the bodies of all requests, and for parts of responses that can't be forwarded
     /// yet.
     pub(crate) memory: Arc<ByteBudget>,
@@ -201,6 +208,7 @@
             started,
             view: SharedView::default(),
             connections: ConnectionPool::default(),
+            callers: ConnectionTable::new(),
             memory: Arc::clone(&memory),
             poison: PoisonGuard::default(),
             parts: PartGuard::default(),
@@ -223,6 +231,16 @@
         })
     }
 
+    /// Returns the number of descriptors for callers, and for the targets of their requests.
+    pub(crate) fn max_caller_descriptors(&self) -> usize {
+        (self.runtime.load().max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize
+    }
+
+    /// Returns the size of the kernel's buffer for the unread bytes of one caller.
+    pub(crate) fn receive_buffer_bytes(&self) -> usize {
+        receive_buffer_bytes(self.startup.memory_bytes, self.max_caller_descriptors())
+    }
+
     /// Returns the addresses at which other hosts may be found.
     pub(crate) fn other_seeds(&self) -> Vec<SocketAddr> {
         other_seeds(&self.startup, &self.runtime.load())
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -10,11 +10,16 @@
 use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
 use crate::limits::ByteBudget;
+use crate::limits::ConnectionPlace;
 use crate::metrics::MetricsError;
 
 /// Answers any request with 200 while the host is ready and with 503 otherwise.
-pub(crate) async fn serve_readiness(state: Arc<EdgeState>, stream: TcpStream) {
-    let caller = CallerConnection::new(stream);
+pub(crate) async fn serve_readiness(
+    state: Arc<EdgeState>,
+    stream: TcpStream,
+    place: ConnectionPlace,
+) {
+    let caller = CallerConnection::new(stream, place);
     serve_page(caller, &state.memory, || match state.is_ready() {
         true => (200, "ready\n".to_owned()),
         false => (503, "not ready\n".to_owned()),
@@ -23,8 +28,12 @@
 }
 
 /// Answers any request with the metrics.
-pub(crate) async fn serve_metrics(state: Arc<EdgeState>, stream: TcpStream) {
-    let caller = CallerConnection::new(stream);
+pub(crate) async fn serve_metrics(
+    state: Arc<EdgeState>,
+    stream: TcpStream,
+    place: ConnectionPlace,
+) {
+    let caller = CallerConnection::new(stream, place);
     serve_page(caller, &state.memory, || match metrics_text(&state) {
         Ok(text) => (200, text),
         Err(error) => (500, format!("{error}\n")),
@@ -62,6 +71,7 @@
         if !caller.reusable {
             return caller.close().await;
         }
+        caller.place.set_idle();
     }
 }
 
@@ -84,6 +94,11 @@
         ("requests_running", state.active_requests() as u64),
         ("request_memory_bytes", state.memory.taken() as u64),
         ("bodies_dropped_total", state.memory.dropped_bodies()),
+        ("caller_connections", state.callers.len() as u64),
+        (
+            "caller_connections_closed_total",
+            state.callers.closed_connections(),
+        ),
         (
             "target_connections_kept",
             state.connections.idle_count() as u64,
--- a/src/edge/route_filter.rs
+++ b/src/edge/route_filter.rs
@@ -25,7 +25,7 @@
 use crate::wire::RequestMessage;
 
 /// Delay after which a caller may try another host, when this one's view is out of date.
-const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
+pub(super) const OTHER_HOST_DELAY: Duration = Duration::from_millis(100);
 /// Time limit of a request for which neither the caller nor the route sets one.
 pub(super) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// The most tokens that a request can declare. Larger than any target's memory, and small enough
--- a/src/limits/byte_budget.rs
+++ b/src/limits/byte_budget.rs
@@ -29,6 +29,11 @@
 /// left to bytes that the kernel received and the process has not read, and the rest to
 /// connections, to what the process knows of the fleet, and to freed memory that the allocator keeps.
 const REQUEST_MEMORY_DIVISOR: usize = 4;
+const UNREAD_MEMORY_DIVISOR: usize = 4;
+/// Bounds on the kernel's buffer for one caller, in bytes. The lower one lets a prompt of the usual
+/// size pass without a pause, the upper one is the kernel's own default.
+const MIN_RECEIVE_BUFFER: usize = 8 << 10;
+const MAX_RECEIVE_BUFFER: usize = 128 << 10;
 
 /// The memory of a body, empty once the body was dropped.
 pub(super) type BodyMemory = Arc<Mutex<Option<BodyBytes>>>;
@@ -237,6 +242,12 @@
     }
 }
 
+/// Returns the size of the kernel's buffer for the unread bytes of one of `callers`.
+pub(crate) fn receive_buffer_bytes(memory_bytes: usize, callers: usize) -> usize {
+    let per_caller = memory_bytes / UNREAD_MEMORY_DIVISOR / callers.max(1);
+    per_caller.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER)
+}
+
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,9 +1,10 @@
-//! Limits of client accounts, and of memory.
+//! Limits of client accounts, of memory and of connections.
 
 mod account_bucket;
 mod account_limiter;
 mod body_bytes;
 mod byte_budget;
+mod connection_table;
 mod incoming_body;
 #[cfg(test)]
 mod tests;
@@ -12,4 +13,7 @@
 pub(crate) use account_limiter::AccountLimiter;
 pub use byte_budget::ByteBudget;
 pub use byte_budget::BytePermit;
+pub(crate) use byte_budget::receive_buffer_bytes;
+pub(crate) use connection_table::ConnectionPlace;
+pub(crate) use connection_table::ConnectionTable;
 pub(crate) use incoming_body::IncomingBody;
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -1,4 +1,4 @@
-//! Which bodies give way.
+//! Which bodies and connections give way.
 
 use std::sync::Arc;
 
@@ -6,6 +6,8 @@
 use futures_lite::future::poll_once;
 
 use super::ByteBudget;
+use super::ConnectionPlace;
+use super::ConnectionTable;
 use super::IncomingBody;
 
 const LIMIT: usize = 1 << 20;
@@ -100,3 +102,60 @@
     assert_eq!(body.len(), 71_000);
     assert!(body.iter().all(|byte| *byte == b'x'));
 }
+
+fn is_closed(place: &ConnectionPlace) -> bool {
+    block_on(poll_once(place.closed())).is_some()
+}
+
+/// Guards against connections that were never of use, and that drive out those that were.
+#[test]
+fn connections_without_a_request_give_way_first() {
+    let table = ConnectionTable::new();
+    let open_reading = || {
+        let place = table.open(3).unwrap();
+        assert!(place.set_reading());
+        place
+    };
+    let reading = open_reading();
+    let new = table.open(3).unwrap();
+    new.set_idle();
+    let idle = open_reading();
+    idle.set_idle();
+    let closed = || [&new, &idle, &reading].map(is_closed);
+
+    let _first = open_reading();
+    assert_eq!(closed(), [true, false, false]);
+    let _second = open_reading();
+    assert_eq!(closed(), [true, true, false]);
+    let _third = open_reading();
+    assert_eq!(closed(), [true, true, true]);
+}
+
+/// Guards against running requests that leave no descriptor for connections to be refused on.
+#[test]
+fn running_requests_leave_room_for_connections() {
+    let table = ConnectionTable::new();
+    let running: Vec<ConnectionPlace> = (0..7).filter_map(|_| table.open(16)).collect();
+    assert!(running.iter().all(|place| place.set_running(16)));
+
+    let further = table.open(16).unwrap();
+
+    assert!(!further.set_running(16));
+    assert!(!running.iter().any(is_closed));
+}
+
+/// Guards against requests whose targets find no descriptors left.
+#[test]
+fn a_running_request_takes_a_second_descriptor() {
+    let table = ConnectionTable::new();
+    let first = table.open(3).unwrap();
+    assert!(first.set_running(3));
+
+    let second = table.open(3).unwrap();
+
+    assert!(!second.set_running(3));
+    assert!(table.open(3).is_some());
+    assert!(is_closed(&second));
+    drop(first);
+    assert!(table.open(3).is_some());
+}
