Bytes behind a running request don't take memory, and don't keep callers out

Cause: 64 KiB of such bytes were buffered for each connection, over no budget.

Change: 8 KiB are, the size of one read. A connection with more gives way before the running requests of others. The end of a connection stands behind the bytes that are not read, so it is asked for each 100 ms; the new test of the edge host saw no end of the request at its target with more bytes than are buffered.

--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -8,9 +8,14 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use async_std::task;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
 use rustix::net::sockopt::set_socket_linger;
 
 use super::edge_refusal::EdgeRefusal;
@@ -37,7 +42,9 @@
 /// request sent just before the timeout does not race with the close.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Limit on pipelined bytes that are buffered while a request runs.
-const MAX_PIPELINED_BYTES: usize = 64 << 10;
+const MAX_PIPELINED_BYTES: usize = 8 << 10;
+/// Interval at which a caller with more than that is looked at, in case it disconnects.
+const HANG_UP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Bounds on reading after the last response. The caller's remaining data is drained
 /// first, because closing with unread data resets the connection before the caller has
 /// read the response.
@@ -332,7 +339,8 @@
     }
 
     /// Waits until the caller closes its side; never returns otherwise. Data that arrives
-    /// meanwhile is buffered for the next request.
+    /// meanwhile is buffered for the next request. Where there is too much, the connection may also
+    /// give way to another one.
     pub(crate) async fn disconnected(&mut self) {
         while self.input.len() < MAX_PIPELINED_BYTES {
             match self.input.fill(&self.stream).await {
@@ -340,7 +348,23 @@
                 Ok(_) | Err(_) => return,
             }
         }
-        pending().await
+        // The end of the connection is behind bytes that are not read.
+        self.place.set_flooding();
+        let hung_up = async {
+            while !self.is_hung_up() {
+                task::sleep(HANG_UP_POLL_INTERVAL).await;
+            }
+        };
+        or(hung_up, self.place.closed()).await;
+    }
+
+    /// Returns whether the caller has closed its side, also where unread bytes come first.
+    fn is_hung_up(&self) -> bool {
+        let events = PollFlags::RDHUP;
+        let mut polled = [PollFd::new(&self.stream, events)];
+        let count = poll(&mut polled, Some(&Timespec::default()));
+        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        count.is_ok_and(|count| count > 0) && polled[0].revents().intersects(ends)
     }
 
     /// Closes the connection gracefully, so that the last response is still delivered.
--- a/src/edge/tests/callers.rs
+++ b/src/edge/tests/callers.rs
@@ -142,6 +142,12 @@
     assert_cancels_request(b"");
 }
 
+/// Guards against the same where the end of the connection is behind bytes that are not read.
+#[test]
+fn a_caller_that_disconnects_behind_pipelined_bytes_cancels_its_request() {
+    assert_cancels_request(&[b'x'; 16 << 10]);
+}
+
 /// Guards against bodies that are waited for although the head is enough to refuse the request.
 #[test]
 fn a_request_is_refused_before_its_body_is_sent() {
--- a/src/limits/connection_table.rs
+++ b/src/limits/connection_table.rs
@@ -29,6 +29,8 @@
     Idle,
     /// Part of a request was received.
     Reading,
+    /// A request waits or runs, and more bytes follow it than are buffered.
+    Flooding,
     /// A request waits or runs.
     Running,
 }
@@ -166,6 +168,14 @@
         }
         is_open
     }
+
+    /// States that more bytes follow a running request than are buffered.
+    pub(crate) fn set_flooding(&self) {
+        let mut state = self.table.lock_state();
+        if let Some(index) = state.index_of(self.id) {
+            state.entries[index].phase = ConnectionPhase::Flooding;
+        }
+    }
 }
 
 impl TableState {
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -131,6 +131,25 @@
     assert_eq!(closed(), [true, true, true]);
 }
 
+/// Guards against callers that keep others out by bytes behind requests which run.
+#[test]
+fn a_connection_that_floods_gives_way() {
+    let table = ConnectionTable::new();
+    let flooding = table.open(4).unwrap();
+    assert!(flooding.set_running(4));
+    flooding.set_flooding();
+    let other = table.open(4).unwrap();
+    assert!(other.set_running(4));
+
+    assert!(table.open(4).is_some());
+
+    assert!(is_closed(&flooding));
+    assert!(!is_closed(&other));
+    drop((flooding, other));
+    assert_eq!(table.len(), 0);
+    assert!((0..4).all(|_| keep_open(&table)));
+}
+
 /// Guards against running requests that leave no descriptor for connections to be refused on.
 #[test]
 fn running_requests_leave_room_for_connections() {
@@ -144,6 +163,11 @@
     assert!(!running.iter().any(is_closed));
 }
 
+/// Opens a connection within four descriptors, for ever.
+fn keep_open(table: &Arc<ConnectionTable>) -> bool {
+    table.open(4).map(std::mem::forget).is_some()
+}
+
 /// Guards against requests whose targets find no descriptors left.
 #[test]
 fn a_running_request_takes_a_second_descriptor() {
