serve counts bodies by what they hold, on one account with its answers

Callers saw: 32 requests that announce 1 MiB and send one byte hold the whole budget of 32 MiB for 20 s; each ordinary request meanwhile got 503.

Cause: the permit was taken by the announced length, or the class's limit for chunked bodies, before the body was read.

Change: the same account as `edge`, a quarter of the new setting memory_mb (128 MiB by default), for bodies and buffered answers in place of two constants of 32 MiB. Incomplete bodies give way, the largest and longest stalled one first. Metrics cardamomgw_request_memory_bytes, cardamomgw_dropped_bodies.

--- a/examples/demo/demo_fleet.rs
+++ b/examples/demo/demo_fleet.rs
@@ -275,6 +275,7 @@
         peer_addresses: Vec::new(),
         peer_key: "the key of the demo".to_owned(),
         log_level: LogLevel::Error,
+        memory_mb: 128,
         trace_file: None,
     }
 }
--- a/src/gateway/caller_service.rs
+++ b/src/gateway/caller_service.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use async_std::io;
-use bytes::Bytes;
 use futures_lite::future::or;
 use rustix::process::Resource;
 use rustix::process::getrlimit;
@@ -128,13 +127,8 @@
     let classified = classify_request(&view, account, head).map_err(|kind| (kind, None))?;
     let id = classified.id;
     let refused = |kind| (kind, Some(id));
-    let bound = request.max_body_len(classified.max_body_bytes);
-    let permit = host
-        .body_budget
-        .take(bound)
-        .ok_or(refused(ErrorKind::Overloaded))?;
-    let body = request.read_body(classified.max_body_bytes).await;
-    let body = Bytes::from(body.map_err(refused)?);
+    let body = request.read_body(classified.max_body_bytes, &host.memory);
+    let (body, permit) = body.await.map_err(refused)?;
     start_request(host, classified, body, permit).map_err(refused)
 }
 
--- a/src/gateway/host_server.rs
+++ b/src/gateway/host_server.rs
@@ -54,11 +54,6 @@
 use crate::signals::ProcessSignal;
 use crate::signals::ProcessSignals;
 
-/// Memory limit for the bodies of all waiting and running requests: 32 MiB, a quarter
-/// of the 128 MB that a daemon may use.
-const MAX_BODY_BYTES: usize = 32 << 20;
-/// Memory limit for the answers that are read to their end before they are passed on.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
 /// How often expired answers are removed.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(1);
 /// How often the host checks its own state for changes to log; shorter changes show up
@@ -164,8 +159,7 @@
             targets,
             suspects,
             digests: digests.clone(),
-            body_budget: ByteBudget::new(MAX_BODY_BYTES),
-            answer_budget: ByteBudget::new(MAX_ANSWER_BYTES),
+            memory: ByteBudget::for_machine(settings.memory_bytes()),
             answers,
             mesh,
             recorder,
--- a/src/gateway/host_state.rs
+++ b/src/gateway/host_state.rs
@@ -43,10 +43,8 @@
     pub(crate) suspects: Arc<PoisonGuard>,
     /// The exchange of digests with the peers.
     pub(crate) digests: Arc<DigestController>,
-    /// The memory budget for request bodies.
-    pub(crate) body_budget: Arc<ByteBudget>,
-    /// Limit on the memory of answers that are not complete.
-    pub(crate) answer_budget: Arc<ByteBudget>,
+    /// Memory for request bodies, and for answers that are not complete.
+    pub(crate) memory: Arc<ByteBudget>,
     /// Answers in progress and completed ones that are kept for resends.
     pub(crate) answers: Arc<AnswerCache>,
     /// The connections to the peers.
@@ -122,6 +120,8 @@
         for (tier, count) in running.iter() {
             self.metrics.set_running(*tier, u64::from(*count));
         }
+        self.metrics
+            .set_request_memory(self.memory.taken(), self.memory.dropped_bodies());
         if let Some(view) = self.view() {
             self.metrics.set_fleet_version(view.document().version);
         }
--- a/src/gateway/peer_service.rs
+++ b/src/gateway/peer_service.rs
@@ -83,7 +83,7 @@
         let account = identify_account(&view, &head)?;
         let mut request = classify_request(&view, account, head)?;
         request.forwarded = true;
-        let permit = self.host.body_budget.take(body.len());
+        let permit = self.host.memory.take(body.len());
         let permit = permit.ok_or(ErrorKind::Overloaded)?;
         start_request(&self.host, request, body, permit)
     }
--- a/src/gateway/relay_filter.rs
+++ b/src/gateway/relay_filter.rs
@@ -212,7 +212,7 @@
 /// `unknown` and not a truncated message.
 async fn relay_buffered(run: &RequestRun, mut answer: TargetAnswer) -> Result<(), ErrorKind> {
     let mut body = Vec::new();
-    let mut permit = run.host.answer_budget.empty_permit();
+    let mut permit = run.host.memory.empty_permit();
     while let Some(chunk) = answer
         .next_chunk(answer_timeout(run))
         .await
--- a/src/http/caller_connection.rs
+++ b/src/http/caller_connection.rs
@@ -1,14 +1,17 @@
 //! A caller's connection: reads requests and writes answers, one at a time.
 
 use std::net::Shutdown;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_h1::server::Encoder;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use bytes::Bytes;
 use futures_lite::AsyncBufRead;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::or;
 use futures_lite::io;
 use http_types::Body;
 use http_types::Method;
@@ -23,6 +26,10 @@
 use super::request_line::RequestTarget;
 use super::socket_options::set_socket_options;
 use crate::errors::ErrorKind;
+use crate::limits::ByteBudget;
+use crate::limits::BytePermit;
+use crate::limits::IncomingBody;
+use crate::wire::ReadPacing;
 
 /// Maximum idle time between two requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -31,6 +38,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum time to read a whole body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Size of one read of a body, in bytes.
+const BODY_READ_BYTES: usize = 8 << 10;
 
 /// Maximum time for which input is discarded after the last answer.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -235,39 +244,63 @@
         )
     }
 
-    /// Returns the maximum length of the body, known before it is read.
-    pub(crate) fn max_body_len(&self, max_bytes: u64) -> usize {
-        let max_len = match self.framing {
-            MessageFraming::Undeclared => 0,
-            MessageFraming::Length(length) => length.min(max_bytes),
-            MessageFraming::Chunked => max_bytes,
-        };
-        usize::try_from(max_len).unwrap_or(usize::MAX)
-    }
-
     /// Reads the whole body, up to `max_bytes`.
     ///
     /// # Errors
     ///
-    /// `BodyTooLarge`, `SlowCaller`, or `MalformedMessage` when the body is
-    /// shorter than its declared length.
-    pub(crate) async fn read_body(&mut self, max_bytes: u64) -> Result<Vec<u8>, ErrorKind> {
+    /// `BodyTooLarge`, `SlowCaller`, `MalformedMessage` when the body is shorter than its declared
+    /// length, or `Overloaded` when there is no memory for it.
+    pub(crate) async fn read_body(
+        &mut self,
+        max_bytes: u64,
+        memory: &Arc<ByteBudget>,
+    ) -> Result<(Bytes, BytePermit), ErrorKind> {
         if matches!(self.framing, MessageFraming::Length(length) if length > max_bytes) {
             return Err(ErrorKind::BodyTooLarge);
         }
-        let mut bytes = Vec::new();
-        let mut bounded = AsyncReadExt::take(&mut self.body, max_bytes.saturating_add(1));
-        let read = timeout(BODY_TIMEOUT, bounded.read_to_end(&mut bytes)).await;
-        read.map_err(|_| ErrorKind::SlowCaller)?
-            .map_err(|_| ErrorKind::MalformedMessage)?;
-        let count = bytes.len() as u64;
-        if count > max_bytes {
-            return Err(ErrorKind::BodyTooLarge);
-        }
+        let max_bytes = match self.framing {
+            MessageFraming::Undeclared => 0,
+            MessageFraming::Length(length) => length,
+            MessageFraming::Chunked => max_bytes,
+        };
+        let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        let mut incoming = IncomingBody::open(memory);
+        let read = timeout(BODY_TIMEOUT, self.fill_body(&mut incoming, max_bytes));
+        read.await.map_err(|_| ErrorKind::SlowCaller)??;
         // The parser reports a truncated body as complete; a truncated prompt would run.
+        let count = incoming.len() as u64;
         match self.framing {
             MessageFraming::Length(length) if length != count => Err(ErrorKind::MalformedMessage),
-            _ => Ok(bytes),
+            _ => incoming.finish().ok_or(ErrorKind::Overloaded),
+        }
+    }
+
+    async fn fill_body(
+        &mut self,
+        incoming: &mut IncomingBody,
+        max_bytes: usize,
+    ) -> Result<(), ErrorKind> {
+        let mut chunk = vec![0; BODY_READ_BYTES];
+        let mut pacing = ReadPacing::default();
+        loop {
+            pacing.pace().await;
+            let read = async { Some(AsyncReadExt::read(&mut self.body, &mut chunk).await) };
+            let dropped = async {
+                incoming.dropped().await;
+                None
+            };
+            let count = match or(read, dropped).await {
+                None => return Err(ErrorKind::Overloaded),
+                Some(read) => read.map_err(|_| ErrorKind::MalformedMessage)?,
+            };
+            if count == 0 {
+                return Ok(());
+            }
+            if incoming.len() + count > max_bytes {
+                return Err(ErrorKind::BodyTooLarge);
+            }
+            let appended = incoming.append(&chunk[..count], max_bytes);
+            appended.ok_or(ErrorKind::Overloaded)?;
         }
     }
 }
--- a/src/metrics/request_metrics.rs
+++ b/src/metrics/request_metrics.rs
@@ -141,6 +141,12 @@
         self.state.fleet_version.record(version, &[]);
     }
 
+    /// Sets the memory that requests hold, and the number of bodies that were dropped.
+    pub(crate) fn set_request_memory(&self, held_bytes: usize, dropped_bodies: u64) {
+        self.state.request_memory.record(held_bytes as u64, &[]);
+        self.state.dropped_bodies.record(dropped_bodies, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/metrics/state_instruments.rs
+++ b/src/metrics/state_instruments.rs
@@ -16,6 +16,8 @@
     pub(super) waiting: Gauge<u64>,
     pub(super) running: Gauge<u64>,
     pub(super) fleet_version: Gauge<u64>,
+    pub(super) request_memory: Gauge<u64>,
+    pub(super) dropped_bodies: Gauge<u64>,
 }
 
 impl StateInstruments {
@@ -43,6 +45,16 @@
                 "Fleet documents that were refused.",
             ),
             log_lines: counter(meter, "log_lines", "Log lines by level, written or not."),
+            request_memory: gauge(
+                meter,
+                "request_memory_bytes",
+                "Memory that the bodies of requests and buffered answers hold.",
+            ),
+            dropped_bodies: gauge(
+                meter,
+                "dropped_bodies",
+                "Incomplete bodies that were dropped to make room, since the start.",
+            ),
             waiting: gauge(meter, "waiting_requests", "Requests that wait, by tier."),
             running: gauge(meter, "running_requests", "Requests that run, by tier."),
             fleet_version: gauge(
--- a/src/settings/host_settings.rs
+++ b/src/settings/host_settings.rs
@@ -50,6 +50,9 @@
     pub peer_addresses: Vec<SocketAddr>,
     /// The shared key by which the system's processes authenticate to each other.
     pub peer_key: String,
+    /// The memory that the process may use, in MiB. Requests may hold a quarter of it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
     /// The minimum severity of written log lines.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -57,3 +60,17 @@
     #[serde(default)]
     pub trace_file: Option<String>,
 }
+
+/// The memory that a process may use by default, in MiB.
+const DEFAULT_MEMORY_MB: usize = 128;
+
+impl HostSettings {
+    /// Returns the memory that the process may use, in bytes.
+    pub(crate) const fn memory_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(1 << 20)
+    }
+}
+
+const fn default_memory_mb() -> usize {
+    DEFAULT_MEMORY_MB
+}
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -9,12 +9,19 @@
 /// The key in the default settings, which is public.
 const DEFAULT_PEER_KEY: &str = "change-me";
 
+/// Least memory of a host, in MiB: with less, a quarter of it has no room for a large body.
+const MIN_MEMORY_MB: usize = 32;
+
 /// Returns the faults for which the settings are rejected.
 pub(super) fn check_settings(settings: &HostSettings) -> Vec<DocumentFault> {
     let mut faults = Vec::new();
     check_texts(settings, &mut faults);
     check_platform(settings, &mut faults);
     check_listen_addresses(settings, &mut faults);
+    if settings.memory_mb < MIN_MEMORY_MB {
+        let message = format!("must be at least {MIN_MEMORY_MB}");
+        faults.push(DocumentFault::new("memory_mb", message));
+    }
     faults
 }
 
--- a/tests/embedded_host.rs
+++ b/tests/embedded_host.rs
@@ -31,6 +31,7 @@
         peer_addresses: Vec::new(),
         peer_key: "a key of the test".to_owned(),
         log_level: LogLevel::Error,
+        memory_mb: 128,
         trace_file: None,
     }
 }
--- a/tests/process_signals.rs
+++ b/tests/process_signals.rs
@@ -107,6 +107,7 @@
         peer_addresses: Vec::new(),
         peer_key: "the key of a host without peers".to_owned(),
         log_level: LogLevel::Debug,
+        memory_mb: 128,
         trace_file: None,
     }
 }
--- a/tests/support/test_fleet.rs
+++ b/tests/support/test_fleet.rs
@@ -151,6 +151,7 @@
             peer_addresses: self.peer_addresses(),
             peer_key: "the key of the test fleet".to_owned(),
             log_level: LogLevel::Debug,
+            memory_mb: 128,
             trace_file: self.trace_file(number),
         };
         let process = HostProcess::spawn(settings, self.directory.clone());
