Idle connections of serve give way to new ones

Seen: with 600 idle connections at the operators' address, scrapes got no answer (serve_serves_beside_idle_connections_at_each_address).

Cause: at its limit of connections, a listener turned new ones away for as long as the open ones cared to stay.

Change: the table of connections that `edge` has, at both addresses: connections that send nothing give way first, running requests never; a running request takes a second descriptor, for its target. The kernel's buffer for a caller follows from the memory setting. Metrics cardamomgw_caller_connections, cardamomgw_closed_caller_connections.

--- a/src/gateway/caller_service.rs
+++ b/src/gateway/caller_service.rs
@@ -14,7 +14,9 @@
 use crate::http::CallerConnection;
 use crate::http::CallerRequest;
 use crate::http::ConnectionListener;
+use crate::http::ConnectionPlaces;
 use crate::ids::RequestId;
+use crate::limits::receive_buffer_bytes;
 
 use super::HostState;
 use super::RequestRefusal;
@@ -22,8 +24,8 @@
 use super::identify_filter::identify_account;
 use super::request_entry::start_request;
 
-/// Maximum number of connected callers, if the system allows as many open files. Idle
-/// connections then take a tenth of the 128 MB that a daemon may use.
+/// Maximum number of descriptors for callers and the targets of their requests, if the system allows
+/// as many open files. Idle connections then take a tenth of the 128 MB that a daemon may use.
 const MAX_CALLERS: usize = 4096;
 /// File descriptors reserved for listeners, peers, the platform and operators.
 const RESERVED_DESCRIPTORS: usize = 256;
@@ -40,11 +42,22 @@
     /// # Errors
     ///
     /// The address can't be bound.
-    pub(crate) async fn bind(address: SocketAddr, host: Arc<HostState>) -> io::Result<Self> {
+    pub(crate) async fn bind(
+        address: SocketAddr,
+        memory_bytes: usize,
+        host: Arc<HostState>,
+    ) -> io::Result<Self> {
+        let table = host.callers.clone();
         let refusing = host.clone();
         let serve = move |connection| serve_caller(connection, host.clone());
         let refuse = move |connection| refuse_caller(connection, refusing.clone());
-        let listener = ConnectionListener::bind(address, max_callers(), serve, refuse).await?;
+        let max_descriptors = max_descriptors();
+        let places = ConnectionPlaces {
+            table,
+            max_descriptors,
+            unread_bytes: receive_buffer_bytes(memory_bytes, max_descriptors),
+        };
+        let listener = ConnectionListener::bind(address, places, serve, refuse).await?;
         Ok(Self { listener })
     }
 
@@ -54,18 +67,17 @@
     }
 }
 
-/// Returns the maximum number of connected callers.
+/// Returns the number of descriptors for callers, and for the targets of their requests.
 ///
 /// Without a limit, callers that connect and never disconnect would use up all file
 /// descriptors, and the host could no longer reach any target, peer or the platform.
-/// Each running request needs a second descriptor for its target, so callers get half of
-/// the process's limit after the reserve.
-fn max_callers() -> usize {
+fn max_descriptors() -> usize {
     let allowed = getrlimit(Resource::Nofile).current;
     let allowed = allowed.map_or(usize::MAX, |count| {
         usize::try_from(count).unwrap_or(usize::MAX)
     });
-    (allowed.saturating_sub(RESERVED_DESCRIPTORS) / 2).clamp(1, MAX_CALLERS)
+    let available = allowed.saturating_sub(RESERVED_DESCRIPTORS);
+    available.clamp(2, MAX_CALLERS)
 }
 
 /// Refuses a caller beyond the limit; another host may have room.
@@ -107,7 +119,8 @@
     if host.drain.is_leaving() {
         connection.close_after_answer();
     }
-    match open_answer(&mut request, host).await {
+    let answer = open_answer(connection, &mut request, host).await;
+    match answer {
         Ok(reader) => send_answer(connection, host, reader).await,
         Err((kind, id)) => {
             // Part of the body may be unread.
@@ -118,6 +131,7 @@
 }
 
 async fn open_answer(
+    connection: &CallerConnection,
     request: &mut CallerRequest,
     host: &Arc<HostState>,
 ) -> Result<AnswerReader, (ErrorKind, Option<RequestId>)> {
@@ -128,7 +142,14 @@
     let id = classified.id;
     let refused = |kind| (kind, Some(id));
     let body = request.read_body(classified.max_body_bytes, &host.memory);
-    let (body, permit) = body.await.map_err(refused)?;
+    let gave_way = async {
+        connection.gave_way().await;
+        Err(ErrorKind::TooManyCallers)
+    };
+    let (body, permit) = or(body, gave_way).await.map_err(refused)?;
+    if !connection.set_running(max_descriptors()) {
+        return Err(refused(ErrorKind::TooManyCallers));
+    }
     start_request(host, classified, body, permit).map_err(refused)
 }
 
--- a/src/gateway/host_server.rs
+++ b/src/gateway/host_server.rs
@@ -37,6 +37,7 @@
 use crate::ids::IncarnationId;
 use crate::limits::AccountLimiter;
 use crate::limits::ByteBudget;
+use crate::limits::ConnectionTable;
 use crate::logs::StateChange;
 use crate::logs::StateLog;
 use crate::metrics::RequestMetrics;
@@ -159,6 +160,7 @@
             targets,
             suspects,
             digests: digests.clone(),
+            callers: ConnectionTable::new(),
             memory: ByteBudget::for_machine(settings.memory_bytes()),
             answers,
             mesh,
@@ -178,7 +180,12 @@
         let service = Arc::new(PeerService::new(state.clone(), digests.clone()));
         let identity = PeerIdentity::from(settings);
         let peers = PeerListener::bind(settings.peer_address, identity, service).await?;
-        let callers = CallerService::bind(settings.caller_address, state.clone()).await?;
+        let callers = CallerService::bind(
+            settings.caller_address,
+            settings.memory_bytes(),
+            state.clone(),
+        )
+        .await?;
         let operators = OperatorService::bind(settings.operator_address, state.clone()).await?;
         let peer_watch = PeerWatch::spawn(
             &state.mesh,
--- a/src/gateway/host_state.rs
+++ b/src/gateway/host_state.rs
@@ -16,6 +16,7 @@
 use crate::ids::IncarnationId;
 use crate::limits::AccountLimiter;
 use crate::limits::ByteBudget;
+use crate::limits::ConnectionTable;
 use crate::logs::StateLog;
 use crate::metrics::RequestMetrics;
 use crate::peers::PeerMesh;
@@ -43,6 +44,8 @@
     pub(crate) suspects: Arc<PoisonGuard>,
     /// The exchange of digests with the peers.
     pub(crate) digests: Arc<DigestController>,
+    /// The connections of callers.
+    pub(crate) callers: Arc<ConnectionTable>,
     /// Memory for request bodies, and for answers that are not complete.
     pub(crate) memory: Arc<ByteBudget>,
     /// Answers in progress and completed ones that are kept for resends.
@@ -122,6 +125,8 @@
         }
         self.metrics
             .set_request_memory(self.memory.taken(), self.memory.dropped_bodies());
+        self.metrics
+            .set_callers(self.callers.len(), self.callers.closed_connections());
         if let Some(view) = self.view() {
             self.metrics.set_fleet_version(view.document().version);
         }
--- a/src/http/caller_connection.rs
+++ b/src/http/caller_connection.rs
@@ -28,6 +28,7 @@
 use crate::errors::ErrorKind;
 use crate::limits::ByteBudget;
 use crate::limits::BytePermit;
+use crate::limits::ConnectionPlace;
 use crate::limits::IncomingBody;
 use crate::wire::ReadPacing;
 
@@ -53,6 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     stream: TcpStream,
+    place: ConnectionPlace,
     buffer: HeadBuffer,
     reusable: bool,
     /// Whether the current request is a `HEAD`. Its answer has no body: the caller
@@ -70,10 +72,11 @@
 
 impl CallerConnection {
     /// Wraps an accepted stream.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, place: ConnectionPlace) -> Self {
         set_socket_options(&stream);
         Self {
             stream,
+            place,
             buffer: HeadBuffer::default(),
             reusable: true,
             is_head_request: false,
@@ -85,14 +88,15 @@
         self.reusable
     }
 
-    /// Reads the next request's head; `None` when the caller closed the connection
-    /// or stayed idle for too long.
+    /// Reads the next request's head; `None` when the caller closed the connection, stayed idle for
+    /// too long, or gave way to another connection.
     ///
     /// # Errors
     ///
     /// The error to answer with; the connection then accepts no further request.
     pub(crate) async fn next_request(&mut self) -> Result<Option<CallerRequest>, ErrorKind> {
         self.is_head_request = false;
+        self.place.set_idle();
         let next = self.read_request().await;
         if next.is_err() {
             self.reusable = false;
@@ -104,8 +108,16 @@
         if self.buffer.is_empty() && !self.wait_for_first_byte().await {
             return Ok(None);
         }
-        let filled = timeout(HEAD_TIMEOUT, self.buffer.fill_head(&mut self.stream)).await;
-        let Some(head_bytes) = filled.map_err(|_| ErrorKind::SlowCaller)?? else {
+        if !self.place.set_reading() {
+            return Ok(None);
+        }
+        let filled = timeout(HEAD_TIMEOUT, self.buffer.fill_head(&mut self.stream));
+        let filled = async { filled.await.unwrap_or(Err(ErrorKind::SlowCaller)) };
+        let closed = async {
+            self.place.closed().await;
+            Ok(None)
+        };
+        let Some(head_bytes) = or(filled, closed).await? else {
             return Ok(None);
         };
         let framing = MessageFraming::from_head(self.buffer.head(head_bytes))?;
@@ -120,10 +132,24 @@
 
     async fn wait_for_first_byte(&mut self) -> bool {
         let mut byte = [0; 1];
-        match timeout(IDLE_TIMEOUT, self.stream.peek(&mut byte)).await {
-            Ok(Ok(count)) => count > 0,
-            Ok(Err(_)) | Err(_) => false,
-        }
+        let peeked = timeout(IDLE_TIMEOUT, self.stream.peek(&mut byte));
+        let arrived = async { matches!(peeked.await, Ok(Ok(count)) if count > 0) };
+        let closed = async {
+            self.place.closed().await;
+            false
+        };
+        or(arrived, closed).await
+    }
+
+    /// Waits until the connection gives way to another one, which it does while part of a request
+    /// is missing.
+    pub(crate) async fn gave_way(&self) {
+        self.place.closed().await;
+    }
+
+    /// States that a request was received; returns whether there is a descriptor for its target.
+    pub(crate) fn set_running(&self, limit: usize) -> bool {
+        self.place.set_running(limit)
     }
 
     fn bound_message(&mut self, head_bytes: usize, framing: MessageFraming) -> BoundedIo {
@@ -219,7 +245,8 @@
                 }
             }
         };
-        timeout(DRAIN_TIMEOUT, drained).await.ok();
+        let drained = async { timeout(DRAIN_TIMEOUT, drained).await.unwrap_or(()) };
+        or(drained, self.place.closed()).await;
     }
 
     /// Completes once the caller has closed its side of the connection.
--- a/src/http/connection_listener.rs
+++ b/src/http/connection_listener.rs
@@ -3,8 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -13,8 +11,10 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use futures_lite::future::or;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 
 use super::CallerConnection;
+use crate::limits::ConnectionTable;
 
 /// Delay after a failed accept. The process is then usually out of file
 /// descriptors, and retrying at once would be a busy loop.
@@ -23,6 +23,16 @@
 /// same time; any further ones are closed without an answer.
 const MAX_REFUSED_CONNECTIONS: usize = 64;
 
+/// The places of the connections at an address.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionPlaces {
+    pub(crate) table: Arc<ConnectionTable>,
+    /// Number of descriptors that they may use, with those to the targets of their requests.
+    pub(crate) max_descriptors: usize,
+    /// Size of the kernel's buffer for the unread bytes of one connection.
+    pub(crate) unread_bytes: usize,
+}
+
 /// A running listener; dropping it stops accepting and closes its connections.
 #[derive(Debug)]
 pub(crate) struct ConnectionListener {
@@ -30,21 +40,17 @@
     _stop: Sender<()>,
 }
 
-/// Counts a connection while it is open.
-struct OpenConnectionGuard(Arc<AtomicUsize>);
-
 impl ConnectionListener {
     /// Binds the address and starts to accept connections.
     ///
-    /// Up to `max_open` concurrent connections are passed to `serve`, those above to
-    /// `refuse`.
+    /// Connections that have a place are passed to `serve`, those above to `refuse`.
     ///
     /// # Errors
     ///
     /// The address can't be bound.
     pub(crate) async fn bind<S, SF, R, RF>(
         address: SocketAddr,
-        max_open: usize,
+        places: ConnectionPlaces,
         serve: S,
         refuse: R,
     ) -> io::Result<Self>
@@ -55,24 +61,21 @@
         RF: Future<Output = ()> + Send + 'static,
     {
         let listener = TcpListener::bind(address).await?;
+        // Connections inherit it.
+        set_socket_recv_buffer_size(&listener, places.unread_bytes).ok();
         let address = listener.local_addr()?;
         let (stop, stopped) = async_channel::bounded::<()>(1);
         task::spawn(async move {
-            let open = Arc::new(AtomicUsize::new(0));
+            let refused = ConnectionTable::new();
             while let Some(accepted) = accept_stream(&listener, &stopped).await {
                 let Ok(stream) = accepted else {
                     task::sleep(ACCEPT_RETRY_DELAY).await;
                     continue;
                 };
-                let guard = OpenConnectionGuard::enter(&open);
-                match open.load(Ordering::Relaxed) {
-                    count if count <= max_open => {
-                        spawn_connection(serve(CallerConnection::new(stream)), guard, &stopped);
-                    }
-                    count if count <= max_open + MAX_REFUSED_CONNECTIONS => {
-                        spawn_connection(refuse(CallerConnection::new(stream)), guard, &stopped);
-                    }
-                    _ => drop(stream),
+                if let Some(place) = places.table.open(places.max_descriptors) {
+                    spawn_connection(serve(CallerConnection::new(stream, place)), &stopped);
+                } else if let Some(place) = refused.open(MAX_REFUSED_CONNECTIONS) {
+                    spawn_connection(refuse(CallerConnection::new(stream, place)), &stopped);
                 }
             }
         });
@@ -88,19 +91,6 @@
     }
 }
 
-impl OpenConnectionGuard {
-    fn enter(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open.clone())
-    }
-}
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Accepts the next connection; `None` once the [`ConnectionListener`] has been dropped.
 async fn accept_stream(
     listener: &TcpListener,
@@ -117,14 +107,9 @@
     .await
 }
 
-fn spawn_connection(
-    handler: impl Future<Output = ()> + Send + 'static,
-    guard: OpenConnectionGuard,
-    stopped: &Receiver<()>,
-) {
+fn spawn_connection(handler: impl Future<Output = ()> + Send + 'static, stopped: &Receiver<()>) {
     let stopped = stopped.clone();
     task::spawn(async move {
-        let _guard = guard;
         let stop = async {
             stopped.recv().await.ok();
         };
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) use caller_connection::CallerConnection;
 pub(crate) use caller_connection::CallerRequest;
 pub(crate) use connection_listener::ConnectionListener;
+pub(crate) use connection_listener::ConnectionPlaces;
 pub(crate) use message_framing::MessageFraming;
 pub(crate) use request_head::HOP_BY_HOP_FIELDS;
 pub use request_head::HeaderMap;
--- a/src/metrics/request_metrics.rs
+++ b/src/metrics/request_metrics.rs
@@ -147,6 +147,13 @@
         self.state.dropped_bodies.record(dropped_bodies, &[]);
     }
 
+    /// Sets the number of callers' connections that are open, and of those that were closed to make
+    /// room.
+    pub(crate) fn set_callers(&self, open: usize, closed: u64) {
+        self.state.caller_connections.record(open as u64, &[]);
+        self.state.closed_callers.record(closed, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/metrics/state_instruments.rs
+++ b/src/metrics/state_instruments.rs
@@ -18,6 +18,8 @@
     pub(super) fleet_version: Gauge<u64>,
     pub(super) request_memory: Gauge<u64>,
     pub(super) dropped_bodies: Gauge<u64>,
+    pub(super) caller_connections: Gauge<u64>,
+    pub(super) closed_callers: Gauge<u64>,
 }
 
 impl StateInstruments {
@@ -55,6 +57,12 @@
                 "dropped_bodies",
                 "Incomplete bodies that were dropped to make room, since the start.",
             ),
+            caller_connections: gauge(meter, "caller_connections", "Open connections of callers."),
+            closed_callers: gauge(
+                meter,
+                "closed_caller_connections",
+                "Connections of callers that gave way to others, since the start.",
+            ),
             waiting: gauge(meter, "waiting_requests", "Requests that wait, by tier."),
             running: gauge(meter, "running_requests", "Requests that run, by tier."),
             fleet_version: gauge(
--- a/src/operators/operator_service.rs
+++ b/src/operators/operator_service.rs
@@ -12,10 +12,14 @@
 use crate::http::AnswerHead;
 use crate::http::CallerConnection;
 use crate::http::ConnectionListener;
+use crate::http::ConnectionPlaces;
+use crate::limits::ConnectionTable;
 
 /// The maximum number of concurrent operator connections: some scrapers, the load
 /// balancer's health checks and a few people.
 const MAX_CONNECTIONS: usize = 64;
+/// The kernel's buffer for the unread bytes of one operator.
+const UNREAD_BYTES: usize = 16 << 10;
 const JSON_TYPE: &str = "application/json";
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
@@ -41,7 +45,12 @@
     pub(crate) async fn bind(address: SocketAddr, host: Arc<HostState>) -> io::Result<Self> {
         let serve = move |connection| serve_operator(connection, host.clone());
         let refuse = |connection| async move { drop(connection) };
-        let listener = ConnectionListener::bind(address, MAX_CONNECTIONS, serve, refuse).await?;
+        let places = ConnectionPlaces {
+            table: ConnectionTable::new(),
+            max_descriptors: MAX_CONNECTIONS,
+            unread_bytes: UNREAD_BYTES,
+        };
+        let listener = ConnectionListener::bind(address, places, serve, refuse).await?;
         Ok(Self { listener })
     }
 
