--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -218,7 +218,7 @@
         or(read, closed).await.map_err(BadRequest::without_head)
     }
 
-    /// Reads the beginning of a body, as far as it was received.
+    /// Decodes the beginning of a body, as far as it was received.
     fn start_body(
         &mut self,
         message: &RequestMessage,
@@ -231,7 +231,10 @@
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
         decoder.decode(&mut self.input, &mut body)?;
-        Ok((decoder, body))
+        match body.len() > limits.body_bytes {
+            true => Err(ErrorKind::BodyTooLarge),
+            false => Ok((decoder, body)),
+        }
     }
 
     /// Reads the rest of a request until `deadline` on the boot clock. Returns `None` when the
@@ -253,24 +256,21 @@
             decoder,
             body,
         } = start;
-        let body_limit = decoder.max_bytes(limits.body_bytes);
         let read = match decoder.is_complete() {
-            true => match memory.take(body.len()) {
-                Some(permit) => Ok(Some((Bytes::from(body), permit))),
-                None => Err(no_memory()),
-            },
+            true => {
+                let permit = memory.take(body.len()).ok_or_else(no_memory);
+                permit.map(|permit| Some((Bytes::from(body), permit)))
+            }
             false => {
-                let mut incoming = IncomingBody::open(memory);
-                let appended = incoming.append(&body, body_limit);
-                drop(body);
-                match appended.is_some() {
-                    true => {
-                        let expects = message.headers.has_token("expect", "100-continue");
-                        self.read_body(incoming, decoder, deadline, body_limit, expects)
-                            .await
-                    }
-                    false => Err(no_memory()),
+                let expects_continue = message.headers.has_token("expect", "100-continue");
+                if expects_continue {
+                    // A failed write is also reported by the read.
+                    let interim = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    interim.await.ok();
                 }
+                let max_bytes = decoder.max_bytes(limits.body_bytes);
+                self.read_body(body, decoder, deadline, max_bytes, memory)
+                    .await
             }
         };
         match read {
@@ -285,24 +285,28 @@
         }
     }
 
+    /// Reads the rest of a body of at most `max_bytes`, of which `part` was received.
     async fn read_body(
         &mut self,
-        mut incoming: IncomingBody,
+        mut part: Vec<u8>,
         mut decoder: BodyDecoder,
         deadline: Duration,
-        body_limit: usize,
-        expects_continue: bool,
+        max_bytes: usize,
+        memory: &Arc<ByteBudget>,
     ) -> Result<Option<(Bytes, BytePermit)>, EdgeRefusal> {
         let input = &mut self.input;
         let stream = &self.stream;
+        let mut incoming = IncomingBody::open(memory);
         let read = async {
-            if expects_continue {
-                let mut writer = stream;
-                let interim = writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-                interim.map_err(|_| ErrorKind::MalformedMessage)?;
-            }
-            let mut part = Vec::new();
             loop {
+                if incoming.len() + part.len() > max_bytes {
+                    return Err(ErrorKind::BodyTooLarge.into());
+                }
+                incoming.append(&part, max_bytes).ok_or_else(no_memory)?;
+                part.clear();
+                if decoder.is_complete() {
+                    return Ok(Some(incoming.finish().ok_or_else(no_memory)?));
+                }
                 match fill_unless_dropped(input, stream, Some(&incoming)).await {
                     None => return Err(no_memory()),
                     Some(Ok(count)) if count > 0 => {}
@@ -310,14 +314,6 @@
                 }
                 let decoded = decoder.decode(input, &mut part);
                 decoded.map_err(ErrorKind::from)?;
-                if incoming.len() + part.len() > body_limit {
-                    return Err(ErrorKind::BodyTooLarge.into());
-                }
-                incoming.append(&part, body_limit).ok_or_else(no_memory)?;
-                part.clear();
-                if decoder.is_complete() {
-                    return Ok(Some(incoming.finish().ok_or_else(no_memory)?));
-                }
             }
         };
         let left = deadline.saturating_sub(boot_now());
