--- a/src/gateway/caller_service.rs
+++ b/src/gateway/caller_service.rs
@@ -119,8 +119,7 @@
     if host.drain.is_leaving() {
         connection.close_after_answer();
     }
-    let answer = open_answer(connection, &mut request, host).await;
-    match answer {
+    match open_answer(connection, &mut request, host).await {
         Ok(reader) => send_answer(connection, host, reader).await,
         Err((kind, id)) => {
             // Part of the body may be unread.
--- a/src/limits/byte_budget.rs
+++ b/src/limits/byte_budget.rs
@@ -133,7 +133,7 @@
         let Some(held) = state.entry(id).map(|entry| entry.held) else {
             return false;
         };
-        if !self.make_room(&mut state, held, held.max(bytes), id) {
+        if !self.make_room(&mut state, held, held.max(bytes), Some(id)) {
             return false;
         }
         if let Some(entry) = state.entry(id) {
@@ -159,7 +159,7 @@
     }
 
     fn grow(&self, held: usize, bytes: usize) -> bool {
-        self.make_room(&mut self.lock_state(), held, bytes, 0)
+        self.make_room(&mut self.lock_state(), held, bytes, None)
     }
 
     fn release(&self, bytes: usize) {
@@ -167,8 +167,14 @@
     }
 
     /// Reserves what is missing from `held` to `bytes`; drops incoming bodies that weigh more where
-    /// there is no room, except for the body `own`.
-    fn make_room(&self, state: &mut BudgetState, held: usize, bytes: usize, own: u64) -> bool {
+    /// there is no room, except for the body `own` if that is what grows.
+    fn make_room(
+        &self,
+        state: &mut BudgetState,
+        held: usize,
+        bytes: usize,
+        own: Option<u64>,
+    ) -> bool {
         let reserve = match bytes > SMALL_BYTES {
             true => self.limit / RESERVE_DIVISOR,
             false => 0,
@@ -178,7 +184,7 @@
             let now = boot_now();
             let others = state.incoming.iter().enumerate();
             let heaviest = others
-                .filter(|(_, entry)| entry.id != own)
+                .filter(|(_, entry)| Some(entry.id) != own)
                 .max_by_key(|(_, entry)| entry.weight(now));
             let Some((index, entry)) = heaviest else {
                 return false;
--- a/src/limits/connection_table.rs
+++ b/src/limits/connection_table.rs
@@ -83,7 +83,7 @@
     /// `None` if there is none.
     pub(crate) fn open(self: &Arc<Self>, limit: usize) -> Option<ConnectionPlace> {
         let mut state = self.lock_state();
-        if !self.make_room(&mut state, limit, 0) {
+        if !self.make_room(&mut state, limit, None) {
             return None;
         }
         let (sender, closed) = async_channel::bounded(1);
@@ -114,12 +114,14 @@
     }
 
     /// Takes a descriptor, if need be that of the connection that gives way first, except for the
-    /// one `own`.
-    fn make_room(&self, state: &mut TableState, limit: usize, own: u64) -> bool {
+    /// one `own` if that is what needs it.
+    fn make_room(&self, state: &mut TableState, limit: usize, own: Option<u64>) -> bool {
         while state.descriptors >= limit {
             let entries = state.entries.iter().enumerate();
             let first = entries
-                .filter(|(_, entry)| entry.id != own && entry.phase < ConnectionPhase::Running)
+                .filter(|(_, entry)| {
+                    Some(entry.id) != own && entry.phase < ConnectionPhase::Running
+                })
                 .min_by_key(|(_, entry)| (entry.phase, entry.since));
             let Some((index, _)) = first else {
                 return false;
@@ -159,7 +161,9 @@
     pub(crate) fn set_running(&self, limit: usize) -> bool {
         let limit = limit - limit / RESERVE_DIVISOR;
         let mut state = self.table.lock_state();
-        if state.index_of(self.id).is_none() || !self.table.make_room(&mut state, limit, self.id) {
+        if state.index_of(self.id).is_none()
+            || !self.table.make_room(&mut state, limit, Some(self.id))
+        {
             return false;
         }
         let is_open = state.set_phase(self.id, ConnectionPhase::Running);
--- a/src/metrics/request_metrics.rs
+++ b/src/metrics/request_metrics.rs
@@ -142,14 +142,14 @@
     }
 
     /// Sets the memory that requests hold, and the number of bodies that were dropped.
-    pub(crate) fn set_request_memory(&self, held_bytes: usize, dropped_bodies: u64) {
+    pub fn set_request_memory(&self, held_bytes: usize, dropped_bodies: u64) {
         self.state.request_memory.record(held_bytes as u64, &[]);
         self.state.dropped_bodies.record(dropped_bodies, &[]);
     }
 
     /// Sets the number of callers' connections that are open, and of those that were closed to make
     /// room.
-    pub(crate) fn set_callers(&self, open: usize, closed: u64) {
+    pub fn set_callers(&self, open: usize, closed: u64) {
         self.state.caller_connections.record(open as u64, &[]);
         self.state.closed_callers.record(closed, &[]);
     }
--- a/tests/config_docs.rs
+++ b/tests/config_docs.rs
@@ -72,6 +72,8 @@
     metrics.count_error(ErrorKind::Internal, None);
     metrics.count_wasted_prefill(PrefillWaste::CallerLeft, 1);
     metrics.count_refused_caller();
+    metrics.set_request_memory(1, 1);
+    metrics.set_callers(1, 1);
     metrics.count_refused_peer(RefusedPeer::Malformed);
     metrics.count_refused_configuration();
     metrics.count_log_line("info");
