--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -8,14 +8,9 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use async_std::task;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
-use rustix::event::PollFd;
-use rustix::event::PollFlags;
-use rustix::event::Timespec;
-use rustix::event::poll;
 use rustix::net::sockopt::set_socket_linger;
 
 use super::edge_refusal::EdgeRefusal;
@@ -24,7 +19,7 @@
 use crate::errors::ErrorKind;
 use crate::limits::ByteBudget;
 use crate::limits::BytePermit;
-use crate::limits::ConnectionPlace;
+use crate::limits::ConnectionPermit;
 use crate::limits::IncomingBody;
 use crate::wire::BodyDecoder;
 use crate::wire::BodyFraming;
@@ -32,19 +27,18 @@
 use crate::wire::KeepaliveSettings;
 use crate::wire::RequestMessage;
 use crate::wire::configure_keepalive;
+use crate::wire::wait_hung_up;
 
 /// Part of a head that is not counted as held memory, in bytes.
 const FREE_HEAD_BYTES: usize = 4 << 10;
 /// Delay after which a caller may retry for whose request there was no memory: until bodies that
-/// are being received are complete or dropped.
+/// are being received are complete or evicted.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Time that an idle connection stays open beyond the advertised idle timeout, so that a
 /// request sent just before the timeout does not race with the close.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Limit on pipelined bytes that are buffered while a request runs.
 const MAX_PIPELINED_BYTES: usize = 8 << 10;
-/// Interval at which a caller with more than that is looked at, in case it disconnects.
-const HANG_UP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Bounds on reading after the last response. The caller's remaining data is drained
 /// first, because closing with unread data resets the connection before the caller has
 /// read the response.
@@ -92,8 +86,8 @@
 pub(crate) struct CallerConnection {
     /// The socket, to which responses are written.
     pub(crate) stream: TcpStream,
-    /// The place among the connections of the address.
-    pub(crate) place: ConnectionPlace,
+    /// The entry in the table of connections.
+    pub(crate) permit: ConnectionPermit,
     input: InputBuffer,
     /// Whether the connection may carry another request.
     pub(crate) reusable: bool,
@@ -125,18 +119,18 @@
 
 impl CallerConnection {
     /// Wraps an accepted socket.
-    pub(crate) fn new(stream: TcpStream, place: ConnectionPlace) -> Self {
+    pub(crate) fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
         configure_keepalive(&stream, KEEPALIVE);
         Self {
             stream,
-            place,
+            permit,
             input: InputBuffer::default(),
             reusable: true,
         }
     }
 
     /// Reads the head of the next request. Returns `None` when the caller has closed the
-    /// connection, the idle timeout has passed, or the connection gave way to another one.
+    /// connection, the idle timeout has passed, or the connection was evicted.
     ///
     /// # Errors
     ///
@@ -151,7 +145,7 @@
             let idle = limits.idle_timeout + IDLE_MARGIN;
             let filled = timeout(idle, self.input.fill(&self.stream));
             let filled = or(async { filled.await.ok() }, async {
-                self.place.closed().await;
+                self.permit.evicted().await;
                 None
             });
             match filled.await {
@@ -159,7 +153,7 @@
                 Some(Ok(_) | Err(_)) | None => return Ok(None),
             }
         }
-        if !self.place.set_reading() {
+        if !self.permit.set_reading() {
             return Ok(None);
         }
         let arrived = boot_now();
@@ -200,7 +194,7 @@
                         return Err(no_memory());
                     }
                 }
-                match fill_unless_dropped(input, stream, held.as_ref()).await {
+                match fill_unless_evicted(input, stream, held.as_ref()).await {
                     None => return Err(no_memory()),
                     Some(Ok(count)) if count > 0 => {}
                     // The caller disconnected within the head, so nobody is left to
@@ -211,11 +205,11 @@
         };
         let read = timeout(limits.head_timeout, read);
         let read = async { read.await.unwrap_or(Err(ErrorKind::SlowCaller.into())) };
-        let closed = async {
-            self.place.closed().await;
+        let evicted = async {
+            self.permit.evicted().await;
             Ok(None)
         };
-        or(read, closed).await.map_err(BadRequest::without_head)
+        or(read, evicted).await.map_err(BadRequest::without_head)
     }
 
     /// Decodes the beginning of a body, as far as it was received.
@@ -238,7 +232,7 @@
     }
 
     /// Reads the rest of a request until `deadline` on the boot clock. Returns `None` when the
-    /// connection gave way to another one.
+    /// connection was evicted.
     ///
     /// # Errors
     ///
@@ -307,7 +301,7 @@
                 if decoder.is_complete() {
                     return Ok(Some(incoming.finish().ok_or_else(no_memory)?));
                 }
-                match fill_unless_dropped(input, stream, Some(&incoming)).await {
+                match fill_unless_evicted(input, stream, Some(&incoming)).await {
                     None => return Err(no_memory()),
                     Some(Ok(count)) if count > 0 => {}
                     Some(Ok(_) | Err(_)) => return Err(ErrorKind::MalformedMessage.into()),
@@ -319,11 +313,11 @@
         let left = deadline.saturating_sub(boot_now());
         let read = timeout(left, read);
         let read = async { read.await.unwrap_or(Err(ErrorKind::SlowCaller.into())) };
-        let closed = async {
-            self.place.closed().await;
+        let evicted = async {
+            self.permit.evicted().await;
             Ok(None)
         };
-        or(read, closed).await
+        or(read, evicted).await
     }
 
     /// Prepares for a response that ends with the connection: until [`Self::close`], any end of
@@ -335,8 +329,8 @@
     }
 
     /// Waits until the caller closes its side; never returns otherwise. Data that arrives
-    /// meanwhile is buffered for the next request. Where there is too much, the connection may also
-    /// give way to another one.
+    /// meanwhile is buffered for the next request. Where there is too much, also returns when
+    /// the connection is evicted.
     pub(crate) async fn disconnected(&mut self) {
         while self.input.len() < MAX_PIPELINED_BYTES {
             match self.input.fill(&self.stream).await {
@@ -344,23 +338,8 @@
                 Ok(_) | Err(_) => return,
             }
         }
-        // The end of the connection is behind bytes that are not read.
-        self.place.set_flooding();
-        let hung_up = async {
-            while !self.is_hung_up() {
-                task::sleep(HANG_UP_POLL_INTERVAL).await;
-            }
-        };
-        or(hung_up, self.place.closed()).await;
-    }
-
-    /// Returns whether the caller has closed its side, also where unread bytes come first.
-    fn is_hung_up(&self) -> bool {
-        let events = PollFlags::RDHUP;
-        let mut polled = [PollFd::new(&self.stream, events)];
-        let count = poll(&mut polled, Some(&Timespec::default()));
-        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        count.is_ok_and(|count| count > 0) && polled[0].revents().intersects(ends)
+        self.permit.set_overflowing();
+        or(wait_hung_up(&self.stream), self.permit.evicted()).await;
     }
 
     /// Closes the connection gracefully, so that the last response is still delivered.
@@ -380,24 +359,24 @@
             }
         };
         let drain = async { timeout(LINGER_TIMEOUT, drain).await.unwrap_or(()) };
-        or(drain, self.place.closed()).await;
+        or(drain, self.permit.evicted()).await;
     }
 }
 
-/// Reads once, or returns `None` if the body is dropped to make room first.
-async fn fill_unless_dropped(
+/// Reads once, or returns `None` if the body is evicted first.
+async fn fill_unless_evicted(
     input: &mut InputBuffer,
     stream: &TcpStream,
     held: Option<&IncomingBody>,
 ) -> Option<io::Result<usize>> {
-    let dropped = async {
+    let evicted = async {
         match held {
-            Some(held) => held.dropped().await,
+            Some(held) => held.evicted().await,
             None => pending().await,
         }
         None
     };
-    or(dropped, async { Some(input.fill_fairly(stream).await) }).await
+    or(evicted, async { Some(input.fill_fairly(stream).await) }).await
 }
 
 /// Returns the refusal of a request for which there is no memory.
--- a/src/edge/caller_session.rs
+++ b/src/edge/caller_session.rs
@@ -10,6 +10,7 @@
 use super::caller_connection::CallerConnection;
 use super::caller_connection::CallerRequest;
 use super::caller_connection::RequestStart;
+use super::caller_limits::max_caller_descriptors;
 use super::edge_metrics::count;
 use super::edge_refusal::EdgeRefusal;
 use super::edge_state::EdgeState;
@@ -32,7 +33,7 @@
 use crate::errors::RequestOutcome;
 use crate::ids::AccountName;
 use crate::ids::TierRank;
-use crate::limits::ConnectionPlace;
+use crate::limits::ConnectionPermit;
 use crate::logs::DecisionLine;
 use crate::wire::RequestMessage;
 
@@ -40,8 +41,12 @@
 const PEER_CHECK_PERIOD: Duration = Duration::from_millis(10);
 
 /// Serves a connection until it is closed.
-pub(crate) async fn serve_caller(state: Arc<EdgeState>, stream: TcpStream, place: ConnectionPlace) {
-    let mut caller = CallerConnection::new(stream, place);
+pub(crate) async fn serve_caller(
+    state: Arc<EdgeState>,
+    stream: TcpStream,
+    permit: ConnectionPermit,
+) {
+    let mut caller = CallerConnection::new(stream, permit);
     loop {
         let limits = state.view.catalog().map(|catalog| catalog.limits());
         let limits = limits.unwrap_or_default();
@@ -68,7 +73,7 @@
         if !caller.reusable {
             return caller.close().await;
         }
-        caller.place.set_idle();
+        caller.permit.set_idle();
     }
 }
 
@@ -117,7 +122,7 @@
     while state.awaits_peers() {
         task::sleep(PEER_CHECK_PERIOD).await;
     }
-    let has_descriptor = caller.place.set_running(state.max_caller_descriptors());
+    let has_descriptor = caller.permit.set_running(max_caller_descriptors(state));
     let routed = match admit_request(state, request, has_descriptor) {
         Ok(routed) => routed,
         Err(refused) => {
--- a/src/edge/edge_host.rs
+++ b/src/edge/edge_host.rs
@@ -12,6 +12,9 @@
 use async_std::task;
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 
+use super::caller_limits::caller_receive_buffer;
+use super::caller_limits::max_caller_descriptors;
+use super::caller_limits::max_operators;
 use super::caller_session::serve_caller;
 use super::edge_settings::EdgeSettings;
 use super::edge_settings::SettingsLoader;
@@ -28,7 +31,7 @@
 use super::watch_controller::expire_stale;
 use super::watch_controller::follow_store;
 use super::watch_controller::refresh_evidence;
-use crate::limits::ConnectionPlace;
+use crate::limits::ConnectionPermit;
 use crate::limits::ConnectionTable;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
@@ -44,9 +47,6 @@
 /// can reach the peer address, so the key guards against misconfiguration and not against
 /// attackers.
 pub(super) const PEER_KEY: &[u8] = b"cardamomgw edge hosts";
-/// Maximum number of connections at each address for probes and scrapes: some load balancers,
-/// scrapers and people.
-const MAX_OPERATORS: usize = 32;
 /// Pause after a failed accept. Accepting fails when no file descriptors are left, and
 /// retrying at once would only use processor time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -119,19 +119,16 @@
         state.set_mesh(Arc::clone(&mesh));
         state.set_source(Arc::clone(&dependencies.source));
         let callers = Arc::clone(&state.callers);
+        let for_callers = (&callers, max_caller_descriptors as fn(&EdgeState) -> usize);
+        let probes = ConnectionTable::new();
+        let scrapes = ConnectionTable::new();
+        let for_probes = (&probes, max_operators as fn(&EdgeState) -> usize);
+        let for_scrapes = (&scrapes, max_operators as fn(&EdgeState) -> usize);
         let addresses = EdgeAddresses {
-            caller: listen(&state, startup.caller_address, &callers, serve_caller).await?,
-            ready: listen(
-                &state,
-                startup.ready_address,
-                &ConnectionTable::new(),
-                serve_readiness,
-            )
-            .await?,
+            caller: listen(&state, startup.caller_address, for_callers, serve_caller).await?,
+            ready: listen(&state, startup.ready_address, for_probes, serve_readiness).await?,
             metrics: match startup.metrics_address {
-                Some(address) => {
-                    Some(listen(&state, address, &ConnectionTable::new(), serve_metrics).await?)
-                }
+                Some(address) => Some(listen(&state, address, for_scrapes, serve_metrics).await?),
                 None => None,
             },
         };
@@ -185,40 +182,35 @@
     }
 }
 
-/// Serves each connection accepted at `address` in its own task, as many at a time as the table has
-/// room for.
+/// Serves each connection accepted at `address` in its own task, within `limit` descriptors of the
+/// table.
 async fn listen<F, S>(
     state: &Arc<EdgeState>,
     address: SocketAddr,
-    table: &Arc<ConnectionTable>,
+    (table, limit): (&Arc<ConnectionTable>, fn(&EdgeState) -> usize),
     serve: F,
 ) -> io::Result<SocketAddr>
 where
-    F: Fn(Arc<EdgeState>, TcpStream, ConnectionPlace) -> S + Send + 'static,
+    F: Fn(Arc<EdgeState>, TcpStream, ConnectionPermit) -> S + Send + 'static,
     S: Future<Output = ()> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     // Connections inherit it. Unread bytes count towards the memory of the machine.
-    set_socket_recv_buffer_size(&listener, state.receive_buffer_bytes()).ok();
+    set_socket_recv_buffer_size(&listener, caller_receive_buffer(state)).ok();
     let address = listener.local_addr()?;
     let state = Arc::clone(state);
     let table = Arc::clone(table);
-    let is_for_callers = Arc::ptr_eq(&table, &state.callers);
     task::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 task::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let limit = match is_for_callers {
-                true => state.max_caller_descriptors(),
-                false => MAX_OPERATORS,
-            };
             // Closed before anything was read, so the caller knows that no request ran.
-            let Some(place) = table.open(limit) else {
+            let Some(permit) = table.open(limit(&state)) else {
                 continue;
             };
-            task::spawn(serve(Arc::clone(&state), stream, place));
+            task::spawn(serve(Arc::clone(&state), stream, permit));
         }
     });
     Ok(address)
--- a/src/edge/edge_state.rs
+++ b/src/edge/edge_state.rs
@@ -41,7 +41,7 @@
 use crate::ids::TargetName;
 use crate::limits::ByteBudget;
 use crate::limits::ConnectionTable;
-use crate::limits::receive_buffer_bytes;
+use crate::limits::request_memory_bytes;
 use crate::logs::DecisionLine;
 use crate::logs::DecisionLog;
 use crate::members::GossipSchedule;
@@ -77,9 +77,6 @@
 const CONNECT_WAIT: Duration = Duration::from_millis(80);
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
 
-/// Share of the descriptors for connections that callers and the targets of their requests may use.
-/// The rest is left to peers, the store, operators and kept connections to targets.
-const CALLER_DESCRIPTOR_RATIO: f64 = 0.8;
 /// Shortest time between two rounds of gossip, so that many changes are sent together.
 const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -182,7 +179,7 @@
         queue.lock_table().set_adapts_to_targets(adapts);
         let incarnation = rand::random();
         let limiter = QuotaLimiter::new(tolerance, hosts, started);
-        let memory = ByteBudget::for_machine(startup.memory_bytes);
+        let memory = ByteBudget::new(request_memory_bytes(startup.memory_bytes));
         Arc::new(Self {
             queue,
             has_answer: AtomicBool::new(false),
@@ -231,16 +228,6 @@
         })
     }
 
-    /// Returns the number of descriptors for callers, and for the targets of their requests.
-    pub(crate) fn max_caller_descriptors(&self) -> usize {
-        (self.runtime.load().max_descriptors as f64 * CALLER_DESCRIPTOR_RATIO) as usize
-    }
-
-    /// Returns the size of the kernel's buffer for the unread bytes of one caller.
-    pub(crate) fn receive_buffer_bytes(&self) -> usize {
-        receive_buffer_bytes(self.startup.memory_bytes, self.max_caller_descriptors())
-    }
-
     /// Returns the addresses at which other hosts may be found.
     pub(crate) fn other_seeds(&self) -> Vec<SocketAddr> {
         other_seeds(&self.startup, &self.runtime.load())
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 //! graceful shutdown.
 
 mod caller_connection;
+mod caller_limits;
 mod caller_session;
 mod connection_pool;
 mod crash_check;
--- a/src/edge/operator_endpoints.rs
+++ b/src/edge/operator_endpoints.rs
@@ -10,16 +10,16 @@
 use crate::catalog::CallerLimits;
 use crate::clock::boot_now;
 use crate::limits::ByteBudget;
-use crate::limits::ConnectionPlace;
+use crate::limits::ConnectionPermit;
 use crate::metrics::MetricsError;
 
 /// Answers any request with 200 while the host is ready and with 503 otherwise.
 pub(crate) async fn serve_readiness(
     state: Arc<EdgeState>,
     stream: TcpStream,
-    place: ConnectionPlace,
+    permit: ConnectionPermit,
 ) {
-    let caller = CallerConnection::new(stream, place);
+    let caller = CallerConnection::new(stream, permit);
     serve_page(caller, &state.memory, || match state.is_ready() {
         true => (200, "ready\n".to_owned()),
         false => (503, "not ready\n".to_owned()),
@@ -31,9 +31,9 @@
 pub(crate) async fn serve_metrics(
     state: Arc<EdgeState>,
     stream: TcpStream,
-    place: ConnectionPlace,
+    permit: ConnectionPermit,
 ) {
-    let caller = CallerConnection::new(stream, place);
+    let caller = CallerConnection::new(stream, permit);
     serve_page(caller, &state.memory, || match metrics_text(&state) {
         Ok(text) => (200, text),
         Err(error) => (500, format!("{error}\n")),
@@ -71,7 +71,7 @@
         if !caller.reusable {
             return caller.close().await;
         }
-        caller.place.set_idle();
+        caller.permit.set_idle();
     }
 }
 
@@ -93,11 +93,11 @@
         ("shard_targets", shard_targets as u64),
         ("requests_running", state.active_requests() as u64),
         ("request_memory_bytes", state.memory.taken() as u64),
-        ("bodies_dropped_total", state.memory.dropped_bodies()),
+        ("bodies_evicted_total", state.memory.evicted_bodies()),
         ("caller_connections", state.callers.len() as u64),
         (
-            "caller_connections_closed_total",
-            state.callers.closed_connections(),
+            "caller_connections_evicted_total",
+            state.callers.evicted_connections(),
         ),
         (
             "target_connections_kept",
--- a/src/gateway/caller_service.rs
+++ b/src/gateway/caller_service.rs
@@ -13,8 +13,8 @@
 use crate::errors::RequestOutcome;
 use crate::http::CallerConnection;
 use crate::http::CallerRequest;
+use crate::http::ConnectionLimits;
 use crate::http::ConnectionListener;
-use crate::http::ConnectionPlaces;
 use crate::ids::RequestId;
 use crate::limits::receive_buffer_bytes;
 
@@ -52,12 +52,12 @@
         let serve = move |connection| serve_caller(connection, host.clone());
         let refuse = move |connection| refuse_caller(connection, refusing.clone());
         let max_descriptors = max_descriptors();
-        let places = ConnectionPlaces {
+        let limits = ConnectionLimits {
             table,
             max_descriptors,
             unread_bytes: receive_buffer_bytes(memory_bytes, max_descriptors),
         };
-        let listener = ConnectionListener::bind(address, places, serve, refuse).await?;
+        let listener = ConnectionListener::bind(address, limits, serve, refuse).await?;
         Ok(Self { listener })
     }
 
@@ -141,11 +141,11 @@
     let id = classified.id;
     let refused = |kind| (kind, Some(id));
     let body = request.read_body(classified.max_body_bytes, &host.memory);
-    let gave_way = async {
-        connection.gave_way().await;
+    let evicted = async {
+        connection.evicted().await;
         Err(ErrorKind::TooManyCallers)
     };
-    let (body, permit) = or(body, gave_way).await.map_err(refused)?;
+    let (body, permit) = or(body, evicted).await.map_err(refused)?;
     if !connection.set_running(max_descriptors()) {
         return Err(refused(ErrorKind::TooManyCallers));
     }
--- a/src/gateway/host_server.rs
+++ b/src/gateway/host_server.rs
@@ -38,6 +38,7 @@
 use crate::limits::AccountLimiter;
 use crate::limits::ByteBudget;
 use crate::limits::ConnectionTable;
+use crate::limits::request_memory_bytes;
 use crate::logs::StateChange;
 use crate::logs::StateLog;
 use crate::metrics::RequestMetrics;
@@ -161,7 +162,7 @@
             suspects,
             digests: digests.clone(),
             callers: ConnectionTable::new(),
-            memory: ByteBudget::for_machine(settings.memory_bytes()),
+            memory: ByteBudget::new(request_memory_bytes(settings.memory_bytes())),
             answers,
             mesh,
             recorder,
--- a/src/gateway/host_state.rs
+++ b/src/gateway/host_state.rs
@@ -124,9 +124,9 @@
             self.metrics.set_running(*tier, u64::from(*count));
         }
         self.metrics
-            .set_request_memory(self.memory.taken(), self.memory.dropped_bodies());
+            .set_request_memory(self.memory.taken(), self.memory.evicted_bodies());
         self.metrics
-            .set_callers(self.callers.len(), self.callers.closed_connections());
+            .set_callers(self.callers.len(), self.callers.evicted_connections());
         if let Some(view) = self.view() {
             self.metrics.set_fleet_version(view.document().version);
         }
--- a/src/http/caller_connection.rs
+++ b/src/http/caller_connection.rs
@@ -28,9 +28,10 @@
 use crate::errors::ErrorKind;
 use crate::limits::ByteBudget;
 use crate::limits::BytePermit;
-use crate::limits::ConnectionPlace;
+use crate::limits::ConnectionPermit;
 use crate::limits::IncomingBody;
 use crate::wire::ReadPacing;
+use crate::wire::wait_hung_up;
 
 /// Maximum idle time between two requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -54,7 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     stream: TcpStream,
-    place: ConnectionPlace,
+    permit: ConnectionPermit,
     buffer: HeadBuffer,
     reusable: bool,
     /// Whether the current request is a `HEAD`. Its answer has no body: the caller
@@ -72,11 +73,11 @@
 
 impl CallerConnection {
     /// Wraps an accepted stream.
-    pub(crate) fn new(stream: TcpStream, place: ConnectionPlace) -> Self {
+    pub(crate) fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
         set_socket_options(&stream);
         Self {
             stream,
-            place,
+            permit,
             buffer: HeadBuffer::default(),
             reusable: true,
             is_head_request: false,
@@ -89,14 +90,14 @@
     }
 
     /// Reads the next request's head; `None` when the caller closed the connection, stayed idle for
-    /// too long, or gave way to another connection.
+    /// too long, or was evicted.
     ///
     /// # Errors
     ///
     /// The error to answer with; the connection then accepts no further request.
     pub(crate) async fn next_request(&mut self) -> Result<Option<CallerRequest>, ErrorKind> {
         self.is_head_request = false;
-        self.place.set_idle();
+        self.permit.set_idle();
         let next = self.read_request().await;
         if next.is_err() {
             self.reusable = false;
@@ -108,16 +109,16 @@
         if self.buffer.is_empty() && !self.wait_for_first_byte().await {
             return Ok(None);
         }
-        if !self.place.set_reading() {
+        if !self.permit.set_reading() {
             return Ok(None);
         }
         let filled = timeout(HEAD_TIMEOUT, self.buffer.fill_head(&mut self.stream));
         let filled = async { filled.await.unwrap_or(Err(ErrorKind::SlowCaller)) };
-        let closed = async {
-            self.place.closed().await;
+        let evicted = async {
+            self.permit.evicted().await;
             Ok(None)
         };
-        let Some(head_bytes) = or(filled, closed).await? else {
+        let Some(head_bytes) = or(filled, evicted).await? else {
             return Ok(None);
         };
         let framing = MessageFraming::from_head(self.buffer.head(head_bytes))?;
@@ -134,22 +135,21 @@
         let mut byte = [0; 1];
         let peeked = timeout(IDLE_TIMEOUT, self.stream.peek(&mut byte));
         let arrived = async { matches!(peeked.await, Ok(Ok(count)) if count > 0) };
-        let closed = async {
-            self.place.closed().await;
+        let evicted = async {
+            self.permit.evicted().await;
             false
         };
-        or(arrived, closed).await
+        or(arrived, evicted).await
     }
 
-    /// Waits until the connection gives way to another one, which it does while part of a request
-    /// is missing.
-    pub(crate) async fn gave_way(&self) {
-        self.place.closed().await;
+    /// Waits until the connection is evicted, which may happen while part of a request is missing.
+    pub(crate) async fn evicted(&self) {
+        self.permit.evicted().await;
     }
 
     /// States that a request was received; returns whether there is a descriptor for its target.
     pub(crate) fn set_running(&self, limit: usize) -> bool {
-        self.place.set_running(limit)
+        self.permit.set_running(limit)
     }
 
     fn bound_message(&mut self, head_bytes: usize, framing: MessageFraming) -> BoundedIo {
@@ -246,18 +246,20 @@
             }
         };
         let drained = async { timeout(DRAIN_TIMEOUT, drained).await.unwrap_or(()) };
-        or(drained, self.place.closed()).await;
+        or(drained, self.permit.evicted()).await;
     }
 
     /// Completes once the caller has closed its side of the connection.
     ///
-    /// Never completes if bytes of a further request are pending: the caller is
-    /// still connected.
+    /// With bytes of a further request, the connection may also be evicted.
     pub(crate) async fn wait_closed(&self) {
         let mut byte = [0; 1];
         match self.stream.peek(&mut byte).await {
             Ok(0) | Err(_) => (),
-            Ok(_) => std::future::pending().await,
+            Ok(_) => {
+                self.permit.set_overflowing();
+                or(wait_hung_up(&self.stream), self.permit.evicted()).await;
+            }
         }
     }
 }
@@ -312,11 +314,11 @@
         loop {
             pacing.pace().await;
             let read = async { Some(AsyncReadExt::read(&mut self.body, &mut chunk).await) };
-            let dropped = async {
-                incoming.dropped().await;
+            let evicted = async {
+                incoming.evicted().await;
                 None
             };
-            let count = match or(read, dropped).await {
+            let count = match or(read, evicted).await {
                 None => return Err(ErrorKind::Overloaded),
                 Some(read) => read.map_err(|_| ErrorKind::MalformedMessage)?,
             };
--- a/src/http/connection_listener.rs
+++ b/src/http/connection_listener.rs
@@ -23,9 +23,9 @@
 /// same time; any further ones are closed without an answer.
 const MAX_REFUSED_CONNECTIONS: usize = 64;
 
-/// The places of the connections at an address.
+/// Limits on the connections at an address.
 #[derive(Clone, Debug)]
-pub(crate) struct ConnectionPlaces {
+pub(crate) struct ConnectionLimits {
     pub(crate) table: Arc<ConnectionTable>,
     /// Number of descriptors that they may use, with those to the targets of their requests.
     pub(crate) max_descriptors: usize,
@@ -43,14 +43,14 @@
 impl ConnectionListener {
     /// Binds the address and starts to accept connections.
     ///
-    /// Connections that have a place are passed to `serve`, those above to `refuse`.
+    /// Connections within the limits are passed to `serve`, those above to `refuse`.
     ///
     /// # Errors
     ///
     /// The address can't be bound.
     pub(crate) async fn bind<S, SF, R, RF>(
         address: SocketAddr,
-        places: ConnectionPlaces,
+        limits: ConnectionLimits,
         serve: S,
         refuse: R,
     ) -> io::Result<Self>
@@ -62,7 +62,7 @@
     {
         let listener = TcpListener::bind(address).await?;
         // Connections inherit it.
-        set_socket_recv_buffer_size(&listener, places.unread_bytes).ok();
+        set_socket_recv_buffer_size(&listener, limits.unread_bytes).ok();
         let address = listener.local_addr()?;
         let (stop, stopped) = async_channel::bounded::<()>(1);
         task::spawn(async move {
@@ -72,10 +72,10 @@
                     task::sleep(ACCEPT_RETRY_DELAY).await;
                     continue;
                 };
-                if let Some(place) = places.table.open(places.max_descriptors) {
-                    spawn_connection(serve(CallerConnection::new(stream, place)), &stopped);
-                } else if let Some(place) = refused.open(MAX_REFUSED_CONNECTIONS) {
-                    spawn_connection(refuse(CallerConnection::new(stream, place)), &stopped);
+                if let Some(permit) = limits.table.open(limits.max_descriptors) {
+                    spawn_connection(serve(CallerConnection::new(stream, permit)), &stopped);
+                } else if let Some(permit) = refused.open(MAX_REFUSED_CONNECTIONS) {
+                    spawn_connection(refuse(CallerConnection::new(stream, permit)), &stopped);
                 }
             }
         });
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -1,7 +1,9 @@
 //! Framing checks and the connection limit of a listener.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::io::ReadExt;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
@@ -9,8 +11,8 @@
 
 use super::AnswerHead;
 use super::CallerConnection;
+use super::ConnectionLimits;
 use super::ConnectionListener;
-use super::ConnectionPlaces;
 use super::HeaderMap;
 use super::MessageFraming;
 use crate::errors::ErrorKind;
@@ -91,7 +93,7 @@
 
 /// Guards against idle connections that keep callers out.
 #[async_std::test]
-async fn an_idle_connection_gives_way_to_a_new_one() {
+async fn an_idle_connection_is_evicted_for_a_new_one() {
     let serve = |mut connection: CallerConnection| async move {
         if let Ok(Some(_)) = connection.next_request().await {
             let answer = connection.send_answer(refusal_head(), Cursor::new([]));
@@ -109,6 +111,30 @@
     assert_eq!(first.read(&mut [0; 1]).await.unwrap(), 0);
 }
 
+/// Guards against requests that run on for a caller that has left behind unread bytes.
+#[async_std::test]
+async fn a_caller_that_disconnects_behind_unread_bytes_is_noticed() {
+    let (left, has_left) = async_channel::bounded(1);
+    let serve = move |mut connection: CallerConnection| {
+        let left = left.clone();
+        async move {
+            connection.next_request().await.ok();
+            connection.wait_closed().await;
+            left.send(()).await.ok();
+        }
+    };
+    let listener = bind_listener(serve).await;
+    let mut caller = TcpStream::connect(listener.address()).await.unwrap();
+    // More than one read, and less than the kernel's buffer, behind which no end is received.
+    let bytes = [REQUEST, &[b'x'; 10 << 10]].concat();
+    caller.write_all(&bytes).await.unwrap();
+
+    drop(caller);
+
+    let noticed = timeout(Duration::from_secs(10), has_left.recv()).await;
+    assert!(noticed.is_ok());
+}
+
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
 
 /// Starts a listener with one descriptor, which answers further connections with 503.
@@ -123,12 +149,12 @@
         answer.await.ok();
         connection.close().await;
     };
-    let places = ConnectionPlaces {
+    let limits = ConnectionLimits {
         table: ConnectionTable::new(),
         max_descriptors: 1,
         unread_bytes: 8 << 10,
     };
-    ConnectionListener::bind(any_port, places, serve, refuse)
+    ConnectionListener::bind(any_port, limits, serve, refuse)
         .await
         .unwrap()
 }
--- a/src/limits/byte_budget.rs
+++ b/src/limits/byte_budget.rs
@@ -3,8 +3,8 @@
 //! Without it, a few hundred waiting bodies of one mebibyte each, in a burst of long prompts,
 //! would exhaust the host's memory, and every request would fail.
 //!
-//! Bodies that are still being received give way to others: if memory runs out, the one that
-//! holds most, and for longest without a new byte, is dropped. Complete ones are kept.
+//! Bodies that are still being received are evicted when memory runs out, the largest and longest
+//! stalled one first. Complete bodies are never evicted.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -25,17 +25,10 @@
 /// The part of the limit that is reserved for small messages is one in this number.
 const RESERVE_DIVISOR: usize = 4;
 
-/// The part of the machine's memory that requests may hold is one in this number. The same part is
-/// left to bytes that the kernel received and the process has not read, and the rest to
-/// connections, to what the process knows of the fleet, and to freed memory that the allocator keeps.
-const REQUEST_MEMORY_DIVISOR: usize = 4;
-const UNREAD_MEMORY_DIVISOR: usize = 4;
-/// Bounds on the kernel's buffer for one caller, in bytes. The lower one lets a prompt of the usual
-/// size pass without a pause, the upper one is the kernel's own default.
-const MIN_RECEIVE_BUFFER: usize = 8 << 10;
-const MAX_RECEIVE_BUFFER: usize = 128 << 10;
+/// Time for which a body counts as stalled as soon as it has received a byte.
+const STALL_BASE: Duration = Duration::from_secs(1);
 
-/// The memory of a body, empty once the body was dropped.
+/// The memory of a body, empty once the body was evicted.
 pub(super) type BodyMemory = Arc<Mutex<Option<BodyBytes>>>;
 
 /// A limit on the bytes held at the same time.
@@ -43,7 +36,7 @@
 pub struct ByteBudget {
     limit: usize,
     state: Mutex<BudgetState>,
-    dropped: AtomicU64,
+    evicted: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -61,8 +54,8 @@
     /// When it grew last, on the boot clock.
     grown_at: Duration,
     memory: BodyMemory,
-    /// Closed with the entry, which tells the receiver of the body.
-    _dropped: Sender<()>,
+    /// Closed on eviction.
+    _evicted: Sender<()>,
 }
 
 /// Bytes reserved from a budget, released when dropped.
@@ -78,15 +71,10 @@
         Arc::new(Self {
             limit,
             state: Mutex::default(),
-            dropped: AtomicU64::new(0),
+            evicted: AtomicU64::new(0),
         })
     }
 
-    /// Creates the budget of a process on a machine with `memory_bytes`.
-    pub(crate) fn for_machine(memory_bytes: usize) -> Arc<Self> {
-        Self::new(memory_bytes / REQUEST_MEMORY_DIVISOR)
-    }
-
     /// Reserves bytes, unless that would exceed the limit.
     pub fn take(self: &Arc<Self>, bytes: usize) -> Option<BytePermit> {
         let mut permit = self.empty_permit();
@@ -106,14 +94,14 @@
         self.lock_state().taken
     }
 
-    /// Returns the number of incomplete bodies that were dropped to make room.
-    pub fn dropped_bodies(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
+    /// Returns the number of evicted bodies.
+    pub fn evicted_bodies(&self) -> u64 {
+        self.evicted.load(Ordering::Relaxed)
     }
 
-    /// Adds a body that holds nothing yet; the receiver is closed when it is dropped to make room.
+    /// Adds a body that holds nothing yet; the receiver is closed when it is evicted.
     pub(super) fn add_incoming(&self, memory: BodyMemory) -> (u64, Receiver<()>) {
-        let (dropped, is_dropped) = async_channel::bounded(1);
+        let (sender, evicted) = async_channel::bounded(1);
         let mut state = self.lock_state();
         state.last_id += 1;
         let id = state.last_id;
@@ -122,9 +110,9 @@
             held: 0,
             grown_at: boot_now(),
             memory,
-            _dropped: dropped,
+            _evicted: sender,
         });
-        (id, is_dropped)
+        (id, evicted)
     }
 
     /// Reserves memory so that an incoming body holds at least `bytes`; returns whether it does.
@@ -166,8 +154,8 @@
         self.lock_state().taken -= bytes;
     }
 
-    /// Reserves what is missing from `held` to `bytes`; drops incoming bodies that weigh more where
-    /// there is no room, except for the body `own` if that is what grows.
+    /// Grows a reservation from `held` to `bytes`, by evicting heavier incoming bodies if need be.
+    /// `own` is the incoming body that grows.
     fn make_room(
         &self,
         state: &mut BudgetState,
@@ -189,13 +177,13 @@
             let Some((index, entry)) = heaviest else {
                 return false;
             };
-            if entry.weight(now) <= bytes as u128 * 1000 {
+            if entry.weight(now) <= stall_weight(bytes, Duration::ZERO) {
                 return false;
             }
             let entry = state.incoming.remove(index);
             state.taken -= entry.held;
             *lock(&entry.memory) = None;
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.evicted.fetch_add(1, Ordering::Relaxed);
         }
         state.taken += missing;
         true
@@ -220,14 +208,17 @@
 }
 
 impl IncomingEntry {
-    /// Returns the bytes it holds times the time for which it has not grown, in byte milliseconds,
-    /// where a body that is growing counts as if it had not for a second.
     fn weight(&self, now: Duration) -> u128 {
-        let stalled = now.saturating_sub(self.grown_at);
-        self.held as u128 * (1000 + stalled.as_millis())
+        stall_weight(self.held, now.saturating_sub(self.grown_at))
     }
 }
 
+/// Returns the eviction weight of a body: its bytes times the time since it grew last, to which
+/// [`STALL_BASE`] is added so that the size of growing bodies counts too.
+fn stall_weight(bytes: usize, stalled: Duration) -> u128 {
+    bytes as u128 * (STALL_BASE + stalled).as_millis()
+}
+
 impl BytePermit {
     /// Reserves or releases bytes so that the permit holds `bytes`; returns whether it does. If
     /// the limit would be exceeded, it holds what it held before.
@@ -248,12 +239,6 @@
     }
 }
 
-/// Returns the size of the kernel's buffer for the unread bytes of one of `callers`.
-pub(crate) fn receive_buffer_bytes(memory_bytes: usize, callers: usize) -> usize {
-    let per_caller = memory_bytes / UNREAD_MEMORY_DIVISOR / callers.max(1);
-    per_caller.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER)
-}
-
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/limits/connection_table.rs
+++ b/src/limits/connection_table.rs
@@ -1,7 +1,7 @@
 //! The connections that are open at an address.
 //!
-//! Idle connections give way to new ones. Without that, callers that connect and send nothing
-//! would keep all others out.
+//! Idle connections are evicted in favour of new ones. Otherwise, callers that connect and send
+//! nothing would keep all others out.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,11 +16,11 @@
 
 use crate::clock::boot_now;
 
-/// The part of the descriptors that running requests leave to connections is one in this number, so
-/// that callers get a refusal.
+/// Divisor of the descriptors that running requests leave to other connections, on which callers
+/// then get a refusal.
 const RESERVE_DIVISOR: usize = 8;
 
-/// What a connection does. Connections with a lower phase give way first.
+/// What a connection does. A lower phase is evicted first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum ConnectionPhase {
     /// Nothing was received yet.
@@ -30,7 +30,7 @@
     /// Part of a request was received.
     Reading,
     /// A request waits or runs, and more bytes follow it than are buffered.
-    Flooding,
+    Overflowing,
     /// A request waits or runs.
     Running,
 }
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionTable {
     state: Mutex<TableState>,
-    closed: AtomicU64,
+    evicted: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -58,16 +58,16 @@
     descriptors: usize,
     /// When the phase began, on the boot clock.
     since: Duration,
-    /// Closed with the entry, which ends the connection.
-    _closed: Sender<()>,
+    /// Closed on eviction.
+    _evicted: Sender<()>,
 }
 
-/// The place of a connection in the table, given up when dropped.
+/// The entry of a connection in the table, removed when dropped.
 #[derive(Debug)]
-pub(crate) struct ConnectionPlace {
+pub(crate) struct ConnectionPermit {
     table: Arc<ConnectionTable>,
     id: u64,
-    closed: Receiver<()>,
+    evicted: Receiver<()>,
 }
 
 impl ConnectionTable {
@@ -75,18 +75,18 @@
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::default(),
-            closed: AtomicU64::new(0),
+            evicted: AtomicU64::new(0),
         })
     }
 
-    /// Adds a connection, in place of an idle one if more than `limit` descriptors would be in use;
-    /// `None` if there is none.
-    pub(crate) fn open(self: &Arc<Self>, limit: usize) -> Option<ConnectionPlace> {
+    /// Adds a connection within `limit` descriptors, by evicting others if need be; `None` if requests
+    /// run on all of them.
+    pub(crate) fn open(self: &Arc<Self>, limit: usize) -> Option<ConnectionPermit> {
         let mut state = self.lock_state();
         if !self.make_room(&mut state, limit, None) {
             return None;
         }
-        let (sender, closed) = async_channel::bounded(1);
+        let (sender, evicted) = async_channel::bounded(1);
         state.last_id += 1;
         let id = state.last_id;
         state.entries.push(ConnectionEntry {
@@ -94,12 +94,12 @@
             phase: ConnectionPhase::New,
             descriptors: 1,
             since: boot_now(),
-            _closed: sender,
+            _evicted: sender,
         });
-        Some(ConnectionPlace {
+        Some(ConnectionPermit {
             table: Arc::clone(self),
             id,
-            closed,
+            evicted,
         })
     }
 
@@ -108,13 +108,12 @@
         self.lock_state().entries.len()
     }
 
-    /// Returns the number of connections that were closed to make room.
-    pub(crate) fn closed_connections(&self) -> u64 {
-        self.closed.load(Ordering::Relaxed)
+    /// Returns the number of evicted connections.
+    pub(crate) fn evicted_connections(&self) -> u64 {
+        self.evicted.load(Ordering::Relaxed)
     }
 
-    /// Takes a descriptor, if need be that of the connection that gives way first, except for the
-    /// one `own` if that is what needs it.
+    /// Takes a descriptor, by evicting a connection if need be. `own` is the connection that takes it.
     fn make_room(&self, state: &mut TableState, limit: usize, own: Option<u64>) -> bool {
         while state.descriptors >= limit {
             let entries = state.entries.iter().enumerate();
@@ -127,7 +126,7 @@
                 return false;
             };
             state.remove(index);
-            self.closed.fetch_add(1, Ordering::Relaxed);
+            self.evicted.fetch_add(1, Ordering::Relaxed);
         }
         state.descriptors += 1;
         true
@@ -138,11 +137,11 @@
     }
 }
 
-impl ConnectionPlace {
-    /// Waits until the connection is closed to make room.
-    pub(crate) async fn closed(&self) {
+impl ConnectionPermit {
+    /// Waits until the connection is evicted.
+    pub(crate) async fn evicted(&self) {
         // Nothing is sent; the channel closes.
-        self.closed.recv().await.ok();
+        self.evicted.recv().await.ok();
     }
 
     /// States that the connection is between two requests.
@@ -174,10 +173,10 @@
     }
 
     /// States that more bytes follow a running request than are buffered.
-    pub(crate) fn set_flooding(&self) {
+    pub(crate) fn set_overflowing(&self) {
         let mut state = self.table.lock_state();
         if let Some(index) = state.index_of(self.id) {
-            state.entries[index].phase = ConnectionPhase::Flooding;
+            state.entries[index].phase = ConnectionPhase::Overflowing;
         }
     }
 }
@@ -212,7 +211,7 @@
     }
 }
 
-impl Drop for ConnectionPlace {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         let mut state = self.table.lock_state();
         if let Some(index) = state.index_of(self.id) {
--- a/src/limits/incoming_body.rs
+++ b/src/limits/incoming_body.rs
@@ -12,25 +12,25 @@
 use super::byte_budget::BodyMemory;
 use super::byte_budget::lock;
 
-/// A body that is being received, with the memory that it holds. It may be dropped to make room.
+/// A body that is being received, with the memory that it holds. It may be evicted.
 #[derive(Debug)]
 pub(crate) struct IncomingBody {
     budget: Arc<ByteBudget>,
     id: u64,
     memory: BodyMemory,
-    dropped: Receiver<()>,
+    evicted: Receiver<()>,
 }
 
 impl IncomingBody {
     /// Starts a body without bytes.
     pub(crate) fn open(budget: &Arc<ByteBudget>) -> Self {
         let memory: BodyMemory = Arc::new(Mutex::new(Some(BodyBytes::Small(Vec::new()))));
-        let (id, dropped) = budget.add_incoming(Arc::clone(&memory));
+        let (id, evicted) = budget.add_incoming(Arc::clone(&memory));
         Self {
             budget: Arc::clone(budget),
             id,
             memory,
-            dropped,
+            evicted,
         }
     }
 
@@ -51,18 +51,18 @@
         memory.as_mut()?.append(more, max_bytes).ok()
     }
 
-    /// Returns the number of bytes received; 0 if the body was dropped.
+    /// Returns the number of bytes received; 0 if the body was evicted.
     pub(crate) fn len(&self) -> usize {
         lock(&self.memory).as_ref().map_or(0, BodyBytes::len)
     }
 
-    /// Waits until the body is dropped to make room.
-    pub(crate) async fn dropped(&self) {
+    /// Waits until the body is evicted.
+    pub(crate) async fn evicted(&self) {
         // Nothing is sent; the channel closes.
-        self.dropped.recv().await.ok();
+        self.evicted.recv().await.ok();
     }
 
-    /// Returns the complete body with its memory, which is no longer dropped; `None` if it was.
+    /// Returns the complete body with its memory, which can no longer be evicted; `None` if it was.
     pub(crate) fn finish(self) -> Option<(Bytes, BytePermit)> {
         let held = self.budget.remove_incoming(self.id)?;
         let permit = self.budget.adopt(held);
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -1,4 +1,4 @@
-//! Which bodies and connections give way.
+//! Eviction of bodies and connections.
 
 use std::sync::Arc;
 
@@ -6,7 +6,7 @@
 use futures_lite::future::poll_once;
 
 use super::ByteBudget;
-use super::ConnectionPlace;
+use super::ConnectionPermit;
 use super::ConnectionTable;
 use super::IncomingBody;
 
@@ -19,8 +19,8 @@
     body.append(&vec![b'x'; count], LIMIT).is_some()
 }
 
-fn is_dropped(body: &IncomingBody) -> bool {
-    block_on(poll_once(body.dropped())).is_some()
+fn is_body_evicted(body: &IncomingBody) -> bool {
+    block_on(poll_once(body.evicted())).is_some()
 }
 
 /// Returns a budget that incomplete bodies of these sizes use up, and the bodies.
@@ -37,14 +37,14 @@
 
 /// Guards against a budget that incomplete bodies use up.
 #[test]
-fn the_largest_incomplete_body_gives_way() {
+fn the_largest_incomplete_body_is_evicted() {
     let (budget, bodies) = full_budget(&[100_000, 400_000, 200_000]);
 
     let permit = budget.take(300_000);
 
     assert!(permit.is_some());
-    let dropped: Vec<bool> = bodies.iter().map(is_dropped).collect();
-    assert_eq!(dropped, [false, true, false]);
+    let evicted: Vec<bool> = bodies.iter().map(is_body_evicted).collect();
+    assert_eq!(evicted, [false, true, false]);
     assert!(budget.taken() <= LARGE_LIMIT);
 }
 
@@ -56,7 +56,7 @@
     let mut larger = IncomingBody::open(&budget);
 
     assert!(!receive(&mut larger, 400_000));
-    assert!(!bodies.iter().any(is_dropped));
+    assert!(!bodies.iter().any(is_body_evicted));
 }
 
 /// Guards against complete large bodies that leave no memory for small requests.
@@ -88,7 +88,7 @@
     drop(permit);
 
     assert_eq!(budget.taken(), 0);
-    assert_eq!(budget.dropped_bodies(), 1);
+    assert_eq!(budget.evicted_bodies(), 1);
 }
 
 /// Guards against a body that loses bytes when its memory grows.
@@ -103,49 +103,49 @@
     assert!(body.iter().all(|byte| *byte == b'x'));
 }
 
-fn is_closed(place: &ConnectionPlace) -> bool {
-    block_on(poll_once(place.closed())).is_some()
+fn is_evicted(permit: &ConnectionPermit) -> bool {
+    block_on(poll_once(permit.evicted())).is_some()
 }
 
 /// Guards against connections that were never of use, and that drive out those that were.
 #[test]
-fn connections_without_a_request_give_way_first() {
+fn connections_without_a_request_are_evicted_first() {
     let table = ConnectionTable::new();
     let open_reading = || {
-        let place = table.open(3).unwrap();
-        assert!(place.set_reading());
-        place
+        let permit = table.open(3).unwrap();
+        assert!(permit.set_reading());
+        permit
     };
     let reading = open_reading();
     let new = table.open(3).unwrap();
     new.set_idle();
     let idle = open_reading();
     idle.set_idle();
-    let closed = || [&new, &idle, &reading].map(is_closed);
+    let evicted = || [&new, &idle, &reading].map(is_evicted);
 
     let _first = open_reading();
-    assert_eq!(closed(), [true, false, false]);
+    assert_eq!(evicted(), [true, false, false]);
     let _second = open_reading();
-    assert_eq!(closed(), [true, true, false]);
+    assert_eq!(evicted(), [true, true, false]);
     let _third = open_reading();
-    assert_eq!(closed(), [true, true, true]);
+    assert_eq!(evicted(), [true, true, true]);
 }
 
 /// Guards against callers that keep others out by bytes behind requests which run.
 #[test]
-fn a_connection_that_floods_gives_way() {
+fn an_overflowing_connection_is_evicted() {
     let table = ConnectionTable::new();
-    let flooding = table.open(4).unwrap();
-    assert!(flooding.set_running(4));
-    flooding.set_flooding();
+    let overflowing = table.open(4).unwrap();
+    assert!(overflowing.set_running(4));
+    overflowing.set_overflowing();
     let other = table.open(4).unwrap();
     assert!(other.set_running(4));
 
     assert!(table.open(4).is_some());
 
-    assert!(is_closed(&flooding));
-    assert!(!is_closed(&other));
-    drop((flooding, other));
+    assert!(is_evicted(&overflowing));
+    assert!(!is_evicted(&other));
+    drop((overflowing, other));
     assert_eq!(table.len(), 0);
     assert!((0..4).all(|_| keep_open(&table)));
 }
@@ -154,13 +154,13 @@
 #[test]
 fn running_requests_leave_room_for_connections() {
     let table = ConnectionTable::new();
-    let running: Vec<ConnectionPlace> = (0..7).filter_map(|_| table.open(16)).collect();
-    assert!(running.iter().all(|place| place.set_running(16)));
+    let running: Vec<ConnectionPermit> = (0..7).filter_map(|_| table.open(16)).collect();
+    assert!(running.iter().all(|permit| permit.set_running(16)));
 
     let further = table.open(16).unwrap();
 
     assert!(!further.set_running(16));
-    assert!(!running.iter().any(is_closed));
+    assert!(!running.iter().any(is_evicted));
 }
 
 /// Opens a connection within four descriptors, for ever.
@@ -179,7 +179,7 @@
 
     assert!(!second.set_running(3));
     assert!(table.open(3).is_some());
-    assert!(is_closed(&second));
+    assert!(is_evicted(&second));
     drop(first);
     assert!(table.open(3).is_some());
 }
--- a/src/metrics/request_metrics.rs
+++ b/src/metrics/request_metrics.rs
@@ -1,6 +1,8 @@
 //! The handle to all metrics of the daemon.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::MeterProvider;
@@ -45,6 +47,9 @@
     requests: RequestInstruments,
     state: StateInstruments,
     series: SeriesTable,
+    /// Evictions that are counted already.
+    evicted_bodies: AtomicU64,
+    evicted_callers: AtomicU64,
 }
 
 impl RequestMetrics {
@@ -71,6 +76,8 @@
             requests: RequestInstruments::new(&meter),
             state: StateInstruments::new(&meter),
             series: SeriesTable::default(),
+            evicted_bodies: AtomicU64::new(0),
+            evicted_callers: AtomicU64::new(0),
             _provider: provider,
         }))
     }
@@ -141,17 +148,20 @@
         self.state.fleet_version.record(version, &[]);
     }
 
-    /// Sets the memory that requests hold, and the number of bodies that were dropped.
-    pub fn set_request_memory(&self, held_bytes: usize, dropped_bodies: u64) {
+    /// Sets the memory that requests hold, in bytes, and the total of evicted bodies.
+    pub fn set_request_memory(&self, held_bytes: usize, evicted_total: u64) {
         self.state.request_memory.record(held_bytes as u64, &[]);
-        self.state.dropped_bodies.record(dropped_bodies, &[]);
+        let counted = self.evicted_bodies.swap(evicted_total, Ordering::Relaxed);
+        let more = evicted_total.saturating_sub(counted);
+        self.state.evicted_bodies.add(more, &[]);
     }
 
-    /// Sets the number of callers' connections that are open, and of those that were closed to make
-    /// room.
-    pub fn set_callers(&self, open: usize, closed: u64) {
+    /// Sets the number of callers' open connections, and the total of evicted ones.
+    pub fn set_callers(&self, open: usize, evicted_total: u64) {
         self.state.caller_connections.record(open as u64, &[]);
-        self.state.closed_callers.record(closed, &[]);
+        let counted = self.evicted_callers.swap(evicted_total, Ordering::Relaxed);
+        let more = evicted_total.saturating_sub(counted);
+        self.state.evicted_callers.add(more, &[]);
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/src/metrics/state_instruments.rs
+++ b/src/metrics/state_instruments.rs
@@ -17,9 +17,9 @@
     pub(super) running: Gauge<u64>,
     pub(super) fleet_version: Gauge<u64>,
     pub(super) request_memory: Gauge<u64>,
-    pub(super) dropped_bodies: Gauge<u64>,
+    pub(super) evicted_bodies: Counter<u64>,
     pub(super) caller_connections: Gauge<u64>,
-    pub(super) closed_callers: Gauge<u64>,
+    pub(super) evicted_callers: Counter<u64>,
 }
 
 impl StateInstruments {
@@ -52,16 +52,16 @@
                 "request_memory_bytes",
                 "Memory that the bodies of requests and buffered answers hold.",
             ),
-            dropped_bodies: gauge(
+            evicted_bodies: counter(
                 meter,
-                "dropped_bodies",
-                "Incomplete bodies that were dropped to make room, since the start.",
+                "evicted_bodies",
+                "Incomplete bodies that were evicted.",
             ),
             caller_connections: gauge(meter, "caller_connections", "Open connections of callers."),
-            closed_callers: gauge(
+            evicted_callers: counter(
                 meter,
-                "closed_caller_connections",
-                "Connections of callers that gave way to others, since the start.",
+                "evicted_caller_connections",
+                "Connections of callers that were evicted.",
             ),
             waiting: gauge(meter, "waiting_requests", "Requests that wait, by tier."),
             running: gauge(meter, "running_requests", "Requests that run, by tier."),
--- a/src/operators/operator_service.rs
+++ b/src/operators/operator_service.rs
@@ -11,8 +11,8 @@
 use crate::gateway::HostState;
 use crate::http::AnswerHead;
 use crate::http::CallerConnection;
+use crate::http::ConnectionLimits;
 use crate::http::ConnectionListener;
-use crate::http::ConnectionPlaces;
 use crate::limits::ConnectionTable;
 
 /// The maximum number of concurrent operator connections: some scrapers, the load
@@ -45,12 +45,12 @@
     pub(crate) async fn bind(address: SocketAddr, host: Arc<HostState>) -> io::Result<Self> {
         let serve = move |connection| serve_operator(connection, host.clone());
         let refuse = |connection| async move { drop(connection) };
-        let places = ConnectionPlaces {
+        let limits = ConnectionLimits {
             table: ConnectionTable::new(),
             max_descriptors: MAX_CONNECTIONS,
             unread_bytes: UNREAD_BYTES,
         };
-        let listener = ConnectionListener::bind(address, places, serve, refuse).await?;
+        let listener = ConnectionListener::bind(address, limits, serve, refuse).await?;
         Ok(Self { listener })
     }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod body_decoder;
 mod body_framing;
 mod complete_response;
+mod hang_up;
 mod input_buffer;
 mod message_headers;
 mod read_pacing;
@@ -25,6 +26,7 @@
 pub(crate) use complete_response::ResponseLimits;
 pub(crate) use complete_response::can_reuse_connection;
 pub(crate) use complete_response::read_complete_response;
+pub(crate) use hang_up::wait_hung_up;
 pub(crate) use input_buffer::InputBuffer;
 pub(crate) use input_buffer::read_chunk;
 pub(crate) use message_headers::MessageHeaders;
--- a/tests/process_crowds/edge_crowds.rs
+++ b/tests/process_crowds/edge_crowds.rs
@@ -136,9 +136,11 @@
     let _alone = block_on(run_alone());
     let machine = EdgeMachine::start();
 
-    let crowds = machine
-        .addresses()
-        .map(|address| CallerCrowd::open(address, IDLE_CROWD, CrowdRequest::nothing()));
+    let crowds = machine.addresses().map(|address| {
+        let crowd = CallerCrowd::open(address, IDLE_CROWD, CrowdRequest::nothing());
+        machine.assert_descriptors();
+        crowd
+    });
 
     machine.assert_serves("idle");
     drop(crowds);
--- a/tests/process_crowds/edge_machine.rs
+++ b/tests/process_crowds/edge_machine.rs
@@ -26,6 +26,7 @@
 /// Descriptors of the machine, and those of them that the platform reserves for files.
 const MAX_DESCRIPTORS: usize = 1000;
 const FILE_DESCRIPTORS: usize = 200;
+const MAX_SOCKETS: usize = MAX_DESCRIPTORS - FILE_DESCRIPTORS;
 /// Largest body that the configuration allows, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 1 << 20;
 
@@ -130,8 +131,16 @@
             peak + unread <= MEMORY_MB << 20,
             "{case}: {peak} bytes of memory, {unread} bytes unread"
         );
-        let limit = MAX_DESCRIPTORS - FILE_DESCRIPTORS;
-        assert!(descriptors <= limit, "{case}: {descriptors} descriptors");
+        assert!(
+            descriptors <= MAX_SOCKETS,
+            "{case}: {descriptors} descriptors"
+        );
+    }
+
+    /// Asserts that the process has no more descriptors than its machine leaves to sockets.
+    pub(crate) fn assert_descriptors(&self) {
+        let descriptors = open_descriptors(self.host.process_id().unwrap());
+        assert!(descriptors <= MAX_SOCKETS, "{descriptors} descriptors");
     }
 }
 
