Review: machines that are added while their seeds are down exceed a quota

Shown by a script. The stand-ins end the script without waiting for their tasks, and end its processes when it is ended.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -347,6 +347,7 @@
                "CARDAMOMGW_BOOT": self.path}
         self.process = subprocess.Popen(PROGRAM, cwd=ROOT, env=env, stdout=log, stderr=log,
                                         stdin=subprocess.DEVNULL)
+        PROCESSES.append(self.process)
         log.close()
 
     def signal(self, number):
@@ -526,16 +527,31 @@
     return "cut" if answer[2] is None else answer[0]
 
 
+PROCESSES = []
+
+
+def end_processes(*_):
+    """Ends all processes that the script started."""
+    for process in PROCESSES:
+        if process.poll() is None:
+            process.kill()
+    os._exit(2)
+
+
 def run_case(play):
     """Plays a case: `play` gets whether there is trouble, and the record, and returns the code."""
+    signal.signal(signal.SIGTERM, end_processes)
+    signal.signal(signal.SIGINT, end_processes)
+
     async def limited():
         record = Record(sys.argv[2])
         try:
-            return await asyncio.wait_for(play(sys.argv[1] != "0", record), 110)
-        except (OSError, asyncio.TimeoutError) as error:
+            code = await asyncio.wait_for(play(sys.argv[1] != "0", record), 110)
+        except Exception as error:
             record("failed", repr(error))
-            return 2
-        finally:
-            record.file.close()
+            code = 2
+        record.file.close()
+        # Nothing is left to be done by the tasks of the stand-ins.
+        os._exit(code)
 
-    sys.exit(asyncio.run(limited()))
+    asyncio.run(limited())
