--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,8 +13,8 @@
 SERVICES = [{"name": "desk"}]
 BEFORE = [{"name": "north", "api-keys": ["key-a", "key-b"]}, {"name": "south", "api-keys": ["key-c"]}]
 AFTER = [{"name": "north", "api-keys": ["key-b"]}, {"name": "south", "api-keys": ["key-c"]}]
-# The longest cut of a machine in the site file.
-CUT_S = 12
+# The longest silence of the store towards some machines in the site file.
+CUT_S = 9
 
 
 async def play(trouble, record):
